--- /dev/null
+++ b/src/cmake/AmaranthTargets.cmake
@@ -0,0 +1,33 @@
+# amaranth_library(NAME SOURCES ... [LIBS ...]): a static library of the
+# workspace with the public include folder and our warnings.
+function(amaranth_library name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;LIBS" ${ARGN})
+  add_library(${name} STATIC ${ARG_SOURCES})
+  target_include_directories(${name} PUBLIC "${CMAKE_SOURCE_DIR}/src/include"
+                                            "${CMAKE_SOURCE_DIR}/src")
+  target_link_libraries(${name} PUBLIC ${ARG_LIBS} PRIVATE amaranth_warnings)
+endfunction()
+
+# amaranth_program(NAME SOURCES ... [LIBS ...]): an executable.
+function(amaranth_program name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;LIBS" ${ARGN})
+  add_executable(${name} ${ARG_SOURCES})
+  target_include_directories(${name} PRIVATE "${CMAKE_SOURCE_DIR}/src/include"
+                                             "${CMAKE_SOURCE_DIR}/src")
+  target_link_libraries(${name} PRIVATE ${ARG_LIBS} amaranth_warnings)
+endfunction()
+
+# amaranth_unit_test(NAME SOURCES ... [LIBS ...]): the one test program of a
+# library; src/libutil/test_main.cc gives it main(). rapidcheck's seed is fixed
+# so that CI gives the same verdict every time.
+function(amaranth_unit_test name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;LIBS" ${ARGN})
+  amaranth_program(${name} SOURCES ${ARG_SOURCES}
+                   "${CMAKE_SOURCE_DIR}/src/libutil/test_main.cc"
+                   LIBS ${ARG_LIBS} ${CPPUTEST_LIBRARY} ${RAPIDCHECK_LIBRARY})
+  target_compile_definitions(${name}
+                             PRIVATE CPPUTEST_MEM_LEAK_DETECTION_DISABLED)
+  add_test(NAME ${name} COMMAND ${name})
+  set_tests_properties(${name} PROPERTIES ENVIRONMENT
+                       "RC_PARAMS=seed=20261202" TIMEOUT 120)
+endfunction()
--- /dev/null
+++ b/src/cmake/check.sh
@@ -0,0 +1,26 @@
+#!/usr/bin/env bash
+# The README's test command: format, build, lint, tests. Same verdict each run.
+set -euo pipefail
+cd "$(dirname "$0")/../.."
+
+mapfile -t sources < <(git ls-files 'src/*.cc' 'src/*.h' 'testsuite/*.cc' \
+  'testsuite/*.h' | grep -v gen-cpp)
+
+echo "== format"
+clang-format --dry-run --Werror "${sources[@]}"
+
+echo "== build"
+cmake --preset release >/dev/null
+cmake --build --preset release
+
+echo "== lint"
+bash src/cmake/lint.sh "${sources[@]}"
+
+echo "== tests"
+excluded=""
+if [ -s KNOWN-RED.txt ]; then
+  echo "known red, passed over:"
+  cat KNOWN-RED.txt
+  excluded=$(cut -d: -f1 KNOWN-RED.txt | paste -sd'|')
+fi
+ctest --test-dir build --output-on-failure -j 4 ${excluded:+-E "^($excluded)$"}
--- /dev/null
+++ b/src/include/amaranthroute/http.h
@@ -0,0 +1,92 @@
+#ifndef AMARANTHROUTE_HTTP_H_
+#define AMARANTHROUTE_HTTP_H_
+
+/// HTTP messages as plain values, free of any HTTP library.
+
+#include <memory>
+#include <ostream>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace amaranth {
+
+/// An immutable message body, shared so that a retry needs no copy.
+class Body {
+ public:
+  Body() = default;
+  explicit Body(std::string bytes)
+      : bytes_(std::make_shared<const std::string>(std::move(bytes))) {}
+
+  std::string_view view() const {
+    return bytes_ ? std::string_view(*bytes_) : std::string_view();
+  }
+  size_t size() const { return view().size(); }
+
+  friend bool operator==(const Body& a, const Body& b) {
+    return a.bytes_ == b.bytes_ || a.view() == b.view();
+  }
+  friend bool operator!=(const Body& a, const Body& b) { return !(a == b); }
+
+ private:
+  std::shared_ptr<const std::string> bytes_;
+};
+
+/// One header field; names compare without case (see FindHeader).
+struct Header {
+  std::string name;
+  std::string value;
+
+  friend bool operator==(const Header& a, const Header& b) {
+    return a.name == b.name && a.value == b.value;
+  }
+  friend bool operator!=(const Header& a, const Header& b) { return !(a == b); }
+};
+
+/// The first value of `name` (any case), or an empty view.
+std::string_view FindHeader(const std::vector<Header>& headers,
+                            std::string_view name);
+
+/// Replaces every field called `name` (any case) by one with `value`.
+void SetHeader(std::vector<Header>& headers, std::string_view name,
+               std::string_view value);
+
+/// Removes every field called `name` (any case).
+void RemoveHeader(std::vector<Header>& headers, std::string_view name);
+
+/// A whole request. `target` is the path with its query.
+struct HttpRequest {
+  std::string method = "GET";
+  std::string target = "/";
+  std::vector<Header> headers;
+  Body body;
+
+  friend bool operator==(const HttpRequest& a, const HttpRequest& b) {
+    return a.method == b.method && a.target == b.target &&
+           a.headers == b.headers && a.body == b.body;
+  }
+  friend bool operator!=(const HttpRequest& a, const HttpRequest& b) {
+    return !(a == b);
+  }
+};
+
+/// A whole response; shells never build one from a truncated body.
+struct HttpResponse {
+  int status = 200;
+  std::vector<Header> headers;
+  Body body;
+
+  friend bool operator==(const HttpResponse& a, const HttpResponse& b) {
+    return a.status == b.status && a.headers == b.headers && a.body == b.body;
+  }
+  friend bool operator!=(const HttpResponse& a, const HttpResponse& b) {
+    return !(a == b);
+  }
+};
+
+std::ostream& operator<<(std::ostream& out, const HttpRequest& request);
+std::ostream& operator<<(std::ostream& out, const HttpResponse& response);
+
+}  // namespace amaranth
+
+#endif  // AMARANTHROUTE_HTTP_H_
--- /dev/null
+++ b/src/libutil/fields.h
@@ -0,0 +1,262 @@
+#ifndef AMARANTHROUTE_LIBUTIL_FIELDS_H_
+#define AMARANTHROUTE_LIBUTIL_FIELDS_H_
+
+// The members of each message, event and effect as a tuple: comparison and
+// printing are written once over these, so a member added here is compared
+// and printed everywhere.
+
+#include <tuple>
+
+#include "amaranthroute/effect.h"
+#include "amaranthroute/event.h"
+#include "amaranthroute/messages.h"
+#include "amaranthroute/platform.h"
+
+namespace amaranth::pvt {
+
+inline auto Fields(const CallContext& v) {
+  return std::tie(v.request_id, v.mesh, v.service, v.request_class, v.tenant,
+                  v.caller_key, v.tier, v.idempotent, v.long_work, v.depth,
+                  v.remaining, v.retry_credits, v.fingerprint);
+}
+
+inline auto Fields(const LoadReport& v) {
+  return std::tie(v.server, v.in_flight, v.limit, v.queued, v.shed_threshold,
+                  v.downstream_threshold);
+}
+
+inline auto Fields(const Hello& v) {
+  return std::tie(v.node, v.fleet, v.data_centre);
+}
+
+inline auto Fields(const CallForward& v) {
+  return std::tie(v.attempt, v.server, v.context, v.request);
+}
+
+inline auto Fields(const CallAnswer& v) {
+  return std::tie(v.attempt, v.entry_incarnation, v.response, v.failure,
+                  v.credits_returned, v.load);
+}
+
+inline auto Fields(const CallCancel& v) { return std::tie(v.attempt); }
+
+inline auto Fields(const HomeForward& v) {
+  return std::tie(v.attempt, v.home_incarnation, v.request, v.remaining);
+}
+
+inline auto Fields(const LinkPing& v) { return std::tie(v.sequence); }
+
+inline auto Fields(const LinkPong& v) { return std::tie(v.sequence); }
+
+inline auto Fields(const SettingsRequest& v) {
+  return std::tie(v.have_version);
+}
+
+inline auto Fields(const SettingsSnapshot& v) {
+  return std::tie(v.version, v.text_hash, v.text);
+}
+
+inline auto Fields(const KeyClaim& v) { return std::tie(v.claim_id, v.key); }
+
+inline auto Fields(const ClaimRequest& v) {
+  return std::tie(v.holder, v.claims);
+}
+
+inline auto Fields(const ClaimOutcome& v) {
+  return std::tie(v.claim_id, v.known, v.holder, v.holder_claim_id);
+}
+
+inline auto Fields(const ClaimReply& v) { return std::tie(v.outcomes); }
+
+inline auto Fields(const ServerRecord& v) {
+  return std::tie(v.server, v.service, v.address, v.slots, v.draining);
+}
+
+inline auto Fields(const MemberRecord& v) {
+  return std::tie(v.node, v.version, v.state, v.data_centre, v.region,
+                  v.peer_address, v.gossip_address, v.servers);
+}
+
+inline auto Fields(const QuarantineRecord& v) {
+  return std::tie(v.service, v.fingerprint, v.crashes);
+}
+
+inline auto Fields(const MemberSync& v) {
+  return std::tie(v.reply_wanted, v.members, v.quarantines, v.settings_version);
+}
+
+inline auto Fields(const GossipMessage& v) {
+  return std::tie(v.kind, v.from, v.from_address, v.sequence, v.target,
+                  v.target_address, v.settings_version, v.membership_hash,
+                  v.updates, v.quarantines);
+}
+
+inline auto Fields(const TableClaimRows& v) { return std::tie(v.rows); }
+
+inline std::tuple<> Fields(const TableReadHead&) { return {}; }
+
+inline auto Fields(const TableMoveHead& v) {
+  return std::tie(v.expected_version, v.version, v.object, v.change_id);
+}
+
+inline auto Fields(const TableReadChange& v) { return std::tie(v.change_id); }
+
+inline std::tuple<> Fields(const TableReadPeers&) { return {}; }
+
+inline auto Fields(const TableWritePeer& v) {
+  return std::tie(v.name, v.address);
+}
+
+inline auto Fields(const ObjectPut& v) { return std::tie(v.name, v.bytes); }
+
+inline auto Fields(const ObjectGet& v) { return std::tie(v.name); }
+
+inline auto Fields(const PlatformReply& v) {
+  return std::tie(v.status, v.holders, v.version, v.bytes, v.peers);
+}
+
+inline auto Fields(const TableClaimRows::Row& v) {
+  return std::tie(v.key, v.holder);
+}
+
+inline auto Fields(const CallerRequest& v) {
+  return std::tie(v.call, v.request);
+}
+
+inline auto Fields(const CallerGone& v) { return std::tie(v.call); }
+
+inline auto Fields(const OperatorRequest& v) {
+  return std::tie(v.call, v.request);
+}
+
+inline auto Fields(const PeerReceived& v) {
+  return std::tie(v.peer, v.message);
+}
+
+inline auto Fields(const PeerLost& v) { return std::tie(v.peer); }
+
+inline auto Fields(const PeerSendFailed& v) {
+  return std::tie(v.peer, v.message);
+}
+
+inline auto Fields(const GossipReceived& v) {
+  return std::tie(v.from, v.message);
+}
+
+inline auto Fields(const ServerReplied& v) {
+  return std::tie(v.dispatch, v.response);
+}
+
+inline auto Fields(const ServerFailed& v) {
+  return std::tie(v.dispatch, v.verdict, v.reason);
+}
+
+inline auto Fields(const PlatformReplied& v) { return std::tie(v.op, v.reply); }
+
+inline std::tuple<> Fields(const Tick&) { return {}; }
+
+inline std::tuple<> Fields(const StopRequested&) { return {}; }
+
+inline auto Fields(const AnswerCaller& v) {
+  return std::tie(v.call, v.response);
+}
+
+inline auto Fields(const SendPeer& v) {
+  return std::tie(v.peer, v.address, v.message);
+}
+
+inline auto Fields(const ClosePeer& v) { return std::tie(v.peer); }
+
+inline auto Fields(const SendGossip& v) { return std::tie(v.to, v.message); }
+
+inline auto Fields(const SendServer& v) {
+  return std::tie(v.dispatch, v.server, v.address, v.request, v.timeout);
+}
+
+inline auto Fields(const CancelServer& v) { return std::tie(v.dispatch); }
+
+inline auto Fields(const DropIdleConnections& v) { return std::tie(v.address); }
+
+inline auto Fields(const SendPlatform& v) { return std::tie(v.op, v.request); }
+
+inline auto Fields(const WakeAt& v) { return std::tie(v.at); }
+
+inline auto Fields(const WriteLog& v) {
+  return std::tie(v.level, v.part, v.text);
+}
+
+inline std::tuple<> Fields(const ExitProcess&) { return {}; }
+
+inline const char* TypeName(const CallContext&) { return "CallContext"; }
+inline const char* TypeName(const LoadReport&) { return "LoadReport"; }
+inline const char* TypeName(const Hello&) { return "Hello"; }
+inline const char* TypeName(const CallForward&) { return "CallForward"; }
+inline const char* TypeName(const CallAnswer&) { return "CallAnswer"; }
+inline const char* TypeName(const CallCancel&) { return "CallCancel"; }
+inline const char* TypeName(const HomeForward&) { return "HomeForward"; }
+inline const char* TypeName(const LinkPing&) { return "LinkPing"; }
+inline const char* TypeName(const LinkPong&) { return "LinkPong"; }
+inline const char* TypeName(const SettingsRequest&) {
+  return "SettingsRequest";
+}
+inline const char* TypeName(const SettingsSnapshot&) {
+  return "SettingsSnapshot";
+}
+inline const char* TypeName(const KeyClaim&) { return "KeyClaim"; }
+inline const char* TypeName(const ClaimRequest&) { return "ClaimRequest"; }
+inline const char* TypeName(const ClaimOutcome&) { return "ClaimOutcome"; }
+inline const char* TypeName(const ClaimReply&) { return "ClaimReply"; }
+inline const char* TypeName(const ServerRecord&) { return "ServerRecord"; }
+inline const char* TypeName(const MemberRecord&) { return "MemberRecord"; }
+inline const char* TypeName(const QuarantineRecord&) {
+  return "QuarantineRecord";
+}
+inline const char* TypeName(const MemberSync&) { return "MemberSync"; }
+inline const char* TypeName(const GossipMessage&) { return "GossipMessage"; }
+inline const char* TypeName(const TableClaimRows&) { return "TableClaimRows"; }
+inline const char* TypeName(const TableReadHead&) { return "TableReadHead"; }
+inline const char* TypeName(const TableMoveHead&) { return "TableMoveHead"; }
+inline const char* TypeName(const TableReadChange&) {
+  return "TableReadChange";
+}
+inline const char* TypeName(const TableReadPeers&) { return "TableReadPeers"; }
+inline const char* TypeName(const TableWritePeer&) { return "TableWritePeer"; }
+inline const char* TypeName(const ObjectPut&) { return "ObjectPut"; }
+inline const char* TypeName(const ObjectGet&) { return "ObjectGet"; }
+inline const char* TypeName(const PlatformReply&) { return "PlatformReply"; }
+inline const char* TypeName(const TableClaimRows::Row&) {
+  return "TableClaimRows::Row";
+}
+inline const char* TypeName(const CallerRequest&) { return "CallerRequest"; }
+inline const char* TypeName(const CallerGone&) { return "CallerGone"; }
+inline const char* TypeName(const OperatorRequest&) {
+  return "OperatorRequest";
+}
+inline const char* TypeName(const PeerReceived&) { return "PeerReceived"; }
+inline const char* TypeName(const PeerLost&) { return "PeerLost"; }
+inline const char* TypeName(const PeerSendFailed&) { return "PeerSendFailed"; }
+inline const char* TypeName(const GossipReceived&) { return "GossipReceived"; }
+inline const char* TypeName(const ServerReplied&) { return "ServerReplied"; }
+inline const char* TypeName(const ServerFailed&) { return "ServerFailed"; }
+inline const char* TypeName(const PlatformReplied&) {
+  return "PlatformReplied";
+}
+inline const char* TypeName(const Tick&) { return "Tick"; }
+inline const char* TypeName(const StopRequested&) { return "StopRequested"; }
+inline const char* TypeName(const AnswerCaller&) { return "AnswerCaller"; }
+inline const char* TypeName(const SendPeer&) { return "SendPeer"; }
+inline const char* TypeName(const ClosePeer&) { return "ClosePeer"; }
+inline const char* TypeName(const SendGossip&) { return "SendGossip"; }
+inline const char* TypeName(const SendServer&) { return "SendServer"; }
+inline const char* TypeName(const CancelServer&) { return "CancelServer"; }
+inline const char* TypeName(const DropIdleConnections&) {
+  return "DropIdleConnections";
+}
+inline const char* TypeName(const SendPlatform&) { return "SendPlatform"; }
+inline const char* TypeName(const WakeAt&) { return "WakeAt"; }
+inline const char* TypeName(const WriteLog&) { return "WriteLog"; }
+inline const char* TypeName(const ExitProcess&) { return "ExitProcess"; }
+
+}  // namespace amaranth::pvt
+
+#endif  // AMARANTHROUTE_LIBUTIL_FIELDS_H_
