--- /dev/null
+++ b/src/include/amaranthroute/policy/shedder.h
@@ -0,0 +1,146 @@
+#ifndef AMARANTHROUTE_POLICY_SHEDDER_H_
+#define AMARANTHROUTE_POLICY_SHEDDER_H_
+
+/// Which requests are turned away before they cost anything.
+///
+/// Load pattern: demand of several times the capacity, for longer than a queue
+/// can absorb. Without shedding the queue is always full; each hop of a deep
+/// chain then drops at random, so that with half the calls dropped at each of
+/// three hops one request in eight succeeds, and the work of the other seven
+/// is wasted.
+///
+/// Each request has a level, from its tier and a hash of its id, that is the
+/// same at every hop; a hop lets in the levels from its threshold up (the idea
+/// of DAGOR). So what one hop lets in, an equally loaded one lets in too, a
+/// critical request is shed only when all below it are, and thresholds can
+/// travel upstream on answers.
+///
+/// The threshold is set once a window from counts: calls that the server
+/// started tell the capacity, arrivals by level tell the demand. At ten times
+/// the capacity one window is enough to find the right share, and when the
+/// demand falls back below the capacity one window takes the threshold back to
+/// 0, where a controller in fixed steps needs seconds for either.
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "amaranthroute/messages.h"
+#include "amaranthroute/time.h"
+
+namespace amaranth {
+
+/// Levels that one tier is divided into: steps of under 1% of a tier's load.
+inline constexpr uint32_t kLevelsPerTier = 128;
+/// The highest level. A threshold never goes above it, so that some critical
+/// requests always flow and tell of the recovery.
+inline constexpr uint32_t kMaxSheddingLevel = kTierCount * kLevelsPerTier;
+
+/// Level of a request, 1 to kMaxSheddingLevel; the same at every hop.
+uint32_t SheddingLevel(Tier tier, std::string_view request_id);
+
+/// Targets and steps of a Shedder.
+struct ShedderOptions {
+  /// Age of the oldest waiting call that is no overload. Twice the queue's
+  /// target: the queue's own order deals with less.
+  Duration target_delay = std::chrono::milliseconds(40);
+  /// Shortest window. Ten decisions in the second in which we recover.
+  Duration window = std::chrono::milliseconds(100);
+  /// A window waits for this many starts, so that a server with 10 slots is
+  /// not judged by one or two calls, but no longer than max_window.
+  uint32_t min_starts = 10;
+  Duration max_window = std::chrono::milliseconds(400);
+  /// Over the target: let in this part of what was started, so the backlog
+  /// shrinks by a tenth of the capacity each window.
+  double lower = 0.9;
+  /// Under the target: let in this much more than was started.
+  double raise = 1.05;
+  /// Under the target, with a free slot seen in the window: the demand that
+  /// was let in does not fill the server.
+  double raise_idle = 1.25;
+  /// Part of the arrival histogram that is carried into the next window: keeps
+  /// the threshold from following the noise of one window's few arrivals.
+  double histogram_memory = 0.5;
+};
+
+/// Threshold of one service at one serving node.
+class Shedder {
+ public:
+  explicit Shedder(ShedderOptions options = {});
+
+  /// Every call that arrives, whether it will be let in or not.
+  void OnArrival(uint32_t level, TimePoint now);
+  /// Once for each call that is started: AdmissionQueue::standing_delay just
+  /// before it (0 if nothing waits).
+  void OnQueueDelay(Duration delay, TimePoint now);
+  /// A slot is free and nothing waits.
+  void OnIdle(TimePoint now);
+
+  /// The lowest level let in; 0 (everything) to kMaxSheddingLevel.
+  uint32_t Threshold(TimePoint now);
+  /// Whether a call of `level` is let in.
+  bool Admits(uint32_t level, TimePoint now);
+
+ private:
+  struct Window {
+    TimePoint start{};
+    uint32_t arrivals = 0;
+    uint32_t admitted = 0;
+    uint32_t starts = 0;
+    double delay = 0;  // sum over starts, microseconds
+    bool idle = false;
+  };
+
+  void Roll(TimePoint now);
+  bool WindowIsOver(TimePoint now) const;
+  void CloseWindow(TimePoint now);
+  double AllowedShare() const;
+  uint32_t LevelForShare(double share) const;
+
+  ShedderOptions options_;
+  std::array<double, kMaxSheddingLevel + 1> histogram_{};
+  Window window_;
+  uint32_t threshold_ = 0;
+  double share_ = 1.0;
+  bool started_ = false;
+};
+
+/// Thresholds that answers brought from downstream services: a request that a
+/// deep service would shed is turned away at the entry, where it has cost
+/// nothing yet.
+///
+/// Without an end to what was learned, a threshold that turns all of a node's
+/// requests away would stay for good, as no answer comes to lower it. So an
+/// entry that is not renewed falls linearly to 0; levels come back from the top
+/// down, and the first answer tells whether the service has recovered.
+class DownstreamThresholds {
+ public:
+  /// Several windows of a Shedder pass before an entry starts to fall.
+  static constexpr Duration kHold = std::chrono::milliseconds(250);
+  /// Then it is gone after this long, within the second that recovery may take.
+  static constexpr Duration kFall = std::chrono::milliseconds(500);
+  /// Weight of one answer; the servers of a service report each their own
+  /// threshold, and the mean of the last few is what a request will meet.
+  static constexpr double kGain = 0.25;
+
+  /// An answer of `service` reported `threshold`.
+  void Learn(const std::string& service, uint32_t threshold, TimePoint now);
+  /// The lowest level worth sending to `service` now; 0 if unknown.
+  uint32_t ThresholdFor(const std::string& service, TimePoint now) const;
+
+ private:
+  struct Entry {
+    double threshold = 0;
+    TimePoint learned{};
+  };
+
+  static double Faded(const Entry& entry, TimePoint now);
+
+  std::map<std::string, Entry> entries_;
+};
+
+}  // namespace amaranth
+
+#endif  // AMARANTHROUTE_POLICY_SHEDDER_H_
--- /dev/null
+++ b/src/libpolicy/server_picker.cc
@@ -0,0 +1,134 @@
+#include "amaranthroute/policy/server_picker.h"
+
+#include <algorithm>
+#include <cstddef>
+
+namespace amaranth {
+namespace {
+
+using Indexes = std::vector<size_t>;
+
+// Below this a weight would make the score useless, and a server with weight 0
+// would never be tried.
+constexpr double kMinWeight = 0.01;
+// A server whose limit nobody told us is taken to have this many slots.
+constexpr double kUnknownLimit = 10;
+
+double WeightOf(const ServerView& server) {
+  return std::clamp(server.weight, kMinWeight, 1.0);
+}
+
+double LimitOf(const ServerView& server) {
+  return server.limit == 0 ? kUnknownLimit : static_cast<double>(server.limit);
+}
+
+// Full: the next call there waits.
+bool IsLoaded(const ServerView& server) {
+  if (server.queued > 0) return true;
+  return server.in_flight + 1.0 > LimitOf(server) * WeightOf(server);
+}
+
+// Latency to assume where none was measured: the quickest known one, so that
+// an unknown server is tried, but not before all others.
+double DefaultLatency(const std::vector<ServerView>& servers) {
+  Duration quickest{0};
+  for (const ServerView& server : servers) {
+    if (server.latency <= Duration::zero()) continue;
+    if (quickest == Duration::zero() || server.latency < quickest) {
+      quickest = server.latency;
+    }
+  }
+  return quickest == Duration::zero() ? 1.0
+                                      : static_cast<double>(quickest.count());
+}
+
+double ExpectedWait(const ServerView& server, double default_latency) {
+  const double latency = server.latency > Duration::zero()
+                             ? static_cast<double>(server.latency.count())
+                             : default_latency;
+  const double calls = 1.0 + server.in_flight + server.queued;
+  return calls / (LimitOf(server) * WeightOf(server)) * latency;
+}
+
+size_t DrawByWeight(const std::vector<ServerView>& servers,
+                    const Indexes& among, std::mt19937_64& random) {
+  std::vector<double> weights;
+  weights.reserve(among.size());
+  for (size_t index : among) weights.push_back(WeightOf(servers[index]));
+  std::discrete_distribution<size_t> draw(weights.begin(), weights.end());
+  return draw(random);
+}
+
+size_t TwoChoices(const std::vector<ServerView>& servers, Indexes among,
+                  std::mt19937_64& random) {
+  if (among.size() == 1) return among.front();
+  const size_t first_at = DrawByWeight(servers, among, random);
+  const size_t first = among[first_at];
+  among.erase(among.begin() + static_cast<ptrdiff_t>(first_at));
+  const size_t second = among[DrawByWeight(servers, among, random)];
+  const double latency = DefaultLatency(servers);
+  const double wait_first = ExpectedWait(servers[first], latency);
+  const double wait_second = ExpectedWait(servers[second], latency);
+  return wait_second < wait_first ? second : first;
+}
+
+template <typename Predicate>
+Indexes Where(const std::vector<ServerView>& servers, const Indexes& among,
+              Predicate predicate) {
+  Indexes found;
+  for (size_t index : among) {
+    if (predicate(servers[index])) found.push_back(index);
+  }
+  return found;
+}
+
+bool HasRoom(const ServerView& server) { return !IsLoaded(server); }
+bool IsLocal(const ServerView& server) { return server.local; }
+bool IsRemote(const ServerView& server) { return !server.local; }
+bool IsSound(const ServerView& server) {
+  return !server.ejected && !server.suspect;
+}
+bool IsTrusted(const ServerView& server) { return !server.suspect; }
+
+Indexes NotExcluded(const std::vector<ServerView>& servers) {
+  Indexes found;
+  for (size_t index = 0; index < servers.size(); ++index) {
+    if (!servers[index].excluded) found.push_back(index);
+  }
+  return found;
+}
+
+size_t PickLocalFirst(const std::vector<ServerView>& servers,
+                      const Indexes& usable, const PickOptions& options,
+                      std::mt19937_64& random) {
+  const Indexes local = Where(servers, usable, IsLocal);
+  const Indexes remote = Where(servers, usable, IsRemote);
+  if (local.empty()) {
+    const Indexes with_room = Where(servers, remote, HasRoom);
+    return TwoChoices(servers, with_room.empty() ? remote : with_room, random);
+  }
+  const Indexes local_room = Where(servers, local, HasRoom);
+  if (!local_room.empty()) return TwoChoices(servers, local_room, random);
+  const Indexes remote_room = Where(servers, remote, HasRoom);
+  std::bernoulli_distribution spill(std::clamp(options.spill_share, 0.0, 1.0));
+  if (!remote_room.empty() && spill(random)) {
+    return TwoChoices(servers, remote_room, random);
+  }
+  return TwoChoices(servers, local, random);
+}
+
+}  // namespace
+
+std::optional<size_t> PickServer(const std::vector<ServerView>& servers,
+                                 const PickOptions& options,
+                                 std::mt19937_64& random) {
+  const Indexes open = NotExcluded(servers);
+  if (open.empty()) return std::nullopt;
+  const Indexes sound = Where(servers, open, IsSound);
+  if (!sound.empty()) return PickLocalFirst(servers, sound, options, random);
+  const Indexes trusted = Where(servers, open, IsTrusted);
+  return PickLocalFirst(servers, trusted.empty() ? open : trusted, options,
+                        random);
+}
+
+}  // namespace amaranth
