Shedder by measured capacity; limit cuts are trials

The first shedder followed the calls it had let in, so after a 10x surge the threshold took about a second to fall, and fixed steps lost 10-15% of the capacity. It now learns the capacity from busy windows and the demand from arrivals.

--- a/src/include/amaranthroute/policy/concurrency_limit.h
+++ b/src/include/amaranthroute/policy/concurrency_limit.h
@@ -37,9 +37,11 @@
   /// the spread of means of 100 exponential service times (10%) starts
   /// trials at no load (ConcurrencyLimitTest, SteadyServerKeepsItsSlots).
   double tolerance = 1.5;
-  /// Size of one trial cut; large enough that its effect (25% less latency
-  /// under congestion) stands out from the 10% spread of a window's mean.
-  double cut = 0.75;
+  /// Size of one trial cut. Under congestion it takes 35% off the latency and
+  /// otherwise nothing; the bound between, 17%, is nearly two spreads of the
+  /// difference of two means of 200 samples (10%) from either. At 0.75 one
+  /// verdict in ten was wrong and the limit wandered.
+  double cut = 0.65;
   /// Raise per calm window; 1.25 goes from 10 to 100 slots in 11 windows.
   double raise = 1.25;
   /// A failed call counts as this many baselines of latency, so that a server
@@ -49,13 +51,18 @@
   /// the mean of exponential service times within 10%.
   int window_samples = 100;
   Duration min_window = std::chrono::milliseconds(50);
-  /// A window of a slow server closes at this age with fewer samples.
-  Duration max_window = std::chrono::seconds(1);
+  /// A window of a slow server closes at this age with fewer samples. At 1 s a
+  /// server with 10 slots and 200 ms of service was judged by 40 samples and
+  /// lost a third of its slots to chance.
+  Duration max_window = std::chrono::seconds(5);
   int min_samples = 10;
   /// A trial is made this often without a sign of congestion, while the limit
-  /// is in use: a baseline that was raised by a wrong verdict cannot stay.
-  /// Costs a quarter of the slots for a window or two in each period.
-  Duration probe_period = std::chrono::seconds(10);
+  /// is in use, so that a baseline that crept up with a queue cannot stay.
+  /// Costs a third of the slots for a window or two in each period.
+  Duration probe_period = std::chrono::seconds(30);
+  /// ... and once this soon after a verdict raised the baseline: it may be one
+  /// of the wrong ones.
+  Duration recheck_period = std::chrono::seconds(5);
 };
 
 /// The limit of one backend server. Feed it with samples of ordinary calls:
@@ -93,6 +100,7 @@
   };
 
   void CloseWindow(TimePoint now);
+  static Level MeanOf(const Level& a, const Level& b);
   void StartTrial(const Level& level, TimePoint now);
   void JudgeTrial(const Level& level, TimePoint now);
   void SetLimit(double limit);
@@ -104,9 +112,17 @@
   Window window_;
   TimePoint settle_until_{};
   TimePoint next_probe_{};
+  // One window over the tolerance may be chance, and a trial that starts from
+  // a chance high sees the latency fall whatever its cause; so two in a row.
+  bool was_congested_ = false;
+  Level last_;
   bool in_trial_ = false;
   Level before_trial_;
   double limit_before_trial_ = 0;
+  int trial_cuts_ = 0;
+  bool probing_ = false;  // the trial was made to check the baseline
+  double knee_ = 0;       // where the last cuts stopped helping; 0 unknown
+  int calm_windows_ = 0;
 };
 
 }  // namespace amaranth
--- a/src/include/amaranthroute/policy/shedder.h
+++ b/src/include/amaranthroute/policy/shedder.h
@@ -46,23 +46,29 @@
   /// Age of the oldest waiting call that is no overload. Twice the queue's
   /// target: the queue's own order deals with less.
   Duration target_delay = std::chrono::milliseconds(40);
+  /// ... and never less than this many usual service times: with 10 slots and
+  /// 200 ms of service one call's turn is half of that.
+  double service_targets = 2.0;
   /// Shortest window. Ten decisions in the second in which we recover.
   Duration window = std::chrono::milliseconds(100);
   /// A window waits for this many starts, so that a server with 10 slots is
   /// not judged by one or two calls, but no longer than max_window.
   uint32_t min_starts = 10;
   Duration max_window = std::chrono::milliseconds(400);
-  /// Over the target: let in this part of what was started, so the backlog
-  /// shrinks by a tenth of the capacity each window.
-  double lower = 0.9;
-  /// Under the target: let in this much more than was started.
-  double raise = 1.05;
-  /// Under the target, with a free slot seen in the window: the demand that
-  /// was let in does not fill the server.
-  double raise_idle = 1.25;
-  /// Part of the arrival histogram that is carried into the next window: keeps
-  /// the threshold from following the noise of one window's few arrivals.
-  double histogram_memory = 0.5;
+  /// Over the target: let in this part of the capacity.
+  double lower = 0.95;
+  /// Over three times the target: this part, so the backlog shrinks by a tenth
+  /// of the capacity.
+  double lower_far = 0.9;
+  /// Under the target: let in this much more than the capacity.
+  double raise = 1.02;
+  /// Under the target, with a free slot seen: the capacity is higher than was
+  /// thought by at least this; the excess doubles with each such window in a
+  /// row, so three times the capacity is found in four windows.
+  double raise_idle = 1.1;
+  /// Weight of a new window in the moving averages; a window that differs from
+  /// them by more than chance allows replaces them.
+  double gain = 0.3;
 };
 
 /// Threshold of one service at one serving node.
@@ -75,6 +81,9 @@
   /// Once for each call that is started: AdmissionQueue::standing_delay just
   /// before it (0 if nothing waits).
   void OnQueueDelay(Duration delay, TimePoint now);
+  /// Usual time of a call in the server: a wait of `service_targets` of it is
+  /// ordinary and raises the target.
+  void OnServiceTime(Duration service);
   /// A slot is free and nothing waits.
   void OnIdle(TimePoint now);
 
@@ -87,7 +96,6 @@
   struct Window {
     TimePoint start{};
     uint32_t arrivals = 0;
-    uint32_t admitted = 0;
     uint32_t starts = 0;
     double delay = 0;  // sum over starts, microseconds
     bool idle = false;
@@ -96,14 +104,21 @@
   void Roll(TimePoint now);
   bool WindowIsOver(TimePoint now) const;
   void CloseWindow(TimePoint now);
-  double AllowedShare() const;
+  void LearnDemand(double seconds);
+  void LearnCapacity(double seconds, bool over);
+  double Smoothed(double rate, double count, double seconds) const;
   uint32_t LevelForShare(double share) const;
 
   ShedderOptions options_;
-  std::array<double, kMaxSheddingLevel + 1> histogram_{};
+  std::array<double, kMaxSheddingLevel + 1> arrivals_{};  // of this window
+  std::array<double, kMaxSheddingLevel + 1> demand_{};    // shares by level
   Window window_;
+  double demand_rate_ = 0;  // arrivals per second
+  double capacity_ = 0;     // starts per second
+  double service_ = 0;      // microseconds
+  bool was_over_ = false;   // the last window
+  int idle_windows_ = 0;    // in a row
   uint32_t threshold_ = 0;
-  double share_ = 1.0;
   bool started_ = false;
 };
 
--- a/src/libpolicy/concurrency_limit.cc
+++ b/src/libpolicy/concurrency_limit.cc
@@ -10,6 +10,9 @@
 constexpr double kInUse = 0.7;
 // Under this many baselines there is no queue in the server: raise quickly.
 constexpr double kNoQueue = 1.15;
+// A cut that brought the latency down to this is enough: less than a slot in
+// four waits in the server.
+constexpr double kAtKnee = 1.3;
 // Between that and the tolerance: by this part, at least by one slot.
 constexpr double kSlowRaise = 0.02;
 // Part of the latency that congestion would have taken off which proves it.
@@ -21,6 +24,8 @@
 // grows slowly is not learned as normal at once.
 constexpr double kBaselineDown = 0.2;
 constexpr double kBaselineUp = 0.02;
+// Windows without a queue past the last knee that say that it has moved.
+constexpr int kCalmWindows = 5;
 // Mean latencies until the calls from before a cut have left the window.
 constexpr double kSettleLatencies = 2.0;
 constexpr Duration kLongestSettle = std::chrono::seconds(1);
@@ -64,11 +69,15 @@
 }
 
 bool ConcurrencyLimit::WindowIsFull(TimePoint now) const {
+  // A verdict on a trial is worth twice the samples: wrong ones make the limit
+  // wander by a quarter.
+  const int windows = in_trial_ ? 2 : 1;
   const Duration age = now - window_.start;
-  if (window_.samples >= options_.window_samples) {
+  if (window_.samples >= options_.window_samples * windows) {
     return age >= options_.min_window;
   }
-  return window_.samples >= options_.min_samples && age >= options_.max_window;
+  return window_.samples >= options_.min_samples * windows &&
+         age >= options_.max_window * windows;
 }
 
 void ConcurrencyLimit::CloseWindow(TimePoint now) {
@@ -85,18 +94,35 @@
   }
   const bool in_use = level.in_flight >= kInUse * limit_;
   const bool congested = level.latency > options_.tolerance * baseline_;
-  if (in_use && (congested || now >= next_probe_)) {
-    StartTrial(level, now);
+  const bool confirmed = congested && was_congested_;
+  was_congested_ = congested;
+  if (in_use && (confirmed || now >= next_probe_)) {
+    probing_ = !confirmed;
+    trial_cuts_ = 0;
+    StartTrial(confirmed ? MeanOf(last_, level) : level, now);
     return;
   }
+  last_ = level;
   if (congested) return;
-  const double step = level.latency < baseline_ ? kBaselineDown : kBaselineUp;
-  baseline_ += step * (level.latency - baseline_);
-  if (!in_use) return;
   const bool no_queue = level.latency <= kNoQueue * baseline_;
+  if (no_queue) {
+    const double step = level.latency < baseline_ ? kBaselineDown : kBaselineUp;
+    baseline_ += step * (level.latency - baseline_);
+  }
+  if (!in_use) return;
+  // Past the last knee the limit feels its way, so that it spends most of its
+  // time near the knee; a long calm says that the knee has moved.
+  const bool past_knee = knee_ > 0 && limit_ >= knee_;
+  calm_windows_ = past_knee && no_queue ? calm_windows_ + 1 : 0;
+  if (calm_windows_ >= kCalmWindows) knee_ = 0;
   const double slow = std::max(1.0, kSlowRaise * limit_);
   const double fast = std::max(1.0, (options_.raise - 1) * limit_);
-  SetLimit(limit_ + (no_queue ? fast : slow));
+  SetLimit(limit_ + (no_queue && !past_knee ? fast : slow));
+}
+
+ConcurrencyLimit::Level ConcurrencyLimit::MeanOf(const Level& a,
+                                                 const Level& b) {
+  return Level{(a.latency + b.latency) / 2, (a.in_flight + b.in_flight) / 2};
 }
 
 void ConcurrencyLimit::StartTrial(const Level& level, TimePoint now) {
@@ -110,6 +136,8 @@
     return;
   }
   in_trial_ = true;
+  was_congested_ = false;
+  ++trial_cuts_;
   before_trial_ = level;
   limit_before_trial_ = before;
   const Duration settle(static_cast<int64_t>(kSettleLatencies * level.latency));
@@ -120,14 +148,25 @@
   const double fall = 1 - level.in_flight / before_trial_.in_flight;
   const double gain = 1 - level.latency / before_trial_.latency;
   if (fall >= kLeastFall && gain >= kProof * fall) {
+    const bool at_knee = !probing_ && level.latency <= kAtKnee * baseline_;
     baseline_ = std::min(baseline_, level.latency);
-    StartTrial(level, now);  // on, down to the knee
+    if (!at_knee) {
+      StartTrial(level, now);
+      return;
+    }
+    in_trial_ = false;
+    knee_ = limit_;
     return;
   }
   in_trial_ = false;
   next_probe_ = now + options_.probe_period;
-  if (fall >= kLeastFall) baseline_ = level.latency;
+  if (fall >= kLeastFall) {
+    const bool raised = level.latency > options_.tolerance * baseline_;
+    if (raised) next_probe_ = now + options_.recheck_period;
+    baseline_ = level.latency;
+  }
   SetLimit(limit_before_trial_);
+  knee_ = trial_cuts_ > 1 ? limit_ : 0;
 }
 
 void ConcurrencyLimit::SetLimit(double limit) {
--- a/src/libpolicy/shedder.cc
+++ b/src/libpolicy/shedder.cc
@@ -1,6 +1,7 @@
 #include "amaranthroute/policy/shedder.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "amaranthroute/hash.h"
 
@@ -9,6 +10,13 @@
 
 // Independent of other uses of the request id's hash.
 constexpr uint64_t kLevelSeed = 0x5ed1e7e1;
+// Delay, in targets, that calls for a larger step.
+constexpr double kFarOver = 3.0;
+// Bounds the doubling: more than 1.8 times the capacity in one window is a leap
+// into the next overload.
+constexpr int kMostIdleWindows = 3;
+// Standard deviations of a count that chance explains.
+constexpr double kChance = 4.0;
 // Under this a faded threshold is none; every level is at least 1.
 constexpr double kNoThreshold = 1.0;
 
@@ -24,10 +32,8 @@
 
 void Shedder::OnArrival(uint32_t level, TimePoint now) {
   Roll(now);
-  const uint32_t known = std::clamp<uint32_t>(level, 1, kMaxSheddingLevel);
-  histogram_[known] += 1;
+  arrivals_[std::clamp<uint32_t>(level, 1, kMaxSheddingLevel)] += 1;
   ++window_.arrivals;
-  if (known >= threshold_) ++window_.admitted;
 }
 
 void Shedder::OnQueueDelay(Duration delay, TimePoint now) {
@@ -36,6 +42,10 @@
   window_.delay += static_cast<double>(delay.count());
 }
 
+void Shedder::OnServiceTime(Duration service) {
+  service_ = static_cast<double>(service.count());
+}
+
 void Shedder::OnIdle(TimePoint now) {
   Roll(now);
   window_.idle = true;
@@ -67,39 +77,77 @@
 }
 
 void Shedder::CloseWindow(TimePoint now) {
-  share_ = AllowedShare();
-  threshold_ = LevelForShare(share_);
-  for (double& count : histogram_) count *= options_.histogram_memory;
+  const double seconds =
+      std::chrono::duration<double>(now - window_.start).count();
+  const double target =
+      std::max<double>(static_cast<double>(options_.target_delay.count()),
+                       service_ * options_.service_targets);
+  const double delay = window_.starts == 0 ? 0 : window_.delay / window_.starts;
+  const bool over = delay > target;
+  const bool far_over = delay > kFarOver * target;
+  LearnDemand(seconds);
+  LearnCapacity(seconds, over);
+  // One window over the target is a burst, which the queue is there for.
+  if (threshold_ > 0 || far_over || (over && was_over_)) {
+    double factor = options_.raise;
+    if (over) factor = options_.lower;
+    if (far_over) factor = options_.lower_far;
+    const double allowed = capacity_ * factor;
+    threshold_ =
+        LevelForShare(demand_rate_ <= allowed ? 1 : allowed / demand_rate_);
+  }
+  was_over_ = over;
   window_ = Window{};
   window_.start = now;
 }
 
-double Shedder::AllowedShare() const {
-  if (window_.arrivals == 0) return 1.0;
-  const double target = static_cast<double>(options_.target_delay.count());
-  const double delay = window_.starts == 0 ? 0 : window_.delay / window_.starts;
-  const bool over = delay > target;
-  if (!over && threshold_ == 0) return 1.0;
+void Shedder::LearnDemand(double seconds) {
+  const double before = demand_rate_;
+  demand_rate_ = Smoothed(demand_rate_, window_.arrivals, seconds);
+  // As much weight as the rate gave to this window, so that a surge of another
+  // mix of tiers is seen as quickly as its size.
+  const double measured = window_.arrivals / seconds;
+  const bool replaced = before == 0 || demand_rate_ == measured;
+  const double gain = replaced ? 1.0 : options_.gain;
+  for (size_t level = 0; level < demand_.size(); ++level) {
+    const double share =
+        window_.arrivals == 0 ? 0 : arrivals_[level] / window_.arrivals;
+    if (window_.arrivals > 0) demand_[level] += gain * (share - demand_[level]);
+    arrivals_[level] = 0;
+  }
+}
+
+void Shedder::LearnCapacity(double seconds, bool over) {
   // Nothing was started and no slot was free: the server is stuck, and what it
   // could take is not known.
-  if (window_.starts == 0 && !window_.idle) return share_;
-  const double done = std::min<double>(window_.starts, window_.admitted);
-  double factor = window_.idle ? options_.raise_idle : options_.raise;
-  if (over) factor = options_.lower;
-  const double allowed = std::max(1.0, done * factor);
-  return std::min(1.0, allowed / window_.arrivals);
+  if (window_.starts == 0 && !window_.idle) return;
+  if (over || !window_.idle) {
+    idle_windows_ = 0;
+    capacity_ = Smoothed(capacity_, window_.starts, seconds);
+    return;
+  }
+  capacity_ = std::max(capacity_, window_.starts / seconds);
+  if (threshold_ == 0) return;
+  const double excess = (options_.raise_idle - 1) * (1 << idle_windows_);
+  capacity_ *= 1 + excess;
+  idle_windows_ = std::min(idle_windows_ + 1, kMostIdleWindows);
+}
+
+double Shedder::Smoothed(double rate, double count, double seconds) const {
+  const double expected = rate * seconds;
+  const bool by_chance =
+      std::abs(count - expected) <= kChance * std::sqrt(expected);
+  if (!by_chance) return count / seconds;
+  return rate + options_.gain * (count / seconds - rate);
 }
 
 uint32_t Shedder::LevelForShare(double share) const {
   if (share >= 1.0) return 0;
-  double total = 0;
-  for (double count : histogram_) total += count;
-  const double allowed = share * total;
   double let_in = 0;
   uint32_t level = kMaxSheddingLevel;
   while (level > 1) {
-    let_in += histogram_[level];
-    if (let_in + histogram_[level - 1] > allowed) break;
+    let_in += demand_[level];
+    if (let_in + demand_[level - 1] > share) break;
     --level;
   }
   return level;
