--- a/src/include/amaranthroute/policy/retry_budget.h
+++ b/src/include/amaranthroute/policy/retry_budget.h
@@ -6,9 +6,10 @@
 /// Load pattern: a service fails widely and each request uses its few retry
 /// credits, so load doubles or triples just when capacity is short: the retries
 /// then keep the failure going after its trigger has passed. The ledger bounds
-/// one request; this bounds the sum: retries in any window are at most a ratio
-/// of the first tries in it. A sliding window rather than a bucket of tokens:
-/// tokens saved in hours of calm would be spent at once when it breaks.
+/// one request; this bounds the sum: a retry is granted only while the retries
+/// of the last window are under a ratio of its first tries. A sliding window
+/// rather than a bucket of tokens: tokens saved in hours of calm would be spent
+/// at once when it breaks.
 
 #include "amaranthroute/policy/sliding_count.h"
 #include "amaranthroute/time.h"
--- a/src/include/amaranthroute/policy/shedder.h
+++ b/src/include/amaranthroute/policy/shedder.h
@@ -82,7 +82,8 @@
   /// Every call that arrives, whether it will be let in or not.
   void OnArrival(uint32_t level, TimePoint now);
   /// Once for each call that is started: AdmissionQueue::standing_delay just
-  /// before it (0 if nothing waits).
+  /// before it (0 if nothing waits). Not the started call's own wait: newest
+  /// first and by tier, that one is short in any overload, and nothing is shed.
   void OnQueueDelay(Duration delay, TimePoint now);
   /// Usual time of a call in the server: a wait of `service_targets` of it is
   /// ordinary and raises the target.
--- a/src/libpolicy/fake_node.cc
+++ b/src/libpolicy/fake_node.cc
@@ -50,6 +50,7 @@
     if (call.load != load) continue;
     if (call.arrived < At(from) || call.arrived >= At(to)) continue;
     ++tally.offered;
+    if (call.let_in) ++tally.let_in;
     if (!call.good) continue;
     ++tally.good;
     tally.mean_millis += static_cast<double>(call.took.count()) / 1000;
@@ -81,6 +82,7 @@
   const uint32_t level = SheddingLevel(from.tier, std::to_string(number));
   shedder_.OnArrival(level, now);
   if (options_.shed && !shedder_.Admits(level, now)) return;
+  calls_[number].let_in = true;
   std::vector<QueuedCall> evicted;
   queue_.Push({number, from.tier, level, from.caller, from.long_work, now,
                now + from.deadline},
--- a/src/libpolicy/fake_node.h
+++ b/src/libpolicy/fake_node.h
@@ -48,7 +48,8 @@
 // What became of one load's calls that arrived in a stretch of time.
 struct FakeTally {
   int offered = 0;
-  int good = 0;  // answered before the deadline
+  int let_in = 0;  // by the shedder
+  int good = 0;    // answered before the deadline
   double mean_millis = 0;
   double good_share() const {
     return offered == 0 ? 1.0 : static_cast<double>(good) / offered;
@@ -80,6 +81,7 @@
     TimePoint arrived{};
     TimePoint started{};
     int in_flight = 0;
+    bool let_in = false;
     bool good = false;
     Duration took{0};
   };
--- /dev/null
+++ b/src/libpolicy/progress_watch_test.cc
@@ -0,0 +1,73 @@
+#include "amaranthroute/policy/progress_watch.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace amaranth {
+namespace {
+
+using Action = ProgressWatch::Action;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TimePoint At(int millis) { return TimePoint{} + milliseconds(millis); }
+
+}  // namespace
+
+TEST_GROUP(ProgressWatchTest){};
+
+// Callers see calls to one host hang until their deadlines. Something on the
+// way forgot the open connection: writes succeed and nothing ever comes back.
+TEST(ProgressWatchTest, SilentLinkIsProbedThenDropped) {
+  ProgressWatch watch;
+  watch.OnSent(At(0));
+  CHECK(watch.Check(At(499), true) == Action::kNone);
+  CHECK(watch.next_check(true) == At(500));
+  CHECK(watch.Check(At(500), true) == Action::kProbe);
+  watch.OnSent(At(900));  // more calls on it do not prolong its life
+  CHECK(watch.Check(At(1000), true) == Action::kNone);
+  CHECK(watch.next_check(true) == At(2000));
+  CHECK(watch.Check(At(2000), true) == Action::kDrop);
+}
+
+TEST(ProgressWatchTest, LongWorkOnALivingLinkIsLeftAlone) {
+  ProgressWatch watch;
+  watch.OnSent(At(0));
+  int probes = 0;
+  for (int now = 0; now < 60000; now += 100) {
+    const Action action = watch.Check(At(now), true);
+    CHECK(action != Action::kDrop);
+    if (action != Action::kProbe) continue;
+    ++probes;
+    watch.OnSent(At(now));
+    watch.OnReceived(At(now + 3));
+  }
+  CHECK(probes >= 90);
+}
+
+TEST(ProgressWatchTest, IdleLinkIsNotSilent) {
+  ProgressWatch watch;
+  watch.OnSent(At(0));
+  watch.OnReceived(At(5));
+  CHECK(watch.Check(At(60000), false) == Action::kNone);
+  CHECK(watch.next_check(false) == kNever);
+  watch.OnSent(At(60001));
+  CHECK(watch.Check(At(60400), true) == Action::kNone);
+  CHECK(watch.Check(At(60501), true) == Action::kProbe);
+}
+
+TEST(ProgressWatchTest, AttemptTimeoutFollowsTheLatency) {
+  CHECK(AttemptTimeout(Duration(0), seconds(9)) == seconds(9));
+  CHECK(AttemptTimeout(milliseconds(5), seconds(9)) == kMinAttemptTimeout);
+  CHECK(AttemptTimeout(milliseconds(300), seconds(9)) == seconds(3));
+  CHECK(AttemptTimeout(milliseconds(300), seconds(2)) == seconds(2));
+  // Fed back as latencies, timeouts reach a service that became 20 times
+  // slower within a few tries.
+  Duration latency = milliseconds(100);
+  for (int attempt = 0; attempt < 5; ++attempt) {
+    const Duration timeout = AttemptTimeout(latency, seconds(60));
+    latency += (std::min<Duration>(timeout, seconds(2)) - latency) / 5;
+  }
+  CHECK(AttemptTimeout(latency, seconds(60)) > seconds(2));
+}
+
+}  // namespace amaranth
--- /dev/null
+++ b/src/libpolicy/server_picker_test.cc
@@ -0,0 +1,116 @@
+#include "amaranthroute/policy/server_picker.h"
+
+#include <CppUTest/TestHarness.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <queue>
+
+namespace amaranth {
+namespace {
+
+using std::chrono::milliseconds;
+
+ServerView MakeServer(uint32_t in_flight, bool local) {
+  ServerView server;
+  server.in_flight = in_flight;
+  server.limit = 10;
+  server.latency = milliseconds(10);
+  server.local = local;
+  return server;
+}
+
+rc::Gen<ServerView> AnyServer() {
+  return rc::gen::build<ServerView>(
+      rc::gen::set(&ServerView::in_flight, rc::gen::inRange<uint32_t>(0, 30)),
+      rc::gen::set(&ServerView::limit, rc::gen::inRange<uint32_t>(0, 20)),
+      rc::gen::set(&ServerView::queued, rc::gen::inRange<uint32_t>(0, 5)),
+      rc::gen::set(&ServerView::local), rc::gen::set(&ServerView::ejected),
+      rc::gen::set(&ServerView::suspect), rc::gen::set(&ServerView::excluded),
+      rc::gen::set(&ServerView::weight, rc::gen::element(0.0, 0.1, 0.5, 1.0)));
+}
+
+// Share of the picks that leave the data centre.
+double RemoteShare(const std::vector<ServerView>& servers) {
+  constexpr int kPicks = 10000;
+  std::mt19937_64 random(1);
+  int remote = 0;
+  for (int pick = 0; pick < kPicks; ++pick) {
+    const size_t index = PickServer(servers, PickOptions{}, random).value();
+    if (!servers[index].local) ++remote;
+  }
+  return static_cast<double>(remote) / kPicks;
+}
+
+}  // namespace
+
+TEST_GROUP(ServerPickerTest){};
+
+TEST(ServerPickerTest, OnlyTriedServersAreNeverPicked) {
+  CHECK(rc::check([] {
+    const std::vector<ServerView> servers =
+        *rc::gen::container<std::vector<ServerView>>(AnyServer());
+    std::mt19937_64 random(*rc::gen::arbitrary<uint64_t>());
+    const std::optional<size_t> picked =
+        PickServer(servers, PickOptions{}, random);
+    const auto any = [&](auto predicate) {
+      return std::any_of(servers.begin(), servers.end(),
+                         [&](const ServerView& server) {
+                           return !server.excluded && predicate(server);
+                         });
+    };
+    RC_ASSERT(picked.has_value() == any([](const auto&) { return true; }));
+    if (!picked) return;
+    const ServerView& server = servers[*picked];
+    RC_ASSERT(!server.excluded);
+    // What is suspected or ejected is the last resort.
+    if (server.suspect) {
+      RC_ASSERT(!any([](const auto& other) { return !other.suspect; }));
+    }
+    if (server.ejected) {
+      RC_ASSERT(!any(
+          [](const auto& other) { return !other.ejected && !other.suspect; }));
+    }
+  }));
+}
+
+TEST(ServerPickerTest, LocalFirstThenACappedSpill) {
+  const ServerView free_local = MakeServer(3, true);
+  const ServerView full_local = MakeServer(12, true);
+  const ServerView free_remote = MakeServer(0, false);
+  const ServerView full_remote = MakeServer(12, false);
+  CHECK(RemoteShare({full_local, free_local, free_remote}) == 0.0);
+  const double spilled = RemoteShare({full_local, full_local, free_remote});
+  CHECK(spilled > 0.18 && spilled < 0.22);
+  CHECK(RemoteShare({full_local, full_local, full_remote}) == 0.0);
+  ServerView ejected = free_local;
+  ejected.ejected = true;
+  CHECK(RemoteShare({ejected, free_remote}) == 1.0);
+}
+
+// Callers see a third of their requests slow, though two of three servers are
+// quick: the slow one holds its calls longer, and round robin sends it as many.
+TEST(ServerPickerTest, SlowServerGetsFewerCalls) {
+  std::vector<ServerView> servers(3, MakeServer(0, true));
+  for (ServerView& server : servers) server.limit = 100;
+  servers[2].latency = milliseconds(30);
+  std::mt19937_64 random(1);
+  std::vector<int> picks(3, 0);
+  using Ending = std::pair<int, size_t>;
+  std::priority_queue<Ending, std::vector<Ending>, std::greater<>> endings;
+  for (int now = 0; now < 30000; ++now) {  // three calls a millisecond
+    while (!endings.empty() && endings.top().first <= now) {
+      --servers[endings.top().second].in_flight;
+      endings.pop();
+    }
+    const size_t index = PickServer(servers, PickOptions{}, random).value();
+    ++picks[index];
+    ++servers[index].in_flight;
+    endings.emplace(now + (index == 2 ? 90 : 30), index);
+  }
+  CHECK(picks[2] < 30000 / 5);
+  CHECK(picks[2] > 30000 / 20);  // still measured
+  CHECK(std::abs(picks[0] - picks[1]) < 30000 / 50);
+}
+
+}  // namespace amaranth
--- a/src/libpolicy/shedder_test.cc
+++ b/src/libpolicy/shedder_test.cc
@@ -71,12 +71,20 @@
     if (asked >= left) CHECK(got * asked >= left - 0.1);
     left -= asked;
   }
+  // What is let in is run: little of it is turned away in the queue, where the
+  // hops above have worked for it already.
+  double let_in = 0;
+  for (size_t tier = 0; tier < kTierCount; ++tier) {
+    let_in += node.Tally(tier, kFrom + 0.5, kTo).let_in / (kTo - kFrom - 0.5);
+  }
+  const double good = GoodPerSecond(node, kFrom + 0.5, kTo);
+  CHECK(let_in - good <= 0.15 * capacity);
   // A second after its end nothing is left of it.
   CHECK(GoodPerSecond(node, kTo + 1, 11) >= 0.9 * 0.8 * capacity);
   const std::vector<uint32_t>& thresholds = node.thresholds();
   const auto end = thresholds.begin() + static_cast<int>(kTo * 100);
   CHECK_EQUAL(0u, *std::min_element(end, end + 100));
-  return GoodPerSecond(node, kFrom + 0.5, kTo) / capacity;
+  return good / capacity;
 }
 
 void CheckSurge(const SurgeCase& surge) {
