Cold servers take their weight's part; rarely called servers can be ejected

A weight in the score kept a cold server from any call while others had room, so it never warmed up. A service with a call a second never reached ten recent results, so a dead server of it was never ejected; five failures in a row now do. Tests for both.

--- a/src/include/amaranthroute/policy/outlier.h
+++ b/src/include/amaranthroute/policy/outlier.h
@@ -27,6 +27,9 @@
   double max_share = 0.5;
   /// Results that a verdict needs; decayed counts.
   double min_results = 10;
+  /// Failures in a row that need no such count: a service with a call a second
+  /// never has ten results that are recent.
+  int failures_in_row = 5;
   /// Failed share that ejects: this, and this much above the peers' median.
   double failure_share = 0.5;
   double failure_excess = 0.3;
@@ -81,6 +84,7 @@
     TimePoint updated{};
     TimePoint ejected_until{};
     TimePoint last_ejected{};
+    int failed_in_row = 0;
     int ejections = 0;
   };
 
--- a/src/libpolicy/outlier.cc
+++ b/src/libpolicy/outlier.cc
@@ -35,8 +35,10 @@
   state.results += 1;
   if (failed) {
     state.failures += 1;
+    ++state.failed_in_row;
   } else {
     state.successes += 1;
+    state.failed_in_row = 0;
     state.latency_sum += static_cast<double>(latency.count());
   }
   // Late results of calls sent before the ejection must not prolong it.
@@ -87,6 +89,9 @@
 
 bool OutlierDetector::IsOutlier(const std::string& name,
                                 const Server& server) const {
+  if (server.failed_in_row >= options_.failures_in_row) {
+    return FailsMoreThanPeers(name, server);
+  }
   if (server.results < options_.min_results) return false;
   return FailsMoreThanPeers(name, server) || SlowerThanPeers(name, server);
 }
@@ -137,6 +142,7 @@
   server.last_ejected = now;
   server.ejected_until = now + length;
   // What it did before must not eject it again on its first call afterwards.
+  server.failed_in_row = 0;
   server.results = server.failures = 0;
   server.successes = server.latency_sum = 0;
 }
--- a/src/libpolicy/outlier_test.cc
+++ b/src/libpolicy/outlier_test.cc
@@ -41,6 +41,18 @@
   CHECK_EQUAL(2u, detector.EjectedCount(now));
 }
 
+TEST(OutlierTest, RarelyCalledServerIsEjectedToo) {
+  OutlierDetector detector;
+  TimePoint now{};
+  for (int call = 0; call < 8; ++call) {
+    now += seconds(1);
+    detector.OnResult("good", milliseconds(10), false, now);
+    detector.OnResult("bad", milliseconds(10), true, now);
+  }
+  CHECK_EQUAL(1u, detector.EjectedCount(now - seconds(2)));
+  CHECK(!detector.Ejected("good", now));
+}
+
 // Callers see a whole service refused: all its servers fail because of a
 // service below, and ejecting half of them doubles the load of the others.
 TEST(OutlierTest, CommonCauseEjectsNone) {
--- a/src/libpolicy/server_picker.cc
+++ b/src/libpolicy/server_picker.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <utility>
 
 namespace amaranth {
 namespace {
@@ -47,29 +48,29 @@
                              ? static_cast<double>(server.latency.count())
                              : default_latency;
   const double calls = 1.0 + server.in_flight + server.queued;
-  return calls / (LimitOf(server) * WeightOf(server)) * latency;
-}
-
-size_t DrawByWeight(const std::vector<ServerView>& servers,
-                    const Indexes& among, std::mt19937_64& random) {
-  std::vector<double> weights;
-  weights.reserve(among.size());
-  for (size_t index : among) weights.push_back(WeightOf(servers[index]));
-  std::discrete_distribution<size_t> draw(weights.begin(), weights.end());
-  return draw(random);
+  return calls / LimitOf(server) * latency;
 }
 
 size_t TwoChoices(const std::vector<ServerView>& servers, Indexes among,
                   std::mt19937_64& random) {
   if (among.size() == 1) return among.front();
-  const size_t first_at = DrawByWeight(servers, among, random);
-  const size_t first = among[first_at];
+  std::uniform_int_distribution<size_t> draw_first(0, among.size() - 1);
+  const size_t first_at = draw_first(random);
+  size_t better = among[first_at];
   among.erase(among.begin() + static_cast<ptrdiff_t>(first_at));
-  const size_t second = among[DrawByWeight(servers, among, random)];
+  std::uniform_int_distribution<size_t> draw_second(0, among.size() - 1);
+  size_t worse = among[draw_second(random)];
   const double latency = DefaultLatency(servers);
-  const double wait_first = ExpectedWait(servers[first], latency);
-  const double wait_second = ExpectedWait(servers[second], latency);
-  return wait_second < wait_first ? second : first;
+  if (ExpectedWait(servers[worse], latency) <
+      ExpectedWait(servers[better], latency)) {
+    std::swap(better, worse);
+  }
+  // A cold server has nothing in flight and wins each comparison; it takes only
+  // its weight's part of what it wins. As part of the score, a weight of 0.1
+  // would keep it from any call while the others have room.
+  const double part = WeightOf(servers[better]) / WeightOf(servers[worse]);
+  std::bernoulli_distribution takes(std::min(1.0, part));
+  return takes(random) ? better : worse;
 }
 
 template <typename Predicate>
--- a/src/libpolicy/server_picker_test.cc
+++ b/src/libpolicy/server_picker_test.cc
@@ -88,6 +88,21 @@
   CHECK(RemoteShare({ejected, free_remote}) == 1.0);
 }
 
+// Callers see a server that has just announced itself flooded by every entry
+// node at once, because it has nothing in flight, and slow with cold caches.
+TEST(ServerPickerTest, ColdServerTakesItsPartOnly) {
+  std::vector<ServerView> servers(3, MakeServer(5, true));
+  servers[2].in_flight = 0;
+  servers[2].weight = 0.1;
+  std::mt19937_64 random(1);
+  int cold = 0;
+  for (int pick = 0; pick < 10000; ++pick) {
+    if (PickServer(servers, PickOptions{}, random) == 2u) ++cold;
+  }
+  CHECK(cold > 500);  // a tenth of the pairs that it is in
+  CHECK(cold < 850);
+}
+
 // Callers see a third of their requests slow, though two of three servers are
 // quick: the slow one holds its calls longer, and round robin sends it as many.
 TEST(ServerPickerTest, SlowServerGetsFewerCalls) {
