--- a/src/include/amaranthroute/policy/concurrency_limit.h
+++ b/src/include/amaranthroute/policy/concurrency_limit.h
@@ -39,8 +39,8 @@
   double tolerance = 1.5;
   /// Size of one trial cut. Under congestion it takes 35% off the latency and
   /// otherwise nothing; the bound between, 17%, is nearly two spreads of the
-  /// difference of two means of 200 samples (10%) from either. At 0.75 one
-  /// verdict in ten was wrong and the limit wandered.
+  /// difference of two means of 200 samples (10%) from either. At 0.75 it
+  /// is one, and the limit wandered between 12 and 40 with a knee at 20.
   double cut = 0.65;
   /// Raise per calm window; 1.25 goes from 10 to 100 slots in 11 windows.
   double raise = 1.25;
--- a/src/include/amaranthroute/policy/outlier.h
+++ b/src/include/amaranthroute/policy/outlier.h
@@ -33,9 +33,10 @@
   /// Failed share that ejects: this, and this much above the peers' median.
   double failure_share = 0.5;
   double failure_excess = 0.3;
-  /// Latency, in medians of the peers, that ejects. The choice of server
-  /// already sends a server of 3 times the latency a third of the calls; a
-  /// fifth of the speed is no load difference any more.
+  /// Latency, in medians of the peers, that ejects. A server of 3 times the
+  /// latency is left to the choice of server, which sends it less than a fifth
+  /// of the calls of three (ServerPickerTest, SlowServerGetsFewerCalls); a
+  /// fifth of the speed is no difference of load any more.
   double latency_factor = 5.0;
   /// ... and at least this much slower: 2 ms against 0.3 ms harms nobody.
   Duration min_excess = std::chrono::milliseconds(20);
--- a/src/include/amaranthroute/policy/progress_watch.h
+++ b/src/include/amaranthroute/policy/progress_watch.h
@@ -60,8 +60,8 @@
 
 /// Shortest timeout of an attempt: a hiccup of a fast server is no failure.
 inline constexpr Duration kMinAttemptTimeout = std::chrono::seconds(1);
-/// Timeout of an attempt in usual latencies. A service at a third of its speed
-/// with its queue full stays below; a silent connection does not.
+/// Timeout of an attempt in usual latencies. A service that falls to a third of
+/// its speed stays well below; a silent connection does not.
 inline constexpr int kAttemptTimeoutLatencies = 10;
 
 /// Timeout of one attempt at a backend server: kAttemptTimeoutLatencies times
--- a/src/libpolicy/concurrency_limit.cc
+++ b/src/libpolicy/concurrency_limit.cc
@@ -195,8 +195,8 @@
   }
   in_trial_ = false;
   if (fall >= kLeastFall) {
-    // A verdict that raised the baseline is checked once more: one in thirty
-    // or so is wrong, and would let a queue stay for good.
+    // A verdict that raised the baseline is checked once more: a wrong one
+    // would let a queue in the server stay for good.
     const bool raised = level.latency > options_.tolerance * baseline_;
     baseline_ = level.latency;
     if (raised) {
