--- /dev/null
+++ b/src/libnode/caller_headers.cc
@@ -0,0 +1,147 @@
+#include "caller_headers.h"
+
+#include <algorithm>
+#include <charconv>
+#include <vector>
+
+namespace amaranth::pvt {
+namespace {
+
+constexpr int64_t kMaxDeadlineMs = 3'600'000;
+constexpr std::string_view kTokenPrefix = "c1";
+constexpr std::string_view kTicketPrefix = "t1";
+
+// Printable ASCII without spaces and quotes: safe in logs, JSON and labels.
+bool IsCleanText(std::string_view text) {
+  return std::all_of(text.begin(), text.end(), [](char c) {
+    return c > ' ' && c < '\x7f' && c != '"' && c != '\\';
+  });
+}
+
+Outcome<std::string> ReadText(const HttpRequest& request,
+                              std::string_view name) {
+  const std::string_view value = FindHeader(request.headers, name);
+  if (value.size() > kMaxHeaderValue) {
+    return Error{ErrorCode::kTooLarge, std::string(name) + " is too long"};
+  }
+  if (!IsCleanText(value)) {
+    return Error{ErrorCode::kInvalid,
+                 std::string(name) + " has characters that are not allowed"};
+  }
+  return std::string(value);
+}
+
+// Service, class and tenant become parts of settings paths and label values.
+Outcome<std::string> ReadName(const HttpRequest& request,
+                              std::string_view name) {
+  Outcome<std::string> text = ReadText(request, name);
+  if (!text) return text;
+  if (text.value().find_first_of("/*,;") != std::string::npos) {
+    return Error{ErrorCode::kInvalid,
+                 std::string(name) + " must not contain / * , ;"};
+  }
+  return text;
+}
+
+std::optional<uint64_t> ParseNumber(std::string_view text, int base) {
+  uint64_t value = 0;
+  const char* end = text.data() + text.size();
+  const std::from_chars_result result =
+      std::from_chars(text.data(), end, value, base);
+  if (text.empty() || result.ec != std::errc() || result.ptr != end) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+std::string ToHex(uint64_t value) {
+  char buffer[17];
+  const std::to_chars_result result =
+      std::to_chars(buffer, buffer + sizeof buffer, value, 16);
+  return std::string(buffer, result.ptr);
+}
+
+std::vector<std::string_view> Split(std::string_view text, char separator) {
+  std::vector<std::string_view> parts;
+  while (true) {
+    const size_t at = text.find(separator);
+    parts.push_back(text.substr(0, at));
+    if (at == std::string_view::npos) return parts;
+    text.remove_prefix(at + 1);
+  }
+}
+
+Outcome<std::optional<Duration>> ReadDeadline(const HttpRequest& request) {
+  const std::string_view text = FindHeader(request.headers, kDeadlineHeader);
+  if (text.empty()) return std::optional<Duration>();
+  const std::optional<uint64_t> millis = ParseNumber(text, 10);
+  if (!millis || *millis == 0 || *millis > kMaxDeadlineMs) {
+    return Error{ErrorCode::kInvalid,
+                 std::string(kDeadlineHeader) + " must be 1 to 3600000"};
+  }
+  return std::optional<Duration>(std::chrono::milliseconds(*millis));
+}
+
+}  // namespace
+
+Outcome<CallerHeaders> ParseCallerHeaders(const HttpRequest& request) {
+  struct Field {
+    std::string_view header;
+    std::string CallerHeaders::*member;
+    bool is_name;
+  };
+  static constexpr Field kFields[] = {
+      {kServiceHeader, &CallerHeaders::service, true},
+      {kClassHeader, &CallerHeaders::request_class, true},
+      {kTenantHeader, &CallerHeaders::tenant, true},
+      {kCallerHeader, &CallerHeaders::caller, false},
+      {kRequestIdHeader, &CallerHeaders::request_id, false},
+      {kIdempotencyKeyHeader, &CallerHeaders::idempotency_key, false},
+      {kContextHeader, &CallerHeaders::context_token, false},
+  };
+  CallerHeaders headers;
+  for (const Field& field : kFields) {
+    Outcome<std::string> text = field.is_name ? ReadName(request, field.header)
+                                              : ReadText(request, field.header);
+    if (!text) return text.error();
+    if (!text.value().empty()) headers.*field.member = text.value();
+  }
+  if (headers.service.empty()) {
+    return Error{ErrorCode::kInvalid,
+                 std::string(kServiceHeader) + " is missing"};
+  }
+  Outcome<std::optional<Duration>> deadline = ReadDeadline(request);
+  if (!deadline) return deadline.error();
+  headers.deadline = deadline.value();
+  return headers;
+}
+
+std::string FormatContextToken(const ContextToken& token) {
+  return std::string(kTokenPrefix) + "." + ToHex(token.hop) + "." +
+         ToHex(token.nonce);
+}
+
+std::optional<ContextToken> ParseContextToken(std::string_view text) {
+  const std::vector<std::string_view> parts = Split(text, '.');
+  if (parts.size() != 3 || parts[0] != kTokenPrefix) return std::nullopt;
+  const std::optional<uint64_t> hop = ParseNumber(parts[1], 16);
+  const std::optional<uint64_t> nonce = ParseNumber(parts[2], 16);
+  if (!hop || !nonce) return std::nullopt;
+  return ContextToken{*hop, *nonce};
+}
+
+std::string FormatTicket(const Ticket& ticket) {
+  return std::string(kTicketPrefix) + "~" + ticket.home + "~" +
+         ToHex(ticket.incarnation) + "~" + ToHex(ticket.sequence);
+}
+
+std::optional<Ticket> ParseTicket(std::string_view text) {
+  const std::vector<std::string_view> parts = Split(text, '~');
+  if (parts.size() != 4 || parts[0] != kTicketPrefix) return std::nullopt;
+  const std::optional<uint64_t> incarnation = ParseNumber(parts[2], 16);
+  const std::optional<uint64_t> sequence = ParseNumber(parts[3], 16);
+  if (!incarnation || !sequence || parts[1].empty()) return std::nullopt;
+  return Ticket{std::string(parts[1]), *incarnation, *sequence};
+}
+
+}  // namespace amaranth::pvt
--- /dev/null
+++ b/src/libnode/caller_headers.h
@@ -0,0 +1,67 @@
+#ifndef AMARANTHROUTE_LIBNODE_CALLER_HEADERS_H_
+#define AMARANTHROUTE_LIBNODE_CALLER_HEADERS_H_
+
+// The callers' HTTP interface: header names, checked parsing, and the context
+// that a backend server hands back with its nested calls.
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "amaranthroute/http.h"
+#include "amaranthroute/outcome.h"
+#include "amaranthroute/time.h"
+
+namespace amaranth::pvt {
+
+inline constexpr std::string_view kServiceHeader = "X-Amaranth-Service";
+inline constexpr std::string_view kClassHeader = "X-Amaranth-Class";
+inline constexpr std::string_view kTenantHeader = "X-Amaranth-Tenant";
+inline constexpr std::string_view kRequestIdHeader = "X-Amaranth-Request-Id";
+inline constexpr std::string_view kCallerHeader = "X-Amaranth-Caller";
+inline constexpr std::string_view kDeadlineHeader = "X-Amaranth-Deadline-Ms";
+inline constexpr std::string_view kContextHeader = "X-Amaranth-Context";
+inline constexpr std::string_view kVerdictHeader = "X-Amaranth-Verdict";
+inline constexpr std::string_view kFinalHeader = "X-Amaranth-Final";
+inline constexpr std::string_view kTicketHeader = "X-Amaranth-Ticket";
+inline constexpr std::string_view kIdempotencyKeyHeader = "Idempotency-Key";
+
+// Longest accepted value of any of these headers, in bytes. Names and keys end
+// up in tables and logs of every node, so they are kept short.
+inline constexpr size_t kMaxHeaderValue = 200;
+
+struct CallerHeaders {
+  std::string service;
+  std::string request_class = "default";
+  std::string tenant = "default";
+  std::string caller;
+  std::string request_id;  // empty: the caller gave none
+  std::string idempotency_key;
+  std::string context_token;
+  std::optional<Duration> deadline;
+};
+
+// Reads and checks the headers; the Error's message is fit for the caller.
+Outcome<CallerHeaders> ParseCallerHeaders(const HttpRequest& request);
+
+// Identifies a hop in flight to its own node. The nonce keeps a backend server
+// (or a caller who guesses) from naming a hop that is not its own.
+struct ContextToken {
+  uint64_t hop = 0;
+  uint64_t nonce = 0;
+};
+std::string FormatContextToken(const ContextToken& token);
+std::optional<ContextToken> ParseContextToken(std::string_view text);
+
+// A ticket names the node that alone may dispatch the request it is used for.
+struct Ticket {
+  std::string home;
+  uint64_t incarnation = 0;
+  uint64_t sequence = 0;
+};
+std::string FormatTicket(const Ticket& ticket);
+std::optional<Ticket> ParseTicket(std::string_view text);
+
+}  // namespace amaranth::pvt
+
+#endif  // AMARANTHROUTE_LIBNODE_CALLER_HEADERS_H_
--- /dev/null
+++ b/src/libnode/outbox.h
@@ -0,0 +1,45 @@
+#ifndef AMARANTHROUTE_LIBNODE_OUTBOX_H_
+#define AMARANTHROUTE_LIBNODE_OUTBOX_H_
+
+// Messages to nodes, this one included. A message of the node to itself takes
+// no link: it is queued here and the reducer delivers it before the event
+// ends, so both roles see the same protocol whether or not they share a host.
+
+#include <deque>
+#include <string>
+#include <utility>
+
+#include "libnode/context.h"
+
+namespace amaranth::pvt {
+
+class Outbox {
+ public:
+  void Send(const std::string& peer, const Endpoint& address,
+            PeerMessage message, Context& context) {
+    if (peer == context.identity.node.name) {
+      local_.push_back(std::move(message));
+      return;
+    }
+    if (on_send_) on_send_(peer, address, context);
+    context.Emit(SendPeer{peer, address, std::move(message)});
+  }
+
+  bool HasLocal() const { return !local_.empty(); }
+
+  PeerMessage TakeLocal() {
+    PeerMessage message = std::move(local_.front());
+    local_.pop_front();
+    return message;
+  }
+
+  // Told of each message that leaves on a link (see peer_links.h).
+  std::function<void(const std::string&, const Endpoint&, Context&)> on_send_;
+
+ private:
+  std::deque<PeerMessage> local_;
+};
+
+}  // namespace amaranth::pvt
+
+#endif  // AMARANTHROUTE_LIBNODE_OUTBOX_H_
