--- a/src/include/amaranthroute/messages.h
+++ b/src/include/amaranthroute/messages.h
@@ -42,6 +42,8 @@
   Duration remaining{0};       ///< until the request's deadline
   uint16_t retry_credits = 0;  ///< lent to this hop's subtree
   uint64_t fingerprint = 0;    ///< of the request's content, for crash-makers
+  /// Tries of this request so far whose backend server broke the connection.
+  uint8_t suspected_crashes = 0;
 };
 
 /// Load of one backend server, piggybacked on each answer.
