--- a/src/libnode/caller_headers.h
+++ b/src/libnode/caller_headers.h
@@ -24,6 +24,10 @@
 inline constexpr std::string_view kVerdictHeader = "X-Amaranth-Verdict";
 inline constexpr std::string_view kFinalHeader = "X-Amaranth-Final";
 inline constexpr std::string_view kTicketHeader = "X-Amaranth-Ticket";
+// A backend server's own word that it refused a request without running it.
+// Not the verdict header: a server that copies a nested answer's headers into
+// its own answer would otherwise deny having run.
+inline constexpr std::string_view kRefusedHeader = "X-Amaranth-Refused";
 inline constexpr std::string_view kIdempotencyKeyHeader = "Idempotency-Key";
 
 // Longest accepted value of any of these headers, in bytes. Names and keys end
--- a/src/libnode/credit_ledger.h
+++ b/src/libnode/credit_ledger.h
@@ -27,10 +27,13 @@
     return true;
   }
 
-  // Takes credits out for a hop below. One is kept where possible: the layer
-  // next to the failure retries, and after a lost answer (which burns all that
-  // was lent) that layer is this one.
-  uint16_t LendToAttempt() { return Take(available_ > 0 ? available_ - 1 : 0); }
+  // Takes credits out for a hop below. One of several is kept: after a lost
+  // answer, which burns all that was lent, the layer next to the failure is
+  // this one. A last credit is lent, or deep hops would never have any; a
+  // refusal brings it back.
+  uint16_t LendToAttempt() {
+    return Take(available_ > 1 ? available_ - 1 : available_);
+  }
 
   // Takes credits out for one of possibly several concurrent nested calls:
   // half, so that a sibling still finds some.
--- /dev/null
+++ b/src/libnode/entry_attempts.cc
@@ -0,0 +1,271 @@
+// Tries of a call at backend servers, and what comes of them.
+
+#include <algorithm>
+
+#include "amaranthroute/policy/retry_after.h"
+#include "libnode/entry_role.h"
+
+namespace amaranth::pvt {
+namespace {
+
+// The serving node gets a little less time than is left, so that its proof
+// that a queued call was dropped unrun is here before this node must answer
+// "may have run" for want of it. Covers the longest one-way latency of the
+// users' meshes (1.5 ms) with room; a twentieth where deadlines are short.
+constexpr Duration kAnswerMargin = std::chrono::milliseconds(10);
+constexpr int kShortDeadlineShare = 20;
+
+bool IsRetryableStatus(int status) {
+  return status == 502 || status == 503 || status == 504;
+}
+
+bool RetryCannotHelp(Reason reason) {
+  return reason == Reason::kQuarantined || reason == Reason::kCancelled ||
+         reason == Reason::kTooLarge || reason == Reason::kBadRequest;
+}
+
+bool IsShed(Reason reason) {
+  return reason == Reason::kShedAtServer || reason == Reason::kShedAtEntry ||
+         reason == Reason::kQueueFull;
+}
+
+}  // namespace
+
+Duration EntryRole::RemainingFor(const Call& call, TimePoint now) const {
+  const Duration remaining = call.deadline - now;
+  return remaining - std::min(kAnswerMargin, remaining / kShortDeadlineShare);
+}
+
+bool EntryRole::TryNext(Call& call, const std::optional<Reason>& last,
+                        Context& context) {
+  if (context.now >= call.deadline) return false;
+  const std::vector<ServerPlace>& places =
+      parts_.membership.ServersOf(call.context.service);
+  const EffectiveSettings& settings =
+      parts_.settings.Of(call.context.service, call.context.request_class);
+  const uint32_t level =
+      SheddingLevel(call.context.tier, call.context.request_id);
+  std::optional<ServerPlace> place = choice_.Choose(
+      places, settings, call.tried, level, context.now, context.random);
+  if (!place && last && !IsShed(*last)) {
+    // Every server was tried once. After a lost connection the same server on
+    // a fresh connection is worth the credit.
+    call.tried.clear();
+    place = choice_.Choose(places, settings, call.tried, level, context.now,
+                           context.random);
+  }
+  if (!place) return false;
+  SendAttempt(call, *place, context);
+  return true;
+}
+
+void EntryRole::SendAttempt(Call& call, const ServerPlace& place,
+                            Context& context) {
+  const MemberRecord* member = parts_.membership.Find(place.node);
+  Attempt attempt;
+  attempt.id = context.NextId();
+  attempt.node = member == nullptr ? NodeRef{place.node, 0} : member->node;
+  attempt.server = place.server;
+  attempt.sent = context.now;
+  attempt.lent = call.ledger.LendToAttempt();
+
+  CallForward forward;
+  forward.attempt = attempt.id;
+  forward.server = place.server;
+  forward.context = call.context;
+  forward.context.remaining = RemainingFor(call, context.now);
+  forward.context.retry_credits = attempt.lent;
+  forward.request = call.request;
+
+  const std::string server_key = ServerKey(place.node, place.server);
+  call.tried.insert(server_key);
+  ++call.tries;
+  SetAttempt(call, attempt);
+  choice_.OnSent(server_key);
+  parts_.stats.Count("amaranth_tries_total");
+  parts_.outbox.Send(place.node, place.peer_address, std::move(forward),
+                     context);
+}
+
+void EntryRole::OnCallAnswer(const NodeRef& from, const CallAnswer& answer,
+                             Context& context) {
+  // Answers are matched by ids unique to this incarnation and must come from
+  // the very process that was asked: a late answer to an earlier process of
+  // this node, or one crossed by a restarted peer, ends here.
+  if (answer.entry_incarnation != context.identity.node.incarnation) return;
+  const auto found = by_attempt_.find(answer.attempt);
+  if (found == by_attempt_.end()) return;
+  Call& call = calls_.at(found->second);
+  if (call.attempt->node != from) return;
+  if (call.phase == CallPhase::kForwarded) {
+    EndAttempt(call, std::nullopt, false, context.now);
+    if (answer.failure.reason == Reason::kNone) {
+      FinishWithResponse(call, answer.response, context);
+    } else {
+      FinishWithFailure(call, answer.failure, context);
+    }
+    return;
+  }
+  OnAttemptAnswer(call, answer, context);
+}
+
+void EntryRole::OnAttemptAnswer(Call& call, const CallAnswer& answer,
+                                Context& context) {
+  const Attempt attempt = *call.attempt;
+  call.ledger.Return(attempt.lent, answer.credits_returned);
+  LearnLoad(call, answer.load, context);
+  const bool answered = answer.failure.reason == Reason::kNone;
+  const bool broke = !answered && answer.failure.verdict != Verdict::kNotRun;
+  const bool server_error = answered && answer.response.status >= 500;
+  std::optional<Duration> latency;
+  if (answered) latency = context.now - attempt.sent;
+  EndAttempt(call, latency, broke || server_error, context.now);
+  if (!answered) {
+    if (answer.failure.reason == Reason::kConnectionLost) {
+      ++call.context.suspected_crashes;
+    }
+    OnAttemptFailed(call, answer.failure, context);
+    return;
+  }
+  const bool final = !FindHeader(answer.response.headers, kFinalHeader).empty();
+  if (IsRetryableStatus(answer.response.status) && !final &&
+      call.context.idempotent && PayRetry(call, context) &&
+      TryNext(call, Reason::kServerError, context)) {
+    return;
+  }
+  FinishWithResponse(call, answer.response, context);
+}
+
+void EntryRole::LearnLoad(const Call& call, const LoadReport& load,
+                          Context& context) {
+  if (!load.server.empty()) {
+    choice_.OnReport(ServerKey(call.attempt->node.name, load.server), load,
+                     context.now);
+  }
+  const uint32_t threshold =
+      std::max(load.shed_threshold, load.downstream_threshold);
+  thresholds_.Learn(call.context.service + "/" + call.context.request_class,
+                    threshold, context.now);
+  if (call.is_root) return;
+  Hop* hop = parts_.serving.FindHop(call.parent_hop);
+  if (hop == nullptr) return;
+  hop->downstream_threshold = std::max(hop->downstream_threshold, threshold);
+}
+
+void EntryRole::OnAttemptFailed(Call& call, Failure failure, Context& context) {
+  if (failure.verdict != Verdict::kNotRun) call.doubt = true;
+  if (failure.retry_after.count() > 0) {
+    retry_after_[call.context.service + "/" + call.context.request_class] =
+        failure.retry_after;
+  }
+  if (MayRetry(call, failure)) {
+    // A planned leave costs no credit: nothing ran, each server refuses a call
+    // at most once, and a planned stop must not cut a request that has none.
+    const bool free = failure.reason == Reason::kDraining;
+    if ((free || PayRetry(call, context)) &&
+        TryNext(call, failure.reason, context)) {
+      parts_.records.Add(context.now, call.context.request_id, "retry",
+                         "after " + std::string(ToString(failure.reason)) +
+                             " now at " + call.attempt->server);
+      return;
+    }
+  }
+  FinishWithFailure(call, std::move(failure), context);
+}
+
+bool EntryRole::MayRetry(const Call& call, const Failure& failure) const {
+  if (failure.final || RetryCannotHelp(failure.reason)) return false;
+  return failure.verdict == Verdict::kNotRun || call.context.idempotent;
+}
+
+bool EntryRole::PayRetry(Call& call, Context& context) {
+  if (call.ledger.available() == 0) return false;
+  RetryBudget& budget = retry_budgets_[call.context.service];
+  budget.SetRatio(
+      parts_.settings.Of(call.context.service, call.context.request_class)
+          .retry_ratio);
+  if (!budget.TryRetry(context.now)) {
+    parts_.stats.Count("amaranth_retries_over_budget_total");
+    return false;
+  }
+  parts_.stats.Count("amaranth_retries_total");
+  return call.ledger.Spend();
+}
+
+void EntryRole::SetAttempt(Call& call, const Attempt& attempt) {
+  call.attempt = attempt;
+  by_attempt_[attempt.id] = call.id;
+  ++awaited_[attempt.node.name];
+}
+
+void EntryRole::EndAttempt(Call& call, std::optional<Duration> latency,
+                           bool failed, TimePoint now) {
+  if (!call.attempt) return;
+  const Attempt attempt = *call.attempt;
+  by_attempt_.erase(attempt.id);
+  call.attempt.reset();
+  const auto awaited = awaited_.find(attempt.node.name);
+  if (--awaited->second == 0) awaited_.erase(awaited);
+  if (attempt.server.empty()) return;
+  choice_.OnEnded(call.context.service,
+                  ServerKey(attempt.node.name, attempt.server), latency, failed,
+                  now);
+}
+
+void EntryRole::CancelAttempt(Call& call, Context& context) {
+  if (!call.attempt) return;
+  const Attempt attempt = *call.attempt;
+  const MemberRecord* member = parts_.membership.Find(attempt.node.name);
+  const Endpoint address =
+      member == nullptr ? Endpoint() : member->peer_address;
+  EndAttempt(call, std::nullopt, false, context.now);
+  // A home goes on: its other waiters, or a resend, want the answer.
+  if (attempt.server.empty()) return;
+  parts_.outbox.Send(attempt.node.name, address, CallCancel{attempt.id},
+                     context);
+}
+
+void EntryRole::OnPeerLost(const std::string& peer, Context& context) {
+  std::vector<uint64_t> lost;
+  for (const auto& [attempt, id] : by_attempt_) {
+    if (calls_.at(id).attempt->node.name == peer) lost.push_back(id);
+  }
+  for (const uint64_t id : lost) {
+    Call* call = FindCall(id);
+    if (call == nullptr || !call->attempt) continue;
+    const bool forwarded = call->phase == CallPhase::kForwarded;
+    EndAttempt(*call, std::nullopt, !forwarded, context.now);
+    Failure failure;
+    failure.verdict = Verdict::kMayHaveRun;
+    failure.reason =
+        forwarded ? Reason::kHomeUnreachable : Reason::kConnectionLost;
+    failure.detail = "the link to node " + peer + " was lost";
+    OnAttemptFailed(*call, std::move(failure), context);
+  }
+}
+
+void EntryRole::OnSendFailed(const std::string& peer,
+                             const PeerMessage& message, Context& context) {
+  AttemptId attempt = 0;
+  if (const CallForward* forward = std::get_if<CallForward>(&message)) {
+    attempt = forward->attempt;
+  } else if (const HomeForward* home = std::get_if<HomeForward>(&message)) {
+    attempt = home->attempt;
+  }
+  const auto found = by_attempt_.find(attempt);
+  if (attempt == 0 || found == by_attempt_.end()) return;
+  Call& call = calls_.at(found->second);
+  const bool forwarded = call.phase == CallPhase::kForwarded;
+  call.ledger.Return(call.attempt->lent, call.attempt->lent);
+  EndAttempt(call, std::nullopt, !forwarded, context.now);
+  Failure failure;
+  // This message never left, but an earlier sending of the same key may have
+  // reached its home.
+  failure.verdict = forwarded ? Verdict::kMayHaveRun : Verdict::kNotRun;
+  failure.reason =
+      forwarded ? Reason::kHomeUnreachable : Reason::kConnectFailed;
+  failure.detail = "node " + peer + " cannot be reached";
+  OnAttemptFailed(call, std::move(failure), context);
+}
+
+}  // namespace amaranth::pvt
--- /dev/null
+++ b/src/libnode/entry_begin.cc
@@ -0,0 +1,281 @@
+// From a request to its first try.
+
+#include <algorithm>
+
+#include "amaranthroute/hash.h"
+#include "amaranthroute/policy/retry_after.h"
+#include "libnode/answers.h"
+#include "libnode/entry_role.h"
+
+namespace amaranth::pvt {
+namespace {
+
+// Deeper chains than this are loops: the users' are up to 6 deep.
+constexpr uint8_t kMaxDepth = 32;
+
+// Never passed on: they belong to one connection, or are ours to set.
+constexpr std::string_view kStrippedHeaders[] = {
+    "Connection",     "Keep-Alive", "Proxy-Connection", "Transfer-Encoding",
+    "Content-Length", "Host",       "Upgrade",          "TE",
+    "Trailer",        "Expect",     kContextHeader,     kDeadlineHeader,
+    kVerdictHeader,   kFinalHeader, kTicketHeader,      kRefusedHeader,
+};
+
+HttpRequest Cleaned(const HttpRequest& request) {
+  HttpRequest cleaned = request;
+  for (const std::string_view name : kStrippedHeaders) {
+    RemoveHeader(cleaned.headers, name);
+  }
+  return cleaned;
+}
+
+bool IsIdempotent(const EffectiveSettings& settings,
+                  const std::string& method) {
+  switch (settings.idempotent) {
+    case IdempotentMode::kYes:
+      return true;
+    case IdempotentMode::kNo:
+      return false;
+    case IdempotentMode::kAuto:
+      break;
+  }
+  return method == "GET" || method == "HEAD" || method == "OPTIONS";
+}
+
+uint64_t FingerprintOf(const std::string& service, const HttpRequest& request) {
+  const uint64_t head =
+      Hash64(service + "\n" + request.method + "\n" + request.target);
+  return Hash64(request.body.view(), head);
+}
+
+}  // namespace
+
+EntryRole::EntryRole(const Parts& parts) : parts_(parts) {}
+
+void EntryRole::OnCallerRequest(CallId http_call, const HttpRequest& request,
+                                Context& context) {
+  Waiter waiter;
+  waiter.http_call = http_call;
+  Begin(waiter, request, std::nullopt, context);
+}
+
+void EntryRole::OnTicketRequest(CallId http_call, Context& context) {
+  const std::string ticket = FormatTicket(keys_.Mint(context));
+  context.Emit(AnswerCaller{
+      http_call, JsonResponse(200, "{\"ticket\":\"" + ticket + "\"}")});
+}
+
+void EntryRole::Begin(Waiter waiter, const HttpRequest& request,
+                      std::optional<Duration> remaining, Context& context) {
+  const Outcome<CallerHeaders> parsed = ParseCallerHeaders(request);
+  if (!parsed) {
+    return RefuseUnbuilt(waiter, Reason::kBadRequest, "",
+                         parsed.error().message, context);
+  }
+  const CallerHeaders& headers = parsed.value();
+  Outcome<Call> built = BuildCall(request, headers, remaining, context);
+  if (!built) {
+    return RefuseUnbuilt(waiter, Reason::kBadRequest, headers.request_id,
+                         built.error().message, context);
+  }
+  Call call = std::move(built.value());
+  if (!parts_.membership.ServiceKnown(headers.service)) {
+    return RefuseUnbuilt(
+        waiter, Reason::kUnknownService, call.context.request_id,
+        "no backend server has announced this service", context);
+  }
+  parts_.stats.Count("amaranth_requests_total");
+  call.joinable = call.is_root && !headers.request_id.empty();
+  if (JoinInFlight(call, waiter)) return;
+  call.waiters.push_back(waiter);
+  if (RefuseNestedRepeat(call, context)) return;
+
+  const bool keyed = call.is_root && !call.context.idempotent;
+  if (keyed && !headers.idempotency_key.empty()) {
+    const bool is_ticket = ParseTicket(headers.idempotency_key).has_value();
+    call.key = is_ticket ? headers.idempotency_key
+                         : headers.tenant + "/" + headers.idempotency_key;
+  } else if (keyed && !headers.request_id.empty()) {
+    // A caller that names its request may send it again under that name.
+    call.key = headers.tenant + "/request/" + headers.request_id;
+  }
+  if (!call.key.empty()) {
+    BeginKeyed(std::move(call), waiter.http_call == 0, context);
+    return;
+  }
+  Call& running = calls_.at(Register(std::move(call)));
+  StartRunning(running, context);
+}
+
+Outcome<Call> EntryRole::BuildCall(const HttpRequest& request,
+                                   const CallerHeaders& headers,
+                                   std::optional<Duration> remaining,
+                                   Context& context) {
+  Call call;
+  call.id = context.NextId();
+  call.request = Cleaned(request);
+  call.started = context.now;
+  CallContext& about = call.context;
+  about.mesh = parts_.settings.mesh();
+  about.service = headers.service;
+  about.request_class = headers.request_class;
+  about.tenant = headers.tenant;
+  about.caller_key = headers.caller.empty() ? headers.tenant : headers.caller;
+  about.request_id = headers.request_id;
+  if (about.request_id.empty()) {
+    about.request_id = context.identity.node.name + "-" +
+                       std::to_string(context.identity.node.incarnation) + "-" +
+                       std::to_string(call.id);
+  }
+  if (!headers.context_token.empty()) {
+    return BuildNested(std::move(call), headers, context);
+  }
+  const EffectiveSettings& settings =
+      parts_.settings.Of(about.service, about.request_class);
+  about.tier = settings.tier;
+  about.long_work = settings.long_work;
+  about.idempotent = IsIdempotent(settings, request.method);
+  about.fingerprint = FingerprintOf(about.service, call.request);
+  Duration limit = headers.deadline.value_or(settings.deadline);
+  if (remaining) limit = std::min(limit, *remaining);
+  call.deadline = context.now + limit;
+  call.ledger = CreditLedger(static_cast<uint16_t>(settings.retry_credits));
+  return call;
+}
+
+Outcome<Call> EntryRole::BuildNested(Call call, const CallerHeaders& headers,
+                                     Context& context) {
+  const std::optional<ContextToken> token =
+      ParseContextToken(headers.context_token);
+  Hop* hop = token ? parts_.serving.FindHop(*token) : nullptr;
+  if (hop == nullptr || hop->state != HopState::kDispatched) {
+    return Error{ErrorCode::kInvalid,
+                 "context names no request in flight on this host"};
+  }
+  if (hop->context.depth + 1 >= kMaxDepth) {
+    return Error{ErrorCode::kInvalid, "call chain is too deep"};
+  }
+  // Identity and importance come from the request, not from the backend
+  // server: the same request must meet the same fate at every hop.
+  CallContext& about = call.context;
+  const CallContext& parent = hop->context;
+  about.request_id = parent.request_id;
+  about.request_class = parent.request_class;
+  about.tenant = parent.tenant;
+  about.caller_key = parent.caller_key;
+  about.tier = parent.tier;
+  about.depth = static_cast<uint8_t>(parent.depth + 1);
+  const EffectiveSettings& settings =
+      parts_.settings.Of(about.service, about.request_class);
+  about.long_work = settings.long_work;
+  about.idempotent = IsIdempotent(settings, call.request.method);
+  about.fingerprint = FingerprintOf(about.service, call.request);
+  call.is_root = false;
+  call.parent_hop = hop->id;
+  call.deadline = hop->deadline;
+  if (headers.deadline) {
+    call.deadline = std::min(call.deadline, context.now + *headers.deadline);
+  }
+  ++hop->nested_calls;
+  call.lent_by_parent = hop->ledger.LendToNested();
+  call.ledger = CreditLedger(call.lent_by_parent);
+  return call;
+}
+
+void EntryRole::RefuseUnbuilt(const Waiter& waiter, Reason reason,
+                              const std::string& request_id,
+                              const std::string& detail, Context& context) {
+  Failure failure;
+  failure.verdict = Verdict::kNotRun;
+  failure.reason = reason;
+  failure.final = true;
+  failure.detail = detail;
+  // A service may be unknown only because this node has just started.
+  if (reason == Reason::kUnknownService) {
+    failure.retry_after = RetryAfter(0, 0, context.random);
+  }
+  parts_.stats.Count("amaranth_refused_total",
+                     "reason=\"" + std::string(ToString(reason)) + "\"");
+  AnswerWaiter(waiter, failure, request_id, context);
+}
+
+bool EntryRole::RefuseNestedRepeat(const Call& call, Context& context) {
+  if (call.is_root) return false;
+  Hop* hop = parts_.serving.FindHop(call.parent_hop);
+  if (hop == nullptr) return false;
+  const auto failed = hop->failed_nested.find(call.context.fingerprint);
+  if (failed == hop->failed_nested.end()) return false;
+  // The backend server sends again what this node gave up on: a retry like any
+  // other, which would multiply with depth if it were free.
+  const bool safe =
+      call.context.idempotent || failed->second == Verdict::kNotRun;
+  hop->ledger.Return(call.lent_by_parent, call.lent_by_parent);
+  if (safe && hop->ledger.Spend()) return false;
+  hop->nested_gave_up = true;
+  Failure failure;
+  failure.verdict = failed->second;
+  failure.reason = Reason::kRetriesSpent;
+  failure.final = true;
+  failure.detail = "this nested call was already given up on";
+  AnswerWaiter(call.waiters.front(), failure, call.context.request_id, context);
+  return true;
+}
+
+bool EntryRole::JoinInFlight(const Call& call, const Waiter& waiter) {
+  if (!call.joinable || !call.context.idempotent) return false;
+  const auto found =
+      joinable_.find(call.context.tenant + "/" + call.context.request_id);
+  if (found == joinable_.end()) return false;
+  Call& running = calls_.at(found->second);
+  if (running.context.fingerprint != call.context.fingerprint) return false;
+  // A resend brings no new credits: it shares the try in flight.
+  running.waiters.push_back(waiter);
+  if (waiter.http_call != 0) by_http_call_[waiter.http_call] = running.id;
+  parts_.stats.Count("amaranth_joined_total");
+  return true;
+}
+
+uint64_t EntryRole::Register(Call call) {
+  const uint64_t id = call.id;
+  deadlines_.Add(call.deadline, id);
+  for (const Waiter& waiter : call.waiters) {
+    if (waiter.http_call != 0) by_http_call_[waiter.http_call] = id;
+  }
+  if (call.joinable) {
+    joinable_[call.context.tenant + "/" + call.context.request_id] = id;
+  }
+  if (!call.is_root) by_parent_hop_.emplace(call.parent_hop, id);
+  calls_.emplace(id, std::move(call));
+  return id;
+}
+
+bool EntryRole::ShedAtEntry(const Call& call, Context& context) {
+  const uint32_t level =
+      SheddingLevel(call.context.tier, call.context.request_id);
+  const std::string key =
+      call.context.service + "/" + call.context.request_class;
+  return level < thresholds_.ThresholdFor(key, context.now);
+}
+
+void EntryRole::StartRunning(Call& call, Context& context) {
+  call.phase = CallPhase::kRunning;
+  if (ShedAtEntry(call, context)) {
+    Failure failure;
+    failure.verdict = Verdict::kNotRun;
+    failure.reason = Reason::kShedAtEntry;
+    failure.detail = "a service of this call chain is overloaded";
+    FinishWithFailure(call, std::move(failure), context);
+    return;
+  }
+  retry_budgets_[call.context.service].OnFirstTry(context.now);
+  if (TryNext(call, std::nullopt, context)) return;
+  Failure failure;
+  failure.verdict = Verdict::kNotRun;
+  const bool any = !parts_.membership.ServersOf(call.context.service).empty();
+  failure.reason = any ? Reason::kShedAtEntry : Reason::kNoServer;
+  failure.detail = any ? "all backend servers of the service are overloaded"
+                       : "no usable backend server of the service";
+  FinishWithFailure(call, std::move(failure), context);
+}
+
+}  // namespace amaranth::pvt
--- /dev/null
+++ b/src/libnode/entry_role.h
@@ -0,0 +1,147 @@
+#ifndef AMARANTHROUTE_LIBNODE_ENTRY_ROLE_H_
+#define AMARANTHROUTE_LIBNODE_ENTRY_ROLE_H_
+
+// The node as entry of calls: a caller's request, a nested call of a backend
+// server of this host, or a request whose key has its home here. Admits, picks
+// backend servers, retries within the ledger, and answers.
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "amaranthroute/event.h"
+#include "amaranthroute/policy/retry_budget.h"
+#include "amaranthroute/policy/shedder.h"
+#include "libnode/call.h"
+#include "libnode/caller_headers.h"
+#include "libnode/claim_desk.h"
+#include "libnode/context.h"
+#include "libnode/deadline_set.h"
+#include "libnode/key_registry.h"
+#include "libnode/membership.h"
+#include "libnode/outbox.h"
+#include "libnode/records.h"
+#include "libnode/server_choice.h"
+#include "libnode/serving_role.h"
+#include "libnode/settings_cache.h"
+#include "libnode/stats.h"
+
+namespace amaranth::pvt {
+
+class EntryRole {
+ public:
+  struct Parts {
+    Membership& membership;
+    SettingsCache& settings;
+    ServingRole& serving;
+    ClaimDesk& claims;
+    Outbox& outbox;
+    Stats& stats;
+    Records& records;
+  };
+
+  explicit EntryRole(const Parts& parts);
+
+  void OnCallerRequest(CallId http_call, const HttpRequest& request,
+                       Context& context);
+  void OnCallerGone(CallId http_call, Context& context);
+  void OnTicketRequest(CallId http_call, Context& context);
+  void OnHomeForward(const NodeRef& from, const HomeForward& forward,
+                     Context& context);
+  void OnCallAnswer(const NodeRef& from, const CallAnswer& answer,
+                    Context& context);
+  // The link is gone: attempts there may have run.
+  void OnPeerLost(const std::string& peer, Context& context);
+  // Proved never sent.
+  void OnSendFailed(const std::string& peer, const PeerMessage& message,
+                    Context& context);
+  void OnClaimResult(const ClaimResult& result, Context& context);
+  void OnHopCancelled(uint64_t hop, Context& context);
+  void OnTimer(Context& context);
+  TimePoint next_timer() const;
+
+  // Whether an answer of `peer` is awaited.
+  bool Awaits(const std::string& peer) const {
+    return awaited_.count(peer) > 0;
+  }
+  size_t calls() const { return calls_.size(); }
+  const ServerChoice& choice() const { return choice_; }
+  const KeyRegistry& keys() const { return keys_; }
+
+ private:
+  // entry_begin.cc: from the request to the first try.
+  void Begin(Waiter waiter, const HttpRequest& request,
+             std::optional<Duration> remaining, Context& context);
+  Outcome<Call> BuildCall(const HttpRequest& request,
+                          const CallerHeaders& headers,
+                          std::optional<Duration> remaining, Context& context);
+  Outcome<Call> BuildNested(Call call, const CallerHeaders& headers,
+                            Context& context);
+  void RefuseUnbuilt(const Waiter& waiter, Reason reason,
+                     const std::string& request_id, const std::string& detail,
+                     Context& context);
+  bool RefuseNestedRepeat(const Call& call, Context& context);
+  bool JoinInFlight(const Call& call, const Waiter& waiter);
+  bool ShedAtEntry(const Call& call, Context& context);
+  uint64_t Register(Call call);
+  void StartRunning(Call& call, Context& context);
+
+  // entry_keys.cc: at most once for keyed requests.
+  void BeginKeyed(Call call, bool forwarded_here, Context& context);
+  void BeginWithRecord(Call call, KeyRecord& record, Context& context);
+  void BeginWithTicket(Call call, const Ticket& ticket, Context& context);
+  void BeginClaim(Call call, KeyRecord& record, Context& context);
+  void ForwardToHome(Call& call, const NodeRef& home, Context& context);
+  void SettleKey(const Call& call, const HttpResponse* response,
+                 const Failure& failure);
+
+  // entry_attempts.cc: tries and their results.
+  // False if there is no server to try; `last` is how the last try failed.
+  bool TryNext(Call& call, const std::optional<Reason>& last, Context& context);
+  void SendAttempt(Call& call, const ServerPlace& place, Context& context);
+  Duration RemainingFor(const Call& call, TimePoint now) const;
+  void OnAttemptAnswer(Call& call, const CallAnswer& answer, Context& context);
+  void OnAttemptFailed(Call& call, Failure failure, Context& context);
+  bool MayRetry(const Call& call, const Failure& failure) const;
+  bool PayRetry(Call& call, Context& context);
+  void LearnLoad(const Call& call, const LoadReport& load, Context& context);
+  void SetAttempt(Call& call, const Attempt& attempt);
+  void EndAttempt(Call& call, std::optional<Duration> latency, bool failed,
+                  TimePoint now);
+  void CancelAttempt(Call& call, Context& context);
+
+  // entry_finish.cc: answers.
+  void FinishWithResponse(Call& call, const HttpResponse& response,
+                          Context& context);
+  void FinishWithFailure(Call& call, Failure failure, Context& context);
+  void Remove(Call& call);
+  void AnswerWaiter(const Waiter& waiter, const HttpResponse& response,
+                    Context& context);
+  void AnswerWaiter(const Waiter& waiter, const Failure& failure,
+                    const std::string& request_id, Context& context);
+  void ReturnToParent(const Call& call, bool gave_up, Verdict verdict);
+
+  Call* FindCall(uint64_t id);
+  void RemoveWaiter(Call& call, CallId http_call, Context& context);
+
+  Parts parts_;
+  ServerChoice choice_;
+  KeyRegistry keys_;
+  DownstreamThresholds thresholds_;
+  std::map<std::string, RetryBudget> retry_budgets_;  // by service
+  std::map<std::string, Duration> retry_after_;       // by service and class
+  std::map<uint64_t, Call> calls_;
+  std::map<AttemptId, uint64_t> by_attempt_;
+  std::map<std::string, size_t> awaited_;  // attempts in flight, by peer
+  std::map<CallId, uint64_t> by_http_call_;
+  std::map<std::string, uint64_t> joinable_;  // by request id
+  std::multimap<uint64_t, uint64_t> by_parent_hop_;
+  std::map<uint64_t, std::string> claims_;  // claim id to key
+  DeadlineSet deadlines_;
+  TimePoint next_expiry_{};
+};
+
+}  // namespace amaranth::pvt
+
+#endif  // AMARANTHROUTE_LIBNODE_ENTRY_ROLE_H_
--- /dev/null
+++ b/src/libnode/local_server.cc
@@ -0,0 +1,104 @@
+#include "local_server.h"
+
+#include <algorithm>
+
+namespace amaranth::pvt {
+namespace {
+
+// A server that announces no slots is bounded by this alone.
+constexpr int kDefaultSlots = 100;
+
+// Weight of the newest sample in the mean service time: follows a slowdown
+// within about ten answers without jumping at each.
+constexpr double kServiceWeight = 0.1;
+
+int SlotsOf(const ServerRecord& record, const EffectiveSettings& settings) {
+  if (settings.fixed_limit > 0) return static_cast<int>(settings.fixed_limit);
+  if (record.slots > 0) return static_cast<int>(record.slots);
+  return kDefaultSlots;
+}
+
+ConcurrencyLimitOptions LimitOptions(const ServerRecord& record,
+                                     const EffectiveSettings& settings) {
+  ConcurrencyLimitOptions options;
+  options.ceiling = SlotsOf(record, settings);
+  // The announced slots are the operators' own figure: start there and let
+  // measured latency lower the limit, instead of shedding a fresh server's
+  // first burst.
+  options.initial = options.ceiling;
+  options.adaptive = settings.concurrency == ConcurrencyMode::kAdaptive;
+  return options;
+}
+
+AdmissionQueueOptions QueueOptions(const EffectiveSettings& settings) {
+  AdmissionQueueOptions options;
+  options.capacity = settings.queue_capacity;
+  options.target_delay = settings.queue_target;
+  return options;
+}
+
+}  // namespace
+
+LocalServer::LocalServer(ServerRecord record, const EffectiveSettings& settings,
+                         TimePoint now)
+    : last_heard(now),
+      record_(std::move(record)),
+      limit_(LimitOptions(record_, settings)),
+      queue_(QueueOptions(settings)),
+      long_work_(settings.long_work_share) {}
+
+void LocalServer::Configure(const ServerRecord& record,
+                            const EffectiveSettings& settings) {
+  record_ = record;
+  limit_.SetCeiling(SlotsOf(record, settings));
+  limit_.SetAdaptive(settings.concurrency == ConcurrencyMode::kAdaptive);
+  long_work_ = LongWorkShare(settings.long_work_share);
+}
+
+void LocalServer::OnDispatched(uint64_t dispatch, uint64_t fingerprint,
+                               bool is_long) {
+  dispatches_[dispatch] = Dispatch{fingerprint, is_long};
+  if (is_long) ++long_in_flight_;
+}
+
+void LocalServer::OnEnded(uint64_t dispatch, Duration latency, bool failed,
+                          TimePoint now) {
+  const auto found = dispatches_.find(dispatch);
+  if (found == dispatches_.end()) return;
+  const bool is_long = found->second.is_long;
+  if (is_long) --long_in_flight_;
+  // Long work says nothing about how the server copes with ordinary calls.
+  if (!is_long) limit_.OnSample(latency, in_flight(), failed, now);
+  dispatches_.erase(found);
+  if (!failed) drain_.OnDone(now);
+  if (is_long) return;
+  // A try that timed out counts as slow as it was: without it a server slower
+  // than the timeout would never be seen to be slow.
+  if (failed && latency < expected_service_) return;
+  const double mean = static_cast<double>(expected_service_.count());
+  const double sample = static_cast<double>(latency.count());
+  expected_service_ = mean == 0 ? latency
+                                : Duration(static_cast<int64_t>(
+                                      mean + kServiceWeight * (sample - mean)));
+}
+
+std::vector<std::pair<uint64_t, uint64_t>> LocalServer::InFlight() const {
+  std::vector<std::pair<uint64_t, uint64_t>> result;
+  result.reserve(dispatches_.size());
+  for (const auto& [dispatch, details] : dispatches_) {
+    result.emplace_back(dispatch, details.fingerprint);
+  }
+  return result;
+}
+
+LoadReport LocalServer::Report(TimePoint now) {
+  LoadReport report;
+  report.server = record_.server;
+  report.in_flight = static_cast<uint32_t>(in_flight());
+  report.limit = static_cast<uint32_t>(limit_.limit());
+  report.queued = static_cast<uint32_t>(queue_.size());
+  report.shed_threshold = shedder_.Threshold(now);
+  return report;
+}
+
+}  // namespace amaranth::pvt
--- /dev/null
+++ b/src/libnode/local_server.h
@@ -0,0 +1,78 @@
+#ifndef AMARANTHROUTE_LIBNODE_LOCAL_SERVER_H_
+#define AMARANTHROUTE_LIBNODE_LOCAL_SERVER_H_
+
+// A backend server of this host, with the decisions that guard its slots.
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+
+#include "amaranthroute/messages.h"
+#include "amaranthroute/policy/admission_queue.h"
+#include "amaranthroute/policy/concurrency_limit.h"
+#include "amaranthroute/policy/long_work.h"
+#include "amaranthroute/policy/retry_after.h"
+#include "amaranthroute/policy/shedder.h"
+#include "amaranthroute/settings.h"
+#include "libnode/crash_window.h"
+
+namespace amaranth::pvt {
+
+class LocalServer {
+ public:
+  LocalServer(ServerRecord record, const EffectiveSettings& settings,
+              TimePoint now);
+
+  // The announced slots bound the limit; the operators' settings may fix it.
+  void Configure(const ServerRecord& record, const EffectiveSettings& settings);
+
+  bool HasFreeSlot() const { return in_flight() < limit_.limit(); }
+  bool LongWorkAllowed() const {
+    return long_work_.Allows(long_in_flight_, limit_.limit());
+  }
+
+  void OnDispatched(uint64_t dispatch, uint64_t fingerprint, bool is_long);
+  // Ends a dispatch that was answered, or broke (`failed`).
+  void OnEnded(uint64_t dispatch, Duration latency, bool failed, TimePoint now);
+
+  int in_flight() const { return static_cast<int>(dispatches_.size()); }
+  std::vector<std::pair<uint64_t, uint64_t>> InFlight() const;
+  Duration expected_service() const { return expected_service_; }
+  LoadReport Report(TimePoint now);
+
+  const ServerRecord& record() const { return record_; }
+  ConcurrencyLimit& limit() { return limit_; }
+  AdmissionQueue& queue() { return queue_; }
+  Shedder& shedder() { return shedder_; }
+  DrainMeter& drain() { return drain_; }
+  CrashWindow& crash_window() { return crash_window_; }
+
+  // Calls that were in flight at a crash wait here: at most one of them runs
+  // at a time, so that a second crash names the one that caused it.
+  std::deque<uint64_t> waiting_suspects;
+  bool suspect_in_flight = false;
+  bool draining = false;
+  TimePoint last_heard{};
+
+ private:
+  struct Dispatch {
+    uint64_t fingerprint = 0;
+    bool is_long = false;
+  };
+
+  ServerRecord record_;
+  ConcurrencyLimit limit_;
+  AdmissionQueue queue_;
+  Shedder shedder_;
+  DrainMeter drain_;
+  LongWorkShare long_work_;
+  CrashWindow crash_window_;
+  std::map<uint64_t, Dispatch> dispatches_;
+  int long_in_flight_ = 0;
+  Duration expected_service_{0};
+};
+
+}  // namespace amaranth::pvt
+
+#endif  // AMARANTHROUTE_LIBNODE_LOCAL_SERVER_H_
--- /dev/null
+++ b/src/libnode/node_state.cc
@@ -0,0 +1,266 @@
+#include "node_state.h"
+
+#include <algorithm>
+
+#include "amaranthroute/policy/retry_after.h"
+#include "libnode/answers.h"
+#include "libnode/operator_api.h"
+
+namespace amaranth::pvt {
+namespace {
+
+constexpr std::string_view kAnnouncePath = "/amaranth/v1/announce";
+constexpr std::string_view kLeavePath = "/amaranth/v1/leave";
+constexpr std::string_view kTicketPath = "/amaranth/v1/ticket";
+
+// A leaving node goes on serving this long, since other nodes and callers hear
+// of it only then: half of the brief's "few seconds". Stopping at once would
+// cut the calls that are already on their way.
+constexpr Duration kLeaveGrace = std::chrono::seconds(2);
+
+}  // namespace
+
+NodeState::NodeState(NodeIdentity id)
+    : identity(std::move(id)),
+      random(identity.random_seed),
+      membership(identity),
+      settings(identity),
+      settings_cache(settings, identity.mesh),
+      serving(membership, settings_cache, outbox, stats, records),
+      claims(membership, outbox, stats),
+      entry({membership, settings_cache, serving, claims, outbox, stats,
+             records}) {
+  JoinModules();
+}
+
+void NodeState::JoinModules() {
+  outbox.SetOnSend(
+      [this](const std::string& peer, const Endpoint& address,
+             Context& context) { links.OnSent(peer, address, context); });
+  membership.on_settings_version = [this](const std::string& peer,
+                                          uint64_t version, Context& context) {
+    const MemberRecord* member = membership.Find(peer);
+    if (member == nullptr) return;
+    settings.OnVersionSeen(peer, member->peer_address, version, context);
+  };
+  settings.alive_in_data_centre = [this]() {
+    return membership.AliveInDataCentre();
+  };
+  settings.on_adopted = [this](uint64_t version, Context& context) {
+    membership.SetSettingsVersion(version);
+    records.Add(context.now, "", "settings",
+                "version " + std::to_string(version) + " is in force");
+  };
+  serving.on_hop_cancelled = [this](uint64_t hop, Context& context) {
+    entry.OnHopCancelled(hop, context);
+  };
+  claims.on_result = [this](const ClaimResult& result, Context& context) {
+    entry.OnClaimResult(result, context);
+  };
+  links.awaits_answer = [this](const std::string& peer) {
+    return entry.Awaits(peer);
+  };
+  links.on_silent = [this](const std::string& peer, Context& context) {
+    LosePeer(peer, context);
+  };
+}
+
+Effects NodeState::Start(TimePoint now) {
+  Effects effects;
+  Context context{identity, now, random, next_id, effects};
+  membership.Start(context);
+  settings.Start(context);
+  AskForWake(context);
+  return effects;
+}
+
+Effects NodeState::Reduce(const Event& event) {
+  Effects effects;
+  Context context{identity, event.now, random, next_id, effects};
+  std::visit([&](const auto& body) { ApplyOne(body, context); }, event.body);
+  DeliverLocal(context);
+  RunTimers(context);
+  DeliverLocal(context);
+  ConsiderExit(context);
+  AskForWake(context);
+  return effects;
+}
+
+void NodeState::RefuseCaller(CallId call, Reason reason, Context& context) {
+  Failure failure;
+  failure.verdict = Verdict::kNotRun;
+  failure.reason = reason;
+  failure.retry_after = RetryAfter(0, 0, random);
+  context.Emit(
+      AnswerCaller{call, FailureResponse(failure, "", identity.node.name)});
+}
+
+void NodeState::ApplyOne(const CallerRequest& event, Context& context) {
+  const std::string& target = event.request.target;
+  if (target == kAnnouncePath) {
+    return serving.OnAnnounce(event.call, event.request, context);
+  }
+  if (target == kLeavePath) {
+    return serving.OnLeave(event.call, event.request, context);
+  }
+  if (!settings.ready()) {
+    return RefuseCaller(event.call, Reason::kNotReady, context);
+  }
+  if (target == kTicketPath) return entry.OnTicketRequest(event.call, context);
+  const bool nested =
+      !FindHeader(event.request.headers, kContextHeader).empty();
+  const bool past_grace =
+      stop.requested && context.now - stop.since >= kLeaveGrace;
+  if (past_grace && !nested) {
+    return RefuseCaller(event.call, Reason::kDraining, context);
+  }
+  entry.OnCallerRequest(event.call, event.request, context);
+}
+
+void NodeState::ApplyOne(const CallerGone& event, Context& context) {
+  entry.OnCallerGone(event.call, context);
+}
+
+void NodeState::ApplyOne(const OperatorRequest& event, Context& context) {
+  HandleOperatorRequest(event, *this, context);
+}
+
+void NodeState::ApplyOne(const PeerReceived& event, Context& context) {
+  links.OnReceived(event.peer.name, context);
+  Deliver(event.peer, event.message, context);
+}
+
+void NodeState::ApplyOne(const PeerLost& event, Context& context) {
+  LosePeer(event.peer, context);
+}
+
+void NodeState::LosePeer(const std::string& peer, Context& context) {
+  links.OnLost(peer);
+  entry.OnPeerLost(peer, context);
+  serving.OnEntryLost(peer, context);
+  claims.OnPeerLost(peer, context);
+}
+
+void NodeState::ApplyOne(const PeerSendFailed& event, Context& context) {
+  entry.OnSendFailed(event.peer, event.message, context);
+  if (std::holds_alternative<ClaimRequest>(event.message)) {
+    claims.OnPeerLost(event.peer, context);
+  }
+}
+
+void NodeState::ApplyOne(const GossipReceived& event, Context& context) {
+  membership.OnGossip(event, context);
+}
+
+void NodeState::ApplyOne(const ServerReplied& event, Context& context) {
+  serving.OnServerReplied(event, context);
+}
+
+void NodeState::ApplyOne(const ServerFailed& event, Context& context) {
+  serving.OnServerFailed(event, context);
+}
+
+void NodeState::ApplyOne(const PlatformReplied& event, Context& context) {
+  if (claims.OnPlatformReplied(event, context)) return;
+  if (settings.OnPlatformReplied(event, context)) return;
+  membership.OnPlatformReplied(event, context);
+}
+
+void NodeState::ApplyOne(const Tick&, Context&) {
+  wake_asked_ = kNever;  // timers run after every event
+}
+
+void NodeState::ApplyOne(const StopRequested&, Context& context) {
+  RequestStop(context);
+}
+
+void NodeState::RequestStop(Context& context) {
+  if (stop.requested) return;
+  stop.requested = true;
+  stop.since = context.now;
+  membership.Leave(context);
+  records.Add(context.now, "", "stop", "graceful shutdown began");
+  context.Log(LogLevel::kInfo, "node", "Graceful shutdown began.");
+}
+
+void NodeState::Deliver(const NodeRef& from, const PeerMessage& message,
+                        Context& context) {
+  if (const auto* forward = std::get_if<CallForward>(&message)) {
+    serving.OnForward(from, *forward, context);
+  } else if (const auto* answer = std::get_if<CallAnswer>(&message)) {
+    entry.OnCallAnswer(from, *answer, context);
+  } else if (const auto* cancel = std::get_if<CallCancel>(&message)) {
+    serving.OnCancel(from, *cancel, context);
+  } else if (const auto* home = std::get_if<HomeForward>(&message)) {
+    entry.OnHomeForward(from, *home, context);
+  } else if (const auto* ping = std::get_if<LinkPing>(&message)) {
+    const MemberRecord* member = membership.Find(from.name);
+    const Endpoint address =
+        member == nullptr ? Endpoint() : member->peer_address;
+    context.Emit(SendPeer{from.name, address, LinkPong{ping->sequence}});
+  } else if (const auto* request = std::get_if<SettingsRequest>(&message)) {
+    const MemberRecord* member = membership.Find(from.name);
+    const Endpoint address =
+        member == nullptr ? Endpoint() : member->peer_address;
+    settings.OnSettingsRequest(from, address, *request, context);
+  } else if (const auto* snapshot = std::get_if<SettingsSnapshot>(&message)) {
+    settings.OnSnapshot(*snapshot, context);
+  } else if (const auto* claim = std::get_if<ClaimRequest>(&message)) {
+    claims.OnClaimRequest(from, *claim, context);
+  } else if (const auto* reply = std::get_if<ClaimReply>(&message)) {
+    claims.OnClaimReply(*reply, context);
+  } else if (const auto* sync = std::get_if<MemberSync>(&message)) {
+    membership.OnSync(from, *sync, context);
+  }
+}
+
+void NodeState::DeliverLocal(Context& context) {
+  while (outbox.HasLocal()) {
+    const PeerMessage message = outbox.TakeLocal();
+    Deliver(identity.node, message, context);
+  }
+}
+
+void NodeState::RunTimers(Context& context) {
+  if (context.now < NextTimer()) return;
+  membership.OnTimer(context);
+  settings.OnTimer(context);
+  entry.OnTimer(context);
+  serving.OnTimer(context);
+  claims.OnTimer(context);
+  links.OnTimer(context);
+}
+
+TimePoint NodeState::NextTimer() const {
+  return std::min({membership.next_timer(), settings.next_timer(),
+                   entry.next_timer(), serving.next_timer(),
+                   claims.next_timer(), links.next_timer()});
+}
+
+void NodeState::ConsiderExit(Context& context) {
+  if (!stop.requested || stop.exited) return;
+  const Duration since = context.now - stop.since;
+  const bool idle = entry.calls() == 0 && serving.hops() == 0;
+  const Duration limit = settings_cache.Of("", "").drain_timeout;
+  if (since < kLeaveGrace || (!idle && since < limit)) return;
+  stop.exited = true;
+  context.Log(LogLevel::kInfo, "node",
+              idle ? "Drained; exiting." : "Drain timed out; exiting.");
+  context.Emit(ExitProcess{});
+}
+
+void NodeState::AskForWake(Context& context) {
+  TimePoint next = NextTimer();
+  if (stop.requested && !stop.exited) {
+    const TimePoint grace_end = stop.since + kLeaveGrace;
+    const TimePoint retry = context.now + std::chrono::milliseconds(50);
+    next = std::min(next, std::max(grace_end, retry));
+  }
+  // Timers often move later as work ends; an early Tick costs little, so only
+  // an earlier need makes the shell set its timer again.
+  if (next == kNever || next >= wake_asked_) return;
+  wake_asked_ = next;
+  context.Emit(WakeAt{next});
+}
+
+}  // namespace amaranth::pvt
--- /dev/null
+++ b/src/libnode/node_state.h
@@ -0,0 +1,88 @@
+#ifndef AMARANTHROUTE_LIBNODE_NODE_STATE_H_
+#define AMARANTHROUTE_LIBNODE_NODE_STATE_H_
+
+// All of a node's state and how its modules are joined.
+
+#include <random>
+
+#include "amaranthroute/reducer.h"
+#include "libnode/claim_desk.h"
+#include "libnode/context.h"
+#include "libnode/entry_role.h"
+#include "libnode/membership.h"
+#include "libnode/outbox.h"
+#include "libnode/peer_links.h"
+#include "libnode/records.h"
+#include "libnode/serving_role.h"
+#include "libnode/settings_cache.h"
+#include "libnode/settings_store.h"
+#include "libnode/stats.h"
+
+namespace amaranth::pvt {
+
+// Progress of a planned stop.
+struct StopState {
+  bool requested = false;
+  TimePoint since{};
+  bool exited = false;
+};
+
+class NodeState {
+ public:
+  explicit NodeState(NodeIdentity identity);
+  NodeState(const NodeState&) = delete;
+  NodeState& operator=(const NodeState&) = delete;
+
+  Effects Start(TimePoint now);
+  Effects Reduce(const Event& event);
+
+  void RequestStop(Context& context);
+  bool ready() const { return settings.ready() && !stop.requested; }
+
+  const NodeIdentity identity;
+  Random random;
+  uint64_t next_id = 1;
+  Stats stats;
+  Records records;
+  Outbox outbox;
+  Membership membership;
+  SettingsStore settings;
+  SettingsCache settings_cache;
+  ServingRole serving;
+  ClaimDesk claims;
+  EntryRole entry;
+  PeerLinks links;
+  StopState stop;
+
+ private:
+  void JoinModules();
+  void Apply(const EventBody& body, Context& context);
+  void ApplyOne(const CallerRequest& event, Context& context);
+  void ApplyOne(const CallerGone& event, Context& context);
+  void ApplyOne(const OperatorRequest& event, Context& context);
+  void ApplyOne(const PeerReceived& event, Context& context);
+  void ApplyOne(const PeerLost& event, Context& context);
+  void ApplyOne(const PeerSendFailed& event, Context& context);
+  void ApplyOne(const GossipReceived& event, Context& context);
+  void ApplyOne(const ServerReplied& event, Context& context);
+  void ApplyOne(const ServerFailed& event, Context& context);
+  void ApplyOne(const PlatformReplied& event, Context& context);
+  void ApplyOne(const Tick& event, Context& context);
+  void ApplyOne(const StopRequested& event, Context& context);
+
+  void Deliver(const NodeRef& from, const PeerMessage& message,
+               Context& context);
+  void DeliverLocal(Context& context);
+  void LosePeer(const std::string& peer, Context& context);
+  void RunTimers(Context& context);
+  void ConsiderExit(Context& context);
+  void AskForWake(Context& context);
+  TimePoint NextTimer() const;
+  void RefuseCaller(CallId call, Reason reason, Context& context);
+
+  TimePoint wake_asked_ = kNever;
+};
+
+}  // namespace amaranth::pvt
+
+#endif  // AMARANTHROUTE_LIBNODE_NODE_STATE_H_
--- a/src/libnode/outbox.h
+++ b/src/libnode/outbox.h
@@ -6,6 +6,7 @@
 // ends, so both roles see the same protocol whether or not they share a host.
 
 #include <deque>
+#include <functional>
 #include <string>
 #include <utility>
 
@@ -34,9 +35,12 @@
   }
 
   // Told of each message that leaves on a link (see peer_links.h).
-  std::function<void(const std::string&, const Endpoint&, Context&)> on_send_;
+  using OnSend =
+      std::function<void(const std::string&, const Endpoint&, Context&)>;
+  void SetOnSend(OnSend on_send) { on_send_ = std::move(on_send); }
 
  private:
+  OnSend on_send_;
   std::deque<PeerMessage> local_;
 };
 
--- /dev/null
+++ b/src/libnode/server_choice.cc
@@ -0,0 +1,118 @@
+#include "server_choice.h"
+
+#include <algorithm>
+
+#include "amaranthroute/policy/slow_start.h"
+
+namespace amaranth::pvt {
+namespace {
+
+// A load report older than this says nothing: queues empty in far less.
+constexpr Duration kReportLife = std::chrono::seconds(1);
+constexpr Duration kForgetAfter = std::chrono::minutes(2);
+constexpr double kLatencyWeight = 0.2;
+
+}  // namespace
+
+std::string ServerKey(const std::string& node, const std::string& server) {
+  return node + "/" + server;
+}
+
+ServerView ServerChoice::ViewOf(const ServerPlace& place,
+                                const EffectiveSettings& settings,
+                                const std::set<std::string>& tried,
+                                std::optional<uint32_t> level,
+                                TimePoint now) const {
+  const std::string key = ServerKey(place.node, place.server);
+  ServerView view{};
+  view.local = place.local;
+  view.suspect = place.suspect;
+  view.weight = SlowStartWeight(place.first_seen, now, settings.slow_start);
+  view.ejected = Ejected(place.service, key, now);
+  view.excluded = tried.count(key) > 0;
+  const auto found = seen_.find(key);
+  if (found == seen_.end()) return view;
+  const Seen& seen = found->second;
+  view.in_flight = seen.in_flight;
+  view.latency = seen.latency;
+  if (now - seen.reported <= kReportLife) {
+    view.in_flight = std::max(seen.in_flight, seen.report.in_flight);
+    view.limit = seen.report.limit;
+    view.queued = seen.report.queued;
+    if (level && *level < seen.report.shed_threshold) view.excluded = true;
+  }
+  return view;
+}
+
+std::optional<ServerPlace> ServerChoice::Choose(
+    const std::vector<ServerPlace>& places, const EffectiveSettings& settings,
+    const std::set<std::string>& tried, std::optional<uint32_t> level,
+    TimePoint now, std::mt19937_64& random) {
+  std::vector<ServerView> views;
+  views.reserve(places.size());
+  for (const ServerPlace& place : places) {
+    views.push_back(ViewOf(place, settings, tried, level, now));
+  }
+  PickOptions options;
+  options.spill_share = settings.spill_share;
+  const std::optional<size_t> picked = PickServer(views, options, random);
+  if (!picked) return std::nullopt;
+  return places[*picked];
+}
+
+void ServerChoice::OnSent(const std::string& server_key) {
+  ++seen_[server_key].in_flight;
+}
+
+void ServerChoice::OnEnded(const std::string& service,
+                           const std::string& server_key,
+                           std::optional<Duration> latency, bool failed,
+                           TimePoint now) {
+  Seen& seen = seen_[server_key];
+  if (seen.in_flight > 0) --seen.in_flight;
+  seen.used = now;
+  if (latency && !failed) {
+    const double mean = static_cast<double>(seen.latency.count());
+    const double sample = static_cast<double>(latency->count());
+    seen.latency = mean == 0 ? *latency
+                             : Duration(static_cast<int64_t>(
+                                   mean + kLatencyWeight * (sample - mean)));
+  }
+  if (latency || failed) {
+    outliers_[service].OnResult(server_key, latency.value_or(Duration(0)),
+                                failed, now);
+  }
+}
+
+void ServerChoice::OnReport(const std::string& server_key,
+                            const LoadReport& report, TimePoint now) {
+  Seen& seen = seen_[server_key];
+  seen.report = report;
+  seen.reported = now;
+  seen.used = now;
+}
+
+void ServerChoice::Expire(TimePoint now) {
+  for (auto it = seen_.begin(); it != seen_.end();) {
+    const bool idle = it->second.in_flight == 0;
+    if (idle && now - it->second.used > kForgetAfter) {
+      for (auto& [service, detector] : outliers_) detector.Forget(it->first);
+      it = seen_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+}
+
+bool ServerChoice::Ejected(const std::string& service,
+                           const std::string& server_key, TimePoint now) const {
+  const auto found = outliers_.find(service);
+  return found != outliers_.end() && found->second.Ejected(server_key, now);
+}
+
+uint32_t ServerChoice::InFlight(const std::string& server_key) const {
+  const auto found = seen_.find(server_key);
+  return found == seen_.end() ? 0 : found->second.in_flight;
+}
+
+}  // namespace amaranth::pvt
--- /dev/null
+++ b/src/libnode/server_choice.h
@@ -0,0 +1,68 @@
+#ifndef AMARANTHROUTE_LIBNODE_SERVER_CHOICE_H_
+#define AMARANTHROUTE_LIBNODE_SERVER_CHOICE_H_
+
+// What this entry node knows of other hosts' backend servers from its own
+// calls, and the choice among them. Health and load endpoints play no part:
+// they lag and mislead; an answer's own latency and load report do not.
+
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "amaranthroute/messages.h"
+#include "amaranthroute/policy/outlier.h"
+#include "amaranthroute/policy/server_picker.h"
+#include "amaranthroute/settings.h"
+#include "libnode/membership.h"
+
+namespace amaranth::pvt {
+
+// Name of a backend server in the fleet: two hosts may use the same name.
+std::string ServerKey(const std::string& node, const std::string& server);
+
+class ServerChoice {
+ public:
+  // Chooses among `places`, leaving out `tried` and, if `level` is given,
+  // servers known to shed that level now.
+  std::optional<ServerPlace> Choose(const std::vector<ServerPlace>& places,
+                                    const EffectiveSettings& settings,
+                                    const std::set<std::string>& tried,
+                                    std::optional<uint32_t> level,
+                                    TimePoint now, std::mt19937_64& random);
+
+  void OnSent(const std::string& server_key);
+  // Ends what OnSent began. `failed`: broke or timed out, not refused.
+  void OnEnded(const std::string& service, const std::string& server_key,
+               std::optional<Duration> latency, bool failed, TimePoint now);
+  void OnReport(const std::string& server_key, const LoadReport& report,
+                TimePoint now);
+  // Forgets servers that nobody has used or reported for a while.
+  void Expire(TimePoint now);
+
+  bool Ejected(const std::string& service, const std::string& server_key,
+               TimePoint now) const;
+  uint32_t InFlight(const std::string& server_key) const;
+
+ private:
+  struct Seen {
+    uint32_t in_flight = 0;  // this node's own
+    Duration latency{0};     // moving mean
+    LoadReport report;
+    TimePoint reported{};
+    TimePoint used{};
+  };
+
+  ServerView ViewOf(const ServerPlace& place, const EffectiveSettings& settings,
+                    const std::set<std::string>& tried,
+                    std::optional<uint32_t> level, TimePoint now) const;
+
+  std::map<std::string, Seen> seen_;
+  std::map<std::string, OutlierDetector> outliers_;  // by service
+};
+
+}  // namespace amaranth::pvt
+
+#endif  // AMARANTHROUTE_LIBNODE_SERVER_CHOICE_H_
--- /dev/null
+++ b/src/libnode/serving_role.cc
@@ -0,0 +1,442 @@
+#include "serving_role.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "amaranthroute/policy/progress_watch.h"
+#include "libnode/answers.h"
+
+namespace amaranth::pvt {
+namespace {
+
+constexpr const char* kPart = "serving";
+
+// More suspects than this wait for no server: they are refused as not run.
+constexpr size_t kMaxWaitingSuspects = 16;
+
+// A crash with more victims than this is not told to other nodes as suspects:
+// gossip must stay small, and the entry nodes still mark their own retries.
+constexpr size_t kMaxGossipedSuspects = 16;
+constexpr uint32_t kSuspectCrashes = 1;
+constexpr uint32_t kQuarantineCrashes = 2;
+
+// How long after its deadline a non-idempotent call's answer is still awaited.
+constexpr Duration kLateAnswerGrace = std::chrono::seconds(5);
+
+bool IsRunningLate(const Hop& hop, TimePoint now) {
+  return hop.timeout_at != kNever && now >= hop.timeout_at;
+}
+
+}  // namespace
+
+ServingRole::ServingRole(Membership& membership, SettingsCache& settings,
+                         Outbox& outbox, Stats& stats, Records& records)
+    : membership_(membership),
+      settings_(settings),
+      outbox_(outbox),
+      stats_(stats),
+      records_(records) {}
+
+Hop* ServingRole::FindHop(const ContextToken& token) {
+  Hop* hop = FindHop(token.hop);
+  return hop != nullptr && hop->nonce == token.nonce ? hop : nullptr;
+}
+
+Hop* ServingRole::FindHop(uint64_t id) {
+  const auto found = hops_.find(id);
+  return found == hops_.end() ? nullptr : &found->second;
+}
+
+std::vector<LoadReport> ServingRole::Reports(TimePoint now) {
+  std::vector<LoadReport> reports;
+  for (auto& [name, server] : servers_) reports.push_back(server.Report(now));
+  return reports;
+}
+
+void ServingRole::OnForward(const NodeRef& from, CallForward forward,
+                            Context& context) {
+  const AttemptKey key(from, forward.attempt);
+  if (by_attempt_.count(key) > 0) return;  // a duplicate of one in flight
+  Hop hop;
+  hop.id = context.NextId();
+  hop.nonce = context.random();
+  hop.entry = from;
+  const MemberRecord* entry = membership_.Find(from.name);
+  if (entry != nullptr) hop.entry_address = entry->peer_address;
+  hop.attempt = forward.attempt;
+  hop.server = std::move(forward.server);
+  hop.context = std::move(forward.context);
+  hop.request = std::move(forward.request);
+  hop.arrived = context.now;
+  hop.deadline = context.now + hop.context.remaining;
+  hop.ledger = CreditLedger(hop.context.retry_credits);
+  stats_.Count("amaranth_hops_total");
+  Admit(std::move(hop), context);
+}
+
+CrashGuard::Handling ServingRole::HandlingOf(const Hop& hop,
+                                             TimePoint now) const {
+  const uint64_t fingerprint = hop.context.fingerprint;
+  const uint32_t crashes =
+      membership_.CrashesOf(hop.context.service, fingerprint);
+  if (crashes >= kQuarantineCrashes) return CrashGuard::Handling::kQuarantined;
+  const CrashGuard::Handling own = crash_guard_.HandlingOf(fingerprint, now);
+  const bool suspected_elsewhere =
+      crashes >= kSuspectCrashes || hop.context.suspected_crashes > 0;
+  if (own == CrashGuard::Handling::kNormal && suspected_elsewhere) {
+    return CrashGuard::Handling::kRunAlone;
+  }
+  return own;
+}
+
+void ServingRole::Admit(Hop hop, Context& context) {
+  const auto found = servers_.find(hop.server);
+  if (found == servers_.end()) return Refuse(hop, Reason::kNoServer, context);
+  LocalServer& server = found->second;
+  if (server.draining) return Refuse(hop, Reason::kDraining, context);
+  if (hop.deadline <= context.now) {
+    return Refuse(hop, Reason::kDeadline, context);
+  }
+
+  const CrashGuard::Handling handling = HandlingOf(hop, context.now);
+  if (handling == CrashGuard::Handling::kQuarantined) {
+    return Refuse(hop, Reason::kQuarantined, context);
+  }
+  if (handling == CrashGuard::Handling::kRunAlone) {
+    crash_guard_.Suspect(hop.context.fingerprint, context.now);
+    return AdmitSuspect(std::move(hop), server, context);
+  }
+
+  const uint32_t level =
+      SheddingLevel(hop.context.tier, hop.context.request_id);
+  server.shedder().OnArrival(level, context.now);
+  if (!server.shedder().Admits(level, context.now)) {
+    return Refuse(hop, Reason::kShedAtServer, context);
+  }
+  Enqueue(std::move(hop), level, server, context);
+  Pump(server, context);
+}
+
+void ServingRole::AdmitSuspect(Hop hop, LocalServer& server, Context& context) {
+  if (server.waiting_suspects.size() >= kMaxWaitingSuspects) {
+    return Refuse(hop, Reason::kQueueFull, context);
+  }
+  hop.state = HopState::kSuspect;
+  server.waiting_suspects.push_back(hop.id);
+  queue_deadlines_.Add(hop.deadline, hop.id);
+  by_attempt_[{hop.entry, hop.attempt}] = hop.id;
+  hops_.emplace(hop.id, std::move(hop));
+  PumpSuspects(server, context);
+}
+
+void ServingRole::Enqueue(Hop hop, uint32_t level, LocalServer& server,
+                          Context& context) {
+  QueuedCall queued;
+  queued.id = hop.id;
+  queued.tier = hop.context.tier;
+  queued.level = level;
+  queued.caller_key = hop.context.caller_key;
+  queued.long_work = hop.context.long_work;
+  queued.enqueued = context.now;
+  queued.deadline = hop.deadline;
+  std::vector<QueuedCall> evicted;
+  const PushResult pushed =
+      server.queue().Push(std::move(queued), context.now, evicted);
+  RefuseAll(evicted, Reason::kQueueFull, context);
+  if (pushed == PushResult::kFull) {
+    return Refuse(hop, Reason::kQueueFull, context);
+  }
+  queue_deadlines_.Add(hop.deadline, hop.id);
+  by_attempt_[{hop.entry, hop.attempt}] = hop.id;
+  hops_.emplace(hop.id, std::move(hop));
+}
+
+void ServingRole::Pump(LocalServer& server, Context& context) {
+  PumpSuspects(server, context);
+  while (server.HasFreeSlot()) {
+    std::vector<QueuedCall> expired;
+    const std::optional<QueuedCall> next =
+        server.queue().Pop(context.now, server.expected_service(),
+                           server.LongWorkAllowed(), expired);
+    RefuseAll(expired, Reason::kDeadline, context);
+    if (!next) {
+      if (server.queue().size() == 0) server.shedder().OnIdle(context.now);
+      return;
+    }
+    server.shedder().OnQueueDelay(context.now - next->enqueued, context.now);
+    Dispatch(hops_.at(next->id), server, context);
+  }
+}
+
+void ServingRole::PumpSuspects(LocalServer& server, Context& context) {
+  if (server.suspect_in_flight || !server.HasFreeSlot()) return;
+  while (!server.waiting_suspects.empty()) {
+    Hop& hop = hops_.at(server.waiting_suspects.front());
+    server.waiting_suspects.pop_front();
+    if (HandlingOf(hop, context.now) == CrashGuard::Handling::kQuarantined) {
+      const Hop refused = hop;
+      RemoveHop(refused.id);
+      Refuse(refused, Reason::kQuarantined, context);
+      continue;
+    }
+    hop.is_suspect = true;
+    server.suspect_in_flight = true;
+    Dispatch(hop, server, context);
+    return;
+  }
+}
+
+void ServingRole::Dispatch(Hop& hop, LocalServer& server, Context& context) {
+  queue_deadlines_.Remove(hop.deadline, hop.id);
+  hop.state = HopState::kDispatched;
+  hop.dispatched = context.now;
+  const Duration timeout = DispatchTimeout(hop, server, context.now);
+  hop.timeout_at = context.now + timeout;
+  server.OnDispatched(hop.id, hop.context.fingerprint, hop.context.long_work);
+  stats_.Observe("node", "queue", "dispatched", context.now - hop.arrived);
+  context.Emit(SendServer{hop.id, hop.server, server.record().address,
+                          RequestFor(hop, context.now), timeout});
+}
+
+Duration ServingRole::DispatchTimeout(const Hop& hop, const LocalServer& server,
+                                      TimePoint now) const {
+  const Duration remaining = hop.deadline - now;
+  // A non-idempotent call on a silent connection cannot be tried again, so
+  // giving up early would only lose an answer that may still come, and that a
+  // resend of its key will ask for.
+  if (!hop.context.idempotent) return remaining + kLateAnswerGrace;
+  if (hop.context.long_work) return remaining;
+  return AttemptTimeout(server.expected_service(), remaining);
+}
+
+HttpRequest ServingRole::RequestFor(const Hop& hop, TimePoint now) const {
+  HttpRequest request = hop.request;
+  std::vector<Header>& headers = request.headers;
+  SetHeader(headers, kContextHeader, FormatContextToken({hop.id, hop.nonce}));
+  SetHeader(headers, kRequestIdHeader, hop.context.request_id);
+  SetHeader(headers, kServiceHeader, hop.context.service);
+  SetHeader(headers, kClassHeader, hop.context.request_class);
+  SetHeader(headers, kTenantHeader, hop.context.tenant);
+  SetHeader(headers, kDeadlineHeader,
+            std::to_string(std::max<int64_t>(1, ToMillis(hop.deadline - now))));
+  return request;
+}
+
+Hop ServingRole::EndDispatch(uint64_t id, bool failed, Context& context) {
+  Hop hop = std::move(hops_.at(id));
+  RemoveHop(id);
+  const auto found = servers_.find(hop.server);
+  if (found == servers_.end()) return hop;
+  LocalServer& server = found->second;
+  server.OnEnded(id, context.now - hop.dispatched, failed, context.now);
+  if (hop.is_suspect) server.suspect_in_flight = false;
+  return hop;
+}
+
+void ServingRole::OnServerReplied(const ServerReplied& replied,
+                                  Context& context) {
+  if (hops_.count(replied.dispatch) == 0) return;
+  const Hop hop = EndDispatch(replied.dispatch, false, context);
+  crash_guard_.OnSurvived(hop.context.fingerprint, context.now);
+  Answer(hop, replied.response, context);
+  const auto found = servers_.find(hop.server);
+  if (found == servers_.end()) return;
+  found->second.last_heard = context.now;
+  found->second.crash_window().OnAnswered(hop.id);
+  Pump(found->second, context);
+}
+
+void ServingRole::OnServerFailed(const ServerFailed& failed, Context& context) {
+  Hop* broken = FindHop(failed.dispatch);
+  if (broken == nullptr) return;
+  const bool late = IsRunningLate(*broken, context.now);
+  const auto found = servers_.find(broken->server);
+  if (found != servers_.end()) {
+    LocalServer& server = found->second;
+    const bool reset =
+        failed.reason == Reason::kConnectionLost && !late && !broken->cancelled;
+    if (reset) {
+      server.crash_window().OnReset(failed.dispatch, server.InFlight(),
+                                    context.now);
+    }
+    if (failed.reason == Reason::kConnectFailed) {
+      server.crash_window().OnRefused();
+    }
+    // The other pooled connections went through the same middle box: one that
+    // forgot this connection may have forgotten them all.
+    if (late) context.Emit(DropIdleConnections{server.record().address});
+  }
+  const bool cancelled = broken->cancelled;
+  const Hop hop = EndDispatch(failed.dispatch, !cancelled, context);
+  on_hop_cancelled(hop.id, context);
+  Fail(hop, ExplainBreak(failed, hop, context.now), context);
+  if (found == servers_.end()) return;
+  NoteCrash(found->second, context);
+  Pump(found->second, context);
+}
+
+Failure ServingRole::ExplainBreak(const ServerFailed& failed, const Hop& hop,
+                                  TimePoint now) const {
+  Failure failure;
+  failure.verdict = failed.verdict;
+  failure.reason = failed.reason;
+  if (hop.cancelled) failure.reason = Reason::kCancelled;
+  // A try that timed out is no sign of a crash.
+  if (IsRunningLate(hop, now)) failure.reason = Reason::kDeadline;
+  failure.detail = "backend server " + hop.server + " broke off";
+  failure.final = hop.nested_gave_up;
+  return failure;
+}
+
+void ServingRole::NoteCrash(LocalServer& server, Context& context) {
+  const std::vector<uint64_t> victims = server.crash_window().TakeCrash();
+  if (victims.empty()) return;
+  const std::string& service = server.record().service;
+  crash_guard_.OnCrash(victims, context.now);
+  stats_.Count("amaranth_server_crashes_total", "service=\"" + service + "\"");
+  records_.Add(context.now, "", "crash",
+               server.record().server + " crashed with " +
+                   std::to_string(victims.size()) + " calls in flight");
+  context.Log(LogLevel::kWarning, kPart,
+              "Backend server " + server.record().server + " crashed.");
+  const std::vector<uint64_t> suspects = crash_guard_.TakeNewSuspects();
+  if (suspects.size() <= kMaxGossipedSuspects) {
+    for (const uint64_t fingerprint : suspects) {
+      membership_.AddQuarantine({service, fingerprint, kSuspectCrashes},
+                                context);
+    }
+  }
+  for (const uint64_t fingerprint : crash_guard_.TakeNewlyQuarantined()) {
+    membership_.AddQuarantine({service, fingerprint, kQuarantineCrashes},
+                              context);
+    records_.Add(context.now, "", "quarantine",
+                 "a request of service " + service +
+                     " crashed its backend server twice");
+    context.Log(LogLevel::kWarning, kPart,
+                "Quarantined a request of service " + service + ".");
+  }
+}
+
+void ServingRole::OnCancel(const NodeRef& from, const CallCancel& cancel,
+                           Context& context) {
+  const auto found = by_attempt_.find({from, cancel.attempt});
+  if (found == by_attempt_.end()) return;  // answered already
+  Cancel(hops_.at(found->second), context);
+}
+
+void ServingRole::Cancel(Hop& hop, Context& context) {
+  if (hop.cancelled) return;
+  hop.cancelled = true;
+  if (hop.state == HopState::kDispatched) {
+    // The verdict waits for the shell's ServerFailed: until the connection is
+    // closed the backend server may still start the request.
+    context.Emit(CancelServer{hop.id});
+    on_hop_cancelled(hop.id, context);
+    return;
+  }
+  const Hop removed = hop;
+  RemoveHop(removed.id);
+  const auto server = servers_.find(removed.server);
+  if (server != servers_.end()) {
+    server->second.queue().Remove(removed.id);
+    std::deque<uint64_t>& waiting = server->second.waiting_suspects;
+    waiting.erase(std::remove(waiting.begin(), waiting.end(), removed.id),
+                  waiting.end());
+  }
+  Refuse(removed, Reason::kCancelled, context);
+}
+
+void ServingRole::OnEntryLost(const std::string& peer, Context& context) {
+  std::vector<uint64_t> orphans;
+  for (const auto& [key, id] : by_attempt_) {
+    if (key.first.name == peer) orphans.push_back(id);
+  }
+  for (const uint64_t id : orphans) {
+    Hop& hop = hops_.at(id);
+    // A dispatched non-idempotent call is left to finish: stopping it half way
+    // helps nobody, and its keyed caller may come back for the answer.
+    const bool keep =
+        hop.state == HopState::kDispatched && !hop.context.idempotent;
+    if (!keep) Cancel(hop, context);
+  }
+}
+
+void ServingRole::RemoveHop(uint64_t id) {
+  const auto found = hops_.find(id);
+  if (found == hops_.end()) return;
+  queue_deadlines_.Remove(found->second.deadline, id);
+  by_attempt_.erase({found->second.entry, found->second.attempt});
+  hops_.erase(found);
+}
+
+void ServingRole::RefuseAll(const std::vector<QueuedCall>& calls, Reason reason,
+                            Context& context) {
+  for (const QueuedCall& call : calls) {
+    const Hop hop = hops_.at(call.id);
+    RemoveHop(call.id);
+    Refuse(hop, reason, context);
+  }
+}
+
+void ServingRole::Refuse(const Hop& hop, Reason reason, Context& context) {
+  Failure failure;
+  failure.verdict = Verdict::kNotRun;
+  failure.reason = reason;
+  failure.final = reason == Reason::kQuarantined || reason == Reason::kDeadline;
+  if (reason != Reason::kQuarantined) {
+    failure.retry_after = RetryAfterFor(hop.server, context);
+  }
+  failure.detail = "refused at backend server " + hop.server;
+  stats_.Count("amaranth_refused_total",
+               "reason=\"" + std::string(ToString(reason)) + "\"");
+  records_.Add(context.now, hop.context.request_id, "refuse",
+               std::string(ToString(reason)) + " at " + hop.server);
+  Fail(hop, std::move(failure), context);
+}
+
+Duration ServingRole::RetryAfterFor(const std::string& server,
+                                    Context& context) {
+  const auto found = servers_.find(server);
+  if (found == servers_.end()) return RetryAfter(0, 0, context.random);
+  return RetryAfter(found->second.queue().size(),
+                    found->second.drain().PerSecond(context.now),
+                    context.random);
+}
+
+void ServingRole::Fail(const Hop& hop, Failure failure, Context& context) {
+  CallAnswer answer;
+  answer.failure = std::move(failure);
+  SendAnswer(hop, std::move(answer), context);
+}
+
+void ServingRole::Answer(const Hop& hop, HttpResponse response,
+                         Context& context) {
+  // A server that sheds load says so; believed only if it made no nested call,
+  // whose effect it could not take back.
+  const bool refused = !FindHeader(response.headers, kRefusedHeader).empty();
+  if (refused && hop.nested_calls == 0) {
+    return Refuse(hop, Reason::kShedAtServer, context);
+  }
+  CallAnswer answer;
+  answer.response = std::move(response);
+  RemoveHeader(answer.response.headers, kRefusedHeader);
+  // Told to the entry node, so that a 5xx which only passes on a nested
+  // failure is not retried by yet another layer.
+  if (hop.nested_gave_up) {
+    SetHeader(answer.response.headers, kFinalHeader, "1");
+  }
+  SendAnswer(hop, std::move(answer), context);
+}
+
+void ServingRole::SendAnswer(const Hop& hop, CallAnswer answer,
+                             Context& context) {
+  answer.attempt = hop.attempt;
+  answer.entry_incarnation = hop.entry.incarnation;
+  answer.credits_returned = hop.ledger.available();
+  const auto found = servers_.find(hop.server);
+  if (found != servers_.end()) answer.load = found->second.Report(context.now);
+  answer.load.downstream_threshold = hop.downstream_threshold;
+  outbox_.Send(hop.entry.name, hop.entry_address, std::move(answer), context);
+}
+
+}  // namespace amaranth::pvt
--- /dev/null
+++ b/src/libnode/serving_role.h
@@ -0,0 +1,105 @@
+#ifndef AMARANTHROUTE_LIBNODE_SERVING_ROLE_H_
+#define AMARANTHROUTE_LIBNODE_SERVING_ROLE_H_
+
+// The node as guard of its host's backend servers: lets calls in, queues,
+// sheds, dispatches and answers them, and keeps the ledger of each hop.
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "amaranthroute/event.h"
+#include "amaranthroute/policy/crash_guard.h"
+#include "libnode/caller_headers.h"
+#include "libnode/context.h"
+#include "libnode/deadline_set.h"
+#include "libnode/hop.h"
+#include "libnode/local_server.h"
+#include "libnode/membership.h"
+#include "libnode/outbox.h"
+#include "libnode/records.h"
+#include "libnode/settings_cache.h"
+#include "libnode/stats.h"
+
+namespace amaranth::pvt {
+
+class ServingRole {
+ public:
+  ServingRole(Membership& membership, SettingsCache& settings, Outbox& outbox,
+              Stats& stats, Records& records);
+
+  // A hop ended or was cancelled: its nested calls have no one to answer to.
+  std::function<void(uint64_t hop, Context&)> on_hop_cancelled;
+
+  // Announcements of backend servers, over the callers' port.
+  void OnAnnounce(CallId call, const HttpRequest& request, Context& context);
+  void OnLeave(CallId call, const HttpRequest& request, Context& context);
+
+  void OnForward(const NodeRef& from, CallForward forward, Context& context);
+  void OnCancel(const NodeRef& from, const CallCancel& cancel,
+                Context& context);
+  void OnServerReplied(const ServerReplied& replied, Context& context);
+  void OnServerFailed(const ServerFailed& failed, Context& context);
+  // The link to an entry node is gone, and with it whoever waited there.
+  void OnEntryLost(const std::string& peer, Context& context);
+  void OnTimer(Context& context);
+  TimePoint next_timer() const;
+
+  // The hop that a nested call belongs to; null if the token names none.
+  Hop* FindHop(const ContextToken& token);
+  Hop* FindHop(uint64_t id);
+
+  size_t hops() const { return hops_.size(); }
+  std::vector<LoadReport> Reports(TimePoint now);
+
+ private:
+  using AttemptKey = std::pair<NodeRef, AttemptId>;
+
+  void Admit(Hop hop, Context& context);
+  void AdmitSuspect(Hop hop, LocalServer& server, Context& context);
+  void Enqueue(Hop hop, uint32_t level, LocalServer& server, Context& context);
+  CrashGuard::Handling HandlingOf(const Hop& hop, TimePoint now) const;
+
+  void Pump(LocalServer& server, Context& context);
+  void PumpSuspects(LocalServer& server, Context& context);
+  void Dispatch(Hop& hop, LocalServer& server, Context& context);
+  HttpRequest RequestFor(const Hop& hop, TimePoint now) const;
+  Duration DispatchTimeout(const Hop& hop, const LocalServer& server,
+                           TimePoint now) const;
+
+  void RefuseAll(const std::vector<QueuedCall>& calls, Reason reason,
+                 Context& context);
+  void Refuse(const Hop& hop, Reason reason, Context& context);
+  void Fail(const Hop& hop, Failure failure, Context& context);
+  void Answer(const Hop& hop, HttpResponse response, Context& context);
+  void SendAnswer(const Hop& hop, CallAnswer answer, Context& context);
+  Duration RetryAfterFor(const std::string& server, Context& context);
+
+  // Takes a dispatched hop out of its server's books.
+  Hop EndDispatch(uint64_t id, bool failed, Context& context);
+  void NoteCrash(LocalServer& server, Context& context);
+  void RemoveHop(uint64_t id);
+  void Cancel(Hop& hop, Context& context);
+  void CheckServers(Context& context);
+  void RemoveServer(const std::string& name, Context& context);
+  Failure ExplainBreak(const ServerFailed& failed, const Hop& hop,
+                       TimePoint now) const;
+
+  Membership& membership_;
+  SettingsCache& settings_;
+  Outbox& outbox_;
+  Stats& stats_;
+  Records& records_;
+  CrashGuard crash_guard_;
+  std::map<std::string, LocalServer> servers_;
+  std::map<uint64_t, Hop> hops_;
+  std::map<AttemptKey, uint64_t> by_attempt_;
+  DeadlineSet queue_deadlines_;
+  TimePoint next_check_{};
+};
+
+}  // namespace amaranth::pvt
+
+#endif  // AMARANTHROUTE_LIBNODE_SERVING_ROLE_H_
