Membership and settings: headers and first implementation

SWIM membership with bucketed sync, settings tree and store, so that the reducer can link against them. MemberSync gains bucket_hashes: with whole-state exchange a sync of 1,600 members would carry about 240 KB.

--- a/src/include/amaranthroute/messages.h
+++ b/src/include/amaranthroute/messages.h
@@ -175,9 +175,13 @@
   uint32_t crashes = 0;
 };
 
-/// Whole-state exchange over TCP: at join, and between data centres.
+/// Exchange of member records over TCP: at join, for repair, and between data
+/// centres. With `bucket_hashes` only the records of buckets that differ are
+/// sent back; without them, all.
 struct MemberSync {
   bool reply_wanted = false;
+  /// Hash of the sender's records whose name falls in each bucket, or empty.
+  std::vector<uint32_t> bucket_hashes;
   std::vector<MemberRecord> members;
   std::vector<QuarantineRecord> quarantines;
   uint64_t settings_version = 0;
--- /dev/null
+++ b/src/libnode/membership_spread.cc
@@ -0,0 +1,265 @@
+// Telling others: what a datagram carries, pushes of urgent news, contact with
+// other data centres, and finding peers when there are none.
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+#include "amaranthroute/hash.h"
+#include "libnode/membership.h"
+#include "libnode/membership_limits.h"
+
+namespace amaranth::pvt {
+
+namespace {
+
+constexpr char kDelegateKey[] = "membership-delegates";
+constexpr size_t kQuarantinesPerDatagram = 4;
+constexpr size_t kSeedsAtOnce = 5;
+
+// The names in random order, `count` of them at most.
+std::vector<std::string> Sample(const std::vector<std::string>& names,
+                                size_t count, Random& random) {
+  std::vector<std::string> chosen;
+  std::sample(names.begin(), names.end(), std::back_inserter(chosen), count,
+              random);
+  std::shuffle(chosen.begin(), chosen.end(), random);
+  return chosen;
+}
+
+// "name=ip:port" as the platform lists peers; false if it is not that.
+bool ParsePeer(const std::string& row, std::string& name, Endpoint& address) {
+  const size_t equals = row.find('=');
+  const size_t colon = row.rfind(':');
+  if (equals == std::string::npos || colon == std::string::npos ||
+      colon < equals) {
+    return false;
+  }
+  uint32_t port = 0;
+  for (const char c : row.substr(colon + 1)) {
+    if (c < '0' || c > '9' || port > UINT16_MAX) return false;
+    port = port * 10 + static_cast<uint32_t>(c - '0');
+  }
+  if (port == 0 || port > UINT16_MAX) return false;
+  name = row.substr(0, equals);
+  address.ip = row.substr(equals + 1, colon - equals - 1);
+  address.port = static_cast<uint16_t>(port);
+  return true;
+}
+
+}  // namespace
+
+const std::vector<std::string>& Membership::UpPeers() const {
+  if (!up_peers_stale_) return up_peers_;
+  up_peers_.clear();
+  for (const auto& [name, record] : table_.members()) {
+    const bool other = name != identity_.node.name;
+    if (other && IsUp(record) && IsLocal(record)) up_peers_.push_back(name);
+  }
+  up_peers_stale_ = false;
+  return up_peers_;
+}
+
+std::vector<std::string> Membership::RandomPeers(size_t count,
+                                                 Context& context) const {
+  return Sample(UpPeers(), count, context.random);
+}
+
+std::vector<std::string> Membership::DelegatesOf(
+    const std::string& data_centre) const {
+  std::vector<std::string> names;
+  for (const auto& [name, record] : table_.members()) {
+    if (record.data_centre == data_centre && IsUp(record)) {
+      names.push_back(name);
+    }
+  }
+  return RendezvousChoose(names, kDelegateKey, kDelegatesPerDataCentre);
+}
+
+void Membership::Ping(const std::string& name, uint64_t sequence,
+                      Context& context) {
+  const MemberRecord* record = Find(name);
+  if (record == nullptr) return;
+  context.Emit(SendGossip{record->gossip_address,
+                          BuildMessage(GossipKind::kPing, sequence, record)});
+}
+
+GossipMessage Membership::BuildMessage(GossipKind kind, uint64_t sequence,
+                                       const MemberRecord* receiver) {
+  GossipMessage message;
+  message.kind = kind;
+  message.from = identity_.node;
+  message.from_address = identity_.gossip_address;
+  message.sequence = sequence;
+  message.settings_version = settings_version_;
+  message.membership_hash = table_.hash();
+  size_t size = kGossipHeaderSize;
+  AddRecord(Self(), size, message);
+  // A receiver that we hold for suspect or dead must hear it, to refute it.
+  if (receiver != nullptr && receiver->state != MemberState::kAlive) {
+    AddRecord(*receiver, size, message);
+  }
+  AddQueued(size, message);
+  AddQuarantines(size, message);
+  return message;
+}
+
+void Membership::AddRecord(const MemberRecord& record, size_t& size,
+                           GossipMessage& message) const {
+  const size_t more = EncodedSize(record);
+  if (size + more > kDatagramBudget) return;
+  size += more;
+  message.updates.push_back(record);
+}
+
+void Membership::AddQueued(size_t& size, GossipMessage& message) {
+  for (const std::string& name : updates_.InOrder()) {
+    const MemberRecord* record = Find(name);
+    if (record == nullptr) {
+      updates_.Remove(name);
+      continue;
+    }
+    const bool is_self = name == identity_.node.name;
+    const size_t more = EncodedSize(*record);
+    if (!is_self && size + more > kDatagramBudget) break;
+    if (!is_self) AddRecord(*record, size, message);
+    updates_.Told(name);
+  }
+}
+
+void Membership::AddQuarantines(size_t& size, GossipMessage& message) {
+  for (const QuarantineRecord& record :
+       quarantines_.Next(kQuarantinesPerDatagram)) {
+    const size_t more = EncodedSize(record);
+    if (size + more > kDatagramBudget) return;
+    size += more;
+    message.quarantines.push_back(record);
+  }
+}
+
+// Probes alone tell one member each period, which is too slow for news that
+// stops work: everybody who learns it passes it on at once to a few.
+void Membership::PushUrgent(Context& context) {
+  const bool ours = urgent_.count(identity_.node.name) != 0;
+  std::vector<std::string> targets =
+      RandomPeers(ours ? kOwnPushFanout : kPushFanout, context);
+  if (ours) {
+    for (const std::string& data_centre : table_.DataCentres()) {
+      if (data_centre == identity_.data_centre) continue;
+      for (std::string& name : DelegatesOf(data_centre)) {
+        targets.push_back(std::move(name));
+      }
+    }
+  }
+  GossipMessage message = BuildMessage(GossipKind::kAck, 0);
+  message.updates.clear();
+  size_t size = kGossipHeaderSize + kQuarantinesPerDatagram * 64;
+  AddRecord(Self(), size, message);
+  for (const auto& [name, left] : urgent_) {
+    const MemberRecord* record = Find(name);
+    if (record != nullptr && name != identity_.node.name) {
+      AddRecord(*record, size, message);
+    }
+  }
+  for (const std::string& name : targets) {
+    context.Emit(SendGossip{Find(name)->gossip_address, message});
+  }
+  for (auto entry = urgent_.begin(); entry != urgent_.end();) {
+    entry = --entry->second <= 0 ? urgent_.erase(entry) : std::next(entry);
+  }
+  if (settings_pushes_left_ > 0) --settings_pushes_left_;
+  const bool more = !urgent_.empty() || settings_pushes_left_ > 0;
+  next_push_ = more ? context.now + kPushInterval : kNever;
+}
+
+// Delegates ask the delegates of the other data centres for their hash (on the
+// ack) each second; only a difference costs a sync. A data centre that has
+// gone silent is asked anywhere, in case its delegates as we know them are
+// gone for good.
+void Membership::ContactDataCentres(Context& context) {
+  const std::vector<std::string> own = DelegatesOf(identity_.data_centre);
+  if (std::find(own.begin(), own.end(), identity_.node.name) == own.end()) {
+    return;
+  }
+  for (const std::string& data_centre : table_.DataCentres()) {
+    if (data_centre == identity_.data_centre) continue;
+    std::vector<std::string> candidates = DelegatesOf(data_centre);
+    const auto heard = remote_heard_.emplace(data_centre, context.now).first;
+    if (context.now > heard->second + kRemoteSilence) {
+      for (const auto& [name, record] : table_.members()) {
+        if (record.data_centre == data_centre && IsUp(record)) {
+          candidates.push_back(name);
+        }
+      }
+    }
+    for (const std::string& name : Sample(candidates, 1, context.random)) {
+      Ping(name, context.NextId(), context);
+    }
+  }
+}
+
+// After a cut inside a data centre each half holds the other for dead and
+// probes it no more; somebody has to ask again or they stay apart for ever.
+void Membership::Reconnect(Context& context) {
+  std::vector<std::string> dead;
+  for (const auto& [name, until] : tombstones_) {
+    const MemberRecord* record = Find(name);
+    if (record != nullptr && record->state == MemberState::kDead) {
+      dead.push_back(name);
+    }
+  }
+  for (const std::string& name : Sample(dead, 1, context.random)) {
+    Ping(name, context.NextId(), context);
+  }
+  std::vector<Endpoint> seeds;
+  std::sample(identity_.seeds.begin(), identity_.seeds.end(),
+              std::back_inserter(seeds), UpPeers().empty() ? kSeedsAtOnce : 1,
+              context.random);
+  for (const Endpoint& seed : seeds) {
+    if (seed == identity_.gossip_address) continue;
+    context.Emit(
+        SendGossip{seed, BuildMessage(GossipKind::kPing, context.NextId())});
+  }
+}
+
+void Membership::FindPeers(Context& context) {
+  Reconnect(context);
+  next_platform_ = kNever;
+  if (!identity_.use_platform) return;
+  const bool alone = UpPeers().empty();
+  if (!alone && peer_row_written_) return;
+  next_platform_ = context.now + platform_interval_;
+  platform_interval_ = std::min(platform_interval_ * 2, kMaxPlatformInterval);
+  if (alone && !read_peers_op_) {
+    read_peers_op_ = context.NextId();
+    context.Emit(SendPlatform{*read_peers_op_, TableReadPeers{}});
+  }
+  if (!peer_row_written_ && !write_peer_op_) {
+    write_peer_op_ = context.NextId();
+    context.Emit(SendPlatform{
+        *write_peer_op_,
+        TableWritePeer{identity_.node.name, ToString(identity_.peer_address)}});
+  }
+}
+
+bool Membership::OnPlatformReplied(const PlatformReplied& replied,
+                                   Context& context) {
+  if (write_peer_op_ && *write_peer_op_ == replied.op) {
+    write_peer_op_.reset();
+    peer_row_written_ = replied.reply.status == PlatformStatus::kOk;
+    return true;
+  }
+  if (!read_peers_op_ || *read_peers_op_ != replied.op) return false;
+  read_peers_op_.reset();
+  if (!UpPeers().empty()) return true;
+  for (const std::string& row :
+       Sample(replied.reply.peers, kPeersFromPlatform, context.random)) {
+    std::string name;
+    Endpoint address;
+    if (!ParsePeer(row, name, address) || name == identity_.node.name) continue;
+    StartSync(name, address, context);
+  }
+  return true;
+}
+
+}  // namespace amaranth::pvt
--- /dev/null
+++ b/src/libnode/membership_sync.cc
@@ -0,0 +1,140 @@
+// Repair by exchange of records over the peer links: the asker sends a digest
+// of its buckets, the peer answers with its digest and the records of buckets
+// that differ, and the asker sends back what the peer lacks.
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+#include "libnode/membership.h"
+#include "libnode/membership_limits.h"
+
+namespace amaranth::pvt {
+
+void Membership::ConsiderSync(const NodeRef& peer, uint64_t hash,
+                              Context& context) {
+  const MemberRecord* record = Find(peer.name);
+  if (record == nullptr) return;
+  if (hash == table_.hash()) {
+    if (IsLocal(*record)) mismatch_since_ = kNever;
+    return;
+  }
+  if (context.now < next_sync_) return;
+  if (!joined_) {
+    StartSync(peer.name, record->peer_address, context);
+    return;
+  }
+  if (!IsLocal(*record)) {
+    TimePoint& next = remote_sync_[record->data_centre];
+    if (context.now < next) return;
+    next = context.now + kRemoteSyncInterval;
+    StartSync(peer.name, record->peer_address, context);
+    return;
+  }
+  if (mismatch_since_ == kNever) mismatch_since_ = context.now;
+  if (context.now < mismatch_since_ + kMismatchPatience) return;
+  StartSync(peer.name, record->peer_address, context);
+  next_sync_ = context.now + sync_interval_;
+}
+
+void Membership::StartSync(const std::string& name, const Endpoint& address,
+                           Context& context) {
+  next_sync_ = context.now + (joined_ ? kMinSyncInterval : kJoinSyncInterval);
+  MemberSync sync;
+  sync.reply_wanted = true;
+  sync.bucket_hashes = table_.BucketHashes();
+  sync.members.push_back(Self());
+  sync.settings_version = settings_version_;
+  context.Emit(SendPeer{name, address, std::move(sync)});
+}
+
+void Membership::SyncWithSome(size_t count, Context& context) {
+  for (const std::string& name : RandomPeers(count, context)) {
+    StartSync(name, Find(name)->peer_address, context);
+  }
+}
+
+void Membership::OnSync(const NodeRef& from, const MemberSync& sync,
+                        Context& context) {
+  NoticePause(context);
+  const size_t merged_before = merged_;
+  for (const MemberRecord& record : sync.members) Merge(record, context);
+  MergeQuarantines(sync.quarantines);
+  SeeSettings(from.name, sync.settings_version, context);
+  if (sync.reply_wanted) {
+    AnswerSync(from, sync, context);
+  } else if (!sync.bucket_hashes.empty()) {
+    FinishSync(from, sync, merged_ - merged_before, context);
+  }
+}
+
+void Membership::AnswerSync(const NodeRef& from, const MemberSync& sync,
+                            Context& context) {
+  const MemberRecord* peer = Find(from.name);
+  if (peer == nullptr || sync_answers_left_ <= 0) return;
+  --sync_answers_left_;
+  MemberSync answer;
+  answer.bucket_hashes = table_.BucketHashes();
+  answer.members = Trim(table_.RecordsWhereDiffers(sync.bucket_hashes),
+                        peer->data_centre, context);
+  answer.quarantines = quarantines_.Next(kQuarantinesPerSync);
+  answer.settings_version = settings_version_;
+  context.Emit(SendPeer{from.name, peer->peer_address, std::move(answer)});
+}
+
+void Membership::FinishSync(const NodeRef& from, const MemberSync& sync,
+                            size_t learnt, Context& context) {
+  joined_ = true;
+  verified_ = true;
+  sync_interval_ = learnt >= kFewRecords
+                       ? kMinSyncInterval
+                       : std::min(sync_interval_ * 2, kMaxSyncInterval);
+  const MemberRecord* peer = Find(from.name);
+  if (peer == nullptr) return;
+  std::map<std::string, const MemberRecord*> theirs;
+  for (const MemberRecord& record : sync.members) {
+    theirs[record.node.name] = &record;
+  }
+  std::vector<MemberRecord> lacking;
+  for (MemberRecord& record : table_.RecordsWhereDiffers(sync.bucket_hashes)) {
+    const auto known = theirs.find(record.node.name);
+    if (known == theirs.end() || Supersedes(record, *known->second)) {
+      lacking.push_back(std::move(record));
+    }
+  }
+  lacking = Trim(std::move(lacking), peer->data_centre, context);
+  if (!lacking.empty()) {
+    MemberSync rest;
+    rest.members = std::move(lacking);
+    rest.settings_version = settings_version_;
+    context.Emit(SendPeer{from.name, peer->peer_address, std::move(rest)});
+  }
+  // An answer that taught much was likely cut short: go on where it ended.
+  if (learnt < kFewRecords) return;
+  follow_up_peer_ = from.name;
+  follow_up_at_ =
+      context.now + (IsLocal(*peer) ? kJoinSyncInterval : kMinSyncInterval);
+}
+
+// The receiver's own data centre first: that is where its work goes. The rest
+// in random order, so that a record which it refuses cannot hold up others.
+std::vector<MemberRecord> Membership::Trim(std::vector<MemberRecord> records,
+                                           const std::string& first_data_centre,
+                                           Context& context) const {
+  std::shuffle(records.begin(), records.end(), context.random);
+  std::stable_partition(records.begin(), records.end(),
+                        [&](const MemberRecord& record) {
+                          return record.data_centre == first_data_centre;
+                        });
+  size_t size = 0;
+  size_t count = 0;
+  while (count < records.size()) {
+    size += EncodedSize(records[count]);
+    if (size > kMaxSyncBytes && count > 0) break;
+    ++count;
+  }
+  records.resize(count);
+  return records;
+}
+
+}  // namespace amaranth::pvt
--- /dev/null
+++ b/src/libnode/settings_document.cc
@@ -0,0 +1,133 @@
+#include "libnode/settings_document.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "amaranthroute/hash.h"
+
+namespace amaranth::pvt {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr char kObjectPrefix[] = "settings/";
+
+Json ToJson(const SettingsChange& change) {
+  return {{"path", change.path},
+          {"name", change.name},
+          {"value", change.value ? Json(*change.value) : Json(nullptr)}};
+}
+
+Json ToJson(const SettingsHistoryEntry& entry) {
+  Json changes = Json::array();
+  for (const SettingsChange& change : entry.changes) {
+    changes.push_back(ToJson(change));
+  }
+  return {{"version", entry.version},
+          {"author", entry.author},
+          {"change_id", entry.change_id},
+          {"changes", std::move(changes)}};
+}
+
+Json ToJson(const std::vector<SettingsHistoryEntry>& history) {
+  Json json = Json::array();
+  for (const SettingsHistoryEntry& entry : history) {
+    json.push_back(ToJson(entry));
+  }
+  return json;
+}
+
+// Operators' text may hold bytes that are not UTF-8; they must not throw here.
+std::string Dump(const Json& json) {
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+std::string TextOf(const Json& json, const char* name) {
+  const auto found = json.find(name);
+  if (found == json.end() || !found->is_string()) return "";
+  return found->get<std::string>();
+}
+
+Outcome<SettingsHistoryEntry> ParseEntry(const Json& json) {
+  Outcome<std::vector<SettingsChange>> changes =
+      ParseSettingsChanges(json.dump());
+  if (!changes) return changes.error();
+  if (!json.contains("version") || !json["version"].is_number_unsigned()) {
+    return Error{ErrorCode::kInvalid, "history entry without a version"};
+  }
+  SettingsHistoryEntry entry;
+  entry.version = json["version"].get<uint64_t>();
+  entry.author = TextOf(json, "author");
+  entry.change_id = TextOf(json, "change_id");
+  entry.changes = std::move(changes.value());
+  return entry;
+}
+
+std::string HashText(std::string_view text) {
+  return std::to_string(Hash64(text));
+}
+
+}  // namespace
+
+SettingsDocument NextDocument(const SettingsDocument& base,
+                              const std::vector<SettingsChange>& changes,
+                              const std::string& author,
+                              const std::string& change_id) {
+  SettingsDocument next;
+  next.version = base.version + 1;
+  next.tree = base.tree.Apply(changes);
+  next.history = base.history;
+  next.history.push_back({next.version, author, change_id, changes});
+  if (next.history.size() > kSettingsHistoryLength) {
+    next.history.erase(next.history.begin());
+  }
+  return next;
+}
+
+std::string ToText(const SettingsDocument& document) {
+  if (document.version == 0) return "";
+  Json json;
+  json["version"] = document.version;
+  json["settings"] = Json::parse(amaranth::ToText(document.tree));
+  json["history"] = ToJson(document.history);
+  return Dump(json);
+}
+
+Outcome<SettingsDocument> ParseDocument(std::string_view text) {
+  if (text.empty()) return SettingsDocument();
+  const Json json = Json::parse(text, nullptr, false);
+  const bool whole = json.is_object() && json.contains("version") &&
+                     json["version"].is_number_unsigned() &&
+                     json.contains("settings") && json.contains("history") &&
+                     json["history"].is_array();
+  if (!whole) return Error{ErrorCode::kInvalid, "not a settings snapshot"};
+  Outcome<SettingsTree> tree = ParseSettings(json["settings"].dump());
+  if (!tree) return tree.error();
+  SettingsDocument document;
+  document.version = json["version"].get<uint64_t>();
+  document.tree = std::move(tree.value());
+  for (const Json& item : json["history"]) {
+    Outcome<SettingsHistoryEntry> entry = ParseEntry(item);
+    if (!entry) return entry.error();
+    document.history.push_back(std::move(entry.value()));
+  }
+  return document;
+}
+
+std::string ObjectName(uint64_t version, const std::string& change_id,
+                       std::string_view text) {
+  return kObjectPrefix + std::to_string(version) + "-" + change_id + "-" +
+         HashText(text);
+}
+
+bool ObjectNameMatches(const std::string& object, std::string_view text) {
+  const size_t dash = object.rfind('-');
+  return dash != std::string::npos && object.substr(dash + 1) == HashText(text);
+}
+
+std::string HistoryText(const std::vector<SettingsHistoryEntry>& history) {
+  return Dump(ToJson(history));
+}
+
+}  // namespace amaranth::pvt
--- /dev/null
+++ b/src/libnode/settings_tree.cc
@@ -0,0 +1,398 @@
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <tuple>
+#include <utility>
+
+#include "amaranthroute/settings.h"
+
+namespace amaranth {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr size_t kMaxSegmentLength = 64;
+constexpr size_t kMaxSegments = 3;
+// Bounds the work of checking each class against each service.
+constexpr size_t kMaxPaths = 1000;
+constexpr std::string_view kAnyService = "*";
+
+std::vector<std::string> SplitPath(const std::string& path) {
+  std::vector<std::string> segments;
+  if (path.empty()) return segments;
+  size_t start = 0;
+  while (true) {
+    const size_t slash = path.find('/', start);
+    segments.push_back(path.substr(start, slash - start));
+    if (slash == std::string::npos) return segments;
+    start = slash + 1;
+  }
+}
+
+bool IsNameCharacter(char c) {
+  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+         (c >= '0' && c <= '9') || c == '-' || c == '_' || c == '.';
+}
+
+bool IsName(const std::string& segment) {
+  return !segment.empty() && segment.size() <= kMaxSegmentLength &&
+         std::all_of(segment.begin(), segment.end(), IsNameCharacter);
+}
+
+// An empty text means that the path is well formed.
+std::string PathFault(const std::string& path) {
+  const std::vector<std::string> segments = SplitPath(path);
+  if (segments.size() > kMaxSegments) {
+    return "has more than mesh/service/class";
+  }
+  for (size_t i = 0; i < segments.size(); ++i) {
+    const bool wildcard =
+        i == 1 && segments.size() == 3 && segments[i] == kAnyService;
+    if (!wildcard && !IsName(segments[i])) {
+      return "has a part that is not 1 to 64 letters, digits, '-', '_', '.' "
+             "(or '*' for the service before a class)";
+    }
+  }
+  return "";
+}
+
+template <typename Number>
+bool ParseNumber(const std::string& text, Number& number) {
+  const char* end = text.data() + text.size();
+  const auto [last, error] = std::from_chars(text.data(), end, number);
+  return error == std::errc() && last == end;
+}
+
+bool InRange(const SettingDefinition& row, double number) {
+  return std::isfinite(number) && number >= row.minimum &&
+         number <= row.maximum;
+}
+
+bool IsValueOf(const SettingDefinition& row, const std::string& value) {
+  switch (row.type) {
+    case SettingType::kChoice:
+      return std::find(row.choices.begin(), row.choices.end(), value) !=
+             row.choices.end();
+    case SettingType::kFlag:
+      return value == "true" || value == "false";
+    case SettingType::kInteger: {
+      int64_t number = 0;
+      return ParseNumber(value, number) &&
+             InRange(row, static_cast<double>(number));
+    }
+    case SettingType::kRatio: {
+      double number = 0;
+      return ParseNumber(value, number) && InRange(row, number);
+    }
+  }
+  return false;
+}
+
+// Numbers of equal value get equal text, so that equal trees do too.
+std::string CanonicalValue(const std::string& name, const std::string& value) {
+  const SettingDefinition* row = FindSetting(name);
+  if (row == nullptr) return value;
+  if (row->type == SettingType::kInteger) {
+    int64_t number = 0;
+    return ParseNumber(value, number) ? std::to_string(number) : value;
+  }
+  if (row->type == SettingType::kRatio) {
+    double number = 0;
+    if (!ParseNumber(value, number) || !std::isfinite(number)) return value;
+    return Json(number == 0 ? 0.0 : number).dump();
+  }
+  return value;
+}
+
+Json ToJson(const std::string& name, const std::string& value) {
+  const SettingDefinition* row = FindSetting(name);
+  if (row == nullptr || !IsValueOf(*row, value)) return value;
+  switch (row->type) {
+    case SettingType::kChoice:
+      return value;
+    case SettingType::kFlag:
+      return value == "true";
+    case SettingType::kInteger:
+      return std::stoll(value);
+    case SettingType::kRatio:
+      return std::stod(value);
+  }
+  return value;
+}
+
+std::string ToValue(const Json& json) {
+  return json.is_string() ? json.get<std::string>() : json.dump();
+}
+
+std::string ValueFault(const SettingDefinition& row) {
+  switch (row.type) {
+    case SettingType::kChoice: {
+      std::string text = "is not one of";
+      for (const std::string_view choice : row.choices) {
+        text += " " + std::string(choice);
+      }
+      return text;
+    }
+    case SettingType::kFlag:
+      return "is not true or false";
+    case SettingType::kInteger:
+      return "is not a whole number from " +
+             std::to_string(static_cast<int64_t>(row.minimum)) + " to " +
+             std::to_string(static_cast<int64_t>(row.maximum));
+    case SettingType::kRatio:
+      return "is not a number from " + Json(row.minimum).dump() + " to " +
+             Json(row.maximum).dump();
+  }
+  return "is wrong";
+}
+
+void CheckValue(const std::string& path, const std::string& name,
+                const std::string& value, std::vector<std::string>& faults) {
+  const std::string where = "\"" + path + "\": " + name;
+  const SettingDefinition* row = FindSetting(name);
+  if (row == nullptr) {
+    faults.push_back(where + " is not a setting");
+    return;
+  }
+  if (!IsValueOf(*row, value)) {
+    faults.push_back(where + " = \"" + value + "\" " + ValueFault(*row));
+  }
+  if (row->scope == SettingScope::kService && SplitPath(path).size() == 3) {
+    faults.push_back(where +
+                     " belongs to a whole service, not to a request class");
+  }
+}
+
+// The levels that apply to a request, weakest first.
+std::vector<std::string> LevelsFor(const std::string& mesh,
+                                   const std::string& service,
+                                   const std::string& request_class) {
+  std::vector<std::string> paths = {""};
+  if (mesh.empty()) return paths;
+  paths.push_back(mesh);
+  const bool named = !service.empty() && service != kAnyService;
+  if (named) paths.push_back(mesh + "/" + service);
+  if (request_class.empty()) return paths;
+  paths.push_back(mesh + "/*/" + request_class);
+  if (named) paths.push_back(mesh + "/" + service + "/" + request_class);
+  return paths;
+}
+
+struct Target {
+  std::string mesh;
+  std::string service;
+  std::string request_class;
+
+  friend bool operator<(const Target& a, const Target& b) {
+    return std::tie(a.mesh, a.service, a.request_class) <
+           std::tie(b.mesh, b.service, b.request_class);
+  }
+};
+
+Target ToTarget(const std::string& path) {
+  std::vector<std::string> segments = SplitPath(path);
+  segments.resize(kMaxSegments);
+  return {segments[0], segments[1], segments[2]};
+}
+
+// Every mesh, service and class for which the tree may resolve differently:
+// those named, and each class of all services together with each service.
+std::set<Target> TargetsOf(const SettingsTree::Levels& levels) {
+  std::set<Target> targets;
+  for (const auto& [path, values] : levels) targets.insert(ToTarget(path));
+  std::set<Target> combined;
+  for (const Target& any : targets) {
+    if (any.service != kAnyService) continue;
+    for (const Target& named : targets) {
+      if (named.mesh != any.mesh || named.service.empty()) continue;
+      combined.insert({any.mesh, named.service, any.request_class});
+    }
+  }
+  targets.merge(combined);
+  return targets;
+}
+
+void CheckTargets(const SettingsTree& tree, std::vector<std::string>& faults) {
+  for (const Target& target : TargetsOf(tree.levels())) {
+    const EffectiveSettings settings =
+        tree.Resolve(target.mesh, target.service, target.request_class);
+    if (settings.target_p99 <= settings.deadline) continue;
+    std::string where = target.mesh;
+    if (!target.service.empty()) where += "/" + target.service;
+    if (!target.request_class.empty()) where += "/" + target.request_class;
+    faults.push_back("\"" + where +
+                     "\": target_p99_ms is above deadline_ms here");
+  }
+}
+
+SettingsTree::Levels Canonical(SettingsTree::Levels levels) {
+  SettingsTree::Levels canonical;
+  for (auto& [path, values] : levels) {
+    if (values.empty()) continue;
+    for (auto& [name, value] : values) value = CanonicalValue(name, value);
+    canonical.emplace(path, std::move(values));
+  }
+  return canonical;
+}
+
+}  // namespace
+
+bool operator==(const EffectiveSettings& a, const EffectiveSettings& b) {
+  const auto fields = [](const EffectiveSettings& v) {
+    return std::tie(
+        v.tier, v.deadline, v.idempotent, v.retry_credits, v.retry_ratio,
+        v.long_work, v.long_work_share, v.queue_capacity, v.queue_target,
+        v.concurrency, v.fixed_limit, v.spill_share, v.max_eject_share,
+        v.slow_start, v.target_goodput, v.target_p99, v.drain_timeout);
+  };
+  return fields(a) == fields(b);
+}
+
+std::ostream& operator<<(std::ostream& out, const SettingsChange& change) {
+  out << "\"" << change.path << "\": " << change.name;
+  if (!change.value) return out << " unset";
+  return out << " = " << *change.value;
+}
+
+SettingsTree::SettingsTree() : SettingsTree(Levels()) {}
+
+SettingsTree::SettingsTree(Levels levels)
+    : levels_(std::make_shared<const Levels>(Canonical(std::move(levels)))) {}
+
+SettingsTree SettingsTree::Set(const std::string& path, const std::string& name,
+                               const std::string& value) const {
+  return Apply({{path, name, value}});
+}
+
+SettingsTree SettingsTree::Unset(const std::string& path,
+                                 const std::string& name) const {
+  return Apply({{path, name, std::nullopt}});
+}
+
+SettingsTree SettingsTree::Apply(
+    const std::vector<SettingsChange>& changes) const {
+  Levels levels = *levels_;
+  for (const SettingsChange& change : changes) {
+    if (change.value) {
+      levels[change.path][change.name] = *change.value;
+    } else {
+      levels[change.path].erase(change.name);
+    }
+  }
+  return SettingsTree(std::move(levels));
+}
+
+std::vector<std::string> SettingsTree::Validate() const {
+  std::vector<std::string> faults;
+  if (levels_->size() > kMaxPaths) {
+    faults.push_back("more than " + std::to_string(kMaxPaths) + " paths");
+    return faults;
+  }
+  for (const auto& [path, values] : *levels_) {
+    const std::string fault = PathFault(path);
+    if (!fault.empty()) faults.push_back("path \"" + path + "\" " + fault);
+    for (const auto& [name, value] : values) {
+      CheckValue(path, name, value, faults);
+    }
+  }
+  if (faults.empty()) CheckTargets(*this, faults);
+  return faults;
+}
+
+EffectiveSettings SettingsTree::Resolve(
+    const std::string& mesh, const std::string& service,
+    const std::string& request_class) const {
+  EffectiveSettings settings;
+  for (const std::string& path : LevelsFor(mesh, service, request_class)) {
+    const auto level = levels_->find(path);
+    if (level == levels_->end()) continue;
+    for (const auto& [name, value] : level->second) {
+      const SettingDefinition* row = FindSetting(name);
+      if (row != nullptr && IsValueOf(*row, value)) row->apply(settings, value);
+    }
+  }
+  return settings;
+}
+
+std::vector<ExplainedValue> SettingsTree::Explain(
+    const std::string& path) const {
+  const Target target = ToTarget(path);
+  std::vector<std::string> levels =
+      LevelsFor(target.mesh, target.service, target.request_class);
+  std::reverse(levels.begin(), levels.end());
+  std::vector<ExplainedValue> explained;
+  for (const SettingDefinition& row : SettingDefinitions()) {
+    ExplainedValue value;
+    value.name = row.name;
+    value.value = row.default_value;
+    value.origin = "default";
+    value.is_default = true;
+    for (const std::string& level : levels) {
+      const auto values = levels_->find(level);
+      if (values == levels_->end()) continue;
+      const auto found = values->second.find(value.name);
+      if (found == values->second.end()) continue;
+      value.value = found->second;
+      value.origin = level;
+      value.is_default = false;
+      break;
+    }
+    explained.push_back(std::move(value));
+  }
+  return explained;
+}
+
+std::string ToText(const SettingsTree& tree) {
+  Json json = Json::object();
+  for (const auto& [path, values] : tree.levels()) {
+    Json& level = json[path];
+    for (const auto& [name, value] : values) level[name] = ToJson(name, value);
+  }
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+Outcome<SettingsTree> ParseSettings(std::string_view text) {
+  const Json json = Json::parse(text, nullptr, false);
+  if (!json.is_object()) {
+    return Error{ErrorCode::kInvalid, "settings are not a JSON object"};
+  }
+  SettingsTree::Levels levels;
+  for (const auto& [path, values] : json.items()) {
+    if (!values.is_object()) {
+      return Error{ErrorCode::kInvalid,
+                   "\"" + path + "\" is not a JSON object of settings"};
+    }
+    for (const auto& [name, value] : values.items()) {
+      levels[path][name] = ToValue(value);
+    }
+  }
+  return SettingsTree(std::move(levels));
+}
+
+Outcome<std::vector<SettingsChange>> ParseSettingsChanges(
+    std::string_view text) {
+  const Json json = Json::parse(text, nullptr, false);
+  const Error malformed{ErrorCode::kInvalid,
+                        "expected {\"changes\": [{\"path\", \"name\", "
+                        "\"value\"}, ...]}"};
+  if (!json.is_object() || !json.contains("changes")) return malformed;
+  if (!json["changes"].is_array()) return malformed;
+  std::vector<SettingsChange> changes;
+  for (const Json& item : json["changes"]) {
+    const bool whole = item.is_object() && item.contains("path") &&
+                       item["path"].is_string() && item.contains("name") &&
+                       item["name"].is_string() && item.contains("value");
+    if (!whole) return malformed;
+    SettingsChange change;
+    change.path = item["path"].get<std::string>();
+    change.name = item["name"].get<std::string>();
+    if (!item["value"].is_null()) change.value = ToValue(item["value"]);
+    changes.push_back(std::move(change));
+  }
+  return changes;
+}
+
+}  // namespace amaranth
--- a/src/libutil/fields.h
+++ b/src/libutil/fields.h
@@ -82,7 +82,8 @@
 }
 
 inline auto Fields(const MemberSync& v) {
-  return std::tie(v.reply_wanted, v.members, v.quarantines, v.settings_version);
+  return std::tie(v.reply_wanted, v.bucket_hashes, v.members, v.quarantines,
+                  v.settings_version);
 }
 
 inline auto Fields(const GossipMessage& v) {
