--- /dev/null
+++ b/src/cmake/generate_thrift.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Regenerates src/libwire/gen-cpp after a change of the IDL; the result is
+# committed, so that a build needs no Thrift compiler.
+set -euo pipefail
+cd "$(dirname "$0")/../libwire"
+rm -rf gen-cpp
+thrift --gen cpp:no_skeleton,moveable_types amaranth.thrift
--- a/src/include/amaranthroute/wire.h
+++ b/src/include/amaranthroute/wire.h
@@ -27,10 +27,11 @@
 /// Longest gossip datagram that is sent, in bytes; UDP itself ends at 65,507.
 inline constexpr size_t kMaxGossipBytes = 60u << 10;
 
-/// Most elements in any one list. With the sizes of our structures it bounds
-/// what hostile bytes can make decoding allocate to 16 MiB plus three times
-/// their own length.
+/// Most elements in any one list, and in all lists of one message together.
+/// With the sizes of our structures they bound what hostile bytes can make
+/// decoding allocate to 48 MiB plus three times their own length.
 inline constexpr int kMaxListElements = 16384;
+inline constexpr int kMaxMessageElements = 65536;
 
 /// Longest duration on the wire. Encoding clamps to [0, this], so that a
 /// deadline that has passed travels as zero; decoding refuses what is outside.
--- /dev/null
+++ b/src/libwire/amaranth.thrift
@@ -0,0 +1,209 @@
+// What nodes say to each other, compact protocol. A payload is one Envelope
+// followed by the struct that its kind names.
+//
+// Thrift has no unsigned integers: u64 travels as the i64 with the same bits,
+// narrower ones as a wider type and are range-checked on arrival, as are
+// enumerations, which travel as i32 so that an unknown value is refused before
+// it becomes an enum. The first version's fields are required. Later ones must
+// be optional, or the protocol version must rise.
+
+namespace cpp amaranth.wire
+
+enum MessageKind {
+  HELLO = 1,
+  CALL_FORWARD = 2,
+  CALL_ANSWER = 3,
+  CALL_CANCEL = 4,
+  HOME_FORWARD = 5,
+  LINK_PING = 6,
+  LINK_PONG = 7,
+  SETTINGS_REQUEST = 8,
+  SETTINGS_SNAPSHOT = 9,
+  CLAIM_REQUEST = 10,
+  CLAIM_REPLY = 11,
+  MEMBER_SYNC = 12,
+  GOSSIP = 13
+}
+
+struct Envelope {
+  1: required i32 version,
+  2: required i32 kind  // MessageKind
+}
+
+struct NodeRef {
+  1: required string name,
+  2: required i64 incarnation
+}
+
+struct Endpoint {
+  1: required string ip,
+  2: required i32 port
+}
+
+struct Header {
+  1: required string name,
+  2: required string value
+}
+
+struct HttpRequest {
+  1: required string method,
+  2: required string target,
+  3: required list<Header> headers,
+  4: required binary body
+}
+
+struct HttpResponse {
+  1: required i32 status,
+  2: required list<Header> headers,
+  3: required binary body
+}
+
+struct Failure {
+  1: required i32 verdict,
+  2: required i32 reason,
+  3: required i64 retry_after_us,
+  4: required bool is_final,
+  5: required string detail
+}
+
+struct CallContext {
+  1: required string request_id,
+  2: required string mesh,
+  3: required string service_name,
+  4: required string request_class,
+  5: required string tenant,
+  6: required string caller_key,
+  7: required i32 tier,
+  8: required bool idempotent,
+  9: required bool long_work,
+  10: required i32 depth,
+  11: required i64 remaining_us,
+  12: required i32 retry_credits,
+  13: required i64 fingerprint
+}
+
+struct LoadReport {
+  1: required string server,
+  2: required i64 in_flight,
+  3: required i64 limit,
+  4: required i64 queued,
+  5: required i64 shed_threshold,
+  6: required i64 downstream_threshold
+}
+
+struct Hello {
+  1: required NodeRef node,
+  2: required string fleet,
+  3: required string data_centre
+}
+
+struct CallForward {
+  1: required i64 attempt,
+  2: required string server,
+  3: required CallContext context,
+  4: required HttpRequest request
+}
+
+struct CallAnswer {
+  1: required i64 attempt,
+  2: required i64 entry_incarnation,
+  3: required HttpResponse response,
+  4: required Failure failure,
+  5: required i32 credits_returned,
+  6: required LoadReport load
+}
+
+struct CallCancel {
+  1: required i64 attempt
+}
+
+struct HomeForward {
+  1: required i64 attempt,
+  2: required i64 home_incarnation,
+  3: required HttpRequest request,
+  4: required i64 remaining_us
+}
+
+struct LinkPing {
+  1: required i64 sequence
+}
+
+struct LinkPong {
+  1: required i64 sequence
+}
+
+struct SettingsRequest {
+  1: required i64 have_version
+}
+
+struct SettingsSnapshot {
+  1: required i64 version,
+  2: required i64 text_hash,
+  3: required string text
+}
+
+struct KeyClaim {
+  1: required i64 claim_id,
+  2: required string key
+}
+
+struct ClaimRequest {
+  1: required NodeRef holder,
+  2: required list<KeyClaim> claims
+}
+
+struct ClaimOutcome {
+  1: required i64 claim_id,
+  2: required bool known,
+  3: required NodeRef holder,
+  4: required i64 holder_claim_id
+}
+
+struct ClaimReply {
+  1: required list<ClaimOutcome> outcomes
+}
+
+struct ServerRecord {
+  1: required string server,
+  2: required string service_name,
+  3: required Endpoint address,
+  4: required i64 slots,
+  5: required bool draining
+}
+
+struct MemberRecord {
+  1: required NodeRef node,
+  2: required i64 version,
+  3: required i32 state,
+  4: required string data_centre,
+  5: required string region,
+  6: required Endpoint peer_address,
+  7: required Endpoint gossip_address,
+  8: required list<ServerRecord> servers
+}
+
+struct QuarantineRecord {
+  1: required string service_name,
+  2: required i64 fingerprint,
+  3: required i64 crashes
+}
+
+struct MemberSync {
+  1: required bool reply_wanted,
+  2: required list<MemberRecord> members,
+  3: required list<QuarantineRecord> quarantines,
+  4: required i64 settings_version
+}
+
+struct Gossip {
+  1: required i32 kind,
+  2: required NodeRef source,
+  3: required Endpoint source_address,
+  4: required i64 sequence,
+  5: required string target,
+  6: required Endpoint target_address,
+  7: required i64 settings_version,
+  8: required i64 membership_hash,
+  9: required list<MemberRecord> updates,
+  10: required list<QuarantineRecord> quarantines
+}
--- /dev/null
+++ b/src/libwire/check.cc
@@ -0,0 +1,98 @@
+#include <algorithm>
+
+#include "amaranthroute/wire.h"
+
+namespace amaranth {
+namespace {
+
+constexpr int kMinStatus = 100;
+constexpr int kMaxStatus = 999;
+
+// A line break inside a header field would let one caller's value add fields,
+// or a whole second request, on a connection to a backend server.
+bool IsOneLine(std::string_view text) {
+  constexpr std::string_view kBreaks("\r\n\0", 3);
+  return text.find_first_of(kBreaks) == std::string_view::npos;
+}
+
+bool IsHeaderList(const std::vector<Header>& headers) {
+  return headers.size() <= kMaxListElements &&
+         std::all_of(headers.begin(), headers.end(), [](const Header& header) {
+           return !header.name.empty() && IsOneLine(header.name) &&
+                  IsOneLine(header.value);
+         });
+}
+
+Outcome<void> Refuse(const char* what) {
+  return Error{ErrorCode::kInvalid, what};
+}
+
+Outcome<void> CheckRequest(const HttpRequest& request) {
+  if (!IsOneLine(request.method) || !IsOneLine(request.target)) {
+    return Refuse("line break in method or target");
+  }
+  if (!IsHeaderList(request.headers)) {
+    return Refuse("bad request header field");
+  }
+  return boost::outcome_v2::success();
+}
+
+Outcome<void> Check(const CallForward& message) {
+  return CheckRequest(message.request);
+}
+
+Outcome<void> Check(const HomeForward& message) {
+  return CheckRequest(message.request);
+}
+
+Outcome<void> Check(const CallAnswer& message) {
+  const HttpResponse& response = message.response;
+  if (response.status < kMinStatus || response.status > kMaxStatus) {
+    return Refuse("status out of range");
+  }
+  if (!IsHeaderList(response.headers)) {
+    return Refuse("bad response header field");
+  }
+  return boost::outcome_v2::success();
+}
+
+Outcome<void> CheckListSize(size_t size) {
+  if (size > static_cast<size_t>(kMaxListElements)) {
+    return Refuse("list too long");
+  }
+  return boost::outcome_v2::success();
+}
+
+Outcome<void> Check(const ClaimRequest& message) {
+  return CheckListSize(message.claims.size());
+}
+
+Outcome<void> Check(const ClaimReply& message) {
+  return CheckListSize(message.outcomes.size());
+}
+
+Outcome<void> Check(const MemberSync& message) {
+  size_t longest = std::max(message.members.size(), message.quarantines.size());
+  size_t all = message.members.size() + message.quarantines.size();
+  for (const MemberRecord& member : message.members) {
+    longest = std::max(longest, member.servers.size());
+    all += member.servers.size();
+  }
+  if (all > static_cast<size_t>(kMaxMessageElements)) {
+    return Refuse("too many list elements");
+  }
+  return CheckListSize(longest);
+}
+
+template <typename Message>
+Outcome<void> Check(const Message&) {
+  return boost::outcome_v2::success();
+}
+
+}  // namespace
+
+Outcome<void> CheckPeerMessage(const PeerMessage& message) {
+  return std::visit([](const auto& body) { return Check(body); }, message);
+}
+
+}  // namespace amaranth
--- /dev/null
+++ b/src/libwire/convert.h
@@ -0,0 +1,85 @@
+#ifndef AMARANTHROUTE_LIBWIRE_CONVERT_H_
+#define AMARANTHROUTE_LIBWIRE_CONVERT_H_
+
+// Between our value types and the generated Thrift structs. Towards the wire
+// everything fits; from the wire every field is checked against its range.
+
+#include <cstdint>
+#include <limits>
+#include <string>
+#include <string_view>
+
+#include "amaranthroute/messages.h"
+#include "libwire/gen-cpp/amaranth_types.h"
+
+namespace amaranth::pvt {
+
+// Takes numbers from the wire into narrower types. The first one out of range
+// fails the whole message; later ones are then of no interest.
+class RangeCheck {
+ public:
+  template <typename To, typename From>
+  To Narrow(From value, std::string_view field) {
+    const bool fits =
+        value >= 0 && static_cast<uint64_t>(value) <=
+                          static_cast<uint64_t>(std::numeric_limits<To>::max());
+    return fits ? static_cast<To>(value) : Refuse<To>(field);
+  }
+
+  template <typename Enum>
+  Enum ToEnum(int32_t value, Enum last, std::string_view field) {
+    const bool known = value >= 0 && value <= static_cast<int32_t>(last);
+    return known ? static_cast<Enum>(value) : Refuse<Enum>(field);
+  }
+
+  Duration ToDuration(int64_t micros, std::string_view field);
+
+  bool ok() const { return problem_.empty(); }
+  const std::string& problem() const { return problem_; }
+
+ private:
+  template <typename T>
+  T Refuse(std::string_view field) {
+    if (problem_.empty()) {
+      problem_ = "out of range: " + std::string(field);
+    }
+    return T{};
+  }
+
+  std::string problem_;
+};
+
+void ToWire(const Hello& in, wire::Hello& out);
+void ToWire(const CallForward& in, wire::CallForward& out);
+void ToWire(const CallAnswer& in, wire::CallAnswer& out);
+void ToWire(const CallCancel& in, wire::CallCancel& out);
+void ToWire(const HomeForward& in, wire::HomeForward& out);
+void ToWire(const LinkPing& in, wire::LinkPing& out);
+void ToWire(const LinkPong& in, wire::LinkPong& out);
+void ToWire(const SettingsRequest& in, wire::SettingsRequest& out);
+void ToWire(const SettingsSnapshot& in, wire::SettingsSnapshot& out);
+void ToWire(const ClaimRequest& in, wire::ClaimRequest& out);
+void ToWire(const ClaimReply& in, wire::ClaimReply& out);
+void ToWire(const MemberSync& in, wire::MemberSync& out);
+void ToWire(const GossipMessage& in, wire::Gossip& out);
+
+// `in` is used up: strings are moved out of it.
+void FromWire(wire::Hello& in, Hello& out, RangeCheck& check);
+void FromWire(wire::CallForward& in, CallForward& out, RangeCheck& check);
+void FromWire(wire::CallAnswer& in, CallAnswer& out, RangeCheck& check);
+void FromWire(wire::CallCancel& in, CallCancel& out, RangeCheck& check);
+void FromWire(wire::HomeForward& in, HomeForward& out, RangeCheck& check);
+void FromWire(wire::LinkPing& in, LinkPing& out, RangeCheck& check);
+void FromWire(wire::LinkPong& in, LinkPong& out, RangeCheck& check);
+void FromWire(wire::SettingsRequest& in, SettingsRequest& out,
+              RangeCheck& check);
+void FromWire(wire::SettingsSnapshot& in, SettingsSnapshot& out,
+              RangeCheck& check);
+void FromWire(wire::ClaimRequest& in, ClaimRequest& out, RangeCheck& check);
+void FromWire(wire::ClaimReply& in, ClaimReply& out, RangeCheck& check);
+void FromWire(wire::MemberSync& in, MemberSync& out, RangeCheck& check);
+void FromWire(wire::Gossip& in, GossipMessage& out, RangeCheck& check);
+
+}  // namespace amaranth::pvt
+
+#endif  // AMARANTHROUTE_LIBWIRE_CONVERT_H_
--- /dev/null
+++ b/src/libwire/frame.cc
@@ -0,0 +1,67 @@
+#include "amaranthroute/wire.h"
+
+namespace amaranth {
+namespace {
+
+constexpr size_t kPrefixBytes = 4;
+// A returned frame's bytes are dropped once this much has gathered, so that a
+// burst of small frames is not moved down once for each of them.
+constexpr size_t kCompactBytes = 64u << 10;
+
+size_t ReadLength(const char* bytes) {
+  size_t length = 0;
+  for (size_t i = 0; i < kPrefixBytes; ++i) {
+    length = (length << 8) | static_cast<unsigned char>(bytes[i]);
+  }
+  return length;
+}
+
+}  // namespace
+
+std::string Frame(std::string_view payload) {
+  std::string frame;
+  frame.reserve(kPrefixBytes + payload.size());
+  for (size_t i = kPrefixBytes; i-- > 0;) {
+    frame.push_back(static_cast<char>((payload.size() >> (8 * i)) & 0xff));
+  }
+  frame.append(payload);
+  return frame;
+}
+
+void FrameReader::Append(std::string_view bytes) { buffer_.append(bytes); }
+
+Outcome<std::optional<std::string>> FrameReader::Next() {
+  if (buffered() < kPrefixBytes) {
+    Compact();
+    return std::optional<std::string>();
+  }
+  const size_t length = ReadLength(buffer_.data() + start_);
+  if (length > max_payload_) {
+    return Error{ErrorCode::kTooLarge, "frame of " + std::to_string(length) +
+                                           " bytes, at most " +
+                                           std::to_string(max_payload_)};
+  }
+  if (buffered() < kPrefixBytes + length) {
+    Compact();
+    return std::optional<std::string>();
+  }
+  std::string payload = buffer_.substr(start_ + kPrefixBytes, length);
+  start_ += kPrefixBytes + length;
+  return std::optional<std::string>(std::move(payload));
+}
+
+void FrameReader::Compact() {
+  if (start_ == buffer_.size()) {
+    buffer_.clear();
+    start_ = 0;
+    // The largest frame so far must not stay allocated on an idle link.
+    if (buffer_.capacity() > kCompactBytes) {
+      buffer_.shrink_to_fit();
+    }
+  } else if (start_ >= kCompactBytes) {
+    buffer_.erase(0, start_);
+    start_ = 0;
+  }
+}
+
+}  // namespace amaranth
--- /dev/null
+++ b/src/libwire/to_wire.cc
@@ -0,0 +1,211 @@
+#include <algorithm>
+
+#include "amaranthroute/wire.h"
+#include "libwire/convert.h"
+
+namespace amaranth::pvt {
+namespace {
+
+int64_t Signed(uint64_t value) { return static_cast<int64_t>(value); }
+
+template <typename Enum>
+int32_t Number(Enum value) {
+  return static_cast<int32_t>(value);
+}
+
+int64_t Micros(Duration duration) {
+  return std::clamp(duration, Duration(0), kMaxWireDuration).count();
+}
+
+template <typename In, typename Out>
+void ToWireList(const std::vector<In>& in, std::vector<Out>& out);
+
+void ToWire(const NodeRef& in, wire::NodeRef& out) {
+  out.name = in.name;
+  out.incarnation = Signed(in.incarnation);
+}
+
+void ToWire(const Endpoint& in, wire::Endpoint& out) {
+  out.ip = in.ip;
+  out.port = in.port;
+}
+
+void ToWire(const Header& in, wire::Header& out) {
+  out.name = in.name;
+  out.value = in.value;
+}
+
+void ToWire(const HttpRequest& in, wire::HttpRequest& out) {
+  out.method = in.method;
+  out.target = in.target;
+  ToWireList(in.headers, out.headers);
+  out.body = in.body.view();
+}
+
+void ToWire(const HttpResponse& in, wire::HttpResponse& out) {
+  out.status = in.status;
+  ToWireList(in.headers, out.headers);
+  out.body = in.body.view();
+}
+
+void ToWire(const Failure& in, wire::Failure& out) {
+  out.verdict = Number(in.verdict);
+  out.reason = Number(in.reason);
+  out.retry_after_us = Micros(in.retry_after);
+  out.is_final = in.final;
+  out.detail = in.detail;
+}
+
+void ToWire(const CallContext& in, wire::CallContext& out) {
+  out.request_id = in.request_id;
+  out.mesh = in.mesh;
+  out.service_name = in.service;
+  out.request_class = in.request_class;
+  out.tenant = in.tenant;
+  out.caller_key = in.caller_key;
+  out.tier = Number(in.tier);
+  out.idempotent = in.idempotent;
+  out.long_work = in.long_work;
+  out.depth = in.depth;
+  out.remaining_us = Micros(in.remaining);
+  out.retry_credits = in.retry_credits;
+  out.fingerprint = Signed(in.fingerprint);
+}
+
+void ToWire(const LoadReport& in, wire::LoadReport& out) {
+  out.server = in.server;
+  out.in_flight = in.in_flight;
+  out.limit = in.limit;
+  out.queued = in.queued;
+  out.shed_threshold = in.shed_threshold;
+  out.downstream_threshold = in.downstream_threshold;
+}
+
+void ToWire(const KeyClaim& in, wire::KeyClaim& out) {
+  out.claim_id = Signed(in.claim_id);
+  out.key = in.key;
+}
+
+void ToWire(const ClaimOutcome& in, wire::ClaimOutcome& out) {
+  out.claim_id = Signed(in.claim_id);
+  out.known = in.known;
+  ToWire(in.holder, out.holder);
+  out.holder_claim_id = Signed(in.holder_claim_id);
+}
+
+void ToWire(const ServerRecord& in, wire::ServerRecord& out) {
+  out.server = in.server;
+  out.service_name = in.service;
+  ToWire(in.address, out.address);
+  out.slots = in.slots;
+  out.draining = in.draining;
+}
+
+void ToWire(const MemberRecord& in, wire::MemberRecord& out) {
+  ToWire(in.node, out.node);
+  out.version = Signed(in.version);
+  out.state = Number(in.state);
+  out.data_centre = in.data_centre;
+  out.region = in.region;
+  ToWire(in.peer_address, out.peer_address);
+  ToWire(in.gossip_address, out.gossip_address);
+  ToWireList(in.servers, out.servers);
+}
+
+void ToWire(const QuarantineRecord& in, wire::QuarantineRecord& out) {
+  out.service_name = in.service;
+  out.fingerprint = Signed(in.fingerprint);
+  out.crashes = in.crashes;
+}
+
+template <typename In, typename Out>
+void ToWireList(const std::vector<In>& in, std::vector<Out>& out) {
+  out.resize(in.size());
+  for (size_t i = 0; i < in.size(); ++i) {
+    ToWire(in[i], out[i]);
+  }
+}
+
+}  // namespace
+
+void ToWire(const Hello& in, wire::Hello& out) {
+  ToWire(in.node, out.node);
+  out.fleet = in.fleet;
+  out.data_centre = in.data_centre;
+}
+
+void ToWire(const CallForward& in, wire::CallForward& out) {
+  out.attempt = Signed(in.attempt);
+  out.server = in.server;
+  ToWire(in.context, out.context);
+  ToWire(in.request, out.request);
+}
+
+void ToWire(const CallAnswer& in, wire::CallAnswer& out) {
+  out.attempt = Signed(in.attempt);
+  out.entry_incarnation = Signed(in.entry_incarnation);
+  ToWire(in.response, out.response);
+  ToWire(in.failure, out.failure);
+  out.credits_returned = in.credits_returned;
+  ToWire(in.load, out.load);
+}
+
+void ToWire(const CallCancel& in, wire::CallCancel& out) {
+  out.attempt = Signed(in.attempt);
+}
+
+void ToWire(const HomeForward& in, wire::HomeForward& out) {
+  out.attempt = Signed(in.attempt);
+  out.home_incarnation = Signed(in.home_incarnation);
+  ToWire(in.request, out.request);
+  out.remaining_us = Micros(in.remaining);
+}
+
+void ToWire(const LinkPing& in, wire::LinkPing& out) {
+  out.sequence = Signed(in.sequence);
+}
+
+void ToWire(const LinkPong& in, wire::LinkPong& out) {
+  out.sequence = Signed(in.sequence);
+}
+
+void ToWire(const SettingsRequest& in, wire::SettingsRequest& out) {
+  out.have_version = Signed(in.have_version);
+}
+
+void ToWire(const SettingsSnapshot& in, wire::SettingsSnapshot& out) {
+  out.version = Signed(in.version);
+  out.text_hash = Signed(in.text_hash);
+  out.text = in.text;
+}
+
+void ToWire(const ClaimRequest& in, wire::ClaimRequest& out) {
+  ToWire(in.holder, out.holder);
+  ToWireList(in.claims, out.claims);
+}
+
+void ToWire(const ClaimReply& in, wire::ClaimReply& out) {
+  ToWireList(in.outcomes, out.outcomes);
+}
+
+void ToWire(const MemberSync& in, wire::MemberSync& out) {
+  out.reply_wanted = in.reply_wanted;
+  ToWireList(in.members, out.members);
+  ToWireList(in.quarantines, out.quarantines);
+  out.settings_version = Signed(in.settings_version);
+}
+
+void ToWire(const GossipMessage& in, wire::Gossip& out) {
+  out.kind = Number(in.kind);
+  ToWire(in.from, out.source);
+  ToWire(in.from_address, out.source_address);
+  out.sequence = Signed(in.sequence);
+  out.target = in.target;
+  ToWire(in.target_address, out.target_address);
+  out.settings_version = Signed(in.settings_version);
+  out.membership_hash = Signed(in.membership_hash);
+  ToWireList(in.updates, out.updates);
+  ToWireList(in.quarantines, out.quarantines);
+}
+
+}  // namespace amaranth::pvt
