--- a/src/libhost/gossip_socket.h
+++ b/src/libhost/gossip_socket.h
@@ -31,7 +31,7 @@
   GossipSocket& operator=(const GossipSocket&) = delete;
 
   // The port bound.
-  uint16_t port() const;
+  uint16_t port() const { return port_; }
 
   // Sends one datagram, or none if it is over kMaxGossipBytes, the address is
   // no IP number, or the kernel has no room.
@@ -46,6 +46,7 @@
 
  private:
   std::shared_ptr<GossipSocketImpl> impl_;
+  uint16_t port_;
 };
 
 }  // namespace amaranth::pvt
--- a/src/libhost/peer_transport.h
+++ b/src/libhost/peer_transport.h
@@ -59,7 +59,7 @@
   PeerTransport& operator=(const PeerTransport&) = delete;
 
   // The port listened on.
-  uint16_t port() const;
+  uint16_t port() const { return port_; }
 
   // Ends in nothing, on_send_failed or on_lost. A port of 0 in `address` means
   // that the address is unknown: without an open link the send fails.
@@ -74,6 +74,7 @@
 
  private:
   std::shared_ptr<PeerTransportImpl> impl_;
+  uint16_t port_;
 };
 
 }  // namespace amaranth::pvt
