--- /dev/null
+++ b/testsuite/slot_queue.h
@@ -0,0 +1,53 @@
+#ifndef AMARANTHROUTE_TESTSUITE_SLOT_QUEUE_H_
+#define AMARANTHROUTE_TESTSUITE_SLOT_QUEUE_H_
+
+#include <condition_variable>
+#include <cstdint>
+#include <mutex>
+
+namespace amaranth::testsuite {
+
+// A backend server's worker slots with its backlog: first come, first served.
+class SlotQueue {
+ public:
+  explicit SlotQueue(uint32_t slots) : free_(slots) {}
+
+  // Blocks until a slot is free and everybody who came before has one.
+  void Acquire() {
+    std::unique_lock<std::mutex> lock(mutex_);
+    const uint64_t ticket = next_ticket_++;
+    changed_.wait(lock, [&] { return free_ > 0 && serving_ == ticket; });
+    --free_;
+    ++serving_;
+    changed_.notify_all();
+  }
+
+  void Release() {
+    std::lock_guard<std::mutex> lock(mutex_);
+    ++free_;
+    changed_.notify_all();
+  }
+
+ private:
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  uint32_t free_;
+  uint64_t next_ticket_ = 0;
+  uint64_t serving_ = 0;
+};
+
+// Holds one slot for its life.
+class SlotGuard {
+ public:
+  explicit SlotGuard(SlotQueue& slots) : slots_(slots) { slots_.Acquire(); }
+  ~SlotGuard() { slots_.Release(); }
+  SlotGuard(const SlotGuard&) = delete;
+  SlotGuard& operator=(const SlotGuard&) = delete;
+
+ private:
+  SlotQueue& slots_;
+};
+
+}  // namespace amaranth::testsuite
+
+#endif  // AMARANTHROUTE_TESTSUITE_SLOT_QUEUE_H_
