HTTP shells: RESTinio frontend and libcurl client on one io_context

RESTinio closes a connection that does not parse without a word, so the frontend gives it a socket that says 400/413/414/431/503 with a not-run verdict first. libcurl re-sends a request by itself when a pooled connection dies (seen: without the guard the stand-in got the second request twice, 3 requests for 2 calls); CURLOPT_PREREQFUNCTION now refuses any second sending. host_test: 27 tests pass.

--- /dev/null
+++ b/src/libhost/http_client_test.cc
@@ -0,0 +1,322 @@
+#include "libhost/http_client.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "libhost/test_io.h"
+
+namespace amaranth::pvt {
+namespace {
+
+constexpr Duration kPatience = std::chrono::seconds(10);
+
+bool IsWholeRequest(const RawPeer& peer) {
+  const size_t end = peer.received.find("\r\n\r\n");
+  if (end == std::string::npos) return false;
+  const size_t length = peer.received.find("Content-Length: ");
+  if (length == std::string::npos) return true;
+  const size_t size = std::stoul(peer.received.substr(length + 16));
+  return peer.received.size() >= end + 4 + size;
+}
+
+std::string Ok(const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\nX-Server: s\r\n\r\n" + body;
+}
+
+}  // namespace
+
+TEST_GROUP(HttpClient) {
+  asio::io_context io;
+  std::vector<std::string> seen;  // requests, whole, in order
+  std::vector<HttpClientResult> results;
+
+  bool Until(const std::function<bool()>& condition) {
+    return RunUntil(io, condition);
+  }
+
+  // Answers each whole request by what `answer` makes of it.
+  std::function<void(RawPeer&)> Answering(
+      const std::function<void(RawPeer&, const std::string&)>& answer) {
+    return [this, answer](RawPeer& peer) {
+      if (!IsWholeRequest(peer)) return;
+      seen.push_back(std::exchange(peer.received, {}));
+      answer(peer, seen.back());
+    };
+  }
+
+  HttpClient::Done Keep() {
+    return [this](HttpClientResult result) {
+      results.push_back(std::move(result));
+    };
+  }
+
+  static HttpRequest Post(std::string body) {
+    return {"POST", "/do", {{"X-Id", "7"}}, Body(std::move(body))};
+  }
+
+  // Sends to a server that answers with `text` and then closes.
+  HttpClientResult ResultOf(const std::string& text, HttpRequest request,
+                            HttpClientOptions options = {}) {
+    RawServer server(io, Answering([&](RawPeer& peer, const std::string&) {
+                       peer.Write(text);
+                       io.post([&peer] { peer.Close(); });
+                     }));
+    HttpClient client(io, options);
+    const size_t before = results.size();
+    client.Send({"127.0.0.1", server.port()}, std::move(request), kPatience,
+                Keep());
+    CHECK(Until([&] { return results.size() == before + 1; }));
+    return results.back();
+  }
+};
+
+TEST(HttpClient, SendsTheRequestAndReturnsTheWholeResponse) {
+  RawServer server(io, Answering([](RawPeer& peer, const std::string&) {
+                     peer.Write(Ok("hello"));
+                   }));
+  HttpClient client(io, {});
+  const Endpoint to{"127.0.0.1", server.port()};
+  client.Send(to, {"PUT", "/a/../b?c=%20", {{"X-Id", "7"}}, Body("data")},
+              kPatience, Keep());
+  CHECK(Until([&] { return results.size() == 1; }));
+  CHECK(results[0].response.has_value());
+  CHECK_EQUAL(200, results[0].response->status);
+  CHECK(results[0].response->body.view() == "hello");
+  CHECK(FindHeader(results[0].response->headers, "x-server") == "s");
+  CHECK(FindHeader(results[0].response->headers, "content-length").empty());
+  CHECK_EQUAL(0u, seen[0].find("PUT /a/../b?c=%20 HTTP/1.1\r\n"));
+  CHECK_EQUAL(1u, CountOf(seen[0], "X-Id: 7\r\n"));
+  CHECK_EQUAL(0u, CountOf(seen[0], "Expect"));
+  CHECK_EQUAL(0u, CountOf(seen[0], "Accept"));
+  CHECK_EQUAL(1u, CountOf(seen[0], "\r\n\r\ndata"));
+}
+
+TEST(HttpClient, ReusesConnectionsAndDropsIdleOnesWhenAsked) {
+  RawServer server(io, Answering([](RawPeer& peer, const std::string&) {
+                     peer.Write(Ok("x"));
+                   }));
+  HttpClient client(io, {});
+  const Endpoint to{"127.0.0.1", server.port()};
+  for (size_t i = 1; i <= 5; ++i) {
+    client.Send(to, Post("p"), kPatience, Keep());
+    CHECK(Until([&] { return results.size() == i; }));
+  }
+  CHECK_EQUAL(1u, client.connections_opened());
+  client.DropIdle(to);
+  client.Send(to, Post("p"), kPatience, Keep());
+  CHECK(Until([&] { return results.size() == 6; }));
+  CHECK(results[5].response.has_value());
+  CHECK_EQUAL(2u, client.connections_opened());
+}
+
+TEST(HttpClient, AllMethodsGoOutAsTheyAre) {
+  RawServer server(
+      io, Answering([](RawPeer& peer, const std::string& request) {
+        peer.Write(request.substr(0, 4) == "HEAD"
+                       ? "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n"
+                       : Ok("y"));
+      }));
+  HttpClient client(io, {});
+  for (const char* method :
+       {"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS", "GET"}) {
+    client.Send({"127.0.0.1", server.port()}, {method, "/m", {}, Body()},
+                kPatience, Keep());
+    CHECK(Until([&] { return results.size() == seen.size(); }));
+    CHECK(Until([&] { return client.in_flight() == 0; }));
+    CHECK_EQUAL(0u, seen.back().find(std::string(method) + " /m HTTP/1.1"));
+    CHECK(results.back().response.has_value());
+  }
+  CHECK(FindHeader(results[1].response->headers, "Content-Length") == "9");
+}
+
+TEST(HttpClient, NoConnectionMeansNotRun) {
+  // Nobody listens at the address: no byte of the request has left, so it may
+  // be retried elsewhere even if it is not idempotent.
+  uint16_t port = 0;
+  {
+    RawServer server(io, nullptr);
+    port = server.port();
+  }
+  HttpClient client(io, {});
+  client.Send({"127.0.0.1", port}, Post("p"), kPatience, Keep());
+  client.Send({"no-number", 80}, Post("p"), kPatience, Keep());
+  CHECK(Until([&] { return results.size() == 2; }));
+  for (const HttpClientResult& result : results) {
+    CHECK(result.verdict == Verdict::kNotRun);
+    CHECK(result.reason == Reason::kConnectFailed);
+  }
+}
+
+TEST(HttpClient, PooledConnectionThatDiesRunsThePostOnce) {
+  // The server takes a second request on a pooled connection, runs it, and
+  // dies without an answer. libcurl by itself would send it again on a fresh
+  // connection, and it would run twice. Expected: sent once, may have run.
+  RawServer server(io, Answering([this](RawPeer& peer, const std::string&) {
+                     if (seen.size() == 1) {
+                       peer.Write(Ok("first"));
+                     } else {
+                       peer.Close();
+                     }
+                   }));
+  HttpClient client(io, {});
+  const Endpoint to{"127.0.0.1", server.port()};
+  for (const char* method : {"POST", "GET", "DELETE"}) {
+    seen.clear();
+    results.clear();
+    client.Send(to, Post("a"), kPatience, Keep());
+    CHECK(Until([&] { return results.size() == 1; }));
+    client.Send(to, {method, "/second", {}, Body()}, kPatience, Keep());
+    CHECK(Until([&] { return results.size() == 2; }));
+    CHECK(!results[1].response.has_value());
+    CHECK(results[1].verdict == Verdict::kMayHaveRun);
+    CHECK(results[1].reason == Reason::kConnectionLost);
+    CHECK_EQUAL(2u, seen.size());
+  }
+}
+
+TEST(HttpClient, PooledConnectionClosedBeforeTheRequestIsReplaced) {
+  // The server closed the idle connection before the next request: that is
+  // seen before anything is sent, so the request goes on a fresh connection.
+  RawServer server(io, Answering([](RawPeer& peer, const std::string&) {
+                     peer.Write(Ok("z"));
+                   }));
+  HttpClient client(io, {});
+  const Endpoint to{"127.0.0.1", server.port()};
+  client.Send(to, Post("a"), kPatience, Keep());
+  CHECK(Until([&] { return results.size() == 1; }));
+  server.peers[0]->Close();
+  client.Send(to, Post("b"), kPatience, Keep());
+  CHECK(Until([&] { return results.size() == 2; }));
+  CHECK(results[1].response.has_value());
+  CHECK_EQUAL(2u, client.connections_opened());
+}
+
+TEST(HttpClient, TruncatedOrUnboundedBodyIsNeverWhole) {
+  // The server breaks off its answer: by length, inside a chunk, before the
+  // last chunk, or with no length at all, where whole and cut off look the
+  // same. The caller must never get such a body as an answer.
+  for (const std::string& text : {
+           std::string("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf"),
+           std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                       "8\r\nhalf"),
+           std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                       "4\r\nhalf\r\n"),
+           std::string("HTTP/1.1 200 OK\r\n\r\nhalf"),
+           std::string("HTTP/1.1 200 OK\r\nContent-Le"),
+       }) {
+    const HttpClientResult result = ResultOf(text, Post("p"));
+    CHECK(!result.response.has_value());
+    CHECK(result.verdict == Verdict::kMayHaveRun);
+    CHECK(result.reason == Reason::kServerError);
+  }
+}
+
+TEST(HttpClient, ChunkedAndInterimResponsesAreRead) {
+  const HttpClientResult chunked = ResultOf(
+      "HTTP/1.1 201 Created\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "4\r\nhalf\r\n4\r\nmore\r\n0\r\n\r\n",
+      Post("p"));
+  CHECK(chunked.response.has_value());
+  CHECK(chunked.response->body.view() == "halfmore");
+  const HttpClientResult interim = ResultOf(
+      "HTTP/1.1 102 Processing\r\nX-Not: 1\r\n\r\n" + Ok("real"), Post("p"));
+  CHECK(interim.response.has_value());
+  CHECK(FindHeader(interim.response->headers, "X-Not").empty());
+}
+
+TEST(HttpClient, RedirectIsPassedOnNotFollowed) {
+  const HttpClientResult result = ResultOf(
+      "HTTP/1.1 302 Found\r\nLocation: /x\r\nContent-Length: 0\r\n\r\n",
+      Post("p"));
+  CHECK(result.response.has_value());
+  CHECK_EQUAL(302, result.response->status);
+  CHECK_EQUAL(1u, seen.size());
+}
+
+TEST(HttpClient, TooLargeAnswerIsGivenUp) {
+  HttpClientOptions options;
+  options.max_response_bytes = 100;
+  const HttpClientResult result =
+      ResultOf(Ok(std::string(500, 'x')), Post("p"), options);
+  CHECK(result.verdict == Verdict::kMayHaveRun);
+  CHECK(result.reason == Reason::kTooLarge);
+}
+
+TEST(HttpClient, NonsenseInsteadOfHttpIsAServerError) {
+  const HttpClientResult result = ResultOf("SSH-2.0-what\r\n\r\n", Post("p"));
+  CHECK(!result.response.has_value());
+  CHECK(result.verdict == Verdict::kMayHaveRun);
+}
+
+TEST(HttpClient, CancelEndsOnceAndTheLateAnswerReachesNobody) {
+  // A request is cancelled while the server works on it; the server then
+  // answers. That answer must not be taken for the next request's.
+  std::vector<RawPeer*> waiting;
+  RawServer server(io, Answering([&](RawPeer& peer, const std::string&) {
+                     waiting.push_back(&peer);
+                   }));
+  HttpClient client(io, {});
+  const Endpoint to{"127.0.0.1", server.port()};
+  const uint64_t id = client.Send(to, Post("a"), kPatience, Keep());
+  CHECK(Until([&] { return waiting.size() == 1; }));
+  client.Cancel(id);
+  client.Cancel(id);
+  CHECK(Until([&] { return results.size() == 1; }));
+  CHECK(results[0].verdict == Verdict::kMayHaveRun);
+  waiting[0]->Write(Ok("late"));
+  client.Send(to, Post("b"), kPatience, Keep());
+  CHECK(Until([&] { return waiting.size() == 2; }));
+  waiting[1]->Write(Ok("own"));
+  CHECK(Until([&] { return results.size() == 2; }));
+  CHECK(results[1].response->body.view() == "own");
+  CHECK_EQUAL(2u, client.connections_opened());
+}
+
+TEST(HttpClient, TimeoutClosesTheConnection) {
+  // The server takes the request and stays silent. After the timeout it may
+  // have run, and its late answer must meet no later request.
+  RawServer server(io, Answering([this](RawPeer& peer, const std::string&) {
+                     if (seen.size() > 1) peer.Write(Ok("own"));
+                   }));
+  HttpClient client(io, {});
+  const Endpoint to{"127.0.0.1", server.port()};
+  client.Send(to, Post("a"), std::chrono::milliseconds(30), Keep());
+  CHECK(Until([&] { return results.size() == 1; }));
+  CHECK(results[0].verdict == Verdict::kMayHaveRun);
+  CHECK(results[0].reason == Reason::kConnectionLost);
+  client.Send(to, Post("b"), kPatience, Keep());
+  CHECK(Until([&] { return results.size() == 2; }));
+  CHECK(results[1].response.has_value());
+  CHECK_EQUAL(2u, client.connections_opened());
+}
+
+TEST(HttpClient, HeaderThatWouldSplitTheRequestIsNotSent) {
+  HttpClient client(io, {});
+  client.Send({"127.0.0.1", 1}, {"GET", "/", {{"X", "a\r\nX-Evil: 1"}}, Body()},
+              kPatience, Keep());
+  client.Send({"127.0.0.1", 1}, {"GET", "/ HTTP/1.1\r\nX: 1", {}, Body()},
+              kPatience, Keep());
+  CHECK(Until([&] { return results.size() == 2; }));
+  CHECK(results[0].verdict == Verdict::kNotRun);
+  CHECK(results[1].reason == Reason::kBadRequest);
+}
+
+TEST(HttpClient, SignedRequestCarriesAnAwsSignature) {
+  RawServer server(io, Answering([](RawPeer& peer, const std::string&) {
+                     peer.Write(Ok(""));
+                   }));
+  HttpClient client(io, {});
+  const Endpoint to{"127.0.0.1", server.port()};
+  const HttpSigning signing{"access", "secret", "local", "s3"};
+  client.SendSigned(to, {"PUT", "/bucket/key", {}, Body("object")}, kPatience,
+                    signing, Keep());
+  CHECK(Until([&] { return results.size() == 1; }));
+  CHECK_EQUAL(1u, CountOf(seen[0],
+                          "Authorization: AWS4-HMAC-SHA256 "
+                          "Credential=access/"));
+  client.Send(to, Post("plain"), kPatience, Keep());
+  CHECK(Until([&] { return results.size() == 2; }));
+  CHECK_EQUAL(0u, CountOf(seen[1], "Authorization"));
+}
+
+}  // namespace amaranth::pvt
--- /dev/null
+++ b/src/libhost/http_frontend.cc
@@ -0,0 +1,426 @@
+#include "libhost/http_frontend.h"
+
+#include <algorithm>
+#include <array>
+#include <asio/io_context.hpp>
+#include <asio/ip/address.hpp>
+#include <charconv>
+#include <restinio/http_server.hpp>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "libhost/framing.h"
+#include "libhost/frontend_socket.h"
+#include "libhost/refusal.h"
+
+namespace amaranth::pvt {
+namespace {
+
+// The reducer answers every call by its deadline, so RESTinio's own limit is
+// only a last net; an answer by it would carry no verdict.
+constexpr std::chrono::hours kHandlingLimit{24};
+
+class FrontendState;
+
+// RESTinio reports errors of a connection only by its log.
+class FrontendLogger {
+ public:
+  explicit FrontendLogger(FrontendState* state) : state_(state) {}
+
+  template <typename Builder>
+  void trace(Builder&&) const noexcept {}
+  template <typename Builder>
+  void info(Builder&&) const noexcept {}
+  template <typename Builder>
+  void warn(Builder&&) const noexcept {}
+  template <typename Builder>
+  void error(Builder&& builder) const {
+    Report(builder());
+  }
+
+ private:
+  void Report(const std::string& message) const;
+
+  FrontendState* state_;
+};
+
+class FrontendListener {
+ public:
+  explicit FrontendListener(FrontendState* state) : state_(state) {}
+
+  void state_changed(const restinio::connection_state::notice_t& notice);
+
+ private:
+  FrontendState* state_;
+};
+
+struct FrontendTraits
+    : restinio::traits_t<restinio::asio_timer_manager_t, FrontendLogger,
+                         restinio::details::autodetect_request_handler_type,
+                         restinio::noop_strand_t, FrontendSocket> {
+  using connection_state_listener_t = FrontendListener;
+  // The name is RESTinio's.
+  // NOLINTNEXTLINE(readability-identifier-naming)
+  static constexpr bool use_connection_count_limiter = true;
+};
+
+using Server = restinio::http_server_t<FrontendTraits>;
+
+struct OpenCall {
+  restinio::request_handle_t request;
+  uint64_t body_bytes = 0;
+};
+
+struct Connection {
+  std::vector<CallId> calls;
+  size_t unwritten = 0;
+};
+
+// RESTinio writes a shared buffer without copying it.
+class BodyBuffer {
+ public:
+  explicit BodyBuffer(Body body) : body_(std::move(body)) {}
+  const char* data() const { return body_.view().data(); }
+  size_t size() const { return body_.size(); }
+
+ private:
+  Body body_;
+};
+
+struct ParseFailure {
+  std::string_view mark;  // in RESTinio's log text
+  int status;
+  Reason reason;
+  std::string_view detail;
+};
+
+constexpr std::array<ParseFailure, 9> kParseFailures = {{
+    {"HPE_CB_url", 414, Reason::kTooLarge, "request target over the limit"},
+    {"HPE_CB_header_field", 431, Reason::kTooLarge,
+     "header name or count over the limit"},
+    {"HPE_CB_header_value", 431, Reason::kTooLarge,
+     "header value over the limit"},
+    {"HPE_HEADER_OVERFLOW", 431, Reason::kTooLarge, "headers over the limit"},
+    {"HPE_CB_headers_complete", 413, Reason::kTooLarge, "body over the limit"},
+    {"HPE_CB_body", 413, Reason::kTooLarge, "body over the limit"},
+    {"read socket error: No buffer space", 503, Reason::kTooLarge,
+     "no buffer memory left"},
+    {"read socket error: End of file", 400, Reason::kBadRequest,
+     "request cut short"},
+    {"parser error", 400, Reason::kBadRequest, "malformed HTTP"},
+}};
+
+const ParseFailure* FindParseFailure(std::string_view message) {
+  for (const ParseFailure& failure : kParseFailures) {
+    if (message.find(failure.mark) != std::string_view::npos) return &failure;
+  }
+  return nullptr;
+}
+
+// "[connection:12] ..." gives 12.
+uint64_t ConnectionOf(std::string_view message) {
+  constexpr std::string_view kPrefix = "[connection:";
+  uint64_t id = 0;
+  if (message.substr(0, kPrefix.size()) != kPrefix) return id;
+  for (const char c : message.substr(kPrefix.size())) {
+    if (c < '0' || c > '9') break;
+    id = id * 10 + static_cast<uint64_t>(c - '0');
+  }
+  return id;
+}
+
+HttpRequest ToRequest(const restinio::request_handle_t& from) {
+  HttpRequest request;
+  const restinio::http_request_header_t& header = from->header();
+  request.method = header.method().c_str();
+  request.target = header.request_target();
+  request.headers.reserve(header.fields_count());
+  header.for_each_field([&](const restinio::http_header_field_t& field) {
+    request.headers.push_back({field.name(), field.value()});
+  });
+  RemoveFramingHeaders(request.headers);
+  // RESTinio gives the body as const, but the request is ours alone: moving it
+  // out saves a second copy of every large body.
+  request.body = Body(std::move(const_cast<std::string&>(from->body())));
+  return request;
+}
+
+// The answer to HEAD has the length of the body that GET would bring, which
+// only the backend server knows.
+size_t LengthForHead(const HttpResponse& response) {
+  const std::string_view text = FindHeader(response.headers, "Content-Length");
+  size_t length = response.body.size();
+  std::from_chars(text.data(), text.data() + text.size(), length);
+  return length;
+}
+
+// The connections and open calls of one frontend. RESTinio's objects hold it
+// alive, so that a connection that outlives the frontend does no harm.
+class FrontendState {
+ public:
+  FrontendState(HttpFrontendOptions options, std::shared_ptr<HttpIntake> intake,
+                HttpFrontendHooks hooks)
+      : options_(std::move(options)),
+        intake_(std::move(intake)),
+        hooks_(std::move(hooks)) {}
+
+  const HttpFrontendOptions& options() const { return options_; }
+  size_t open_calls() const { return calls_.size(); }
+  size_t unwritten() const { return unwritten_; }
+
+  restinio::request_handling_status_t Take(
+      const restinio::request_handle_t& from) {
+    if (FrontendSocket::current) FrontendSocket::current->SettleParsed();
+    if (stopped_) return restinio::request_rejected();
+    const CallId call = intake_->next_call++;
+    const bool upgrade = from->header().connection() ==
+                         restinio::http_connection_header_t::upgrade;
+    HttpRequest request = ToRequest(from);
+    const uint64_t body_bytes = request.body.size();
+    calls_.emplace(call, OpenCall{from, body_bytes});
+    connections_[from->connection_id()].calls.push_back(call);
+    intake_->buffered_bytes += body_bytes;
+    if (upgrade) {
+      Refuse(call, 501, Reason::kBadRequest, "no protocol upgrades here");
+    } else if (intake_->buffered_bytes > intake_->max_buffered_bytes) {
+      Refuse(call, 503, Reason::kTooLarge, "no buffer memory left");
+    } else {
+      hooks_.on_request(call, std::move(request));
+    }
+    return restinio::request_accepted();
+  }
+
+  bool Answer(CallId call, const HttpResponse& response) {
+    return Write(call, response, closing_);
+  }
+
+  void OnClosed(uint64_t connection_id) {
+    const auto found = connections_.find(connection_id);
+    if (found == connections_.end()) return;
+    const Connection connection = std::move(found->second);
+    connections_.erase(found);
+    unwritten_ -= connection.unwritten;
+    for (const CallId call : connection.calls) {
+      Forget(call);
+      if (!stopped_) hooks_.on_gone(call);
+    }
+  }
+
+  // A refusal may only go out where no answer is due or half written: it would
+  // be taken for the answer to an earlier request on that connection.
+  void OnError(const std::string& message) {
+    const ParseFailure* failure = FindParseFailure(message);
+    if (failure == nullptr) return;
+    const auto found = connections_.find(ConnectionOf(message));
+    if (found != connections_.end() &&
+        (!found->second.calls.empty() || found->second.unwritten > 0)) {
+      return;
+    }
+    Farewell::pending = SerializeRefusal(MakeRefusal(
+        failure->status, failure->reason, options_.node_name, failure->detail));
+  }
+
+  void set_closing() { closing_ = true; }
+
+  void Stop() {
+    stopped_ = true;
+    closing_ = true;
+    for (const auto& [call, open] : calls_) {
+      intake_->buffered_bytes -= open.body_bytes;
+    }
+    calls_.clear();
+    connections_.clear();
+    unwritten_ = 0;
+    hooks_ = {};
+  }
+
+ private:
+  void Refuse(CallId call, int status, Reason reason, std::string_view detail) {
+    Write(call, MakeRefusal(status, reason, options_.node_name, detail), true);
+  }
+
+  bool Write(CallId call, const HttpResponse& response, bool close) {
+    const auto found = calls_.find(call);
+    if (found == calls_.end()) return false;
+    const restinio::request_handle_t request = found->second.request;
+    Forget(call);
+    Connection& connection = connections_[request->connection_id()];
+    connection.calls.erase(
+        std::remove(connection.calls.begin(), connection.calls.end(), call),
+        connection.calls.end());
+    ++connection.unwritten;
+    ++unwritten_;
+    if (request->header().method() == restinio::http_method_head()) {
+      WriteHead(*request, response, close);
+    } else {
+      WriteWhole(*request, response, close);
+    }
+    return true;
+  }
+
+  void Forget(CallId call) {
+    const auto found = calls_.find(call);
+    if (found == calls_.end()) return;
+    intake_->buffered_bytes -= found->second.body_bytes;
+    calls_.erase(found);
+  }
+
+  static restinio::http_status_line_t StatusLine(const HttpResponse& response) {
+    const bool valid = response.status >= 200 && response.status <= 999;
+    const int status = valid ? response.status : 500;
+    return {restinio::http_status_code_t(static_cast<uint16_t>(status)),
+            std::string(ReasonPhrase(status))};
+  }
+
+  template <typename Builder>
+  static void AddHeaders(Builder& builder, const HttpResponse& response,
+                         bool close) {
+    for (const Header& header : response.headers) {
+      if (IsFramingHeader(header.name) || !IsWritableHeader(header)) continue;
+      builder.append_header(header.name, header.value);
+    }
+    if (close) builder.connection_close();
+  }
+
+  restinio::write_status_cb_t WrittenHook(restinio::connection_id_t id) {
+    return [this, id](const asio::error_code&) {
+      const auto found = connections_.find(id);
+      if (found == connections_.end() || found->second.unwritten == 0) return;
+      --found->second.unwritten;
+      --unwritten_;
+    };
+  }
+
+  void WriteWhole(restinio::request_t& request, const HttpResponse& response,
+                  bool close) {
+    auto builder = request.create_response(StatusLine(response));
+    AddHeaders(builder, response, close);
+    builder.set_body(std::make_shared<BodyBuffer>(response.body));
+    builder.done(WrittenHook(request.connection_id()));
+  }
+
+  void WriteHead(restinio::request_t& request, const HttpResponse& response,
+                 bool close) {
+    auto builder = request.create_response<restinio::user_controlled_output_t>(
+        StatusLine(response));
+    AddHeaders(builder, response, close);
+    builder.set_content_length(LengthForHead(response));
+    builder.done(WrittenHook(request.connection_id()));
+  }
+
+  HttpFrontendOptions options_;
+  std::shared_ptr<HttpIntake> intake_;
+  HttpFrontendHooks hooks_;
+  std::unordered_map<CallId, OpenCall> calls_;
+  std::unordered_map<uint64_t, Connection> connections_;
+  size_t unwritten_ = 0;
+  bool closing_ = false;
+  bool stopped_ = false;
+};
+
+void FrontendLogger::Report(const std::string& message) const {
+  state_->OnError(message);
+}
+
+void FrontendListener::state_changed(
+    const restinio::connection_state::notice_t& notice) {
+  if (restinio::holds_alternative<restinio::connection_state::closed_t>(
+          notice.cause())) {
+    state_->OnClosed(notice.connection_id());
+  }
+}
+
+}  // namespace
+
+class HttpFrontend::Impl {
+ public:
+  Impl(asio::io_context& io, const Endpoint& listen,
+       std::shared_ptr<FrontendState> state)
+      : state_(std::move(state)),
+        server_(restinio::external_io_context(io), Settings(listen)) {
+    server_.open_sync();
+  }
+
+  FrontendState& state() { return *state_; }
+  uint16_t port() const { return port_; }
+  void CloseAcceptor() { server_.close_sync(); }
+
+ private:
+  restinio::server_settings_t<FrontendTraits> Settings(const Endpoint& listen) {
+    const HttpFrontendOptions& options = state_->options();
+    restinio::server_settings_t<FrontendTraits> settings;
+    const std::shared_ptr<FrontendState> state = state_;
+    settings.address(asio::ip::make_address(listen.ip))
+        .port(listen.port)
+        .logger(state.get())
+        .connection_state_listener(
+            std::make_shared<FrontendListener>(state.get()))
+        .request_handler([state](const restinio::request_handle_t& request) {
+          return state->Take(request);
+        })
+        .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor& acceptor) {
+          port_ = acceptor.local_endpoint().port();
+        })
+        .socket_options_setter([](restinio::socket_options_t& socket) {
+          socket.set_option(asio::ip::tcp::no_delay(true));
+        })
+        .incoming_http_msg_limits(
+            restinio::incoming_http_msg_limits_t{}
+                .max_url_size(options.max_url_bytes)
+                .max_field_name_size(options.max_header_bytes)
+                .max_field_value_size(options.max_header_bytes)
+                .max_field_count(options.max_header_count)
+                .max_body_size(options.max_body_bytes))
+        // RESTinio stops accepting for good when the process runs out of
+        // sockets; the limit keeps it from ever getting there.
+        .max_parallel_connections(options.max_connections)
+        .concurrent_accepts_count(4)
+        .max_pipelined_requests(options.max_pipelined)
+        .read_next_http_message_timelimit(options.read_timeout)
+        .write_http_response_timelimit(options.write_timeout)
+        .handle_request_timeout(kHandlingLimit);
+    return settings;
+  }
+
+  std::shared_ptr<FrontendState> state_;
+  uint16_t port_ = 0;
+  Server server_;
+};
+
+HttpFrontend::HttpFrontend(asio::io_context& io, const Endpoint& listen,
+                           HttpFrontendOptions options,
+                           std::shared_ptr<HttpIntake> intake,
+                           HttpFrontendHooks hooks) {
+  FrontendSocket::thread_intake = intake;
+  impl_ = std::make_shared<Impl>(
+      io, listen,
+      std::make_shared<FrontendState>(std::move(options), std::move(intake),
+                                      std::move(hooks)));
+}
+
+HttpFrontend::~HttpFrontend() { Stop(); }
+
+uint16_t HttpFrontend::port() const { return impl_->port(); }
+
+bool HttpFrontend::Answer(CallId call, const HttpResponse& response) {
+  return impl_->state().Answer(call, response);
+}
+
+size_t HttpFrontend::open_calls() const { return impl_->state().open_calls(); }
+
+size_t HttpFrontend::unwritten_answers() const {
+  return impl_->state().unwritten();
+}
+
+void HttpFrontend::StopAccepting() {
+  impl_->state().set_closing();
+  impl_->CloseAcceptor();
+}
+
+void HttpFrontend::Stop() {
+  impl_->CloseAcceptor();
+  impl_->state().Stop();
+}
+
+}  // namespace amaranth::pvt
