--- a/src/libnode/entry_role.h
+++ b/src/libnode/entry_role.h
@@ -71,7 +71,7 @@
 
  private:
   // entry_begin.cc: from the request to the first try.
-  void Begin(Waiter waiter, const HttpRequest& request,
+  void Begin(const Waiter& waiter, const HttpRequest& request,
              std::optional<Duration> remaining, Context& context);
   Outcome<Call> BuildCall(const HttpRequest& request,
                           const CallerHeaders& headers,
--- a/src/libnode/membership.h
+++ b/src/libnode/membership.h
@@ -69,6 +69,10 @@
   bool IsQuarantined(const std::string& service, uint64_t fingerprint) const {
     return quarantines_.Contains(service, fingerprint);
   }
+  // Crashes that the fleet knows of for a fingerprint: 1 makes it a suspect.
+  uint32_t CrashesOf(const std::string& service, uint64_t fingerprint) const {
+    return quarantines_.CrashesOf(service, fingerprint);
+  }
   std::vector<QuarantineRecord> quarantines() const {
     return quarantines_.All();
   }
