--- a/src/libhost/peer_transport.cc
+++ b/src/libhost/peer_transport.cc
@@ -175,7 +175,7 @@
 
 PeerTransportImpl::Link PeerTransportImpl::Dial(const std::string& peer,
                                                 const tcp::endpoint& address) {
-  const Link link = NewLink(tcp::socket(io_));
+  Link link = NewLink(tcp::socket(io_));
   peers_[peer].dialled = link;
   link->Dial(address, self_, limits_.connect_timeout);
   return link;
--- a/src/libwire/amaranth.thrift
+++ b/src/libwire/amaranth.thrift
@@ -79,7 +79,8 @@
   10: required i32 depth,
   11: required i64 remaining_us,
   12: required i32 retry_credits,
-  13: required i64 fingerprint
+  13: required i64 fingerprint,
+  14: required i32 suspected_crashes
 }
 
 struct LoadReport {
--- a/src/libwire/from_wire.cc
+++ b/src/libwire/from_wire.cc
@@ -68,6 +68,8 @@
   out.remaining = check.ToDuration(in.remaining_us, "remaining_us");
   out.retry_credits = check.Narrow<uint16_t>(in.retry_credits, "retry_credits");
   out.fingerprint = Unsigned(in.fingerprint);
+  out.suspected_crashes =
+      check.Narrow<uint8_t>(in.suspected_crashes, "suspected_crashes");
 }
 
 void FromWire(wire::LoadReport& in, LoadReport& out, RangeCheck& check) {
--- a/src/libwire/gen-cpp/amaranth_types.cpp
+++ b/src/libwire/gen-cpp/amaranth_types.cpp
@@ -1178,6 +1178,10 @@
 void CallContext::__set_fingerprint(const int64_t val) {
   this->fingerprint = val;
 }
+
+void CallContext::__set_suspected_crashes(const int32_t val) {
+  this->suspected_crashes = val;
+}
 std::ostream& operator<<(std::ostream& out, const CallContext& obj)
 {
   obj.printTo(out);
@@ -1210,6 +1214,7 @@
   bool isset_remaining_us = false;
   bool isset_retry_credits = false;
   bool isset_fingerprint = false;
+  bool isset_suspected_crashes = false;
 
   while (true)
   {
@@ -1323,6 +1328,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->suspected_crashes);
+          isset_suspected_crashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1358,6 +1371,8 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_fingerprint)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_suspected_crashes)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -1418,6 +1433,10 @@
   xfer += oprot->writeI64(this->fingerprint);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("suspected_crashes", ::apache::thrift::protocol::T_I32, 14);
+  xfer += oprot->writeI32(this->suspected_crashes);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1438,6 +1457,7 @@
   swap(a.remaining_us, b.remaining_us);
   swap(a.retry_credits, b.retry_credits);
   swap(a.fingerprint, b.fingerprint);
+  swap(a.suspected_crashes, b.suspected_crashes);
 }
 
 CallContext::CallContext(const CallContext& other40) {
@@ -1454,6 +1474,7 @@
   remaining_us = other40.remaining_us;
   retry_credits = other40.retry_credits;
   fingerprint = other40.fingerprint;
+  suspected_crashes = other40.suspected_crashes;
 }
 CallContext::CallContext(CallContext&& other41) noexcept {
   request_id = std::move(other41.request_id);
@@ -1469,6 +1490,7 @@
   remaining_us = other41.remaining_us;
   retry_credits = other41.retry_credits;
   fingerprint = other41.fingerprint;
+  suspected_crashes = other41.suspected_crashes;
 }
 CallContext& CallContext::operator=(const CallContext& other42) {
   request_id = other42.request_id;
@@ -1484,6 +1506,7 @@
   remaining_us = other42.remaining_us;
   retry_credits = other42.retry_credits;
   fingerprint = other42.fingerprint;
+  suspected_crashes = other42.suspected_crashes;
   return *this;
 }
 CallContext& CallContext::operator=(CallContext&& other43) noexcept {
@@ -1500,6 +1523,7 @@
   remaining_us = other43.remaining_us;
   retry_credits = other43.retry_credits;
   fingerprint = other43.fingerprint;
+  suspected_crashes = other43.suspected_crashes;
   return *this;
 }
 void CallContext::printTo(std::ostream& out) const {
@@ -1518,6 +1542,7 @@
   out << ", " << "remaining_us=" << to_string(remaining_us);
   out << ", " << "retry_credits=" << to_string(retry_credits);
   out << ", " << "fingerprint=" << to_string(fingerprint);
+  out << ", " << "suspected_crashes=" << to_string(suspected_crashes);
   out << ")";
 }
 
--- a/src/libwire/gen-cpp/amaranth_types.h
+++ b/src/libwire/gen-cpp/amaranth_types.h
@@ -469,7 +469,8 @@
                 depth(0),
                 remaining_us(0),
                 retry_credits(0),
-                fingerprint(0) {
+                fingerprint(0),
+                suspected_crashes(0) {
   }
 
   virtual ~CallContext() noexcept;
@@ -486,6 +487,7 @@
   int64_t remaining_us;
   int32_t retry_credits;
   int64_t fingerprint;
+  int32_t suspected_crashes;
 
   void __set_request_id(const std::string& val);
 
@@ -513,6 +515,8 @@
 
   void __set_fingerprint(const int64_t val);
 
+  void __set_suspected_crashes(const int32_t val);
+
   bool operator == (const CallContext & rhs) const
   {
     if (!(request_id == rhs.request_id))
@@ -541,6 +545,8 @@
       return false;
     if (!(fingerprint == rhs.fingerprint))
       return false;
+    if (!(suspected_crashes == rhs.suspected_crashes))
+      return false;
     return true;
   }
   bool operator != (const CallContext &rhs) const {
--- /dev/null
+++ b/src/libwire/generators_test.cc
@@ -0,0 +1,168 @@
+#include "libwire/generators.h"
+
+#include <string>
+#include <vector>
+
+namespace amaranth {
+namespace {
+
+template <typename T>
+T Any() {
+  return *rc::gen::arbitrary<T>();
+}
+
+std::string AnyLine() {
+  return *rc::gen::container<std::string>(rc::gen::inRange<char>(' ', '~'));
+}
+
+std::string AnyName() { return "n" + AnyLine(); }
+
+template <typename Enum>
+Enum AnyEnum(Enum last) {
+  return static_cast<Enum>(*rc::gen::inRange(0, static_cast<int>(last) + 1));
+}
+
+Duration AnyDuration() {
+  return Duration(*rc::gen::inRange<int64_t>(0, kMaxWireDuration.count() + 1));
+}
+
+template <typename Make>
+auto AnyList(Make make) -> std::vector<decltype(make())> {
+  std::vector<decltype(make())> list;
+  for (int left = *rc::gen::inRange(0, 4); left > 0; --left) {
+    list.push_back(make());
+  }
+  return list;
+}
+
+NodeRef AnyNode() { return {AnyName(), Any<uint64_t>()}; }
+
+Endpoint AnyEndpoint() { return {AnyLine(), Any<uint16_t>()}; }
+
+Header AnyHeader() { return {AnyName(), AnyLine()}; }
+
+HttpRequest AnyRequest() {
+  return {AnyName(), AnyLine(), AnyList(AnyHeader), Body(Any<std::string>())};
+}
+
+HttpResponse AnyResponse() {
+  return {*rc::gen::inRange(100, 1000), AnyList(AnyHeader),
+          Body(Any<std::string>())};
+}
+
+Failure AnyFailure() {
+  return {AnyEnum(Verdict::kRan), AnyEnum(Reason::kNotReady), AnyDuration(),
+          Any<bool>(), Any<std::string>()};
+}
+
+CallContext AnyContext() {
+  CallContext context;
+  context.request_id = Any<std::string>();
+  context.mesh = Any<std::string>();
+  context.service = Any<std::string>();
+  context.request_class = Any<std::string>();
+  context.tenant = Any<std::string>();
+  context.caller_key = Any<std::string>();
+  context.tier = AnyEnum(Tier::kCritical);
+  context.idempotent = Any<bool>();
+  context.long_work = Any<bool>();
+  context.depth = Any<uint8_t>();
+  context.remaining = AnyDuration();
+  context.retry_credits = Any<uint16_t>();
+  context.fingerprint = Any<uint64_t>();
+  context.suspected_crashes = Any<uint8_t>();
+  return context;
+}
+
+LoadReport AnyLoad() {
+  return {AnyName(),       Any<uint32_t>(), Any<uint32_t>(),
+          Any<uint32_t>(), Any<uint32_t>(), Any<uint32_t>()};
+}
+
+KeyClaim AnyClaim() { return {Any<uint64_t>(), Any<std::string>()}; }
+
+ClaimOutcome AnyOutcome() {
+  return {Any<uint64_t>(), Any<bool>(), AnyNode(), Any<uint64_t>()};
+}
+
+ServerRecord AnyServer() {
+  return {AnyName(), AnyName(), AnyEndpoint(), Any<uint32_t>(), Any<bool>()};
+}
+
+MemberRecord AnyMember() {
+  return {AnyNode(),     Any<uint64_t>(),   AnyEnum(MemberState::kLeft),
+          AnyName(),     AnyName(),         AnyEndpoint(),
+          AnyEndpoint(), AnyList(AnyServer)};
+}
+
+QuarantineRecord AnyQuarantine() {
+  return {AnyName(), Any<uint64_t>(), Any<uint32_t>()};
+}
+
+PeerMessage AnyMessage(size_t kind) {
+  switch (kind) {
+    case 0:
+      return Hello{AnyNode(), AnyName(), AnyName()};
+    case 1:
+      return CallForward{Any<uint64_t>(), AnyName(), AnyContext(),
+                         AnyRequest()};
+    case 2:
+      return CallAnswer{Any<uint64_t>(), Any<uint64_t>(), AnyResponse(),
+                        AnyFailure(),    Any<uint16_t>(), AnyLoad()};
+    case 3:
+      return CallCancel{Any<uint64_t>()};
+    case 4:
+      return HomeForward{Any<uint64_t>(), Any<uint64_t>(), AnyRequest(),
+                         AnyDuration()};
+    case 5:
+      return LinkPing{Any<uint64_t>()};
+    case 6:
+      return LinkPong{Any<uint64_t>()};
+    case 7:
+      return SettingsRequest{Any<uint64_t>()};
+    case 8:
+      return SettingsSnapshot{Any<uint64_t>(), Any<uint64_t>(),
+                              Any<std::string>()};
+    case 9:
+      return ClaimRequest{AnyNode(), AnyList(AnyClaim)};
+    case 10:
+      return ClaimReply{AnyList(AnyOutcome)};
+    default:
+      return MemberSync{Any<bool>(), AnyList(AnyMember), AnyList(AnyQuarantine),
+                        Any<uint64_t>()};
+  }
+}
+
+GossipMessage AnyGossip() {
+  GossipMessage message;
+  message.kind = AnyEnum(GossipKind::kPingRequest);
+  message.from = AnyNode();
+  message.from_address = AnyEndpoint();
+  message.sequence = Any<uint64_t>();
+  message.target = AnyLine();
+  message.target_address = AnyEndpoint();
+  message.settings_version = Any<uint64_t>();
+  message.membership_hash = Any<uint64_t>();
+  message.updates = AnyList(AnyMember);
+  message.quarantines = AnyList(AnyQuarantine);
+  return message;
+}
+
+}  // namespace
+}  // namespace amaranth
+
+namespace rc {
+
+Gen<amaranth::PeerMessage> Arbitrary<amaranth::PeerMessage>::arbitrary() {
+  return gen::exec([] {
+    const size_t kind =
+        *gen::inRange<size_t>(0, std::variant_size_v<amaranth::PeerMessage>);
+    return amaranth::AnyMessage(kind);
+  });
+}
+
+Gen<amaranth::GossipMessage> Arbitrary<amaranth::GossipMessage>::arbitrary() {
+  return gen::exec(amaranth::AnyGossip);
+}
+
+}  // namespace rc
--- a/src/libwire/to_wire.cc
+++ b/src/libwire/to_wire.cc
@@ -70,6 +70,7 @@
   out.remaining_us = Micros(in.remaining);
   out.retry_credits = in.retry_credits;
   out.fingerprint = Signed(in.fingerprint);
+  out.suspected_crashes = in.suspected_crashes;
 }
 
 void ToWire(const LoadReport& in, wire::LoadReport& out) {
