Wire: bucket hashes of MemberSync; a count of fields guards against forgotten ones

MemberSync gained a member that the codec did not know: it arrived empty and no test could see it. Now the build fails until the codec has it.

--- a/src/libwire/amaranth.thrift
+++ b/src/libwire/amaranth.thrift
@@ -193,7 +193,8 @@
   1: required bool reply_wanted,
   2: required list<MemberRecord> members,
   3: required list<QuarantineRecord> quarantines,
-  4: required i64 settings_version
+  4: required i64 settings_version,
+  5: required list<i32> bucket_hashes  // u32 with the same bits
 }
 
 struct Gossip {
--- a/src/libwire/check.cc
+++ b/src/libwire/check.cc
@@ -72,8 +72,10 @@
 }
 
 Outcome<void> Check(const MemberSync& message) {
-  size_t longest = std::max(message.members.size(), message.quarantines.size());
-  size_t all = message.members.size() + message.quarantines.size();
+  size_t longest = std::max({message.members.size(), message.quarantines.size(),
+                             message.bucket_hashes.size()});
+  size_t all = message.members.size() + message.quarantines.size() +
+               message.bucket_hashes.size();
   for (const MemberRecord& member : message.members) {
     longest = std::max(longest, member.servers.size());
     all += member.servers.size();
--- a/src/libwire/from_wire.cc
+++ b/src/libwire/from_wire.cc
@@ -198,6 +198,7 @@
   FromWireList(in.members, out.members, check);
   FromWireList(in.quarantines, out.quarantines, check);
   out.settings_version = Unsigned(in.settings_version);
+  out.bucket_hashes.assign(in.bucket_hashes.begin(), in.bucket_hashes.end());
 }
 
 void FromWire(wire::Gossip& in, GossipMessage& out, RangeCheck& check) {
--- a/src/libwire/gen-cpp/amaranth_types.cpp
+++ b/src/libwire/gen-cpp/amaranth_types.cpp
@@ -4259,6 +4259,10 @@
 void MemberSync::__set_settings_version(const int64_t val) {
   this->settings_version = val;
 }
+
+void MemberSync::__set_bucket_hashes(const std::vector<int32_t> & val) {
+  this->bucket_hashes = val;
+}
 std::ostream& operator<<(std::ostream& out, const MemberSync& obj)
 {
   obj.printTo(out);
@@ -4282,6 +4286,7 @@
   bool isset_members = false;
   bool isset_quarantines = false;
   bool isset_settings_version = false;
+  bool isset_bucket_hashes = false;
 
   while (true)
   {
@@ -4347,6 +4352,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->bucket_hashes.clear();
+            uint32_t _size140;
+            ::apache::thrift::protocol::TType _etype143;
+            xfer += iprot->readListBegin(_etype143, _size140);
+            this->bucket_hashes.resize(_size140);
+            uint32_t _i144;
+            for (_i144 = 0; _i144 < _size140; ++_i144)
+            {
+              xfer += iprot->readI32(this->bucket_hashes[_i144]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_bucket_hashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4364,6 +4389,8 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_settings_version)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_bucket_hashes)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -4379,10 +4406,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<MemberRecord> ::const_iterator _iter140;
-    for (_iter140 = this->members.begin(); _iter140 != this->members.end(); ++_iter140)
+    std::vector<MemberRecord> ::const_iterator _iter145;
+    for (_iter145 = this->members.begin(); _iter145 != this->members.end(); ++_iter145)
     {
-      xfer += (*_iter140).write(oprot);
+      xfer += (*_iter145).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4391,10 +4418,10 @@
   xfer += oprot->writeFieldBegin("quarantines", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantines.size()));
-    std::vector<QuarantineRecord> ::const_iterator _iter141;
-    for (_iter141 = this->quarantines.begin(); _iter141 != this->quarantines.end(); ++_iter141)
+    std::vector<QuarantineRecord> ::const_iterator _iter146;
+    for (_iter146 = this->quarantines.begin(); _iter146 != this->quarantines.end(); ++_iter146)
     {
-      xfer += (*_iter141).write(oprot);
+      xfer += (*_iter146).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4404,6 +4431,18 @@
   xfer += oprot->writeI64(this->settings_version);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("bucket_hashes", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->bucket_hashes.size()));
+    std::vector<int32_t> ::const_iterator _iter147;
+    for (_iter147 = this->bucket_hashes.begin(); _iter147 != this->bucket_hashes.end(); ++_iter147)
+    {
+      xfer += oprot->writeI32((*_iter147));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4415,32 +4454,37 @@
   swap(a.members, b.members);
   swap(a.quarantines, b.quarantines);
   swap(a.settings_version, b.settings_version);
-}
-
-MemberSync::MemberSync(const MemberSync& other142) {
-  reply_wanted = other142.reply_wanted;
-  members = other142.members;
-  quarantines = other142.quarantines;
-  settings_version = other142.settings_version;
-}
-MemberSync::MemberSync(MemberSync&& other143) noexcept {
-  reply_wanted = other143.reply_wanted;
-  members = std::move(other143.members);
-  quarantines = std::move(other143.quarantines);
-  settings_version = other143.settings_version;
-}
-MemberSync& MemberSync::operator=(const MemberSync& other144) {
-  reply_wanted = other144.reply_wanted;
-  members = other144.members;
-  quarantines = other144.quarantines;
-  settings_version = other144.settings_version;
+  swap(a.bucket_hashes, b.bucket_hashes);
+}
+
+MemberSync::MemberSync(const MemberSync& other148) {
+  reply_wanted = other148.reply_wanted;
+  members = other148.members;
+  quarantines = other148.quarantines;
+  settings_version = other148.settings_version;
+  bucket_hashes = other148.bucket_hashes;
+}
+MemberSync::MemberSync(MemberSync&& other149) noexcept {
+  reply_wanted = other149.reply_wanted;
+  members = std::move(other149.members);
+  quarantines = std::move(other149.quarantines);
+  settings_version = other149.settings_version;
+  bucket_hashes = std::move(other149.bucket_hashes);
+}
+MemberSync& MemberSync::operator=(const MemberSync& other150) {
+  reply_wanted = other150.reply_wanted;
+  members = other150.members;
+  quarantines = other150.quarantines;
+  settings_version = other150.settings_version;
+  bucket_hashes = other150.bucket_hashes;
   return *this;
 }
-MemberSync& MemberSync::operator=(MemberSync&& other145) noexcept {
-  reply_wanted = other145.reply_wanted;
-  members = std::move(other145.members);
-  quarantines = std::move(other145.quarantines);
-  settings_version = other145.settings_version;
+MemberSync& MemberSync::operator=(MemberSync&& other151) noexcept {
+  reply_wanted = other151.reply_wanted;
+  members = std::move(other151.members);
+  quarantines = std::move(other151.quarantines);
+  settings_version = other151.settings_version;
+  bucket_hashes = std::move(other151.bucket_hashes);
   return *this;
 }
 void MemberSync::printTo(std::ostream& out) const {
@@ -4450,6 +4494,7 @@
   out << ", " << "members=" << to_string(members);
   out << ", " << "quarantines=" << to_string(quarantines);
   out << ", " << "settings_version=" << to_string(settings_version);
+  out << ", " << "bucket_hashes=" << to_string(bucket_hashes);
   out << ")";
 }
 
@@ -4603,14 +4648,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->updates.clear();
-            uint32_t _size146;
-            ::apache::thrift::protocol::TType _etype149;
-            xfer += iprot->readListBegin(_etype149, _size146);
-            this->updates.resize(_size146);
-            uint32_t _i150;
-            for (_i150 = 0; _i150 < _size146; ++_i150)
+            uint32_t _size152;
+            ::apache::thrift::protocol::TType _etype155;
+            xfer += iprot->readListBegin(_etype155, _size152);
+            this->updates.resize(_size152);
+            uint32_t _i156;
+            for (_i156 = 0; _i156 < _size152; ++_i156)
             {
-              xfer += this->updates[_i150].read(iprot);
+              xfer += this->updates[_i156].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4623,14 +4668,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quarantines.clear();
-            uint32_t _size151;
-            ::apache::thrift::protocol::TType _etype154;
-            xfer += iprot->readListBegin(_etype154, _size151);
-            this->quarantines.resize(_size151);
-            uint32_t _i155;
-            for (_i155 = 0; _i155 < _size151; ++_i155)
+            uint32_t _size157;
+            ::apache::thrift::protocol::TType _etype160;
+            xfer += iprot->readListBegin(_etype160, _size157);
+            this->quarantines.resize(_size157);
+            uint32_t _i161;
+            for (_i161 = 0; _i161 < _size157; ++_i161)
             {
-              xfer += this->quarantines[_i155].read(iprot);
+              xfer += this->quarantines[_i161].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4711,10 +4756,10 @@
   xfer += oprot->writeFieldBegin("updates", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->updates.size()));
-    std::vector<MemberRecord> ::const_iterator _iter156;
-    for (_iter156 = this->updates.begin(); _iter156 != this->updates.end(); ++_iter156)
+    std::vector<MemberRecord> ::const_iterator _iter162;
+    for (_iter162 = this->updates.begin(); _iter162 != this->updates.end(); ++_iter162)
     {
-      xfer += (*_iter156).write(oprot);
+      xfer += (*_iter162).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4723,10 +4768,10 @@
   xfer += oprot->writeFieldBegin("quarantines", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantines.size()));
-    std::vector<QuarantineRecord> ::const_iterator _iter157;
-    for (_iter157 = this->quarantines.begin(); _iter157 != this->quarantines.end(); ++_iter157)
+    std::vector<QuarantineRecord> ::const_iterator _iter163;
+    for (_iter163 = this->quarantines.begin(); _iter163 != this->quarantines.end(); ++_iter163)
     {
-      xfer += (*_iter157).write(oprot);
+      xfer += (*_iter163).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4751,54 +4796,54 @@
   swap(a.quarantines, b.quarantines);
 }
 
-Gossip::Gossip(const Gossip& other158) {
-  kind = other158.kind;
-  source = other158.source;
-  source_address = other158.source_address;
-  sequence = other158.sequence;
-  target = other158.target;
-  target_address = other158.target_address;
-  settings_version = other158.settings_version;
-  membership_hash = other158.membership_hash;
-  updates = other158.updates;
-  quarantines = other158.quarantines;
-}
-Gossip::Gossip(Gossip&& other159) noexcept {
-  kind = other159.kind;
-  source = std::move(other159.source);
-  source_address = std::move(other159.source_address);
-  sequence = other159.sequence;
-  target = std::move(other159.target);
-  target_address = std::move(other159.target_address);
-  settings_version = other159.settings_version;
-  membership_hash = other159.membership_hash;
-  updates = std::move(other159.updates);
-  quarantines = std::move(other159.quarantines);
-}
-Gossip& Gossip::operator=(const Gossip& other160) {
-  kind = other160.kind;
-  source = other160.source;
-  source_address = other160.source_address;
-  sequence = other160.sequence;
-  target = other160.target;
-  target_address = other160.target_address;
-  settings_version = other160.settings_version;
-  membership_hash = other160.membership_hash;
-  updates = other160.updates;
-  quarantines = other160.quarantines;
+Gossip::Gossip(const Gossip& other164) {
+  kind = other164.kind;
+  source = other164.source;
+  source_address = other164.source_address;
+  sequence = other164.sequence;
+  target = other164.target;
+  target_address = other164.target_address;
+  settings_version = other164.settings_version;
+  membership_hash = other164.membership_hash;
+  updates = other164.updates;
+  quarantines = other164.quarantines;
+}
+Gossip::Gossip(Gossip&& other165) noexcept {
+  kind = other165.kind;
+  source = std::move(other165.source);
+  source_address = std::move(other165.source_address);
+  sequence = other165.sequence;
+  target = std::move(other165.target);
+  target_address = std::move(other165.target_address);
+  settings_version = other165.settings_version;
+  membership_hash = other165.membership_hash;
+  updates = std::move(other165.updates);
+  quarantines = std::move(other165.quarantines);
+}
+Gossip& Gossip::operator=(const Gossip& other166) {
+  kind = other166.kind;
+  source = other166.source;
+  source_address = other166.source_address;
+  sequence = other166.sequence;
+  target = other166.target;
+  target_address = other166.target_address;
+  settings_version = other166.settings_version;
+  membership_hash = other166.membership_hash;
+  updates = other166.updates;
+  quarantines = other166.quarantines;
   return *this;
 }
-Gossip& Gossip::operator=(Gossip&& other161) noexcept {
-  kind = other161.kind;
-  source = std::move(other161.source);
-  source_address = std::move(other161.source_address);
-  sequence = other161.sequence;
-  target = std::move(other161.target);
-  target_address = std::move(other161.target_address);
-  settings_version = other161.settings_version;
-  membership_hash = other161.membership_hash;
-  updates = std::move(other161.updates);
-  quarantines = std::move(other161.quarantines);
+Gossip& Gossip::operator=(Gossip&& other167) noexcept {
+  kind = other167.kind;
+  source = std::move(other167.source);
+  source_address = std::move(other167.source_address);
+  sequence = other167.sequence;
+  target = std::move(other167.target);
+  target_address = std::move(other167.target_address);
+  settings_version = other167.settings_version;
+  membership_hash = other167.membership_hash;
+  updates = std::move(other167.updates);
+  quarantines = std::move(other167.quarantines);
   return *this;
 }
 void Gossip::printTo(std::ostream& out) const {
--- a/src/libwire/gen-cpp/amaranth_types.h
+++ b/src/libwire/gen-cpp/amaranth_types.h
@@ -1458,6 +1458,7 @@
   std::vector<MemberRecord>  members;
   std::vector<QuarantineRecord>  quarantines;
   int64_t settings_version;
+  std::vector<int32_t>  bucket_hashes;
 
   void __set_reply_wanted(const bool val);
 
@@ -1467,6 +1468,8 @@
 
   void __set_settings_version(const int64_t val);
 
+  void __set_bucket_hashes(const std::vector<int32_t> & val);
+
   bool operator == (const MemberSync & rhs) const
   {
     if (!(reply_wanted == rhs.reply_wanted))
@@ -1477,6 +1480,8 @@
       return false;
     if (!(settings_version == rhs.settings_version))
       return false;
+    if (!(bucket_hashes == rhs.bucket_hashes))
+      return false;
     return true;
   }
   bool operator != (const MemberSync &rhs) const {
--- a/src/libwire/generators_test.cc
+++ b/src/libwire/generators_test.cc
@@ -99,6 +99,16 @@
   return {AnyName(), Any<uint64_t>(), Any<uint32_t>()};
 }
 
+MemberSync AnySync() {
+  MemberSync sync;
+  sync.reply_wanted = Any<bool>();
+  sync.bucket_hashes = AnyList(Any<uint32_t>);
+  sync.members = AnyList(AnyMember);
+  sync.quarantines = AnyList(AnyQuarantine);
+  sync.settings_version = Any<uint64_t>();
+  return sync;
+}
+
 PeerMessage AnyMessage(size_t kind) {
   switch (kind) {
     case 0:
@@ -128,8 +138,7 @@
     case 10:
       return ClaimReply{AnyList(AnyOutcome)};
     default:
-      return MemberSync{Any<bool>(), AnyList(AnyMember), AnyList(AnyQuarantine),
-                        Any<uint64_t>()};
+      return AnySync();
   }
 }
 
--- a/src/libwire/to_wire.cc
+++ b/src/libwire/to_wire.cc
@@ -1,11 +1,44 @@
 #include <algorithm>
+#include <tuple>
+#include <utility>
 
 #include "amaranthroute/wire.h"
+#include "libutil/fields.h"
 #include "libwire/convert.h"
 
 namespace amaranth::pvt {
 namespace {
 
+// A member added to a message and forgotten here would arrive as its default,
+// which no round trip of old members shows: so the count is checked, and the
+// one who raises it also adds the member to amaranth.thrift, to ToWire, to
+// FromWire and to the generators.
+template <typename Message, size_t count>
+constexpr bool HasFields =
+    std::tuple_size_v<decltype(Fields(std::declval<const Message&>()))> ==
+    count;
+
+static_assert(HasFields<CallContext, 14>);
+static_assert(HasFields<LoadReport, 6>);
+static_assert(HasFields<Hello, 3>);
+static_assert(HasFields<CallForward, 4>);
+static_assert(HasFields<CallAnswer, 6>);
+static_assert(HasFields<CallCancel, 1>);
+static_assert(HasFields<HomeForward, 4>);
+static_assert(HasFields<LinkPing, 1>);
+static_assert(HasFields<LinkPong, 1>);
+static_assert(HasFields<SettingsRequest, 1>);
+static_assert(HasFields<SettingsSnapshot, 3>);
+static_assert(HasFields<KeyClaim, 2>);
+static_assert(HasFields<ClaimRequest, 2>);
+static_assert(HasFields<ClaimOutcome, 4>);
+static_assert(HasFields<ClaimReply, 1>);
+static_assert(HasFields<ServerRecord, 5>);
+static_assert(HasFields<MemberRecord, 8>);
+static_assert(HasFields<QuarantineRecord, 3>);
+static_assert(HasFields<MemberSync, 5>);
+static_assert(HasFields<GossipMessage, 10>);
+
 int64_t Signed(uint64_t value) { return static_cast<int64_t>(value); }
 
 template <typename Enum>
@@ -194,6 +227,7 @@
   ToWireList(in.members, out.members);
   ToWireList(in.quarantines, out.quarantines);
   out.settings_version = Signed(in.settings_version);
+  out.bucket_hashes.assign(in.bucket_hashes.begin(), in.bucket_hashes.end());
 }
 
 void ToWire(const GossipMessage& in, wire::Gossip& out) {
