--- a/src/libwire/to_wire.cc
+++ b/src/libwire/to_wire.cc
@@ -14,30 +14,30 @@
 // one who raises it also adds the member to amaranth.thrift, to ToWire, to
 // FromWire and to the generators.
 template <typename Message, size_t count>
-constexpr bool HasFields =
+constexpr bool kHasFields =
     std::tuple_size_v<decltype(Fields(std::declval<const Message&>()))> ==
     count;
 
-static_assert(HasFields<CallContext, 14>);
-static_assert(HasFields<LoadReport, 6>);
-static_assert(HasFields<Hello, 3>);
-static_assert(HasFields<CallForward, 4>);
-static_assert(HasFields<CallAnswer, 6>);
-static_assert(HasFields<CallCancel, 1>);
-static_assert(HasFields<HomeForward, 4>);
-static_assert(HasFields<LinkPing, 1>);
-static_assert(HasFields<LinkPong, 1>);
-static_assert(HasFields<SettingsRequest, 1>);
-static_assert(HasFields<SettingsSnapshot, 3>);
-static_assert(HasFields<KeyClaim, 2>);
-static_assert(HasFields<ClaimRequest, 2>);
-static_assert(HasFields<ClaimOutcome, 4>);
-static_assert(HasFields<ClaimReply, 1>);
-static_assert(HasFields<ServerRecord, 5>);
-static_assert(HasFields<MemberRecord, 8>);
-static_assert(HasFields<QuarantineRecord, 3>);
-static_assert(HasFields<MemberSync, 5>);
-static_assert(HasFields<GossipMessage, 10>);
+static_assert(kHasFields<CallContext, 14>);
+static_assert(kHasFields<LoadReport, 6>);
+static_assert(kHasFields<Hello, 3>);
+static_assert(kHasFields<CallForward, 4>);
+static_assert(kHasFields<CallAnswer, 6>);
+static_assert(kHasFields<CallCancel, 1>);
+static_assert(kHasFields<HomeForward, 4>);
+static_assert(kHasFields<LinkPing, 1>);
+static_assert(kHasFields<LinkPong, 1>);
+static_assert(kHasFields<SettingsRequest, 1>);
+static_assert(kHasFields<SettingsSnapshot, 3>);
+static_assert(kHasFields<KeyClaim, 2>);
+static_assert(kHasFields<ClaimRequest, 2>);
+static_assert(kHasFields<ClaimOutcome, 4>);
+static_assert(kHasFields<ClaimReply, 1>);
+static_assert(kHasFields<ServerRecord, 5>);
+static_assert(kHasFields<MemberRecord, 8>);
+static_assert(kHasFields<QuarantineRecord, 3>);
+static_assert(kHasFields<MemberSync, 5>);
+static_assert(kHasFields<GossipMessage, 10>);
 
 int64_t Signed(uint64_t value) { return static_cast<int64_t>(value); }
 
