--- a/src/include/amaranthroute/settings.h
+++ b/src/include/amaranthroute/settings.h
@@ -131,7 +131,7 @@
   using Levels = std::map<std::string, Values>;
 
   SettingsTree();
-  explicit SettingsTree(Levels levels);
+  explicit SettingsTree(const Levels& levels);
 
   /// A tree in which `name` is `value` at `path`. Takes any text; Validate
   /// tells what is wrong with it.
--- a/src/libnode/membership_probe.cc
+++ b/src/libnode/membership_probe.cc
@@ -57,7 +57,7 @@
     std::shuffle(probe_order_.begin(), probe_order_.end(), context.random);
   }
   while (!probe_order_.empty()) {
-    const std::string name = probe_order_.back();
+    std::string name = std::move(probe_order_.back());
     probe_order_.pop_back();
     const MemberRecord* record = Find(name);
     if (record != nullptr && IsUp(*record)) return name;
--- a/src/libnode/membership_table.cc
+++ b/src/libnode/membership_table.cc
@@ -76,9 +76,9 @@
 
 const std::vector<ServerPlace>& MembershipTable::ServersOf(
     const std::string& service) const {
-  static const std::vector<ServerPlace> kNone;
+  static const std::vector<ServerPlace> none;
   const auto found = services_.find(service);
-  return found == services_.end() ? kNone : found->second;
+  return found == services_.end() ? none : found->second;
 }
 
 bool MembershipTable::ServiceKnown(const std::string& service) const {
--- a/src/libnode/settings_definitions.cc
+++ b/src/libnode/settings_definitions.cc
@@ -317,8 +317,8 @@
 }  // namespace
 
 const std::vector<SettingDefinition>& SettingDefinitions() {
-  static const std::vector<SettingDefinition> kRows = AllRows();
-  return kRows;
+  static const std::vector<SettingDefinition> rows = AllRows();
+  return rows;
 }
 
 const SettingDefinition* FindSetting(std::string_view name) {
--- a/src/libnode/settings_tree.cc
+++ b/src/libnode/settings_tree.cc
@@ -228,12 +228,12 @@
   }
 }
 
-SettingsTree::Levels Canonical(SettingsTree::Levels levels) {
+SettingsTree::Levels Canonical(const SettingsTree::Levels& levels) {
   SettingsTree::Levels canonical;
-  for (auto& [path, values] : levels) {
-    if (values.empty()) continue;
-    for (auto& [name, value] : values) value = CanonicalValue(name, value);
-    canonical.emplace(path, std::move(values));
+  for (const auto& [path, values] : levels) {
+    for (const auto& [name, value] : values) {
+      canonical[path][name] = CanonicalValue(name, value);
+    }
   }
   return canonical;
 }
@@ -259,8 +259,8 @@
 
 SettingsTree::SettingsTree() : SettingsTree(Levels()) {}
 
-SettingsTree::SettingsTree(Levels levels)
-    : levels_(std::make_shared<const Levels>(Canonical(std::move(levels)))) {}
+SettingsTree::SettingsTree(const Levels& levels)
+    : levels_(std::make_shared<const Levels>(Canonical(levels))) {}
 
 SettingsTree SettingsTree::Set(const std::string& path, const std::string& name,
                                const std::string& value) const {
@@ -282,7 +282,7 @@
       levels[change.path].erase(change.name);
     }
   }
-  return SettingsTree(std::move(levels));
+  return SettingsTree(levels);
 }
 
 std::vector<std::string> SettingsTree::Validate() const {
@@ -293,7 +293,10 @@
   }
   for (const auto& [path, values] : *levels_) {
     const std::string fault = PathFault(path);
-    if (!fault.empty()) faults.push_back("path \"" + path + "\" " + fault);
+    if (!fault.empty()) {
+      faults.push_back(std::string("path \"").append(path).append("\" ") +
+                       fault);
+    }
     for (const auto& [name, value] : values) {
       CheckValue(path, name, value, faults);
     }
@@ -369,7 +372,7 @@
       levels[path][name] = ToValue(value);
     }
   }
-  return SettingsTree(std::move(levels));
+  return SettingsTree(levels);
 }
 
 Outcome<std::vector<SettingsChange>> ParseSettingsChanges(
