--- /dev/null
+++ b/src/libnode/membership_property_test.cc
@@ -0,0 +1,115 @@
+#include <CppUTest/TestHarness.h>
+#include <rapidcheck.h>
+
+#include <string>
+#include <vector>
+
+#include "libnode/membership_fleet.h"
+
+namespace amaranth::pvt {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int kNodes = 6;
+
+struct Step {
+  int action = 0;
+  int node = 0;
+  int time_ms = 0;
+};
+
+void showValue(const Step& step, std::ostream& out) {
+  out << "{" << step.action << " node " << step.node << " " << step.time_ms
+      << " ms}";
+}
+
+std::string Name(int index) { return "n" + std::to_string(index); }
+
+void Apply(MembershipFleet& fleet, const Step& step) {
+  const std::string name = Name(step.node);
+  MembershipFleet::Host& host = fleet.host(name);
+  switch (step.action) {
+    case 0:
+      host.island = 1 - host.island;
+      break;
+    case 1:
+      if (host.running) fleet.Pause(name);
+      break;
+    case 2:
+      if (host.running) fleet.Resume(name);
+      break;
+    case 3:
+      fleet.Kill(name);
+      break;
+    case 4:
+      fleet.Restart(name);
+      break;
+    case 5:
+      if (!host.running || host.paused) break;
+      fleet.Do(name, [](Membership& m, Context& context) {
+        m.AnnounceServer({"s", "catalogue", {"127.0.0.1", 80}, 10, false},
+                         context);
+      });
+      break;
+    default:
+      if (!host.running || host.paused) break;
+      fleet.Do(name, [](Membership& m, Context& context) {
+        m.SetServerDraining("s", context);
+      });
+      break;
+  }
+  fleet.Run(milliseconds(step.time_ms));
+}
+
+rc::Gen<Step> AnyStep() {
+  return rc::gen::build<Step>(
+      rc::gen::set(&Step::action, rc::gen::inRange(0, 7)),
+      rc::gen::set(&Step::node, rc::gen::inRange(0, kNodes)),
+      rc::gen::set(&Step::time_ms, rc::gen::inRange(0, 8000)));
+}
+
+void Heal(MembershipFleet& fleet) {
+  fleet.loss = 0;
+  for (auto& [name, host] : fleet.hosts()) {
+    host.island = 0;
+    if (host.running) fleet.Resume(name);
+  }
+}
+
+}  // namespace
+
+TEST_GROUP(MembershipProperties){};
+
+// Whatever is cut, paused, killed and restarted in whatever order under loss,
+// no node's view of a member goes back, and once all is whole again every node
+// sees exactly those that run.
+TEST(MembershipProperties, VersionsRiseAndViewsMeet) {
+  CHECK(rc::check("versions rise, views meet", [] {
+    const uint64_t seed = *rc::gen::arbitrary<uint64_t>();
+    const auto steps = *rc::gen::container<std::vector<Step>>(AnyStep());
+    MembershipFleet fleet(seed);
+    fleet.loss = 0.1;
+    fleet.duplication = 0.1;
+    for (int i = 0; i < kNodes; ++i) {
+      fleet.Add(Name(i), i % 2 == 0 ? "derby" : "telford",
+                i == 0 ? std::vector<std::string>()
+                       : std::vector<std::string>{Name(0), Name(1)});
+    }
+    fleet.Run(seconds(5));
+    for (const Step& step : steps) Apply(fleet, step);
+    Heal(fleet);
+    // Somebody of each data centre has to be left to judge the others.
+    for (int i = 0; i < 2; ++i) {
+      if (!fleet.host(Name(i)).running) fleet.Restart(Name(i));
+    }
+    const bool met =
+        fleet.RunUntil([&] { return fleet.AgreesWithTruth(); }, seconds(90));
+    RC_ASSERT(met);
+    RC_ASSERT(fleet.versions_rose);
+  }));
+}
+
+}  // namespace amaranth::pvt
--- a/src/libnode/membership_settings.cmake
+++ b/src/libnode/membership_settings.cmake
@@ -11,4 +11,6 @@
     settings_document.cc
     settings_store.cc
     settings_tree.cc)
-set(AMARANTH_MEMBERSHIP_SETTINGS_TESTS)
+set(AMARANTH_MEMBERSHIP_SETTINGS_TESTS
+    membership_property_test.cc
+    membership_test.cc)
