--- a/src/libnode/settings_tree.cc
+++ b/src/libnode/settings_tree.cc
@@ -293,7 +293,10 @@
   }
   for (const auto& [path, values] : *levels_) {
     const std::string fault = PathFault(path);
-    if (!fault.empty()) faults.push_back("path \"" + path + "\" " + fault);
+    if (!fault.empty()) {
+      faults.push_back(std::string("path \"").append(path).append("\" ") +
+                       fault);
+    }
     for (const auto& [name, value] : values) {
       CheckValue(path, name, value, faults);
     }
