Platform client over DynamoDB JSON and S3, platform stand-in

Claims are inserted in transactions of up to 100 rows; rows that others hold are dropped, lost answers are read back, and only a call that provably never left ends as unreachable.

--- a/src/include/amaranthroute/platform_client.h
+++ b/src/include/amaranthroute/platform_client.h
@@ -22,11 +22,13 @@
   std::string access_key;
   std::string secret_key;
   std::string region;
+  /// Set by PlatformClient for each call: "dynamodb" or "s3".
+  std::string service;
 
   friend bool operator==(const PlatformCredentials& a,
                          const PlatformCredentials& b) {
     return a.access_key == b.access_key && a.secret_key == b.secret_key &&
-           a.region == b.region;
+           a.region == b.region && a.service == b.service;
   }
   friend bool operator!=(const PlatformCredentials& a,
                          const PlatformCredentials& b) {
@@ -55,8 +57,9 @@
   double reads_per_second = 100;
 };
 
-/// Makes one HTTP call. The credentials are null if it is not to be signed;
-/// they outlive the call. The callback runs once, on any later turn or at once.
+/// Makes one HTTP call. The credentials are null if it is not to be signed (no
+/// access key was given); they live as long as the PlatformClient. The callback
+/// runs once, on any later turn or at once.
 using HttpCall = std::function<void(
     const Endpoint& endpoint, HttpRequest request, Duration timeout,
     const PlatformCredentials* credentials, HttpClientCallback done)>;
@@ -78,7 +81,8 @@
   /// Answers `done` exactly once. Over this node's budget the answer is
   /// kUnreachable at once: nothing was sent. Requests pending when the client
   /// is destroyed are never answered.
-  void Call(PlatformRequest request, std::function<void(PlatformReply)> done);
+  void Call(const PlatformRequest& request,
+            std::function<void(PlatformReply)> done);
 
  private:
   class Impl;
--- /dev/null
+++ b/src/libplatform/platform_client.cc
@@ -0,0 +1,79 @@
+#include "amaranthroute/platform_client.h"
+
+#include <utility>
+
+#include "libplatform/object_store.h"
+#include "libplatform/table_store.h"
+
+namespace amaranth {
+namespace {
+
+TimePoint SteadyNow() {
+  return TimePoint(std::chrono::duration_cast<Duration>(
+      std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+}  // namespace
+
+class PlatformClient::Impl {
+ public:
+  explicit Impl(std::shared_ptr<pvt::PlatformLink> link)
+      : table_(link), objects_(std::move(link)) {}
+
+  void Call(const PlatformRequest& request, pvt::PlatformDone done) {
+    std::visit(
+        [&](const auto& alternative) { Start(alternative, std::move(done)); },
+        request);
+  }
+
+ private:
+  void Start(const TableClaimRows& request, pvt::PlatformDone done) {
+    table_.Claim(request, std::move(done));
+  }
+  void Start(const TableReadHead&, pvt::PlatformDone done) {
+    table_.ReadHead(std::move(done));
+  }
+  void Start(const TableMoveHead& request, pvt::PlatformDone done) {
+    table_.MoveHead(request, std::move(done));
+  }
+  void Start(const TableReadChange& request, pvt::PlatformDone done) {
+    table_.ReadChange(request, std::move(done));
+  }
+  void Start(const TableReadPeers&, pvt::PlatformDone done) {
+    table_.ReadPeers(std::move(done));
+  }
+  void Start(const TableWritePeer& request, pvt::PlatformDone done) {
+    table_.WritePeer(request, std::move(done));
+  }
+  void Start(const ObjectPut& request, pvt::PlatformDone done) {
+    objects_.Put(request, std::move(done));
+  }
+  void Start(const ObjectGet& request, pvt::PlatformDone done) {
+    objects_.Get(request, std::move(done));
+  }
+
+  pvt::TableStore table_;
+  pvt::ObjectStore objects_;
+};
+
+PlatformClient::PlatformClient(PlatformOptions options, HttpCall http_call)
+    : PlatformClient(std::move(options), std::move(http_call), SteadyNow) {}
+
+PlatformClient::PlatformClient(PlatformOptions options, HttpCall http_call,
+                               NowFunction now)
+    : impl_(std::make_shared<Impl>(std::make_shared<pvt::PlatformLink>(
+          std::move(options), std::move(http_call), std::move(now)))) {}
+
+PlatformClient::~PlatformClient() = default;
+
+// The reply reaches `done` only while the client lives: a late HTTP answer
+// must not call into an owner that is gone.
+void PlatformClient::Call(const PlatformRequest& request,
+                          std::function<void(PlatformReply)> done) {
+  impl_->Call(request, [alive = std::weak_ptr<Impl>(impl_),
+                        done = std::move(done)](PlatformReply reply) {
+    if (alive.lock()) done(std::move(reply));
+  });
+}
+
+}  // namespace amaranth
--- /dev/null
+++ b/src/libplatform/table_store.cc
@@ -0,0 +1,183 @@
+#include "libplatform/table_store.h"
+
+#include <utility>
+
+#include "libplatform/claim_run.h"
+
+namespace amaranth::pvt {
+namespace {
+
+// Pages of the peer list that are read: far more than a fleet's rows fill, and
+// an end to it should the service page without one.
+constexpr int kMaxPeerPages = 20;
+
+PlatformStatus StatusOf(TableResult result) {
+  switch (result) {
+    case TableResult::kDone:
+      return PlatformStatus::kOk;
+    case TableResult::kCancelled:
+    case TableResult::kRefused:
+    case TableResult::kNotSent:
+      return PlatformStatus::kUnreachable;
+    case TableResult::kLost:
+      break;
+  }
+  return PlatformStatus::kUnknown;
+}
+
+PlatformReply RowReply(const ItemsAnswer& answer) {
+  PlatformReply reply = ReplyOf(StatusOf(answer.result));
+  if (answer.result != TableResult::kDone) return reply;
+  if (answer.items.empty()) {
+    reply.status = PlatformStatus::kNotFound;
+    return reply;
+  }
+  reply.version = answer.items.front().version;
+  reply.bytes = answer.items.front().text;
+  return reply;
+}
+
+// Rows: the head, then the change row.
+PlatformReply MoveReply(const TransactAnswer& answer, uint64_t version) {
+  PlatformReply reply = ReplyOf(StatusOf(answer.result));
+  if (answer.result == TableResult::kDone) reply.version = version;
+  if (answer.result != TableResult::kCancelled) return reply;
+  const CancelledRow& head = answer.rows[0];
+  const CancelledRow& change = answer.rows[1];
+  if (change.old_item && change.old_item->version == version) {
+    // The same move was made before and only its answer was lost.
+    reply.status = PlatformStatus::kOk;
+    reply.version = version;
+  } else if (head.result == RowResult::kConditionFailed ||
+             change.result == RowResult::kConditionFailed) {
+    reply.status = PlatformStatus::kConditionFailed;
+    if (head.old_item) reply.version = head.old_item->version;
+  }
+  return reply;
+}
+
+// Collects the peer list page by page.
+class PeerList : public std::enable_shared_from_this<PeerList> {
+ public:
+  PeerList(std::shared_ptr<PlatformLink> link, std::string partition,
+           PlatformDone done)
+      : link_(std::move(link)),
+        partition_(std::move(partition)),
+        done_(std::move(done)) {}
+
+  void ReadPage(const std::optional<TableKey>& behind) {
+    if (pages_++ == kMaxPeerPages || !link_->TakeReads(1)) {
+      done_(ReplyOf(PlatformStatus::kUnreachable));
+      return;
+    }
+    link_->CallTable(
+        QueryRequest(link_->options().table, partition_, behind),
+        [self = shared_from_this()](const HttpClientResult& result) {
+          self->OnPage(ReadQueryAnswer(result));
+        });
+  }
+
+ private:
+  void OnPage(const ItemsAnswer& answer) {
+    if (answer.result != TableResult::kDone) {
+      done_(ReplyOf(StatusOf(answer.result)));
+      return;
+    }
+    for (const TableItem& item : answer.items) {
+      reply_.peers.push_back(item.key.sort + "=" + item.text);
+    }
+    if (answer.next) {
+      ReadPage(answer.next);
+      return;
+    }
+    reply_.status = PlatformStatus::kOk;
+    done_(std::move(reply_));
+  }
+
+  const std::shared_ptr<PlatformLink> link_;
+  const std::string partition_;
+  const PlatformDone done_;
+  PlatformReply reply_;
+  int pages_ = 0;
+};
+
+}  // namespace
+
+TableStore::TableStore(std::shared_ptr<PlatformLink> link)
+    : link_(std::move(link)) {}
+
+void TableStore::Claim(const TableClaimRows& request, PlatformDone done) {
+  std::make_shared<ClaimRun>(link_, request, std::move(done))->Start();
+}
+
+void TableStore::ReadHead(PlatformDone done) {
+  ReadRow(HeadKey(), std::move(done));
+}
+
+void TableStore::MoveHead(const TableMoveHead& move, PlatformDone done) {
+  ConditionalPut head;
+  head.item = {HeadKey(), move.object, move.version};
+  if (move.expected_version != 0) {
+    head.condition = PutCondition::kVersionIs;
+    head.expected_version = move.expected_version;
+  }
+  ConditionalPut change;
+  change.item = {ChangeKey(move.change_id), move.object, move.version};
+  const std::vector<ConditionalPut> puts = {head, change};
+  if (!link_->TakeWrites(puts.size())) {
+    done(ReplyOf(PlatformStatus::kUnreachable));
+    return;
+  }
+  link_->CallTable(
+      TransactPutRequest(table(), puts),
+      [done = std::move(done), version = move.version,
+       count = puts.size()](const HttpClientResult& result) {
+        done(MoveReply(ReadTransactAnswer(result, count), version));
+      });
+}
+
+void TableStore::ReadChange(const TableReadChange& read, PlatformDone done) {
+  ReadRow(ChangeKey(read.change_id), std::move(done));
+}
+
+void TableStore::ReadPeers(PlatformDone done) {
+  std::make_shared<PeerList>(link_, PeerPartition(), std::move(done))
+      ->ReadPage(std::nullopt);
+}
+
+void TableStore::WritePeer(const TableWritePeer& peer, PlatformDone done) {
+  if (!link_->TakeWrites(1)) {
+    done(ReplyOf(PlatformStatus::kUnreachable));
+    return;
+  }
+  const TableItem item = {{PeerPartition(), peer.name}, peer.address, 0};
+  link_->CallTable(PutRequest(table(), item),
+                   [done = std::move(done)](const HttpClientResult& result) {
+                     done(ReplyOf(StatusOf(ReadPutAnswer(result))));
+                   });
+}
+
+void TableStore::ReadRow(const TableKey& key, PlatformDone done) {
+  if (!link_->TakeReads(1)) {
+    done(ReplyOf(PlatformStatus::kUnreachable));
+    return;
+  }
+  link_->CallTable(GetRequest(table(), key),
+                   [done = std::move(done)](const HttpClientResult& result) {
+                     done(RowReply(ReadGetAnswer(result)));
+                   });
+}
+
+TableKey TableStore::HeadKey() const {
+  return {link_->options().fleet + "/settings", "head"};
+}
+
+TableKey TableStore::ChangeKey(const std::string& change_id) const {
+  return {link_->options().fleet + "/change/" + change_id, "row"};
+}
+
+std::string TableStore::PeerPartition() const {
+  return link_->options().fleet + "/peers";
+}
+
+}  // namespace amaranth::pvt
