--- a/src/libplatform/platform_client_test.cc
+++ b/src/libplatform/platform_client_test.cc
@@ -86,9 +86,10 @@
   return options;
 }
 
-PlatformReply CallAndWait(PlatformClient& client, PlatformRequest request) {
+PlatformReply CallAndWait(PlatformClient& client,
+                          const PlatformRequest& request) {
   std::optional<PlatformReply> reply;
-  client.Call(std::move(request),
+  client.Call(request,
               [&](PlatformReply answer) { reply = std::move(answer); });
   CHECK(reply.has_value());
   return reply.value_or(PlatformReply());
@@ -108,8 +109,8 @@
   FakePlatform platform_;
   PlatformClient client_{Options(), platform_.Way(), platform_.Clock()};
 
-  PlatformReply Ask(PlatformRequest request) {
-    return CallAndWait(client_, std::move(request));
+  PlatformReply Ask(const PlatformRequest& request) {
+    return CallAndWait(client_, request);
   }
 };
 
