--- a/src/include/amaranthroute/messages.h
+++ b/src/include/amaranthroute/messages.h
@@ -42,6 +42,8 @@
   Duration remaining{0};       ///< until the request's deadline
   uint16_t retry_credits = 0;  ///< lent to this hop's subtree
   uint64_t fingerprint = 0;    ///< of the request's content, for crash-makers
+  /// Tries of this request so far whose backend server broke the connection.
+  uint8_t suspected_crashes = 0;
 };
 
 /// Load of one backend server, piggybacked on each answer.
@@ -175,9 +177,13 @@
   uint32_t crashes = 0;
 };
 
-/// Whole-state exchange over TCP: at join, and between data centres.
+/// Exchange of member records over TCP: at join, for repair, and between data
+/// centres. With `bucket_hashes` only the records of buckets that differ are
+/// sent back; without them, all.
 struct MemberSync {
   bool reply_wanted = false;
+  /// Hash of the sender's records whose name falls in each bucket, or empty.
+  std::vector<uint32_t> bucket_hashes;
   std::vector<MemberRecord> members;
   std::vector<QuarantineRecord> quarantines;
   uint64_t settings_version = 0;
