--- /dev/null
+++ b/src/libhost/host.cc
@@ -0,0 +1,348 @@
+#include "libhost/host.h"
+
+#include <algorithm>
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+#include <chrono>
+#include <csignal>
+#include <deque>
+#include <stdexcept>
+#include <unordered_map>
+#include <utility>
+#include <variant>
+
+#include "libhost/gossip_socket.h"
+#include "libhost/peer_transport.h"
+
+namespace amaranth::pvt {
+namespace {
+
+// How often, and for how long, the end of the process waits for answers that
+// the kernel has not taken yet.
+constexpr std::chrono::milliseconds kFlushCheck{5};
+constexpr std::chrono::seconds kFlushLimit{5};
+
+// The machine's clock counts finer and so overflows sooner than the reducer's;
+// a far alarm is reached in several sleeps.
+constexpr std::chrono::hours kLongestSleep{1};
+
+// The monotonic clock of the machine: the only clock that the reducer sees.
+TimePoint Now() {
+  return TimePoint(std::chrono::duration_cast<Duration>(
+      std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+std::chrono::steady_clock::time_point ToSteady(TimePoint at) {
+  return std::chrono::steady_clock::time_point(at.time_since_epoch());
+}
+
+// Names the port in the error: "address in use" alone helps nobody.
+template <typename Make>
+auto Bind(const char* what, const Endpoint& listen, Make make) {
+  try {
+    return make();
+  } catch (const std::exception& error) {
+    throw std::runtime_error(std::string("cannot listen for ") + what + " on " +
+                             ToString(listen) + ": " + error.what());
+  }
+}
+
+}  // namespace
+
+class Host::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(asio::io_context& io, HostOptions options, HostHooks hooks)
+      : io_(io),
+        options_(std::move(options)),
+        hooks_(std::move(hooks)),
+        log_(options_.log),
+        wake_timer_(io),
+        flush_timer_(io),
+        signals_(io),
+        client_(io, options_.client) {}
+
+  // Hooks hold this object weakly: the shells are its members.
+  void Open() {
+    intake_ = std::make_shared<HttpIntake>();
+    intake_->max_buffered_bytes = options_.max_buffered_bytes;
+    callers_ = OpenFrontend<CallerRequest>("callers", options_.caller_listen);
+    operators_ =
+        OpenFrontend<OperatorRequest>("operators", options_.operator_listen);
+    peers_ = Bind("peers", options_.peer_listen, [&] {
+      return std::make_unique<PeerTransport>(
+          io_, options_.self, options_.peer_listen, PeerEvents());
+    });
+    gossip_ = Bind("gossip", options_.gossip_listen, [&] {
+      return std::make_unique<GossipSocket>(
+          io_, options_.gossip_listen,
+          [this](const Endpoint& from, GossipMessage message) {
+            Post(GossipReceived{from, std::move(message)});
+          });
+    });
+    ports_ = {callers_->port(), operators_->port(), peers_->port(),
+              gossip_->port()};
+  }
+
+  const HostPorts& ports() const { return ports_; }
+  bool exited() const { return exited_; }
+
+  void Start() {
+    reducer_ = hooks_.make_reducer(ports_);
+    reducing_ = true;
+    CarryOut(reducer_.start(Now()));
+    started_ = true;
+    Pump();
+  }
+
+  void RequestStop() {
+    if (std::exchange(stop_requested_, true)) {
+      io_.stop();
+      return;
+    }
+    Post(StopRequested{});
+  }
+
+  void HandleSignals() {
+    signals_.add(SIGTERM);
+    signals_.add(SIGINT);
+    AwaitSignal();
+  }
+
+  void Stop() {
+    if (std::exchange(stopped_, true)) return;
+    wake_timer_.cancel();
+    flush_timer_.cancel();
+    signals_.cancel();
+    if (callers_) callers_->Stop();
+    if (operators_) operators_->Stop();
+    if (peers_) peers_->Stop();
+    if (gossip_) gossip_->Stop();
+  }
+
+  void Do(AnswerCaller& effect) {
+    if (callers_->Answer(effect.call, effect.response)) return;
+    operators_->Answer(effect.call, effect.response);
+  }
+
+  void Do(SendPeer& effect) {
+    peers_->Send(effect.peer, effect.address, std::move(effect.message));
+  }
+
+  void Do(ClosePeer& effect) { peers_->Close(effect.peer); }
+
+  void Do(SendGossip& effect) { gossip_->Send(effect.to, effect.message); }
+
+  void Do(SendServer& effect) {
+    const uint64_t dispatch = effect.dispatch;
+    const uint64_t sent = client_.Send(
+        effect.address, std::move(effect.request), effect.timeout,
+        [weak = weak_from_this(), dispatch](HttpClientResult result) {
+          const std::shared_ptr<Impl> self = weak.lock();
+          if (!self) return;
+          self->dispatches_.erase(dispatch);
+          self->OnServerResult(dispatch, std::move(result));
+        });
+    dispatches_.emplace(dispatch, sent);
+  }
+
+  void Do(CancelServer& effect) {
+    const auto found = dispatches_.find(effect.dispatch);
+    if (found != dispatches_.end()) client_.Cancel(found->second);
+  }
+
+  void Do(DropIdleConnections& effect) { client_.DropIdle(effect.address); }
+
+  void Do(SendPlatform& effect) {
+    const PlatformOpId op = effect.op;
+    if (!hooks_.platform) {
+      PlatformReply reply;
+      reply.status = PlatformStatus::kUnreachable;
+      Post(PlatformReplied{op, reply});
+      return;
+    }
+    hooks_.platform(std::move(effect.request),
+                    [weak = weak_from_this(), op](PlatformReply reply) {
+                      const std::shared_ptr<Impl> self = weak.lock();
+                      if (self)
+                        self->Post(PlatformReplied{op, std::move(reply)});
+                    });
+  }
+
+  // The reducer moves its alarm with almost every event. A timer that is set
+  // to an earlier moment is left alone, and set anew when it comes: moving the
+  // kernel's timer each time costs a system call per event.
+  void Do(WakeAt& effect) {
+    wake_at_ = effect.at;
+    if (wake_at_ < armed_at_) ArmTimer();
+  }
+
+  void Do(WriteLog& effect) { log_.Write(Now(), effect); }
+
+  void Do(ExitProcess&) {
+    callers_->StopAccepting();
+    operators_->StopAccepting();
+    flush_until_ = std::chrono::steady_clock::now() + kFlushLimit;
+    AwaitFlush();
+  }
+
+ private:
+  template <typename EventType>
+  std::unique_ptr<HttpFrontend> OpenFrontend(const char* what,
+                                             const Endpoint& listen) {
+    HttpFrontendHooks hooks;
+    hooks.on_request = [this](CallId call, HttpRequest request) {
+      Post(EventType{call, std::move(request)});
+    };
+    hooks.on_gone = [this](CallId call) { Post(CallerGone{call}); };
+    return Bind(what, listen, [&] {
+      return std::make_unique<HttpFrontend>(io_, listen, options_.frontend,
+                                            intake_, std::move(hooks));
+    });
+  }
+
+  PeerHooks PeerEvents() {
+    PeerHooks hooks;
+    hooks.on_message = [this](const NodeRef& peer, PeerMessage message) {
+      Post(PeerReceived{peer, std::move(message)});
+    };
+    hooks.on_lost = [this](const std::string& peer) { Post(PeerLost{peer}); };
+    hooks.on_send_failed = [this](const std::string& peer,
+                                  PeerMessage message) {
+      Post(PeerSendFailed{peer, std::move(message)});
+    };
+    return hooks;
+  }
+
+  void OnServerResult(uint64_t dispatch, HttpClientResult result) {
+    if (result.response) {
+      Post(ServerReplied{dispatch, std::move(*result.response)});
+    } else {
+      Post(ServerFailed{dispatch, result.verdict, result.reason});
+    }
+  }
+
+  // An effect may bring an event while effects are carried out (an answer to a
+  // connection that just broke). It waits its turn: Reduce is never entered
+  // twice, and effects stay in order.
+  void Post(EventBody body) {
+    if (stopped_) return;
+    events_.push_back(Event{Now(), std::move(body)});
+    if (started_ && !reducing_) Pump();
+  }
+
+  void Pump() {
+    reducing_ = true;
+    while (!events_.empty() && !stopped_) {
+      const Event event = std::move(events_.front());
+      events_.pop_front();
+      if (hooks_.record) hooks_.record(event);
+      CarryOut(reducer_.reduce(event));
+    }
+    reducing_ = false;
+  }
+
+  void CarryOut(Effects effects) {
+    for (Effect& effect : effects) {
+      std::visit([this](auto& one) { Do(one); }, effect);
+    }
+  }
+
+  void ArmTimer() {
+    armed_at_ = wake_at_;
+    const TimePoint at = std::min(wake_at_, Now() + kLongestSleep);
+    wake_timer_.expires_at(ToSteady(at));
+    wake_timer_.async_wait(
+        [weak = weak_from_this()](const asio::error_code& error) {
+          const std::shared_ptr<Impl> self = weak.lock();
+          if (self && !error) self->OnTimer();
+        });
+  }
+
+  void OnTimer() {
+    armed_at_ = kNever;
+    if (wake_at_ == kNever) return;
+    if (wake_at_ > Now()) {
+      ArmTimer();
+      return;
+    }
+    wake_at_ = kNever;
+    Post(Tick{});
+  }
+
+  void AwaitSignal() {
+    signals_.async_wait(
+        [weak = weak_from_this()](const asio::error_code& error, int) {
+          const std::shared_ptr<Impl> self = weak.lock();
+          if (error || !self) return;
+          self->AwaitSignal();
+          self->RequestStop();
+        });
+  }
+
+  bool Flushed() const {
+    return callers_->unwritten_answers() + operators_->unwritten_answers() == 0;
+  }
+
+  void AwaitFlush() {
+    if (Flushed() || std::chrono::steady_clock::now() > flush_until_) {
+      exited_ = true;
+      io_.stop();
+      return;
+    }
+    flush_timer_.expires_after(kFlushCheck);
+    flush_timer_.async_wait(
+        [weak = weak_from_this()](const asio::error_code& error) {
+          const std::shared_ptr<Impl> self = weak.lock();
+          if (self && !error) self->AwaitFlush();
+        });
+  }
+
+  asio::io_context& io_;
+  HostOptions options_;
+  HostHooks hooks_;
+  LogSink log_;
+  HostReducer reducer_;
+  HostPorts ports_;
+
+  std::deque<Event> events_;
+  bool started_ = false;
+  bool reducing_ = false;
+  bool stop_requested_ = false;
+  bool stopped_ = false;
+  bool exited_ = false;
+
+  asio::steady_timer wake_timer_;
+  TimePoint wake_at_ = kNever;   // as the reducer asked
+  TimePoint armed_at_ = kNever;  // as the timer is set
+  asio::steady_timer flush_timer_;
+  std::chrono::steady_clock::time_point flush_until_;
+  asio::signal_set signals_;
+
+  std::shared_ptr<HttpIntake> intake_;
+  std::unordered_map<uint64_t, uint64_t> dispatches_;  // to the client's ids
+  std::unique_ptr<HttpFrontend> callers_;
+  std::unique_ptr<HttpFrontend> operators_;
+  std::unique_ptr<PeerTransport> peers_;
+  std::unique_ptr<GossipSocket> gossip_;
+  HttpClient client_;
+};
+
+Host::Host(asio::io_context& io, HostOptions options, HostHooks hooks)
+    : impl_(std::make_shared<Impl>(io, std::move(options), std::move(hooks))) {
+  impl_->Open();
+}
+
+Host::~Host() { impl_->Stop(); }
+
+const HostPorts& Host::ports() const { return impl_->ports(); }
+
+void Host::Start() { impl_->Start(); }
+
+void Host::RequestStop() { impl_->RequestStop(); }
+
+void Host::HandleSignals() { impl_->HandleSignals(); }
+
+bool Host::exited() const { return impl_->exited(); }
+
+}  // namespace amaranth::pvt
--- /dev/null
+++ b/src/libhost/host.h
@@ -0,0 +1,92 @@
+#ifndef AMARANTHROUTE_LIBHOST_HOST_H_
+#define AMARANTHROUTE_LIBHOST_HOST_H_
+
+// Joins the reducer with the I/O shells: turns what the shells see into events
+// with the time, and carries out the effects in order. Decides nothing.
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "amaranthroute/effect.h"
+#include "amaranthroute/event.h"
+#include "amaranthroute/ids.h"
+#include "amaranthroute/messages.h"
+#include "amaranthroute/platform.h"
+#include "libhost/http_client.h"
+#include "libhost/http_frontend.h"
+#include "libhost/log_sink.h"
+
+namespace asio {
+class io_context;
+}  // namespace asio
+
+namespace amaranth::pvt {
+
+// Where to listen; port 0 takes any free one.
+struct HostOptions {
+  Hello self;
+  Endpoint caller_listen;
+  Endpoint operator_listen;
+  Endpoint peer_listen;
+  Endpoint gossip_listen;
+  HttpFrontendOptions frontend;
+  uint64_t max_buffered_bytes = 64ull << 20;
+  HttpClientOptions client;
+  LogSinkOptions log;
+};
+
+// The ports really bound.
+struct HostPorts {
+  uint16_t caller = 0;
+  uint16_t operators = 0;
+  uint16_t peer = 0;
+  uint16_t gossip = 0;
+};
+
+// What the host drives: a Node, or a fake in tests.
+struct HostReducer {
+  std::function<Effects(TimePoint)> start;
+  std::function<Effects(const Event&)> reduce;
+};
+
+struct HostHooks {
+  // Called once, when all ports are bound.
+  std::function<HostReducer(const HostPorts&)> make_reducer;
+  // Ends in one call of the given function; unset means no platform.
+  std::function<void(PlatformRequest, std::function<void(PlatformReply)>)>
+      platform;
+  // Sees each event before it is reduced; unset means no recording.
+  std::function<void(const Event&)> record;
+};
+
+class Host {
+ public:
+  // Binds all ports; throws std::exception naming the first that fails.
+  Host(asio::io_context& io, HostOptions options, HostHooks hooks);
+  ~Host();
+  Host(const Host&) = delete;
+  Host& operator=(const Host&) = delete;
+
+  const HostPorts& ports() const;
+
+  // Starts the reducer. Events that came before it wait for it.
+  void Start();
+
+  // The first call asks the reducer to stop gracefully, the second stops the
+  // loop at once. Called on SIGTERM and SIGINT by HandleSignals.
+  void RequestStop();
+  void HandleSignals();
+
+  // True once the reducer ended the process and all answers are written.
+  bool exited() const;
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace amaranth::pvt
+
+#endif  // AMARANTHROUTE_LIBHOST_HOST_H_
