--- /dev/null
+++ b/src/amaranthd/main.cc
@@ -0,0 +1,134 @@
+// The node program: reads its options, joins the reducer with the shells, and
+// runs until it is asked to stop.
+//
+// Exit codes: 0 drained and ended, 1 stopped at once (second signal) or could
+// not start, 2 options are wrong.
+
+#include <unistd.h>
+
+#include <asio/io_context.hpp>
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "amaranthd/options.h"
+#include "amaranthroute/reducer.h"
+#include "libhost/host.h"
+
+namespace amaranth::pvt {
+namespace {
+
+constexpr int kExitDone = 0;
+constexpr int kExitFailed = 1;
+constexpr int kExitUsage = 2;
+
+// Later starts on one host get higher numbers as long as its wall clock does
+// not go back by more than the time between two starts.
+uint64_t NewIncarnation() {
+  return static_cast<uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+// Renamed into place, so that a reader never sees half of it.
+void WritePortsFile(const std::string& path, const NodeIdentity& identity,
+                    const HostPorts& ports) {
+  const nlohmann::json text = {
+      {"node", identity.node.name}, {"incarnation", identity.node.incarnation},
+      {"pid", ::getpid()},          {"ip", identity.peer_address.ip},
+      {"caller", ports.caller},     {"operator", ports.operators},
+      {"peer", ports.peer},         {"gossip", ports.gossip}};
+  const std::string partial = path + ".partial";
+  std::ofstream(partial) << text.dump() << "\n";
+  if (std::rename(partial.c_str(), path.c_str()) != 0) {
+    throw std::runtime_error("cannot write " + path);
+  }
+}
+
+HostOptions ToHostOptions(const DaemonOptions& options) {
+  HostOptions host;
+  host.self = Hello{options.identity.node, options.identity.fleet,
+                    options.identity.data_centre};
+  host.caller_listen = {options.ip, options.caller_port};
+  host.operator_listen = {options.ip, options.operator_port};
+  host.peer_listen = {options.ip, options.peer_port};
+  host.gossip_listen = {options.ip, options.gossip_port};
+  host.frontend.node_name = options.identity.node.name;
+  host.frontend.max_body_bytes = options.identity.max_body_bytes;
+  host.max_buffered_bytes = options.identity.max_buffered_bytes;
+  host.client.max_response_bytes = options.identity.max_body_bytes;
+  host.log.level = options.log_level;
+  host.log.format = options.log_format;
+  host.log.node = options.identity.node.name;
+  return host;
+}
+
+// The node is made when the ports are bound: it tells its peers of them.
+HostReducer MakeReducer(NodeIdentity identity, const std::string& ip,
+                        const std::string& ports_file, const HostPorts& ports) {
+  identity.peer_address = {ip, ports.peer};
+  identity.gossip_address = {ip, ports.gossip};
+  const auto node = std::make_shared<Node>(identity);
+  if (!ports_file.empty()) WritePortsFile(ports_file, identity, ports);
+  HostReducer reducer;
+  reducer.start = [node](TimePoint now) { return node->Start(now); };
+  reducer.reduce = [node](const Event& event) { return node->Reduce(event); };
+  return reducer;
+}
+
+std::function<void(const Event&)> Recorder(const std::string& path) {
+  if (path.empty()) return nullptr;
+  const auto file = std::make_shared<std::ofstream>(path, std::ios::app);
+  if (!*file) throw std::runtime_error("cannot write " + path);
+  return [file](const Event& event) { *file << event << "\n"; };
+}
+
+int Run(const DaemonOptions& options) {
+  asio::io_context io(1);
+  HostHooks hooks;
+  hooks.make_reducer = [&options](const HostPorts& ports) {
+    return MakeReducer(options.identity, options.ip, options.ports_file, ports);
+  };
+  hooks.record = Recorder(options.record_file);
+  Host host(io, ToHostOptions(options), std::move(hooks));
+  host.HandleSignals();
+  host.Start();
+  io.run();
+  return host.exited() ? kExitDone : kExitFailed;
+}
+
+int Main(int argc, const char* const* argv) {
+  ParsedOptions parsed = ParseDaemonOptions(
+      argc, argv,
+      [](const char* name) -> const char* { return std::getenv(name); });
+  if (!parsed.text.empty()) {
+    std::cout << parsed.text;
+    return kExitDone;
+  }
+  for (const std::string& error : parsed.errors) {
+    std::cerr << "amaranthd: " << error << "\n";
+  }
+  if (!parsed.errors.empty()) return kExitUsage;
+  NodeIdentity& identity = parsed.options.identity;
+  identity.node.incarnation = NewIncarnation();
+  if (identity.random_seed == 0) {
+    identity.random_seed = identity.node.incarnation;
+  }
+  try {
+    return Run(parsed.options);
+  } catch (const std::exception& error) {
+    std::cerr << "amaranthd: " << error.what() << "\n";
+    return kExitFailed;
+  }
+}
+
+}  // namespace
+}  // namespace amaranth::pvt
+
+int main(int argc, char** argv) { return amaranth::pvt::Main(argc, argv); }
