--- /dev/null
+++ b/src/bench/echo_server.cc
@@ -0,0 +1,171 @@
+// A backend server that does nothing but echo, for measuring the time that the
+// system adds. It announces itself to its node, answers each request with its
+// token, and says how many times it ran that token.
+
+#include <algorithm>
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <chrono>
+#include <cstdint>
+#include <cxxopts.hpp>
+#include <iostream>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "libhost/http_client.h"
+#include "libhost/http_frontend.h"
+
+namespace amaranth::bench {
+namespace {
+
+constexpr std::chrono::milliseconds kAnnouncePeriod{500};
+constexpr Duration kAnnounceTimeout = std::chrono::seconds(1);
+
+struct Options {
+  std::string ip;
+  std::string name;
+  std::string service;
+  uint32_t slots = 0;
+  uint16_t port = 0;
+  Endpoint node;
+  std::chrono::microseconds work{0};
+};
+
+// How many times each token ran. A token is run << 32 | sequence.
+class RunCounts {
+ public:
+  unsigned Add(uint64_t token) {
+    const uint64_t sequence = token & 0xffffffffu;
+    if (sequence > kMaxSequence) return 0;
+    std::vector<uint8_t>& counts = runs_[token >> 32];
+    if (counts.size() <= sequence) counts.resize(2 * sequence + 1024);
+    return ++counts[sequence];
+  }
+
+ private:
+  static constexpr uint64_t kMaxSequence = 50'000'000;
+
+  std::unordered_map<uint64_t, std::vector<uint8_t>> runs_;
+};
+
+class EchoServer {
+ public:
+  EchoServer(asio::io_context& io, Options options)
+      : io_(io),
+        options_(std::move(options)),
+        client_(io, {}),
+        announce_timer_(io) {
+    pvt::HttpFrontendHooks hooks;
+    hooks.on_request = [this](CallId call, const HttpRequest& request) {
+      Run(call, request);
+    };
+    hooks.on_gone = [](CallId) {};
+    frontend_ = std::make_unique<pvt::HttpFrontend>(
+        io, Endpoint{options_.ip, options_.port}, pvt::HttpFrontendOptions{},
+        std::make_shared<pvt::HttpIntake>(), std::move(hooks));
+  }
+
+  uint16_t port() const { return frontend_->port(); }
+
+  void Announce() {
+    if (options_.node.port == 0) return;
+    const Endpoint own{options_.ip, port()};
+    const nlohmann::json body = {{"server", options_.name},
+                                 {"service", options_.service},
+                                 {"address", ToString(own)},
+                                 {"slots", options_.slots}};
+    client_.Send(options_.node,
+                 {"POST", "/amaranth/v1/announce", {}, Body(body.dump())},
+                 kAnnounceTimeout, [](const HttpClientResult&) {});
+    announce_timer_.expires_after(kAnnouncePeriod);
+    announce_timer_.async_wait([this](const asio::error_code& error) {
+      if (!error) Announce();
+    });
+  }
+
+ private:
+  void Run(CallId call, const HttpRequest& request) {
+    if (options_.work.count() == 0) {
+      Echo(call, request);
+      return;
+    }
+    const auto timer = std::make_shared<asio::steady_timer>(io_, options_.work);
+    timer->async_wait([this, timer, call, request](const asio::error_code&) {
+      Echo(call, request);
+    });
+  }
+
+  void Echo(CallId call, const HttpRequest& request) {
+    const std::string token(FindHeader(request.headers, "X-Token"));
+    HttpResponse response;
+    const uint64_t number = std::strtoull(token.c_str(), nullptr, 10);
+    response.headers = {{"X-Echo-Token", token},
+                        {"X-Echo-Runs", std::to_string(counts_.Add(number))}};
+    response.body = request.body.size() > 0 ? request.body : Body(token);
+    frontend_->Answer(call, response);
+  }
+
+  asio::io_context& io_;
+  Options options_;
+  pvt::HttpClient client_;
+  asio::steady_timer announce_timer_;
+  std::unique_ptr<pvt::HttpFrontend> frontend_;
+  RunCounts counts_;
+};
+
+Endpoint ToEndpoint(const std::string& text) {
+  const size_t colon = text.rfind(':');
+  if (colon == std::string::npos) return {};
+  return {text.substr(0, colon),
+          static_cast<uint16_t>(std::stoul(text.substr(colon + 1)))};
+}
+
+Options Parse(int argc, char** argv) {
+  cxxopts::Options flags("echo_server", "A backend server that echoes.");
+  cxxopts::OptionAdder add = flags.add_options();
+  add("ip", "listen here",
+      cxxopts::value<std::string>()->default_value("127.0.0.1"));
+  add("port", "0 takes any", cxxopts::value<uint16_t>()->default_value("0"));
+  add("name", "server name",
+      cxxopts::value<std::string>()->default_value("echo-1"));
+  add("service", "service",
+      cxxopts::value<std::string>()->default_value("echo"));
+  add("slots", "slots", cxxopts::value<uint32_t>()->default_value("1000"));
+  add("node", "ip:port of the node to announce to; none if empty",
+      cxxopts::value<std::string>()->default_value(""));
+  add("work-us", "time for each request",
+      cxxopts::value<int64_t>()->default_value("0"));
+  const cxxopts::ParseResult given = flags.parse(argc, argv);
+  Options options;
+  options.ip = given["ip"].as<std::string>();
+  options.port = given["port"].as<uint16_t>();
+  options.name = given["name"].as<std::string>();
+  options.service = given["service"].as<std::string>();
+  options.slots = given["slots"].as<uint32_t>();
+  options.node = ToEndpoint(given["node"].as<std::string>());
+  options.work = std::chrono::microseconds(given["work-us"].as<int64_t>());
+  return options;
+}
+
+int Main(int argc, char** argv) {
+  try {
+    asio::io_context io(1);
+    EchoServer server(io, Parse(argc, argv));
+    std::cout << server.port() << std::endl;
+    server.Announce();
+    io.run();
+    return 0;
+  } catch (const std::exception& error) {
+    std::cerr << "echo_server: " << error.what() << "\n";
+    return 1;
+  }
+}
+
+}  // namespace
+}  // namespace amaranth::bench
+
+int main(int argc, char** argv) { return amaranth::bench::Main(argc, argv); }
