--- a/src/amaranthd/main.cc
+++ b/src/amaranthd/main.cc
@@ -19,6 +19,7 @@
 #include "amaranthd/options.h"
 #include "amaranthroute/reducer.h"
 #include "libhost/host.h"
+#include "libhost/platform_bridge.h"
 
 namespace amaranth::pvt {
 namespace {
@@ -89,9 +90,29 @@
   return [file](const Event& event) { *file << event << "\n"; };
 }
 
+std::shared_ptr<PlatformBridge> MakePlatform(asio::io_context& io,
+                                             const DaemonOptions& options) {
+  if (!options.platform) return nullptr;
+  PlatformOptions platform;
+  platform.table_endpoint = options.platform->table;
+  platform.object_endpoint = options.platform->objects;
+  platform.fleet = options.identity.fleet;
+  platform.credentials.access_key = options.platform->access_key;
+  platform.credentials.secret_key = options.platform->secret_key;
+  platform.credentials.region = options.identity.region;
+  return std::make_shared<PlatformBridge>(io, std::move(platform));
+}
+
 int Run(const DaemonOptions& options) {
   asio::io_context io(1);
   HostHooks hooks;
+  const std::shared_ptr<PlatformBridge> platform = MakePlatform(io, options);
+  if (platform) {
+    hooks.platform = [platform](const PlatformRequest& request,
+                                std::function<void(PlatformReply)> done) {
+      platform->Call(request, std::move(done));
+    };
+  }
   hooks.make_reducer = [&options](const HostPorts& ports) {
     return MakeReducer(options.identity, options.ip, options.ports_file, ports);
   };
--- a/src/libhost/host.cc
+++ b/src/libhost/host.cc
@@ -161,7 +161,7 @@
       Post(PlatformReplied{op, reply});
       return;
     }
-    hooks_.platform(std::move(effect.request),
+    hooks_.platform(effect.request,
                     [weak = weak_from_this(), op](PlatformReply reply) {
                       const std::shared_ptr<Impl> self = weak.lock();
                       if (self)
--- a/src/libhost/host.h
+++ b/src/libhost/host.h
@@ -55,7 +55,8 @@
   // Called once, when all ports are bound.
   std::function<HostReducer(const HostPorts&)> make_reducer;
   // Ends in one call of the given function; unset means no platform.
-  std::function<void(PlatformRequest, std::function<void(PlatformReply)>)>
+  std::function<void(const PlatformRequest&,
+                     std::function<void(PlatformReply)>)>
       platform;
   // Sees each event before it is reduced; unset means no recording.
   std::function<void(const Event&)> record;
--- a/src/libhost/http_client.cc
+++ b/src/libhost/http_client.cc
@@ -77,7 +77,7 @@
   }
 
   uint64_t Send(const Endpoint& to, HttpRequest request, Duration timeout,
-                const HttpSigning* signing, Done done) {
+                const PlatformCredentials* signer, Done done) {
     const uint64_t id = next_id_++;
     const std::string& base = BaseOf(to);
     if (base.empty()) {
@@ -86,7 +86,7 @@
     }
     std::unique_ptr<HttpTransfer> transfer = TakeTransfer();
     if (!transfer->Prepare(base, std::move(request), timeout, options_,
-                           signing)) {
+                           signer)) {
       Spare(std::move(transfer));
       FailLater(std::move(done), Reason::kBadRequest);
       return id;
@@ -353,10 +353,9 @@
 }
 
 uint64_t HttpClient::SendSigned(const Endpoint& to, HttpRequest request,
-                                Duration timeout, const HttpSigning& signing,
-                                Done done) {
-  return impl_->Send(to, std::move(request), timeout, &signing,
-                     std::move(done));
+                                Duration timeout,
+                                const PlatformCredentials& signer, Done done) {
+  return impl_->Send(to, std::move(request), timeout, &signer, std::move(done));
 }
 
 void HttpClient::Cancel(uint64_t id) { impl_->Cancel(id); }
--- a/src/libhost/http_client.h
+++ b/src/libhost/http_client.h
@@ -13,6 +13,7 @@
 #include "amaranthroute/http.h"
 #include "amaranthroute/http_result.h"
 #include "amaranthroute/ids.h"
+#include "amaranthroute/platform_client.h"
 #include "amaranthroute/time.h"
 
 namespace asio {
@@ -21,14 +22,6 @@
 
 namespace amaranth::pvt {
 
-// Whom a request is signed for, by AWS Signature Version 4.
-struct HttpSigning {
-  std::string access_key;
-  std::string secret_key;
-  std::string region;
-  std::string service = "s3";
-};
-
 struct HttpClientOptions {
   uint64_t max_response_bytes = 8ull << 20;
   size_t max_response_header_bytes = 65536;
@@ -51,8 +44,9 @@
   // Answers `done` exactly once, on a later turn. Returns an id for Cancel.
   uint64_t Send(const Endpoint& to, HttpRequest request, Duration timeout,
                 Done done);
+  // Signed by AWS Signature Version 4.
   uint64_t SendSigned(const Endpoint& to, HttpRequest request, Duration timeout,
-                      const HttpSigning& signing, Done done);
+                      const PlatformCredentials& signer, Done done);
 
   // Closes the request's connection; `done` is still called. No effect if the
   // request has ended.
--- a/src/libhost/http_client_test.cc
+++ b/src/libhost/http_client_test.cc
@@ -307,9 +307,9 @@
                    }));
   HttpClient client(io, {});
   const Endpoint to{"127.0.0.1", server.port()};
-  const HttpSigning signing{"access", "secret", "local", "s3"};
+  const PlatformCredentials signer{"access", "secret", "local", "s3"};
   client.SendSigned(to, {"PUT", "/bucket/key", {}, Body("object")}, kPatience,
-                    signing, Keep());
+                    signer, Keep());
   CHECK(Until([&] { return results.size() == 1; }));
   CHECK_EQUAL(1u, CountOf(seen[0],
                           "Authorization: AWS4-HMAC-SHA256 "
--- a/src/libhost/http_transfer.cc
+++ b/src/libhost/http_transfer.cc
@@ -59,7 +59,7 @@
 
 bool HttpTransfer::Prepare(const std::string& base_url, HttpRequest request,
                            Duration timeout, const HttpClientOptions& options,
-                           const HttpSigning* signing) {
+                           const PlatformCredentials* signer) {
   request_ = std::move(request);
   max_body_bytes_ = options.max_response_bytes;
   max_header_bytes_ = options.max_response_header_bytes;
@@ -69,7 +69,7 @@
   }
   // libcurl rewrites paths in URLs; the request target goes out as it came.
   // A signature is over the URL, so a signed request has its target there.
-  const bool is_signed = signing != nullptr;
+  const bool is_signed = signer != nullptr;
   const std::string url = is_signed ? base_url + request_.target : base_url;
   curl_easy_setopt(easy_, CURLOPT_URL, url.c_str());
   curl_easy_setopt(easy_, CURLOPT_PATH_AS_IS, 1L);
@@ -83,7 +83,7 @@
                    static_cast<long>(options.max_idle_age.count()));
   SetMethod();
   if (!SetHeaders()) return false;
-  if (is_signed) SetSigning(*signing);
+  if (is_signed) SetSigning(*signer);
   return true;
 }
 
@@ -131,9 +131,9 @@
   return true;
 }
 
-void HttpTransfer::SetSigning(const HttpSigning& signing) {
-  signing_text_ = "aws:amz:" + signing.region + ":" + signing.service;
-  signing_user_ = signing.access_key + ":" + signing.secret_key;
+void HttpTransfer::SetSigning(const PlatformCredentials& signer) {
+  signing_text_ = "aws:amz:" + signer.region + ":" + signer.service;
+  signing_user_ = signer.access_key + ":" + signer.secret_key;
   curl_easy_setopt(easy_, CURLOPT_AWS_SIGV4, signing_text_.c_str());
   curl_easy_setopt(easy_, CURLOPT_USERPWD, signing_user_.c_str());
 }
--- a/src/libhost/http_transfer.h
+++ b/src/libhost/http_transfer.h
@@ -27,7 +27,7 @@
   // False if the request cannot be written as HTTP.
   bool Prepare(const std::string& base_url, HttpRequest request,
                Duration timeout, const HttpClientOptions& options,
-               const HttpSigning* signing);
+               const PlatformCredentials* signer);
 
   // What is known after libcurl ended the transfer with `code`.
   HttpClientResult Finish(CURLcode code);
@@ -47,7 +47,7 @@
   void SetFixedOptions();
   void SetMethod();
   bool SetHeaders();
-  void SetSigning(const HttpSigning& signing);
+  void SetSigning(const PlatformCredentials& signer);
   size_t TakeHeader(std::string_view line);
   size_t TakeBody(std::string_view bytes);
   // A body whose end is told only by the end of the connection looks the same
--- /dev/null
+++ b/src/libhost/platform_bridge.h
@@ -0,0 +1,48 @@
+#ifndef AMARANTHROUTE_LIBHOST_PLATFORM_BRIDGE_H_
+#define AMARANTHROUTE_LIBHOST_PLATFORM_BRIDGE_H_
+
+// The platform client on its own HTTP client: a slow platform must not take
+// the connections, or meet the limits, of calls to backend servers.
+
+#include <functional>
+#include <memory>
+
+#include "amaranthroute/platform.h"
+#include "amaranthroute/platform_client.h"
+#include "libhost/http_client.h"
+
+namespace amaranth::pvt {
+
+class PlatformBridge {
+ public:
+  PlatformBridge(asio::io_context& io, PlatformOptions options)
+      : http_(std::make_shared<HttpClient>(io, HttpClientOptions{})),
+        client_(std::move(options), HttpCallOn(http_)) {}
+
+  // Answers `done` once, possibly before it returns.
+  void Call(const PlatformRequest& request,
+            std::function<void(PlatformReply)> done) {
+    client_.Call(request, std::move(done));
+  }
+
+ private:
+  static HttpCall HttpCallOn(const std::shared_ptr<HttpClient>& http) {
+    return [http](const Endpoint& endpoint, HttpRequest request,
+                  Duration timeout, const PlatformCredentials* credentials,
+                  HttpClientCallback done) {
+      if (credentials == nullptr) {
+        http->Send(endpoint, std::move(request), timeout, std::move(done));
+        return;
+      }
+      http->SendSigned(endpoint, std::move(request), timeout, *credentials,
+                       std::move(done));
+    };
+  }
+
+  std::shared_ptr<HttpClient> http_;
+  PlatformClient client_;
+};
+
+}  // namespace amaranth::pvt
+
+#endif  // AMARANTHROUTE_LIBHOST_PLATFORM_BRIDGE_H_
