--- /dev/null
+++ b/src/libhost/host_test.cc
@@ -0,0 +1,212 @@
+#include "libhost/host.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "libhost/test_io.h"
+
+namespace amaranth::pvt {
+
+// Hosts with a fake reducer: each test says what it makes of an event.
+TEST_GROUP(Host) {
+  asio::io_context io;
+  std::vector<Event> events;
+  std::function<Effects(const Event&)> on_event;
+  std::vector<LogLevel> logged;
+
+  std::unique_ptr<Host> Make(const std::string& name = "n1",
+                             const Effects& at_start = {}) {
+    HostOptions options;
+    const Endpoint any{"127.0.0.1", 0};
+    options.self = Hello{{name, 1}, "fleet", "dc"};
+    options.caller_listen = any;
+    options.operator_listen = any;
+    options.peer_listen = any;
+    options.gossip_listen = any;
+    HostHooks hooks;
+    hooks.make_reducer = [this, at_start](const HostPorts&) {
+      HostReducer reducer;
+      reducer.start = [at_start](TimePoint) { return at_start; };
+      reducer.reduce = [this](const Event& event) {
+        events.push_back(event);
+        return on_event ? on_event(event) : Effects{};
+      };
+      return reducer;
+    };
+    return std::make_unique<Host>(io, options, hooks);
+  }
+
+  template <typename T>
+  std::vector<T> All() const {
+    std::vector<T> all;
+    for (const Event& event : events) {
+      if (std::holds_alternative<T>(event.body)) {
+        all.push_back(std::get<T>(event.body));
+      }
+    }
+    return all;
+  }
+
+  bool Until(const std::function<bool()>& condition) {
+    return RunUntil(io, condition);
+  }
+};
+
+TEST(Host, CallGoesToABackendServerAndItsAnswerComesBack) {
+  RawServer server(io, [](RawPeer& peer) {
+    peer.Write("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nback");
+  });
+  on_event = [&](const Event& event) -> Effects {
+    if (const auto* call = std::get_if<CallerRequest>(&event.body)) {
+      return {SendServer{call->call + 100,
+                         "s1",
+                         {"127.0.0.1", server.port()},
+                         call->request,
+                         std::chrono::seconds(5)}};
+    }
+    if (const auto* reply = std::get_if<ServerReplied>(&event.body)) {
+      return {AnswerCaller{reply->dispatch - 100, reply->response}};
+    }
+    return {};
+  };
+  const std::unique_ptr<Host> host = Make();
+  host->Start();
+  const auto peer = RawPeer::Connect(io, host->ports().caller);
+  peer->Write("GET /x HTTP/1.1\r\n\r\n");
+  CHECK(Until([&] { return CountOf(peer->received, "back") == 1; }));
+  CHECK(events[0].now <= events[1].now);
+}
+
+TEST(Host, OperatorsPortGivesOperatorRequests) {
+  on_event = [](const Event& event) -> Effects {
+    const auto* call = std::get_if<OperatorRequest>(&event.body);
+    if (call == nullptr) return {};
+    return {AnswerCaller{call->call, {200, {}, Body("status")}}};
+  };
+  const std::unique_ptr<Host> host = Make();
+  host->Start();
+  const auto peer = RawPeer::Connect(io, host->ports().operators);
+  peer->Write("GET /status HTTP/1.1\r\n\r\n");
+  CHECK(Until([&] { return CountOf(peer->received, "status") == 1; }));
+}
+
+TEST(Host, CancelledDispatchEndsInServerFailed) {
+  // The reducer cancels a dispatch whose server stays silent: it must still
+  // hear the end of it, once, with doubt.
+  RawServer server(io, nullptr);
+  on_event = [&](const Event& event) -> Effects {
+    if (std::holds_alternative<CallerRequest>(event.body)) {
+      return {SendServer{
+          7, "s1", {"127.0.0.1", server.port()}, {}, std::chrono::seconds(60)}};
+    }
+    if (std::holds_alternative<CallerGone>(event.body)) {
+      return {CancelServer{7}, CancelServer{7}, CancelServer{8}};
+    }
+    return {};
+  };
+  const std::unique_ptr<Host> host = Make();
+  host->Start();
+  const auto peer = RawPeer::Connect(io, host->ports().caller);
+  peer->Write("GET / HTTP/1.1\r\n\r\n");
+  CHECK(Until([&] {
+    return !server.peers.empty() && !server.peers[0]->received.empty();
+  }));
+  peer->Close();
+  CHECK(Until([&] { return All<ServerFailed>().size() == 1; }));
+  CHECK(All<ServerFailed>()[0].verdict == Verdict::kMayHaveRun);
+  CHECK_EQUAL(7u, All<ServerFailed>()[0].dispatch);
+}
+
+TEST(Host, WakesAtTheLastMomentAskedFor) {
+  const TimePoint soon = FromMicros(1);
+  const Effects starts = {WakeAt{kNever}, WakeAt{soon}};
+  const std::unique_ptr<Host> host = Make("n1", starts);
+  host->Start();
+  CHECK(Until([&] { return All<Tick>().size() == 1; }));
+}
+
+TEST(Host, AlarmMovedToLaterComesOnceAtTheLaterMoment) {
+  on_event = [&](const Event& event) -> Effects {
+    if (std::holds_alternative<StopRequested>(event.body)) {
+      return {WakeAt{event.now + std::chrono::milliseconds(5)},
+              WakeAt{event.now + std::chrono::milliseconds(30)}};
+    }
+    return {};
+  };
+  const std::unique_ptr<Host> host = Make();
+  host->Start();
+  host->RequestStop();
+  CHECK(Until([&] { return All<Tick>().size() == 1; }));
+  CHECK(events[1].now >= events[0].now + std::chrono::milliseconds(30));
+}
+
+TEST(Host, PlatformThatIsNotThereAnswersUnreachable) {
+  const Effects starts = {SendPlatform{5, TableReadHead{}}};
+  const std::unique_ptr<Host> host = Make("n1", starts);
+  host->Start();
+  CHECK(Until([&] { return All<PlatformReplied>().size() == 1; }));
+  CHECK(All<PlatformReplied>()[0].reply.status == PlatformStatus::kUnreachable);
+}
+
+TEST(Host, PeersAndGossipReachEachOther) {
+  const std::unique_ptr<Host> one = Make("n1");
+  const std::unique_ptr<Host> two = Make("n2");
+  two->Start();
+  on_event = [&](const Event& event) -> Effects {
+    if (std::holds_alternative<CallerRequest>(event.body)) {
+      return {SendPeer{"n2", {"127.0.0.1", two->ports().peer}, LinkPing{3}},
+              SendGossip{{"127.0.0.1", two->ports().gossip}, GossipMessage{}}};
+    }
+    return {};
+  };
+  one->Start();
+  const auto peer = RawPeer::Connect(io, one->ports().caller);
+  peer->Write("GET / HTTP/1.1\r\n\r\n");
+  CHECK(Until([&] { return All<GossipReceived>().size() == 1; }));
+  CHECK(Until([&] { return All<PeerReceived>().size() == 1; }));
+  CHECK(All<PeerReceived>()[0].message == PeerMessage(LinkPing{3}));
+}
+
+TEST(Host, ExitWritesEveryAnswerFirst) {
+  // A drain answers the last call and ends the process in the same breath.
+  // The answer is large, so the kernel cannot take it whole: the process must
+  // wait for it, or the caller gets a truncated body.
+  const std::string large(8u << 20, 'w');
+  on_event = [&](const Event& event) -> Effects {
+    const auto* call = std::get_if<CallerRequest>(&event.body);
+    if (call == nullptr) return {};
+    return {AnswerCaller{call->call, {200, {}, Body(large)}}, ExitProcess{}};
+  };
+  const std::unique_ptr<Host> host = Make();
+  host->Start();
+  const auto peer = RawPeer::Connect(io, host->ports().caller);
+  peer->Write("GET / HTTP/1.1\r\n\r\n");
+  CHECK(Until([&] { return host->exited(); }));
+  CHECK(Until([&] { return peer->received.size() > large.size(); }));
+  CHECK_EQUAL(large.size(), CountOf(peer->received, "w"));
+}
+
+TEST(Host, SecondStopRequestEndsTheLoopAtOnce) {
+  const std::unique_ptr<Host> host = Make();
+  host->Start();
+  host->RequestStop();
+  CHECK(Until([&] { return All<StopRequested>().size() == 1; }));
+  CHECK(!io.stopped());
+  host->RequestStop();
+  CHECK(io.stopped());
+  CHECK_EQUAL(1u, All<StopRequested>().size());
+}
+
+TEST(Host, PortInUseIsNamed) {
+  RawServer taken(io, nullptr);
+  HostOptions options;
+  options.caller_listen = {"127.0.0.1", taken.port()};
+  std::string message;
+  try {
+    const Host host(io, options, {});
+  } catch (const std::exception& error) {
+    message = error.what();
+  }
+  CHECK(message.find("callers on 127.0.0.1:") != std::string::npos);
+}
+
+}  // namespace amaranth::pvt
