Reducers joined in virtual time: calls, keys, tickets, crashes, planned stop

Found on the way, by the new test of a ticket whose home died: ending a dispatch moved the hop out before its index entry was removed, so by_attempt_ leaked and a lost link then named a hop that was gone (std::out_of_range).

--- a/src/include/amaranthroute/messages.h
+++ b/src/include/amaranthroute/messages.h
@@ -170,6 +170,10 @@
   std::vector<ServerRecord> servers;
 };
 
+/// Crashes that make a fingerprint a suspect, and that quarantine it.
+inline constexpr uint32_t kSuspectCrashes = 1;
+inline constexpr uint32_t kQuarantineCrashes = 2;
+
 /// A request fingerprint that crashes backend servers of a service.
 struct QuarantineRecord {
   std::string service;
--- /dev/null
+++ b/src/libnode/calls_test.cc
@@ -0,0 +1,260 @@
+// Calls through several nodes in virtual time: what callers get.
+
+#include <CppUTest/TestHarness.h>
+
+#include "fake_fleet.h"
+
+namespace amaranth::pvt {
+
+namespace {
+
+constexpr Duration kSettle = std::chrono::seconds(3);
+constexpr Duration kPatience = std::chrono::seconds(10);
+
+size_t RunsOf(const FakeFleet& fleet, const std::string& request_id) {
+  size_t runs = 0;
+  for (const Effected& effect : fleet.effects()) {
+    if (effect.request_id == request_id) ++runs;
+  }
+  return runs;
+}
+
+FakeServerOptions ServerOf(const std::string& name, const std::string& service,
+                           std::vector<std::string> nested = {}) {
+  FakeServerOptions options;
+  options.name = name;
+  options.service = service;
+  options.nested = std::move(nested);
+  return options;
+}
+
+}  // namespace
+
+TEST_GROUP(Calls) {
+  FakeFleet fleet{7};
+
+  // Three hosts; catalogue calls subscriptions calls progress.
+  void StartChain() {
+    fleet.AddNode("a1", "bilbao-a");
+    fleet.AddNode("a2", "bilbao-a");
+    fleet.AddNode("d1", "donostia");
+    fleet.AddServer("a1", ServerOf("c1", "catalogue", {"subscriptions"}));
+    fleet.AddServer("a2", ServerOf("s1", "subscriptions", {"progress"}));
+    fleet.AddServer("d1", ServerOf("p1", "progress"));
+    fleet.RunFor(kSettle);
+  }
+
+  const FakeAnswer& AnswerTo(const std::string& node, HttpRequest request) {
+    const uint64_t call = fleet.Call(node, std::move(request));
+    CHECK(fleet.RunUntil([&] { return fleet.AnswerOf(call) != nullptr; },
+                         kPatience));
+    return *fleet.AnswerOf(call);
+  }
+};
+
+TEST(Calls, AChainThreeDeepIsAnsweredWhole) {
+  StartChain();
+  const FakeAnswer& answer =
+      AnswerTo("d1", MakeRequest("GET", "catalogue", "browse", "r1"));
+  CHECK_EQUAL(200, answer.response.status);
+  CHECK_EQUAL(3u, RunsOf(fleet, "r1"));
+  STRCMP_EQUAL("ran", answer.Verdict().c_str());
+}
+
+TEST(Calls, AnUnknownServiceIsRefusedAsNotRun) {
+  StartChain();
+  const FakeAnswer& answer = AnswerTo("a1", MakeRequest("GET", "nowhere"));
+  CHECK_EQUAL(404, answer.response.status);
+  STRCMP_EQUAL("not-run", answer.Verdict().c_str());
+}
+
+TEST(Calls, AContextThatNamesNoHopIsRefused) {
+  StartChain();
+  HttpRequest request = MakeRequest("GET", "progress");
+  request.headers.push_back({"X-Amaranth-Context", "c1.1.1"});
+  const FakeAnswer& answer = AnswerTo("a1", std::move(request));
+  CHECK_EQUAL(400, answer.response.status);
+}
+
+// The caller sees one answer. The serving node dies with the call in flight;
+// the entry node learns it from the broken link. A GET is tried again at the
+// other server, a POST is not: it may have run.
+TEST(Calls, ADyingHostIsRetriedOnlyWhenIdempotent) {
+  fleet.AddNode("a1", "bilbao-a");
+  fleet.AddNode("a2", "bilbao-a");
+  fleet.AddNode("a3", "bilbao-a");
+  FakeServerOptions slow = ServerOf("s2", "subscriptions");
+  slow.service_time = std::chrono::milliseconds(300);
+  fleet.AddServer("a2", slow);
+  slow.name = "s3";
+  fleet.AddServer("a3", slow);
+  fleet.RunFor(kSettle);
+  const uint64_t get =
+      fleet.Call("a1", MakeRequest("GET", "subscriptions", "x", "get"));
+  const uint64_t post =
+      fleet.Call("a1", MakeRequest("POST", "subscriptions", "x"));
+  fleet.RunFor(std::chrono::milliseconds(100));
+  fleet.Kill("a2");
+  fleet.Kill("a3");
+  fleet.Restart("a3");
+  CHECK(fleet.RunUntil(
+      [&] {
+        return fleet.AnswerOf(get) != nullptr &&
+               fleet.AnswerOf(post) != nullptr;
+      },
+      kPatience));
+  STRCMP_EQUAL("may-have-run", fleet.AnswerOf(post)->Verdict().c_str());
+}
+
+// The caller sees the same answer twice; the charge ran once. It lost the
+// first answer and sends the renewal again under the same key, through another
+// node of the data centre; the platform's claim names the first node.
+TEST(Calls, AKeySentTwiceThroughTwoNodesRunsOnce) {
+  fleet.AddNode("a1", "bilbao-a", true);
+  fleet.AddNode("a2", "bilbao-a", true);
+  fleet.AddServer("a1", ServerOf("s1", "subscriptions"));
+  fleet.AddServer("a2", ServerOf("s2", "subscriptions"));
+  fleet.RunFor(kSettle);
+  const FakeAnswer first = AnswerTo(
+      "a1", MakeRequest("POST", "subscriptions", "renewal", "r1", "k"));
+  const FakeAnswer second = AnswerTo(
+      "a2", MakeRequest("POST", "subscriptions", "renewal", "r1", "k"));
+  CHECK_EQUAL(200, first.response.status);
+  CHECK_EQUAL(200, second.response.status);
+  CHECK(first.response.body == second.response.body);
+  CHECK_EQUAL(1u, RunsOf(fleet, "r1"));
+}
+
+// The caller is told at once that nothing ran, and when to come back. The
+// platform is down, so nobody can tell whether another node runs this key.
+// With a ticket from an earlier answer the same renewal is served.
+TEST(Calls, WithoutPlatformATicketServesWhatAKeyCannot) {
+  fleet.AddNode("a1", "bilbao-a", true);
+  fleet.AddNode("a2", "bilbao-a", true);
+  fleet.AddServer("a1", ServerOf("s1", "subscriptions"));
+  fleet.RunFor(kSettle);
+  const FakeAnswer page = AnswerTo("a1", MakeRequest("GET", "subscriptions"));
+  const std::string ticket(
+      FindHeader(page.response.headers, "X-Amaranth-Ticket"));
+  fleet.SetPlatform(PlatformMode::kDown);
+  const FakeAnswer keyed = AnswerTo(
+      "a2", MakeRequest("POST", "subscriptions", "renewal", "r1", "k"));
+  STRCMP_EQUAL("not-run", keyed.Verdict().c_str());
+  STRCMP_EQUAL("platform-down", keyed.Reason().c_str());
+  CHECK(!FindHeader(keyed.response.headers, "Retry-After").empty());
+  CHECK(keyed.at - keyed.asked < std::chrono::milliseconds(200));
+  for (int resend = 0; resend < 2; ++resend) {
+    const FakeAnswer ticketed = AnswerTo(
+        "a2", MakeRequest("POST", "subscriptions", "renewal", "r2", ticket));
+    CHECK_EQUAL(200, ticketed.response.status);
+  }
+  CHECK_EQUAL(0u, RunsOf(fleet, "r1"));
+  CHECK_EQUAL(1u, RunsOf(fleet, "r2"));
+}
+
+// The caller sees "may have run" and no second charge. Its ticket's home dies
+// after the request was dispatched; no other node may run that ticket.
+TEST(Calls, ATicketWhoseHomeDiedIsNeverRunAgain) {
+  fleet.AddNode("a1", "bilbao-a");
+  fleet.AddNode("a2", "bilbao-a");
+  fleet.AddServer("a2", ServerOf("s2", "subscriptions"));
+  fleet.RunFor(kSettle);
+  const FakeAnswer page = AnswerTo("a1", MakeRequest("GET", "subscriptions"));
+  const std::string ticket(
+      FindHeader(page.response.headers, "X-Amaranth-Ticket"));
+  const HttpRequest renewal =
+      MakeRequest("POST", "subscriptions", "renewal", "r1", ticket);
+  CHECK_EQUAL(200, AnswerTo("a2", renewal).response.status);
+  fleet.Kill("a1");
+  fleet.Restart("a1");
+  fleet.RunFor(kSettle);
+  for (const char* node : {"a1", "a2"}) {
+    const FakeAnswer again = AnswerTo(node, renewal);
+    STRCMP_EQUAL("may-have-run", again.Verdict().c_str());
+  }
+  CHECK_EQUAL(1u, RunsOf(fleet, "r1"));
+}
+
+// The caller sees its whole answer. The link between entry and serving node
+// goes silent with the call in flight, while new connections work; the entry
+// node pings, drops the link, and the GET goes on over a fresh one.
+TEST(Calls, ASilentLinkIsDroppedAndAGetGoesOn) {
+  fleet.AddNode("a1", "bilbao-a");
+  fleet.AddNode("a2", "bilbao-a");
+  fleet.AddServer("a2", ServerOf("s2", "subscriptions"));
+  fleet.RunFor(kSettle);
+  CHECK_EQUAL(
+      200, AnswerTo("a1", MakeRequest("GET", "subscriptions")).response.status);
+  fleet.Cut("a1", "a2");
+  HttpRequest request = MakeRequest("GET", "subscriptions");
+  request.headers.push_back({"X-Amaranth-Deadline-Ms", "8000"});
+  const uint64_t call = fleet.Call("a1", std::move(request));
+  fleet.RunFor(std::chrono::milliseconds(1900));
+  CHECK(fleet.AnswerOf(call) == nullptr);
+  fleet.At(Duration(100), [this] { fleet.Heal(); });
+  CHECK(fleet.RunUntil([&] { return fleet.AnswerOf(call) != nullptr; },
+                       kPatience));
+  CHECK_EQUAL(200, fleet.AnswerOf(call)->response.status);
+}
+
+// Callers see whole answers throughout a planned stop of a node and its
+// server's host: the node tells the others, finishes what it has, and exits.
+TEST(Calls, APlannedStopCutsNoRequest) {
+  fleet.AddNode("a1", "bilbao-a");
+  fleet.AddNode("a2", "bilbao-a");
+  fleet.AddNode("a3", "bilbao-a");
+  fleet.AddServer("a2", ServerOf("s2", "subscriptions"));
+  fleet.AddServer("a3", ServerOf("s3", "subscriptions"));
+  fleet.RunFor(kSettle);
+  std::vector<uint64_t> calls;
+  for (int i = 0; i < 600; ++i) {
+    fleet.At(std::chrono::milliseconds(5) * i, [&] {
+      calls.push_back(fleet.Call(
+          "a1",
+          MakeRequest(calls.size() % 2 ? "GET" : "POST", "subscriptions")));
+    });
+  }
+  fleet.RunFor(std::chrono::milliseconds(500));
+  fleet.Stop("a2");
+  fleet.RunFor(std::chrono::seconds(5));
+  CHECK(fleet.Exited("a2"));
+  CHECK_EQUAL(600u, calls.size());
+  for (const uint64_t call : calls) {
+    CHECK(fleet.AnswerOf(call) != nullptr);
+    CHECK_EQUAL(200, fleet.AnswerOf(call)->response.status);
+  }
+}
+
+// Callers of the crash-maker see a final answer with its reason; others are
+// served. It crashes the first server among others in flight, is run with no
+// other suspect at the second, and never reaches a third.
+TEST(Calls, ACrashMakerReachesTwoServersOnly) {
+  for (const char* name : {"a1", "a2", "a3", "a4", "a5"}) {
+    fleet.AddNode(name, "bilbao-a");
+  }
+  for (const char* host : {"2", "3", "4", "5"}) {
+    FakeServerOptions options =
+        ServerOf(std::string("s") + host, "subscriptions");
+    options.crash_body = "boom";
+    fleet.AddServer(std::string("a") + host, options);
+  }
+  fleet.RunFor(kSettle);
+  HttpRequest deadly = MakeRequest("GET", "subscriptions", "x", "deadly");
+  deadly.body = Body("boom");
+  std::string reason;
+  for (int resend = 0; resend < 6; ++resend) {
+    for (int i = 0; i < 20; ++i) {
+      HttpRequest innocent = MakeRequest("GET", "subscriptions");
+      innocent.target = "/" + std::to_string(i);
+      fleet.Call("a1", innocent);
+    }
+    reason = AnswerTo("a1", deadly).Reason();
+    fleet.RunFor(std::chrono::milliseconds(300));
+  }
+  STRCMP_EQUAL("quarantined", reason.c_str());
+  CHECK_EQUAL(2u, RunsOf(fleet, "deadly"));
+  const FakeAnswer after = AnswerTo("a1", MakeRequest("GET", "subscriptions"));
+  CHECK_EQUAL(200, after.response.status);
+}
+
+}  // namespace amaranth::pvt
--- a/src/libnode/entry_begin.cc
+++ b/src/libnode/entry_begin.cc
@@ -259,6 +259,15 @@
 
 void EntryRole::StartRunning(Call& call, Context& context) {
   call.phase = CallPhase::kRunning;
+  if (parts_.membership.IsQuarantined(call.context.service,
+                                      call.context.fingerprint)) {
+    Failure failure;
+    failure.verdict = Verdict::kNotRun;
+    failure.reason = Reason::kQuarantined;
+    failure.final = true;
+    failure.detail = "requests like this one crash their backend servers";
+    return FinishWithFailure(call, std::move(failure), context);
+  }
   if (ShedAtEntry(call, context)) {
     Failure failure;
     failure.verdict = Verdict::kNotRun;
--- /dev/null
+++ b/src/libnode/fake_fleet.cc
@@ -0,0 +1,396 @@
+#include "fake_fleet.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "libnode/fake_fleet_server.h"
+
+namespace amaranth::pvt {
+namespace {
+
+constexpr Duration kSameHost{50};
+constexpr Duration kSameDataCentre{200};
+constexpr Duration kOtherDataCentre{1000};
+constexpr Duration kConnectTimeout = std::chrono::seconds(1);
+constexpr Duration kPlatformDelay = std::chrono::milliseconds(5);
+constexpr Duration kPlatformTimeout = std::chrono::milliseconds(800);
+constexpr Duration kAnnouncePeriod = std::chrono::milliseconds(500);
+
+std::string JsonField(const HttpResponse& response, const char* name) {
+  const nlohmann::json json =
+      nlohmann::json::parse(response.body.view(), nullptr, false);
+  return json.is_object() ? json.value(name, "") : "";
+}
+
+}  // namespace
+
+std::string FakeAnswer::Verdict() const {
+  return std::string(FindHeader(response.headers, "X-Amaranth-Verdict"));
+}
+std::string FakeAnswer::Reason() const { return JsonField(response, "reason"); }
+
+HttpRequest MakeRequest(const std::string& method, const std::string& service,
+                        const std::string& request_class,
+                        const std::string& request_id, const std::string& key) {
+  HttpRequest request;
+  request.method = method;
+  request.headers = {{"X-Amaranth-Service", service},
+                     {"X-Amaranth-Class", request_class}};
+  if (!request_id.empty()) {
+    request.headers.push_back({"X-Amaranth-Request-Id", request_id});
+  }
+  if (!key.empty()) request.headers.push_back({"Idempotency-Key", key});
+  return request;
+}
+
+FakeFleet::FakeFleet(uint64_t seed) : random_(seed) {}
+
+void FakeFleet::AddNode(const std::string& name, const std::string& data_centre,
+                        bool use_platform) {
+  Host& host = hosts_[name];
+  host.name = name;
+  host.data_centre = data_centre;
+  host.use_platform = use_platform;
+  StartNode(host);
+}
+
+void FakeFleet::StartNode(Host& host) {
+  NodeIdentity identity;
+  host.incarnation = next_incarnation_++;
+  identity.node = {host.name, host.incarnation};
+  identity.data_centre = host.data_centre;
+  identity.peer_address = {host.name, 1};
+  identity.gossip_address = {host.name, 2};
+  identity.use_platform = host.use_platform;
+  identity.random_seed = random_();
+  for (const auto& [name, other] : hosts_) {
+    if (name != host.name) identity.seeds.push_back({name, 2});
+  }
+  host.node = std::make_unique<Node>(identity);
+  host.up = true;
+  host.exited = false;
+  host.held.clear();
+  Apply(host, host.node->Start(now_));
+}
+
+void FakeFleet::AddServer(const std::string& node, FakeServerOptions options) {
+  const std::shared_ptr<Server> server = std::make_shared<Server>();
+  server->options = std::move(options);
+  server->host = node;
+  hosts_.at(node).servers.push_back(server);
+  Announce(server);
+}
+
+void FakeFleet::Announce(const std::shared_ptr<Server>& server) {
+  if (server->up) {
+    HttpRequest request;
+    request.method = "POST";
+    request.target = "/amaranth/v1/announce";
+    const nlohmann::json body = {{"server", server->options.name},
+                                 {"service", server->options.service},
+                                 {"address", "127.0.0.1:9"},
+                                 {"slots", server->options.slots}};
+    request.body = Body(body.dump());
+    FeedLater(server->host, kSameHost,
+              CallerRequest{next_call_++, std::move(request)});
+  }
+  At(kAnnouncePeriod, [this, server] { Announce(server); });
+}
+
+void FakeFleet::At(Duration from_now, std::function<void()> action) {
+  schedule_.push({now_ + from_now, order_++, std::move(action)});
+}
+
+void FakeFleet::FeedLater(const std::string& host, Duration delay,
+                          EventBody body) {
+  At(delay, [this, host, body = std::move(body)]() mutable {
+    Feed(hosts_.at(host), std::move(body));
+  });
+}
+
+void FakeFleet::Feed(Host& host, EventBody body) {
+  if (!host.up) return;
+  if (host.paused) {
+    host.held.push_back(std::move(body));
+    return;
+  }
+  Apply(host, host.node->Reduce({now_, std::move(body)}));
+}
+
+void FakeFleet::Apply(Host& host, const Effects& effects) {
+  for (const Effect& effect : effects) {
+    std::visit([&](const auto& body) { Do(host, body); }, effect);
+  }
+}
+
+uint64_t FakeFleet::Call(const std::string& node, HttpRequest request) {
+  const uint64_t call = next_call_++;
+  answers_[call].asked = now_;
+  FeedLater(node, kSameDataCentre, CallerRequest{call, std::move(request)});
+  return call;
+}
+
+void FakeFleet::Hangup(const std::string& node, uint64_t call) {
+  FeedLater(node, kSameDataCentre, CallerGone{call});
+}
+
+const FakeAnswer* FakeFleet::AnswerOf(uint64_t call) const {
+  const auto found = answers_.find(call);
+  const bool answered =
+      found != answers_.end() && found->second.at != TimePoint();
+  return answered ? &found->second : nullptr;
+}
+
+HttpResponse FakeFleet::Operator(const std::string& node, HttpRequest request) {
+  const uint64_t call = next_call_++;
+  Feed(hosts_.at(node), OperatorRequest{call, std::move(request)});
+  RunUntil([&] { return AnswerOf(call) != nullptr; }, std::chrono::seconds(10));
+  return answers_[call].response;
+}
+
+void FakeFleet::RunFor(Duration length) {
+  RunUntil([] { return false; }, length);
+}
+
+bool FakeFleet::RunUntil(const std::function<bool()>& done, Duration limit) {
+  const TimePoint end = now_ + limit;
+  while (!done()) {
+    if (schedule_.empty() || schedule_.top().at > end) {
+      now_ = end;
+      return done();
+    }
+    const Scheduled next = schedule_.top();
+    schedule_.pop();
+    now_ = next.at;
+    next.action();
+  }
+  return true;
+}
+
+void FakeFleet::Kill(const std::string& node) {
+  Host& host = hosts_.at(node);
+  host.up = false;
+  BreakLinks(node);
+  for (auto& [dispatch, running] : host.dispatches) running->gone = true;
+  host.dispatches.clear();
+}
+
+void FakeFleet::Restart(const std::string& node) { StartNode(hosts_.at(node)); }
+
+void FakeFleet::Pause(const std::string& node) {
+  hosts_.at(node).paused = true;
+}
+
+void FakeFleet::Resume(const std::string& node) {
+  Host& host = hosts_.at(node);
+  host.paused = false;
+  std::vector<EventBody> held = std::move(host.held);
+  host.held.clear();
+  for (EventBody& body : held) Feed(host, std::move(body));
+}
+
+void FakeFleet::Stop(const std::string& node) {
+  Feed(hosts_.at(node), StopRequested{});
+}
+
+FakeFleet::LinkKey FakeFleet::KeyOf(const std::string& a,
+                                    const std::string& b) {
+  return a < b ? LinkKey(a, b) : LinkKey(b, a);
+}
+
+void FakeFleet::Cut(const std::string& a, const std::string& b) {
+  cuts_.insert(KeyOf(a, b));
+}
+
+void FakeFleet::Heal() {
+  cuts_.clear();
+  // TCP retransmits: what was sent on a link that still stands arrives late.
+  for (std::function<void()>& action : held_by_cuts_) {
+    At(kOtherDataCentre, std::move(action));
+  }
+  held_by_cuts_.clear();
+}
+
+bool FakeFleet::IsCut(const std::string& a, const std::string& b) const {
+  return cuts_.count(KeyOf(a, b)) > 0;
+}
+
+Duration FakeFleet::Latency(const std::string& a, const std::string& b) {
+  const bool same = hosts_.at(a).data_centre == hosts_.at(b).data_centre;
+  const int64_t base = (same ? kSameDataCentre : kOtherDataCentre).count();
+  std::uniform_int_distribution<int64_t> jitter(0, base / 2);
+  return Duration(base + jitter(random_));
+}
+
+void FakeFleet::BreakLinks(const std::string& node) {
+  for (auto& [key, link] : links_) {
+    if (!link.open || (key.first != node && key.second != node)) continue;
+    link.open = false;
+    const std::string& other = key.first == node ? key.second : key.first;
+    FeedLater(other, kOtherDataCentre * 2, PeerLost{node});
+  }
+}
+
+void FakeFleet::Do(Host& host, const SendPeer& effect) {
+  const std::string from = host.name;
+  const auto peer = hosts_.find(effect.peer);
+  if (peer == hosts_.end()) return;
+  Host& to = peer->second;
+  const LinkKey key = KeyOf(from, effect.peer);
+  Link& link = links_[key];
+  const bool unreachable = !to.up || IsCut(from, effect.peer);
+  if (!link.open) {
+    if (unreachable) {
+      const Duration delay = to.up ? kConnectTimeout : kSameDataCentre * 2;
+      FeedLater(from, delay, PeerSendFailed{effect.peer, effect.message});
+      return;
+    }
+    link = Link();
+    link.open = true;
+    link.incarnation_a = hosts_.at(key.first).incarnation;
+    link.incarnation_b = hosts_.at(key.second).incarnation;
+  }
+  // A link is first in, first out, and dies with either process.
+  const TimePoint arrival =
+      std::max(now_ + Latency(from, effect.peer), link.last);
+  link.last = arrival;
+  const Link sent_on = link;
+  const NodeRef sender{from, host.incarnation};
+  const std::string to_name = effect.peer;
+  std::function<void()> deliver = [this, key, sent_on, sender, to_name,
+                                   message = effect.message] {
+    const Link& present = links_[key];
+    const bool same = present.open &&
+                      present.incarnation_a == sent_on.incarnation_a &&
+                      present.incarnation_b == sent_on.incarnation_b;
+    if (same) Feed(hosts_.at(to_name), PeerReceived{sender, message});
+  };
+  if (IsCut(from, effect.peer)) {
+    held_by_cuts_.push_back(std::move(deliver));
+    return;
+  }
+  schedule_.push({arrival, order_++, std::move(deliver)});
+}
+
+void FakeFleet::Do(Host& host, const ClosePeer& effect) {
+  Link& link = links_[KeyOf(host.name, effect.peer)];
+  if (!link.open) return;
+  link.open = false;
+  link.incarnation_a = 0;
+  FeedLater(host.name, kSameHost, PeerLost{effect.peer});
+  if (!IsCut(host.name, effect.peer)) {
+    FeedLater(effect.peer, kSameDataCentre, PeerLost{host.name});
+  }
+}
+
+void FakeFleet::Do(Host& host, const SendGossip& effect) {
+  const std::string from = host.name;
+  const std::string to = effect.to.ip;
+  if (hosts_.count(to) == 0 || IsCut(from, to)) return;
+  std::uniform_real_distribution<double> chance(0, 1);
+  if (chance(random_) < datagram_loss_) return;
+  const int copies = chance(random_) < datagram_duplicates_ ? 2 : 1;
+  for (int i = 0; i < copies; ++i) {
+    FeedLater(to, Latency(from, to), GossipReceived{{from, 2}, effect.message});
+  }
+}
+
+void FakeFleet::Do(Host& host, const AnswerCaller& effect) {
+  const auto nested = nested_.find(effect.call);
+  if (nested != nested_.end()) {
+    const std::function<void(const HttpResponse&)> resume =
+        std::move(nested->second);
+    nested_.erase(nested);
+    At(kSameHost, [resume, response = effect.response] { resume(response); });
+    return;
+  }
+  FakeAnswer& answer = answers_[effect.call];
+  if (answer.at != TimePoint()) std::abort();  // answered twice
+  answer.at = now_;
+  answer.response = effect.response;
+  if (answer.asked == TimePoint()) {  // announcements, operators
+    answer.asked = now_;
+    return;
+  }
+  if (on_answer) on_answer(effect.call, answer);
+  (void)host;
+}
+
+void FakeFleet::Do(Host& host, const WakeAt& effect) {
+  const uint64_t wake = ++host.wake;
+  const uint64_t incarnation = host.incarnation;
+  const std::string name = host.name;
+  At(std::max(effect.at - now_, Duration(0)), [this, name, wake, incarnation] {
+    Host& woken = hosts_.at(name);
+    if (woken.wake == wake && woken.incarnation == incarnation) {
+      Feed(woken, Tick{});
+    }
+  });
+}
+
+void FakeFleet::Do(Host& host, const ExitProcess&) {
+  host.exited = true;
+  Kill(host.name);
+}
+
+void FakeFleet::Do(Host&, const WriteLog&) {}
+void FakeFleet::Do(Host&, const DropIdleConnections&) {}
+
+void FakeFleet::Do(Host& host, const SendPlatform& effect) {
+  const std::string name = host.name;
+  ++platform_operations_;
+  if (platform_mode_ == PlatformMode::kDown) {
+    PlatformReply reply;
+    reply.status = PlatformStatus::kUnreachable;
+    FeedLater(name, kPlatformDelay, PlatformReplied{effect.op, reply});
+    return;
+  }
+  PlatformReply reply = RunPlatform(effect.request);
+  Duration delay = kPlatformDelay;
+  if (platform_mode_ == PlatformMode::kLoseAnswers) {
+    reply = PlatformReply();
+    delay = kPlatformTimeout;
+  }
+  FeedLater(name, delay, PlatformReplied{effect.op, std::move(reply)});
+}
+
+PlatformReply FakeFleet::RunPlatform(const PlatformRequest& request) {
+  PlatformReply reply;
+  reply.status = PlatformStatus::kOk;
+  if (const auto* claims = std::get_if<TableClaimRows>(&request)) {
+    for (const TableClaimRows::Row& row : claims->rows) {
+      reply.holders.push_back(rows_.emplace(row.key, row.holder).first->second);
+    }
+  } else if (std::holds_alternative<TableReadHead>(request)) {
+    reply.version = head_version_;
+    reply.bytes = head_object_;
+    if (head_version_ == 0) reply.status = PlatformStatus::kNotFound;
+  } else if (const auto* move = std::get_if<TableMoveHead>(&request)) {
+    if (move->expected_version != head_version_) {
+      reply.status = PlatformStatus::kConditionFailed;
+      return reply;
+    }
+    head_version_ = move->version;
+    head_object_ = move->object;
+    changes_[move->change_id] = move->version;
+  } else if (const auto* change = std::get_if<TableReadChange>(&request)) {
+    const auto found = changes_.find(change->change_id);
+    if (found == changes_.end()) {
+      reply.status = PlatformStatus::kNotFound;
+    } else {
+      reply.version = found->second;
+    }
+  } else if (const auto* put = std::get_if<ObjectPut>(&request)) {
+    objects_[put->name] = put->bytes;
+  } else if (const auto* get = std::get_if<ObjectGet>(&request)) {
+    const auto found = objects_.find(get->name);
+    if (found == objects_.end()) {
+      reply.status = PlatformStatus::kNotFound;
+    } else {
+      reply.bytes = found->second;
+    }
+  }
+  return reply;
+}
+
+}  // namespace amaranth::pvt
--- /dev/null
+++ b/src/libnode/fake_servers.cc
@@ -0,0 +1,167 @@
+// The fake fleet's backend servers: slots, a backlog, nested calls, crashes.
+
+#include <algorithm>
+
+#include "libnode/fake_fleet.h"
+#include "libnode/fake_fleet_server.h"
+
+namespace amaranth::pvt {
+namespace {
+
+constexpr Duration kSameHost{50};
+
+ServerFailed Broken(uint64_t dispatch) {
+  return {dispatch, Verdict::kMayHaveRun, Reason::kConnectionLost};
+}
+
+}  // namespace
+
+void FakeFleet::SetServiceTime(const std::string& server,
+                               Duration service_time) {
+  for (auto& [name, host] : hosts_) {
+    for (const std::shared_ptr<Server>& candidate : host.servers) {
+      if (candidate->options.name == server) {
+        candidate->options.service_time = service_time;
+      }
+    }
+  }
+}
+
+void FakeFleet::Do(Host& host, const SendServer& effect) {
+  const auto found =
+      std::find_if(host.servers.begin(), host.servers.end(),
+                   [&](const std::shared_ptr<Server>& candidate) {
+                     return candidate->options.name == effect.server;
+                   });
+  if (found == host.servers.end() || !(*found)->up) {
+    FeedLater(host.name, kSameHost,
+              ServerFailed{effect.dispatch, Verdict::kNotRun,
+                           Reason::kConnectFailed});
+    return;
+  }
+  const std::shared_ptr<Running> running = std::make_shared<Running>();
+  running->server = *found;
+  running->dispatch = effect.dispatch;
+  running->request = effect.request;
+  host.dispatches[effect.dispatch] = running;
+  if (running->server->waiting.size() >= running->server->options.backlog) {
+    HttpResponse busy;
+    busy.status = 503;
+    busy.headers = {{"X-Amaranth-Refused", "1"}};
+    host.dispatches.erase(effect.dispatch);
+    FeedLater(host.name, kSameHost, ServerReplied{effect.dispatch, busy});
+    return;
+  }
+  running->server->waiting.push_back(running);
+  const std::string name = host.name;
+  At(effect.timeout, [this, name, running] {
+    Host& waiting = hosts_.at(name);
+    if (waiting.dispatches.erase(running->dispatch) == 0) return;
+    running->gone = true;
+    Feed(waiting, Broken(running->dispatch));
+  });
+  StartWaiting(running->server);
+}
+
+void FakeFleet::Do(Host& host, const CancelServer& effect) {
+  const auto found = host.dispatches.find(effect.dispatch);
+  if (found == host.dispatches.end()) return;
+  found->second->gone = true;
+  host.dispatches.erase(found);
+  FeedLater(host.name, kSameHost, Broken(effect.dispatch));
+}
+
+void FakeFleet::StartWaiting(const std::shared_ptr<Server>& server) {
+  while (server->up && server->busy < server->options.slots &&
+         !server->waiting.empty()) {
+    const std::shared_ptr<Running> running = server->waiting.front();
+    server->waiting.pop_front();
+    if (running->gone) continue;  // backend servers accept cancellation
+    running->started = true;
+    ++server->busy;
+    server->running.push_back(running);
+    running->effect = effected_.size();
+    const std::vector<Header>& headers = running->request.headers;
+    effected_.push_back(
+        {now_, server->options.name, server->options.service,
+         std::string(FindHeader(headers, "X-Amaranth-Request-Id")),
+         std::string(FindHeader(headers, "Idempotency-Key")), false});
+    const std::string& crash = server->options.crash_body;
+    if (!crash.empty() && running->request.body.view() == crash) {
+      CrashServer(server);
+      return;
+    }
+    const uint64_t life = server->life;
+    At(server->options.service_time, [this, running, life] {
+      if (running->server->life == life) RunNested(running, 0);
+    });
+  }
+}
+
+void FakeFleet::RunNested(const std::shared_ptr<Running>& running,
+                          size_t next) {
+  const std::shared_ptr<Server>& server = running->server;
+  if (running->gone || next == server->options.nested.size()) {
+    FinishRun(running, 200);
+    return;
+  }
+  std::string service = server->options.nested[next];
+  std::string method = "GET";
+  const size_t space = service.find(' ');
+  if (space != std::string::npos) {
+    method = service.substr(0, space);
+    service = service.substr(space + 1);
+  }
+  HttpRequest request = MakeRequest(method, service);
+  request.target = running->request.target;
+  request.body = running->request.body;
+  SetHeader(request.headers, "X-Amaranth-Context",
+            FindHeader(running->request.headers, "X-Amaranth-Context"));
+  const uint64_t call = next_call_++;
+  const uint64_t life = server->life;
+  nested_[call] = [this, running, next, life](const HttpResponse& response) {
+    if (running->server->life != life) return;
+    if (response.status >= 500) return FinishRun(running, 503);
+    RunNested(running, next + 1);
+  };
+  FeedLater(server->host, kSameHost, CallerRequest{call, std::move(request)});
+}
+
+void FakeFleet::FinishRun(const std::shared_ptr<Running>& running, int status) {
+  const std::shared_ptr<Server> server = running->server;
+  --server->busy;
+  std::vector<std::shared_ptr<Running>>& list = server->running;
+  list.erase(std::remove(list.begin(), list.end(), running), list.end());
+  Host& host = hosts_.at(server->host);
+  if (!running->gone && host.dispatches.erase(running->dispatch) > 0) {
+    effected_[running->effect].finished = status == 200;
+    HttpResponse response;
+    response.status = status;
+    response.body =
+        Body(effected_[running->effect].request_id + "|" +
+             std::string(FindHeader(running->request.headers, "X-Token")));
+    FeedLater(server->host, kSameHost,
+              ServerReplied{running->dispatch, std::move(response)});
+  }
+  StartWaiting(server);
+}
+
+void FakeFleet::CrashServer(const std::shared_ptr<Server>& server) {
+  server->up = false;
+  ++server->life;
+  server->busy = 0;
+  server->running.clear();
+  server->waiting.clear();
+  Host& host = hosts_.at(server->host);
+  std::vector<uint64_t> broken;
+  for (const auto& [dispatch, running] : host.dispatches) {
+    if (running->server == server) broken.push_back(dispatch);
+  }
+  for (const uint64_t dispatch : broken) {
+    host.dispatches.erase(dispatch);
+    FeedLater(server->host, kSameHost, Broken(dispatch));
+  }
+  At(server->options.restart_after, [server] { server->up = true; });
+}
+
+}  // namespace amaranth::pvt
--- a/src/libnode/membership.h
+++ b/src/libnode/membership.h
@@ -67,7 +67,7 @@
   // Shares a crash-making fingerprint with the fleet.
   void AddQuarantine(const QuarantineRecord& record, Context& context);
   bool IsQuarantined(const std::string& service, uint64_t fingerprint) const {
-    return quarantines_.Contains(service, fingerprint);
+    return CrashesOf(service, fingerprint) >= kQuarantineCrashes;
   }
   // Crashes that the fleet knows of for a fingerprint: 1 makes it a suspect.
   uint32_t CrashesOf(const std::string& service, uint64_t fingerprint) const {
--- a/src/libnode/serving_role.cc
+++ b/src/libnode/serving_role.cc
@@ -18,8 +18,6 @@
 // gossip must stay small, and the entry nodes still mark their own retries.
 constexpr size_t kMaxGossipedSuspects = 16;
 constexpr size_t kMaxCleared = 4096;
-constexpr uint32_t kSuspectCrashes = 1;
-constexpr uint32_t kQuarantineCrashes = 2;
 
 // How long after its deadline a non-idempotent call's answer is still awaited.
 constexpr Duration kLateAnswerGrace = std::chrono::seconds(5);
@@ -176,8 +174,7 @@
     Hop& hop = hops_.at(server.waiting_suspects.front());
     server.waiting_suspects.pop_front();
     if (HandlingOf(hop, context.now) == CrashGuard::Handling::kQuarantined) {
-      const Hop refused = hop;
-      RemoveHop(refused.id);
+      const Hop refused = TakeHop(hop.id);
       Refuse(refused, Reason::kQuarantined, context);
       continue;
     }
@@ -225,8 +222,7 @@
 }
 
 Hop ServingRole::EndDispatch(uint64_t id, bool failed, Context& context) {
-  Hop hop = std::move(hops_.at(id));
-  RemoveHop(id);
+  Hop hop = TakeHop(id);
   const auto found = servers_.find(hop.server);
   if (found == servers_.end()) return hop;
   LocalServer& server = found->second;
@@ -341,8 +337,7 @@
     on_hop_cancelled(hop.id, context);
     return;
   }
-  const Hop removed = hop;
-  RemoveHop(removed.id);
+  const Hop removed = TakeHop(hop.id);
   const auto server = servers_.find(removed.server);
   if (server != servers_.end()) {
     server->second.queue().Remove(removed.id);
@@ -368,19 +363,19 @@
   }
 }
 
-void ServingRole::RemoveHop(uint64_t id) {
+Hop ServingRole::TakeHop(uint64_t id) {
   const auto found = hops_.find(id);
-  if (found == hops_.end()) return;
-  queue_deadlines_.Remove(found->second.deadline, id);
-  by_attempt_.erase({found->second.entry, found->second.attempt});
+  Hop hop = std::move(found->second);
   hops_.erase(found);
+  queue_deadlines_.Remove(hop.deadline, id);
+  by_attempt_.erase({hop.entry, hop.attempt});
+  return hop;
 }
 
 void ServingRole::RefuseAll(const std::vector<QueuedCall>& calls, Reason reason,
                             Context& context) {
   for (const QueuedCall& call : calls) {
-    const Hop hop = hops_.at(call.id);
-    RemoveHop(call.id);
+    const Hop hop = TakeHop(call.id);
     Refuse(hop, reason, context);
   }
 }
--- a/src/libnode/serving_role.h
+++ b/src/libnode/serving_role.h
@@ -81,7 +81,7 @@
   // Takes a dispatched hop out of its server's books.
   Hop EndDispatch(uint64_t id, bool failed, Context& context);
   void NoteCrash(LocalServer& server, Context& context);
-  void RemoveHop(uint64_t id);
+  Hop TakeHop(uint64_t id);
   void Cancel(Hop& hop, Context& context);
   void CheckServers(Context& context);
   void RemoveServer(const std::string& name, Context& context);
--- a/src/libnode/serving_servers.cc
+++ b/src/libnode/serving_servers.cc
@@ -141,8 +141,7 @@
     }
   }
   for (const uint64_t id : waiting) {
-    const Hop hop = hops_.at(id);
-    RemoveHop(id);
+    const Hop hop = TakeHop(id);
     Refuse(hop, Reason::kNoServer, context);
   }
   servers_.erase(name);
@@ -170,7 +169,7 @@
   for (const uint64_t id : queue_deadlines_.TakeDue(context.now)) {
     Hop* hop = FindHop(id);
     if (hop == nullptr || hop->state == HopState::kDispatched) continue;
-    const Hop expired = *hop;
+    const Hop expired = TakeHop(id);
     const auto server = servers_.find(expired.server);
     if (server != servers_.end()) {
       server->second.queue().Remove(id);
@@ -178,7 +177,6 @@
       waiting.erase(std::remove(waiting.begin(), waiting.end(), id),
                     waiting.end());
     }
-    RemoveHop(id);
     Refuse(expired, Reason::kDeadline, context);
   }
   if (context.now >= next_check_) {
