--- a/src/cmake/lint.sh
+++ b/src/cmake/lint.sh
@@ -1,21 +1,19 @@
 #!/usr/bin/env bash
 # clang-tidy over the given files' translation units. A file that was clean is
-# not checked again until it, a header or the configuration changes: the stamp
-# is a hash over the preprocessed input, so a stale pass cannot hide a finding.
+# not checked again until it, one of the project's headers that it includes, or
+# the configuration changes: the stamp is a hash over all of these, so a stale
+# pass cannot hide a finding.
 set -euo pipefail
 cache="${AMARANTH_LINT_CACHE:-${XDG_CACHE_HOME:-$HOME/.cache}/amaranth-lint}"
 mkdir -p "$cache"
 export cache
 export config_hash
 config_hash=$(cat .clang-tidy | sha256sum | cut -d' ' -f1)
-headers_hash=$(printf '%s\n' "$@" | grep '\.h$' | xargs cat | sha256sum |
-  cut -d' ' -f1)
-export headers_hash
-
 lint_one() {
   local file=$1 stamp
-  stamp=$( { echo "$config_hash $headers_hash"; cat "$file"; } | sha256sum |
-    cut -d' ' -f1)
+  stamp=$( { echo "$config_hash"
+    g++ -std=c++17 -MM -Isrc/include -Isrc "$file" | tr -d '\\\n' |
+      cut -d: -f2 | xargs cat; } | sha256sum | cut -d' ' -f1)
   [ -e "$cache/$stamp" ] && return 0
   clang-tidy --quiet -p build "$file" 2>/dev/null || {
     echo "lint: $file" >&2
