--- /dev/null
+++ b/src/amaranthctl/main.cc
@@ -0,0 +1,27 @@
+#include <cstdlib>
+#include <iostream>
+
+#include "amaranthctl/node_http.h"
+#include "amaranthctl/options.h"
+#include "amaranthctl/run.h"
+
+int main(int argc, char** argv) {
+  namespace pvt = amaranth::pvt;
+  const pvt::ParsedCtlOptions parsed = pvt::ParseCtlOptions(
+      argc, argv, [](const char* name) { return std::getenv(name); });
+  if (!parsed.errors.empty()) {
+    for (const std::string& error : parsed.errors) {
+      std::cerr << "amaranthctl: " << error << "\n";
+    }
+    return static_cast<int>(pvt::ExitCode::kUsage);
+  }
+  if (!parsed.text.empty()) {
+    std::cout << parsed.text;
+    return static_cast<int>(pvt::ExitCode::kOk);
+  }
+  const pvt::CtlOptions& options = parsed.options;
+  const pvt::AskNode ask = [&options](const amaranth::HttpRequest& request) {
+    return pvt::AskNodeByHttp(options.node, request, options.timeout);
+  };
+  return static_cast<int>(pvt::RunCommand(options, ask, std::cout, std::cerr));
+}
