--- a/src/include/amaranthroute/policy/concurrency_limit.h
+++ b/src/include/amaranthroute/policy/concurrency_limit.h
@@ -37,9 +37,11 @@
   /// the spread of means of 100 exponential service times (10%) starts
   /// trials at no load (ConcurrencyLimitTest, SteadyServerKeepsItsSlots).
   double tolerance = 1.5;
-  /// Size of one trial cut; large enough that its effect (25% less latency
-  /// under congestion) stands out from the 10% spread of a window's mean.
-  double cut = 0.75;
+  /// Size of one trial cut. Under congestion it takes 35% off the latency and
+  /// otherwise nothing; the bound between, 17%, is nearly two spreads of the
+  /// difference of two means of 200 samples (10%) from either. At 0.75 one
+  /// verdict in ten was wrong and the limit wandered.
+  double cut = 0.65;
   /// Raise per calm window; 1.25 goes from 10 to 100 slots in 11 windows.
   double raise = 1.25;
   /// A failed call counts as this many baselines of latency, so that a server
@@ -49,13 +51,16 @@
   /// the mean of exponential service times within 10%.
   int window_samples = 100;
   Duration min_window = std::chrono::milliseconds(50);
-  /// A window of a slow server closes at this age with fewer samples.
-  Duration max_window = std::chrono::seconds(1);
+  /// A window of a slow server closes at this age with fewer samples. At 1 s a
+  /// server with 10 slots and 200 ms of service was judged by 40 samples and
+  /// lost a third of its slots to chance.
+  Duration max_window = std::chrono::seconds(5);
   int min_samples = 10;
-  /// A trial is made this often without a sign of congestion, while the limit
-  /// is in use: a baseline that was raised by a wrong verdict cannot stay.
-  /// Costs a quarter of the slots for a window or two in each period.
-  Duration probe_period = std::chrono::seconds(10);
+  /// A baseline that may hold a queue (first measured under load, raised by a
+  /// verdict, or crept up) is checked by one more trial after this long. It
+  /// costs a third of the slots for a window or two, so it is not made without
+  /// such a reason: made every 30 s it cost the lowest tiers calls each time.
+  Duration recheck_period = std::chrono::seconds(2);
 };
 
 /// The limit of one backend server. Feed it with samples of ordinary calls:
@@ -68,6 +73,13 @@
   /// in the server while it ran, itself included.
   void OnSample(Duration latency, int in_flight, bool failed, TimePoint now);
 
+  /// Calls of long work now in the server. They hold their slots however low
+  /// the limit is, so the limit leaves room for one call beside them, and no
+  /// trial is made while they are many: what a cut would leave for ordinary
+  /// calls might be nothing, and then nothing is measured that could end the
+  /// trial.
+  void SetLongInFlight(int long_in_flight);
+
   /// The server announced another number of slots.
   void SetCeiling(int ceiling);
   /// Off: the limit is the ceiling.
@@ -93,20 +105,32 @@
   };
 
   void CloseWindow(TimePoint now);
+  static Level MeanOf(const Level& a, const Level& b);
   void StartTrial(const Level& level, TimePoint now);
   void JudgeTrial(const Level& level, TimePoint now);
+  void Settle(const Level& level, TimePoint now);
   void SetLimit(double limit);
   bool WindowIsFull(TimePoint now) const;
 
   ConcurrencyLimitOptions options_;
   double limit_;
+  int long_in_flight_ = 0;
   double baseline_ = 0;  // microseconds
+  double trusted_ = 0;   // last baseline known to hold no queue
   Window window_;
   TimePoint settle_until_{};
-  TimePoint next_probe_{};
+  TimePoint next_probe_ = kNever;
+  // One window over the tolerance may be chance, and a trial that starts from
+  // a chance high sees the latency fall whatever its cause; so two in a row.
+  bool was_congested_ = false;
+  Level last_;
   bool in_trial_ = false;
   Level before_trial_;
   double limit_before_trial_ = 0;
+  int trial_cuts_ = 0;
+  bool probing_ = false;  // the trial was made to check the baseline
+  double knee_ = 0;       // where the last cuts stopped helping; 0 unknown
+  int calm_windows_ = 0;
 };
 
 }  // namespace amaranth
--- a/src/libnode/entry_begin.cc
+++ b/src/libnode/entry_begin.cc
@@ -65,7 +65,7 @@
       http_call, JsonResponse(200, "{\"ticket\":\"" + ticket + "\"}")});
 }
 
-void EntryRole::Begin(Waiter waiter, const HttpRequest& request,
+void EntryRole::Begin(const Waiter& waiter, const HttpRequest& request,
                       std::optional<Duration> remaining, Context& context) {
   const Outcome<CallerHeaders> parsed = ParseCallerHeaders(request);
   if (!parsed) {
--- a/src/libnode/membership_updates.h
+++ b/src/libnode/membership_updates.h
@@ -50,6 +50,7 @@
   // True if this told something new.
   bool Add(const QuarantineRecord& record);
   bool Contains(const std::string& service, uint64_t fingerprint) const;
+  uint32_t CrashesOf(const std::string& service, uint64_t fingerprint) const;
   std::vector<QuarantineRecord> All() const;
   // The next few in turn, so that all are told again and again.
   std::vector<QuarantineRecord> Next(size_t count);
--- a/src/libnode/serving_role.cc
+++ b/src/libnode/serving_role.cc
@@ -17,6 +17,7 @@
 // A crash with more victims than this is not told to other nodes as suspects:
 // gossip must stay small, and the entry nodes still mark their own retries.
 constexpr size_t kMaxGossipedSuspects = 16;
+constexpr size_t kMaxCleared = 4096;
 constexpr uint32_t kSuspectCrashes = 1;
 constexpr uint32_t kQuarantineCrashes = 2;
 
@@ -82,7 +83,8 @@
   if (crashes >= kQuarantineCrashes) return CrashGuard::Handling::kQuarantined;
   const CrashGuard::Handling own = crash_guard_.HandlingOf(fingerprint, now);
   const bool suspected_elsewhere =
-      crashes >= kSuspectCrashes || hop.context.suspected_crashes > 0;
+      cleared_.count(fingerprint) == 0 &&
+      (crashes >= kSuspectCrashes || hop.context.suspected_crashes > 0);
   if (own == CrashGuard::Handling::kNormal && suspected_elsewhere) {
     return CrashGuard::Handling::kRunAlone;
   }
@@ -238,6 +240,10 @@
   if (hops_.count(replied.dispatch) == 0) return;
   const Hop hop = EndDispatch(replied.dispatch, false, context);
   crash_guard_.OnSurvived(hop.context.fingerprint, context.now);
+  if (hop.is_suspect) {
+    if (cleared_.size() >= kMaxCleared) cleared_.clear();
+    cleared_.insert(hop.context.fingerprint);
+  }
   Answer(hop, replied.response, context);
   const auto found = servers_.find(hop.server);
   if (found == servers_.end()) return;
@@ -293,6 +299,7 @@
   if (victims.empty()) return;
   const std::string& service = server.record().service;
   crash_guard_.OnCrash(victims, context.now);
+  for (const uint64_t victim : victims) cleared_.erase(victim);
   stats_.Count("amaranth_server_crashes_total", "service=\"" + service + "\"");
   records_.Add(context.now, "", "crash",
                server.record().server + " crashed with " +
--- a/src/libnode/serving_role.h
+++ b/src/libnode/serving_role.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -93,6 +94,9 @@
   Stats& stats_;
   Records& records_;
   CrashGuard crash_guard_;
+  // Fingerprints that answered here after a crash elsewhere made them suspects:
+  // a popular page would otherwise run one at a time on every host for long.
+  std::set<uint64_t> cleared_;
   std::map<std::string, LocalServer> servers_;
   std::map<uint64_t, Hop> hops_;
   std::map<AttemptKey, uint64_t> by_attempt_;
