--- a/src/amaranthctl/plot.cc
+++ b/src/amaranthctl/plot.cc
@@ -1,6 +1,7 @@
 #include "amaranthctl/plot.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
 
 namespace amaranth::pvt {
@@ -25,7 +26,8 @@
 // A bucket with few among many still shows: the tail is what one looks for.
 size_t BarLength(uint64_t count, uint64_t most) {
   const double share = static_cast<double>(count) / static_cast<double>(most);
-  const size_t length = static_cast<size_t>(share * kBarWidth + 0.5);
+  const size_t length =
+      static_cast<size_t>(std::lround(share * static_cast<double>(kBarWidth)));
   return count > 0 ? std::max<size_t>(length, 1) : 0;
 }
 
