--- a/src/amaranthctl/render_test.cc
+++ b/src/amaranthctl/render_test.cc
@@ -164,6 +164,18 @@
   }
 }
 
+// Printing JSON goes by recursion: a body of a million brackets would end the
+// program by stack overflow instead of an answer.
+TEST(CtlRender, DeepAnswersAreCutOff) {
+  constexpr size_t kDepth = 1000000;
+  const std::string deep = "{\"version\":" + std::string(kDepth, '[') +
+                           std::string(kDepth, ']') + "}";
+  CHECK(Show(View::kChanged, deep).size() < 100);
+  CHECK(Show(View::kRawJson, deep).size() < 10000);
+  options.output = Output::kJson;
+  CHECK(Show(View::kChanged, deep).size() < 100);
+}
+
 TEST(CtlRender, RefusalsShowTheNodesSentence) {
   CheckText("a; b", RefusalText(R"({"errors":["a","b"]})"));
   CheckText("lost the race",
--- /dev/null
+++ b/src/fuzz/fuzz_settings.cc
@@ -0,0 +1,30 @@
+#include <cstdint>
+#include <string_view>
+
+#include "amaranthroute/settings.h"
+#include "fuzz/require.h"
+
+// Snapshots come from peers and the object store, changes from operators: they
+// are refused, or are trees that keep their text, and resolving never fails.
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
+  using amaranth::pvt::Require;
+  const std::string_view text(reinterpret_cast<const char*>(data), size);
+  const amaranth::Outcome<std::vector<amaranth::SettingsChange>> changes =
+      amaranth::ParseSettingsChanges(text);
+  if (changes) {
+    const amaranth::SettingsTree changed =
+        amaranth::SettingsTree().Apply(changes.value());
+    static_cast<void>(changed.Validate());
+    static_cast<void>(changed.Resolve("m", "s", "c"));
+  }
+  const amaranth::Outcome<amaranth::SettingsTree> tree =
+      amaranth::ParseSettings(text);
+  if (tree) {
+    static_cast<void>(tree.value().Validate());
+    static_cast<void>(tree.value().Resolve("m", "s", "c"));
+    const amaranth::Outcome<amaranth::SettingsTree> again =
+        amaranth::ParseSettings(amaranth::ToText(tree.value()));
+    Require(again && again.value() == tree.value(), "a tree keeps its text");
+  }
+  return 0;
+}
