--- a/src/libnode/membership.cc
+++ b/src/libnode/membership.cc
@@ -41,6 +41,8 @@
 Membership::Membership(const NodeIdentity& identity)
     : identity_(identity),
       table_(identity.node.name),
+      gossip_budget_(kGossipBytesPerSecond, kGossipBurst),
+      sync_budget_(kSyncBytesPerSecond, kSyncBurst),
       sync_interval_(kMinSyncInterval),
       sync_answers_left_(kSyncAnswersPerPeriod),
       platform_interval_(kPlatformInterval) {
@@ -258,9 +260,10 @@
   // the fleet for ever, each node starting their time anew.
   if (known == nullptr && !IsUp(record)) return;
   const bool stops_work = known != nullptr && StopsWork(*known, record);
+  const bool was_up = known != nullptr && IsUp(*known);
   if (!table_.Merge(record, context.now)) return;
   ++merged_;
-  up_peers_stale_ = true;
+  if (was_up != IsUp(record)) up_peers_stale_ = true;
   FollowState(record, context);
   updates_.Add(name, UpPeers().size() + 1);
   if (!stops_work) return;
--- a/src/libnode/membership.h
+++ b/src/libnode/membership.h
@@ -138,7 +138,7 @@
                              const MemberRecord* receiver = nullptr);
   void AddRecord(const MemberRecord& record, size_t& size,
                  GossipMessage& message) const;
-  void AddQueued(size_t& size, GossipMessage& message);
+  void AddQueued(size_t budget, size_t& size, GossipMessage& message);
   void AddQuarantines(size_t& size, GossipMessage& message);
 
   // membership_sync.cc: exchange of whole buckets.
@@ -152,7 +152,7 @@
   void SyncWithSome(size_t count, Context& context);
   std::vector<MemberRecord> Trim(std::vector<MemberRecord> records,
                                  const std::string& first_data_centre,
-                                 Context& context) const;
+                                 Context& context);
 
   NodeIdentity identity_;
   MembershipTable table_;
@@ -180,6 +180,8 @@
   int settings_pushes_left_ = 0;
   TimePoint next_push_ = kNever;
 
+  ByteBudget gossip_budget_;
+  ByteBudget sync_budget_;
   bool joined_ = false;  // a peer has answered a sync
   size_t merged_ = 0;    // records taken in so far
   TimePoint next_sync_{};
--- a/src/libnode/membership_limits.h
+++ b/src/libnode/membership_limits.h
@@ -52,9 +52,17 @@
 inline constexpr size_t kDelegatesPerDataCentre = 2;
 inline constexpr Duration kRemoteSilence = std::chrono::seconds(3);
 
-// One sync carries at most this much, so that the return of whole regions
-// costs a delegate about 12 KB/s until they agree, not one burst.
+// Bytes that records may take, on datagrams and in syncs, beside the sender's
+// own. When whole regions come back each node has up to 240 KB to learn, and
+// the nodes that all others ask would pay for it in one burst that delays
+// callers' work; so it is spread over half a minute, nearest records first.
+inline constexpr size_t kGossipBytesPerSecond = 3 * 1024;
+inline constexpr size_t kGossipBurst = 8 * 1024;
+inline constexpr size_t kSyncBytesPerSecond = 8 * 1024;
+inline constexpr size_t kSyncBurst = 24 * 1024;
 inline constexpr size_t kMaxSyncBytes = 12 * 1024;
+// Below this an answer to a sync is not worth its digest.
+inline constexpr size_t kMinSyncBytes = 2 * 1024;
 inline constexpr int kSyncAnswersPerPeriod = 3;
 inline constexpr Duration kJoinSyncInterval = std::chrono::milliseconds(250);
 inline constexpr Duration kMinSyncInterval = std::chrono::seconds(1);
--- a/src/libnode/membership_spread.cc
+++ b/src/libnode/membership_spread.cc
@@ -16,6 +16,7 @@
 constexpr char kDelegateKey[] = "membership-delegates";
 constexpr size_t kQuarantinesPerDatagram = 4;
 constexpr size_t kSeedsAtOnce = 5;
+constexpr size_t kReconnectors = 3;
 
 // The names in random order, `count` of them at most.
 std::vector<std::string> Sample(const std::vector<std::string>& names,
@@ -99,7 +100,10 @@
   if (receiver != nullptr && receiver->state != MemberState::kAlive) {
     AddRecord(*receiver, size, message);
   }
-  AddQueued(size, message);
+  const size_t allowed = size + gossip_budget_.Left(last_now_);
+  const size_t before = size;
+  AddQueued(std::min(allowed, kDatagramBudget), size, message);
+  gossip_budget_.Spend(size - before);
   AddQuarantines(size, message);
   return message;
 }
@@ -112,7 +116,8 @@
   message.updates.push_back(record);
 }
 
-void Membership::AddQueued(size_t& size, GossipMessage& message) {
+void Membership::AddQueued(size_t budget, size_t& size,
+                           GossipMessage& message) {
   for (const std::string& name : updates_.InOrder()) {
     const MemberRecord* record = Find(name);
     if (record == nullptr) {
@@ -121,7 +126,7 @@
     }
     const bool is_self = name == identity_.node.name;
     const size_t more = EncodedSize(*record);
-    if (!is_self && size + more > kDatagramBudget) break;
+    if (!is_self && size + more > budget) break;
     if (!is_self) AddRecord(*record, size, message);
     updates_.Told(name);
   }
@@ -200,7 +205,14 @@
 
 // After a cut inside a data centre each half holds the other for dead and
 // probes it no more; somebody has to ask again or they stay apart for ever.
+// A few of many nodes do it each time: if all did, the seeds would answer each
+// node of the fleet every two seconds.
 void Membership::Reconnect(Context& context) {
+  const bool alone = UpPeers().empty();
+  const size_t size = UpPeers().size() + 1;
+  const size_t ticket =
+      std::uniform_int_distribution<size_t>(0, size - 1)(context.random);
+  if (!alone && ticket >= kReconnectors) return;
   std::vector<std::string> dead;
   for (const auto& [name, until] : tombstones_) {
     const MemberRecord* record = Find(name);
@@ -213,7 +225,7 @@
   }
   std::vector<Endpoint> seeds;
   std::sample(identity_.seeds.begin(), identity_.seeds.end(),
-              std::back_inserter(seeds), UpPeers().empty() ? kSeedsAtOnce : 1,
+              std::back_inserter(seeds), alone ? kSeedsAtOnce : 1,
               context.random);
   for (const Endpoint& seed : seeds) {
     if (seed == identity_.gossip_address) continue;
--- a/src/libnode/membership_sync.cc
+++ b/src/libnode/membership_sync.cc
@@ -71,7 +71,8 @@
 void Membership::AnswerSync(const NodeRef& from, const MemberSync& sync,
                             Context& context) {
   const MemberRecord* peer = Find(from.name);
-  if (peer == nullptr || sync_answers_left_ <= 0) return;
+  const bool affordable = sync_budget_.Left(context.now) >= kMinSyncBytes;
+  if (peer == nullptr || !affordable || sync_answers_left_ <= 0) return;
   --sync_answers_left_;
   MemberSync answer;
   answer.bucket_hashes = table_.BucketHashes();
@@ -120,20 +121,24 @@
 // in random order, so that a record which it refuses cannot hold up others.
 std::vector<MemberRecord> Membership::Trim(std::vector<MemberRecord> records,
                                            const std::string& first_data_centre,
-                                           Context& context) const {
+                                           Context& context) {
   std::shuffle(records.begin(), records.end(), context.random);
   std::stable_partition(records.begin(), records.end(),
                         [&](const MemberRecord& record) {
                           return record.data_centre == first_data_centre;
                         });
+  const size_t allowed =
+      std::min(kMaxSyncBytes, sync_budget_.Left(context.now));
   size_t size = 0;
   size_t count = 0;
   while (count < records.size()) {
-    size += EncodedSize(records[count]);
-    if (size > kMaxSyncBytes && count > 0) break;
+    const size_t more = EncodedSize(records[count]);
+    if (size + more > allowed) break;
+    size += more;
     ++count;
   }
   records.resize(count);
+  sync_budget_.Spend(size);
   return records;
 }
 
--- a/src/libnode/membership_updates.cc
+++ b/src/libnode/membership_updates.cc
@@ -34,6 +34,12 @@
 
 void UpdateQueue::Add(const std::string& name, size_t cluster_size) {
   const double log_size = std::log10(static_cast<double>(cluster_size) + 1);
+  if (left_.size() >= kMaxQueued && left_.count(name) == 0) {
+    const auto told_most = std::min_element(
+        left_.begin(), left_.end(),
+        [](const auto& a, const auto& b) { return a.second < b.second; });
+    left_.erase(told_most);
+  }
   left_[name] =
       std::max(3, static_cast<int>(std::ceil(kTransmissionsPerLog * log_size)));
 }
@@ -55,6 +61,13 @@
   if (--found->second <= 0) left_.erase(found);
 }
 
+size_t ByteBudget::Left(TimePoint now) {
+  const double seconds = std::chrono::duration<double>(now - refilled_).count();
+  refilled_ = now;
+  left_ = std::min(burst_, left_ + std::max(0.0, seconds) * rate_);
+  return left_ <= 0 ? 0 : static_cast<size_t>(left_);
+}
+
 bool QuarantineList::Add(const QuarantineRecord& record) {
   const bool known = Contains(record.service, record.fingerprint);
   if (!known && crashes_.size() >= kMaxQuarantines) return false;
--- a/src/libnode/membership_updates.h
+++ b/src/libnode/membership_updates.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "amaranthroute/messages.h"
+#include "amaranthroute/time.h"
 
 namespace amaranth::pvt {
 
@@ -29,8 +30,13 @@
 // Names of members whose records are still to be told. A record is told about
 // 4 log10(n) times by each node that learnt it, which reaches all with high
 // probability; the sync by hash repairs the rest.
+//
+// At most kMaxQueued wait: when whole regions change, telling everything by
+// datagram would take longer than the sync, which is cheaper by the record.
 class UpdateQueue {
  public:
+  static constexpr size_t kMaxQueued = 64;
+
   void Add(const std::string& name, size_t cluster_size);
   void Remove(const std::string& name) { left_.erase(name); }
   bool empty() const { return left_.empty(); }
@@ -44,6 +50,25 @@
   std::map<std::string, int> left_;
 };
 
+// Limits the bytes spent on telling records to a rate, with a burst.
+class ByteBudget {
+ public:
+  ByteBudget(size_t bytes_per_second, size_t burst)
+      : rate_(static_cast<double>(bytes_per_second)),
+        burst_(static_cast<double>(burst)),
+        left_(static_cast<double>(burst)) {}
+
+  // What may be spent now.
+  size_t Left(TimePoint now);
+  void Spend(size_t bytes) { left_ -= static_cast<double>(bytes); }
+
+ private:
+  double rate_;
+  double burst_;
+  double left_;
+  TimePoint refilled_{};
+};
+
 // Fingerprints of requests that crash servers, highest crash count wins.
 class QuarantineList {
  public:
