--- a/src/libnode/membership_updates.cc
+++ b/src/libnode/membership_updates.cc
@@ -82,6 +82,12 @@
   return crashes_.count({service, fingerprint}) != 0;
 }
 
+uint32_t QuarantineList::CrashesOf(const std::string& service,
+                                   uint64_t fingerprint) const {
+  const auto found = crashes_.find({service, fingerprint});
+  return found == crashes_.end() ? 0 : found->second;
+}
+
 std::vector<QuarantineRecord> QuarantineList::All() const {
   std::vector<QuarantineRecord> records;
   records.reserve(crashes_.size());
