A refused retry no longer hides that the first try ran

Cause: a GET whose server answered 503 was tried again; the second try was refused unrun and the call ended as 'not run', though the first try had run. Ruled out: the verdict of the refusal itself, which was right for its own try.

--- a/src/libnode/calls_test.cc
+++ b/src/libnode/calls_test.cc
@@ -257,4 +257,35 @@
   CHECK_EQUAL(200, after.response.status);
 }
 
+// The caller must not be told "not run". The first server ran the GET but its
+// nested call failed, so it answered 503; the second try is refused unrun.
+// Found by seed 899 of the promises: the refusal's verdict hid the first run.
+TEST(Calls, ARefusedRetryDoesNotHideThatTheFirstTryRan) {
+  fleet.AddNode("a1", "bilbao-a");
+  FakeServerOptions side = ServerOf("s1", "side");
+  side.crash_body = "boom";
+  side.restart_after = std::chrono::hours(1);
+  fleet.AddServer("a1", side);
+  FakeServerOptions front = ServerOf("f1", "front", {"side"});
+  front.service_time = std::chrono::milliseconds(200);
+  fleet.AddServer("a1", front);
+  fleet.RunFor(kSettle);
+  HttpRequest deadly = MakeRequest("POST", "side");
+  deadly.body = Body("boom");
+  AnswerTo("a1", std::move(deadly));
+  fleet.RunFor(kSettle);  // side has no server left
+  // A first answer teaches the node how long the server takes, so that it
+  // refuses the retry, for which too little time is left, unrun.
+  AnswerTo("a1", MakeRequest("POST", "front"));
+  // One hopeless call a second is let through as a probe: this one.
+  HttpRequest probe = MakeRequest("POST", "front");
+  probe.headers.push_back({"X-Amaranth-Deadline-Ms", "100"});
+  fleet.Call("a1", std::move(probe));
+  HttpRequest request = MakeRequest("GET", "front", "x", "r1");
+  request.headers.push_back({"X-Amaranth-Deadline-Ms", "390"});
+  const FakeAnswer& answer = AnswerTo("a1", std::move(request));
+  CHECK_EQUAL(1u, RunsOf(fleet, "r1"));
+  STRCMP_EQUAL("may-have-run", answer.Verdict().c_str());
+}
+
 }  // namespace amaranth::pvt
--- a/src/libnode/entry_attempts.cc
+++ b/src/libnode/entry_attempts.cc
@@ -131,6 +131,8 @@
   if (IsRetryableStatus(answer.response.status) && !final &&
       call.context.idempotent && PayRetry(call, context) &&
       TryNext(call, Reason::kServerError, context)) {
+    // It ran once, whatever the next try proves about itself.
+    call.doubt = true;
     return;
   }
   FinishWithResponse(call, answer.response, context);
