Peer transport: flush at stop, replace a link that the peer has given up

Stop closed at once, so answers sent in the same turn never left. After a cut a peer's new connection stayed beside our old link, whose reset then took the new one along. Tests of both fail without the change.

--- a/src/libhost/peer_link.cc
+++ b/src/libhost/peer_link.cc
@@ -69,6 +69,18 @@
   socket_.close(ignored);
 }
 
+// The last answers of a node that ends are in the queue when it is told to
+// stop; closed at once they would never leave.
+void PeerLink::FlushAndClose() {
+  hooks_ = PeerLinkHooks();
+  asio::error_code error;
+  while (open() && !queue_.empty() && !error) {
+    CountWritten(WriteBatch(error));
+  }
+  socket_.shutdown(asio::ip::tcp::socket::shutdown_send, error);
+  Close();
+}
+
 std::vector<PeerMessage> PeerLink::TakeUnsent() {
   std::vector<PeerMessage> unsent;
   for (size_t i = 0; i < queue_.size(); ++i) {
@@ -195,6 +207,7 @@
   }
   node_ = hello.node;
   state_ = State::kOpen;
+  opened_ = std::chrono::steady_clock::now();
   timer_.cancel();
   reader_.set_max_payload(kMaxFrameBytes);
   FlushSoon();
--- a/src/libhost/peer_link.h
+++ b/src/libhost/peer_link.h
@@ -51,13 +51,17 @@
   // Ends the connection without a call of on_end.
   void Close();
 
+  // Hands the kernel what it takes at once, then Close().
+  void FlushAndClose();
+
   // The messages queued of which no byte was handed to the kernel.
   std::vector<PeerMessage> TakeUnsent();
 
   // The peer's Hello was accepted and the connection has not ended.
   bool open() const { return state_ == State::kOpen; }
-  // As the peer's Hello said; valid once open.
+  // As the peer's Hello said; valid once open, as is the moment when it came.
   const NodeRef& node() const { return node_; }
+  std::chrono::steady_clock::time_point opened() const { return opened_; }
 
  private:
   enum class State { kGreeting, kOpen, kClosed };
@@ -87,6 +91,7 @@
   PeerLinkHooks hooks_;
   State state_ = State::kGreeting;
   NodeRef node_;
+  std::chrono::steady_clock::time_point opened_;
   FrameReader reader_;
   std::deque<Outgoing> queue_;
   size_t queued_bytes_ = 0;
--- a/src/libhost/peer_transport.cc
+++ b/src/libhost/peer_transport.cc
@@ -76,6 +76,7 @@
   Link Dial(const std::string& peer, const tcp::endpoint& address);
   bool OnHello(PeerLink& link, const Hello& hello);
   bool MakeRoom(Peer& peer, const PeerLink& link, const Hello& hello);
+  bool GivenUpByPeer(const Peer& peer) const;
   void OnEnd(PeerLink& link);
   void LoseOpenLinks(const std::string& name, Peer& peer);
   void ReportUnsent(const std::string& name, const Link& link);
@@ -208,8 +209,7 @@
 }
 
 // Of two processes under one name only the later one lives: its Hello ends the
-// links to the earlier one, and an earlier one's comes too late. A second
-// connection made by the same process means that it has given up the first.
+// links to the earlier one, and an earlier one's comes too late.
 bool PeerTransportImpl::MakeRoom(Peer& peer, const PeerLink& link,
                                  const Hello& hello) {
   const bool dialled_open = peer.dialled && peer.dialled->open();
@@ -221,14 +221,26 @@
   if (hello.node.incarnation < known) {
     return false;
   }
-  const bool same = hello.node.incarnation == known;
-  const bool link_is_dialled = peer.dialled.get() == &link;
-  if (!same || (!link_is_dialled && peer.accepted)) {
+  const bool newer = hello.node.incarnation > known;
+  const bool accepted = peer.dialled.get() != &link;
+  if (newer || (accepted && GivenUpByPeer(peer))) {
     LoseOpenLinks(hello.node.name, peer);
   }
   return true;
 }
 
+// A peer that connects has no link to us that it would use. After a cut we may
+// still hold one that it closed: when the first packet sent there is answered
+// by a reset, the new link would be lost along with it.
+bool PeerTransportImpl::GivenUpByPeer(const Peer& peer) const {
+  if (peer.accepted) {
+    return true;
+  }
+  const std::chrono::steady_clock::duration age =
+      std::chrono::steady_clock::now() - peer.dialled->opened();
+  return age >= limits_.replace_after;
+}
+
 void PeerTransportImpl::OnEnd(PeerLink& link) {
   const Link shared = link.shared_from_this();
   const std::map<std::string, Peer>::iterator found = FindPeer(link);
@@ -347,7 +359,7 @@
   for (const auto& [name, peer] : peers_) {
     for (const Link& link : {peer.dialled, peer.accepted}) {
       if (link) {
-        link->Close();
+        link->FlushAndClose();
       }
     }
   }
--- a/src/libhost/peer_transport.h
+++ b/src/libhost/peer_transport.h
@@ -45,6 +45,10 @@
   std::chrono::milliseconds connect_timeout{1000};
   // Queued on one link, in bytes; over it a message is refused as not sent.
   size_t max_queue_bytes = 64u << 20;
+  // A peer that connects to us this long after our own link to it opened has
+  // given that link up, as it would else have used it. Sooner, both may have
+  // dialled at once, and both links stay.
+  std::chrono::milliseconds replace_after{1000};
   // Connections accepted that have not yet said Hello.
   size_t max_greeting_links = 256;
 };
@@ -69,7 +73,8 @@
   // Drops every link to the peer; on_lost follows in any case.
   void Close(const std::string& peer);
 
-  // Closes everything; no hook is called any more.
+  // Hands the kernel what it takes at once of what was sent, and closes
+  // everything; no hook is called any more.
   void Stop();
 
  private:
--- a/src/libhost/peer_transport_test.cc
+++ b/src/libhost/peer_transport_test.cc
@@ -289,6 +289,52 @@
   PollUntil(io, [&] { return old_process.Ended(); });
 }
 
+// A cut in the network: the peer closed our link to it, we did not hear of it,
+// and it connects again. Our link would be reset by the first packet sent on
+// it, and take the new one along: so the new connection replaces it, at once.
+TEST(PeerTransport, PeerThatConnectsAgainHasGivenUpOurLink) {
+  PeerLimits limits;
+  limits.replace_after = std::chrono::milliseconds(0);
+  TestNode one(io, HelloOf("n1", 1), limits);
+  RawPeer cut_off(io);
+  cut_off.Listen();
+  one.transport.Send("n2", cut_off.address(), LinkPing{1});
+  cut_off.Accept();
+  cut_off.Say(HelloOf("n2", 5));
+  PollUntil(io, [&] { return cut_off.HasFrames(2); });
+  RawPeer back(io);
+  back.Connect(one.address());
+  back.Say(HelloOf("n2", 5));
+  back.Say(LinkPing{2});
+  RunUntil(io, [&] { return one.log.size() == 2; });
+  CHECK(one.log == std::vector<std::string>({"lost n2", "got from n2#5"}));
+  cut_off.Close();
+  back.Say(LinkPing{3});
+  RunUntil(io, [&] { return one.log.size() == 3; });
+  CHECK(one.log[2] == "got from n2#5");
+}
+
+// Without time between them the two links may have been dialled at once: each
+// side keeps both, and nothing is lost.
+TEST(PeerTransport, LinksDialledAtOnceBothStay) {
+  PeerLimits limits;
+  limits.replace_after = std::chrono::hours(1);
+  TestNode one(io, HelloOf("n1", 1), limits);
+  RawPeer dialled(io);
+  dialled.Listen();
+  one.transport.Send("n2", dialled.address(), LinkPing{1});
+  dialled.Accept();
+  dialled.Say(HelloOf("n2", 5));
+  PollUntil(io, [&] { return dialled.HasFrames(2); });
+  RawPeer dialling(io);
+  dialling.Connect(one.address());
+  dialling.Say(HelloOf("n2", 5));
+  dialling.Say(LinkPing{2});
+  dialled.Say(LinkPing{3});
+  RunUntil(io, [&] { return one.messages.size() == 2; });
+  CHECK_EQUAL(2u, one.log.size());
+}
+
 TEST(PeerTransport, EarlierIncarnationIsRefusedWhileTheLaterIsConnected) {
   TestNode one(io, HelloOf("n1", 1));
   RawPeer new_process(io);
@@ -415,6 +461,21 @@
   CHECK(one.log == std::vector<std::string>({"not sent to n2", "lost n2"}));
 }
 
+// A node answers its last call and ends. The answer was sent before the stop,
+// so the peer must get it.
+TEST(PeerTransport, StopHandsOverWhatWasSent) {
+  TestNode one(io, HelloOf("n1", 1));
+  TestNode two(io, HelloOf("n2", 1));
+  one.transport.Send("n2", two.address(), LinkPing{1});
+  RunUntil(io, [&] { return two.messages.size() == 1; });
+  two.transport.Send("n1", NoAddress(), LinkPong{1});
+  two.transport.Send("n1", NoAddress(), LinkPong{2});
+  two.transport.Stop();
+  RunUntil(io, [&] { return one.log.size() == 3; });
+  CHECK(one.log == std::vector<std::string>(
+                       {"got from n2#1", "got from n2#1", "lost n2"}));
+}
+
 TEST(PeerTransport, StoppedTransportTellsNothingMore) {
   TestNode one(io, HelloOf("n1", 1));
   TestNode two(io, HelloOf("n2", 1));
