--- a/src/bench/load_tool.cc
+++ b/src/bench/load_tool.cc
@@ -49,6 +49,8 @@
   Clock::time_point due;
 };
 
+enum class Ending { kWhole, kNotConnected, kBrokenOff };
+
 double Micros(Clock::duration duration) {
   return std::chrono::duration<double, std::micro>(duration).count();
 }
@@ -56,7 +58,7 @@
 // One kept-alive connection with at most one request on it.
 class Connection : public std::enable_shared_from_this<Connection> {
  public:
-  using Done = std::function<void(Connection&, const Job&, bool whole)>;
+  using Done = std::function<void(Connection&, const Job&, Ending)>;
 
   Connection(asio::io_context& io, const Options& options, Done done)
       : socket_(io), options_(options), done_(std::move(done)) {
@@ -88,7 +90,7 @@
     http_parser_init(&parser_, HTTP_RESPONSE);
     parser_.data = this;
     if (!socket_.is_open() && !Connect()) {
-      Finish(false);
+      Finish(Ending::kNotConnected);
       return;
     }
     request_ = Format(job.token);
@@ -165,16 +167,16 @@
       return;
     }
     if (http_should_keep_alive(&parser_) == 0) socket_.close();
-    Finish(true);
+    Finish(Ending::kWhole);
   }
 
   void Drop() {
     asio::error_code ignored;
     socket_.close(ignored);
-    Finish(false);
+    Finish(Ending::kBrokenOff);
   }
 
-  void Finish(bool whole) { done_(*this, job_, whole); }
+  void Finish(Ending ending) { done_(*this, job_, ending); }
 
   asio::ip::tcp::socket socket_;
   const Options& options_;
@@ -195,8 +197,8 @@
     for (size_t i = 0; i < options.connections; ++i) {
       idle_.push_back(std::make_shared<Connection>(
           io, options,
-          [this](Connection& connection, const Job& job, bool whole) {
-            OnDone(connection, job, whole);
+          [this](Connection& connection, const Job& job, Ending ending) {
+            OnDone(connection, job, ending);
           }));
     }
   }
@@ -268,8 +270,8 @@
 
   bool Measured(const Job& job) const { return job.due >= measure_from_; }
 
-  void OnDone(Connection& connection, const Job& job, bool whole) {
-    if (Measured(job)) Count(connection, job, whole);
+  void OnDone(Connection& connection, const Job& job, Ending ending) {
+    if (Measured(job)) Count(connection, job, ending);
     // Posted: a failing connect would otherwise recurse without end.
     asio::post(io_, [this, kept = connection.shared_from_this()] {
       idle_.push_back(kept);
@@ -281,10 +283,11 @@
     });
   }
 
-  void Count(const Connection& connection, const Job& job, bool whole) {
+  void Count(const Connection& connection, const Job& job, Ending ending) {
     ++finished_measured_;
-    if (!whole) {
-      ++report_.outcomes["no whole answer"];
+    if (ending != Ending::kWhole) {
+      const bool connected = ending != Ending::kNotConnected;
+      ++report_.outcomes[connected ? "broken off" : "not connected"];
       return;
     }
     if (connection.status() / 100 == 2) {
--- a/src/libhost/http_frontend.cc
+++ b/src/libhost/http_frontend.cc
@@ -192,7 +192,8 @@
   }
 
   bool Answer(CallId call, const HttpResponse& response) {
-    return Write(call, response, closing_);
+    const bool asked = FindHeader(response.headers, "Connection") == "close";
+    return Write(call, response, closing_ || asked);
   }
 
   void OnClosed(uint64_t connection_id) {
--- a/src/libhost/http_frontend.h
+++ b/src/libhost/http_frontend.h
@@ -58,7 +58,8 @@
 
   uint16_t port() const;
 
-  // False if the call is not open here (unknown, gone or answered before).
+  // False if the call is not open here (unknown, gone or answered before). A
+  // field "Connection: close" in the response ends the connection after it.
   bool Answer(CallId call, const HttpResponse& response);
 
   // Calls not answered yet.
--- a/src/libhost/http_frontend_test.cc
+++ b/src/libhost/http_frontend_test.cc
@@ -237,6 +237,18 @@
   CHECK_EQUAL(1u, CountOf(peer->received, "last"));
 }
 
+TEST(HttpFrontend, AnswerMayAskToEndTheConnection) {
+  Open();
+  const auto peer = Connect();
+  peer->Write("GET / HTTP/1.1\r\n\r\n");
+  CHECK(Until([&] { return requests.size() == 1; }));
+  HttpResponse response = Text("last");
+  response.headers.push_back({"Connection", "close"});
+  frontend->Answer(requests[0].first, response);
+  CHECK(Until([&] { return peer->ended; }));
+  CHECK_EQUAL(1u, CountOf(peer->received, "Connection: close"));
+}
+
 TEST(HttpFrontend, CallIdsAreUniqueAcrossFrontends) {
   Open();
   HttpFrontendHooks hooks;
