--- a/src/cmake/lint.sh
+++ b/src/cmake/lint.sh
@@ -12,7 +12,7 @@
 lint_one() {
   local file=$1 stamp
   stamp=$( { echo "$config_hash"
-    g++ -std=c++17 -MM -Isrc/include -Isrc "$file" | tr -d '\\\n' |
+    g++ -std=c++17 -MM -Isrc/include -Isrc -I. "$file" | tr -d '\\\n' |
       cut -d: -f2 | xargs cat; } | sha256sum | cut -d' ' -f1)
   [ -e "$cache/$stamp" ] && return 0
   clang-tidy --quiet -p build "$file" 2>/dev/null || {
--- a/testsuite/backend_standin.cc
+++ b/testsuite/backend_standin.cc
@@ -41,7 +41,7 @@
 
 struct NestedCall {
   std::string service;
-  std::string method = "GET";
+  std::string method;  // empty: as the request that it is made for
 };
 
 struct Options {
@@ -275,7 +275,7 @@
   std::optional<HttpResponse> CallNested(const HttpRequest& incoming,
                                          const NestedCall& call) const {
     HttpRequest request;
-    request.method = call.method;
+    request.method = call.method.empty() ? incoming.method : call.method;
     request.target = incoming.target;
     request.headers = {{"X-Amaranth-Service", call.service}};
     for (const char* name : {"X-Amaranth-Context", "X-Token"}) {
