--- a/src/libnode/fake_fleet.cc
+++ b/src/libnode/fake_fleet.cc
@@ -77,6 +77,7 @@
   const std::shared_ptr<Server> server = std::make_shared<Server>();
   server->options = std::move(options);
   server->host = node;
+  server->started = now_;
   hosts_.at(node).servers.push_back(server);
   Announce(server);
 }
@@ -98,7 +99,19 @@
 }
 
 void FakeFleet::At(Duration from_now, std::function<void()> action) {
-  schedule_.push({now_ + from_now, order_++, std::move(action)});
+  Schedule(now_ + from_now, std::move(action));
+}
+
+void FakeFleet::Schedule(TimePoint at, std::function<void()> action) {
+  schedule_.push_back({at, order_++, std::move(action)});
+  std::push_heap(schedule_.begin(), schedule_.end());
+}
+
+FakeFleet::Scheduled FakeFleet::TakeNext() {
+  std::pop_heap(schedule_.begin(), schedule_.end());
+  Scheduled next = std::move(schedule_.back());
+  schedule_.pop_back();
+  return next;
 }
 
 void FakeFleet::FeedLater(const std::string& host, Duration delay,
@@ -155,12 +168,11 @@
 bool FakeFleet::RunUntil(const std::function<bool()>& done, Duration limit) {
   const TimePoint end = now_ + limit;
   while (!done()) {
-    if (schedule_.empty() || schedule_.top().at > end) {
+    if (schedule_.empty() || schedule_.front().at > end) {
       now_ = end;
       return done();
     }
-    const Scheduled next = schedule_.top();
-    schedule_.pop();
+    const Scheduled next = TakeNext();
     now_ = next.at;
     next.action();
   }
@@ -269,7 +281,7 @@
     held_by_cuts_.push_back(std::move(deliver));
     return;
   }
-  schedule_.push({arrival, order_++, std::move(deliver)});
+  Schedule(arrival, std::move(deliver));
 }
 
 void FakeFleet::Do(Host& host, const ClosePeer& effect) {
@@ -295,7 +307,7 @@
   }
 }
 
-void FakeFleet::Do(Host& host, const AnswerCaller& effect) {
+void FakeFleet::Do(Host&, const AnswerCaller& effect) {
   const auto nested = nested_.find(effect.call);
   if (nested != nested_.end()) {
     const std::function<void(const HttpResponse&)> resume =
@@ -310,10 +322,14 @@
   answer.response = effect.response;
   if (answer.asked == TimePoint()) {  // announcements, operators
     answer.asked = now_;
+    if (!keeps_history_) answers_.erase(effect.call);
     return;
   }
-  if (on_answer) on_answer(effect.call, answer);
-  (void)host;
+  if (!on_answer) return;
+  if (keeps_history_) return on_answer(effect.call, answer);
+  const FakeAnswer only = std::move(answer);
+  answers_.erase(effect.call);
+  on_answer(effect.call, only);
 }
 
 void FakeFleet::Do(Host& host, const WakeAt& effect) {
--- a/src/libnode/fake_fleet.h
+++ b/src/libnode/fake_fleet.h
@@ -10,7 +10,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <random>
 #include <set>
 #include <string>
@@ -26,6 +25,14 @@
   std::string service;
   uint32_t slots = 10;
   Duration service_time = std::chrono::milliseconds(10);
+  // Exponential around service_time, instead of the same each time.
+  bool random_service_time = false;
+  // Cold start: the first call takes this many service times, falling to one
+  // over the warm-up.
+  double cold_factor = 1;
+  Duration warm_up{0};
+  // False: works on for callers that have gone away.
+  bool cancellable = true;
   // Services called one after the other through the server's own node, as
   // "service" or "METHOD service".
   std::vector<std::string> nested;
@@ -69,6 +76,10 @@
   void Hangup(const std::string& node, uint64_t call);
   const FakeAnswer* AnswerOf(uint64_t call) const;
   std::function<void(uint64_t call, const FakeAnswer&)> on_answer;
+  // A server began to run a request.
+  std::function<void(const Effected&)> on_run;
+  // Long runs leave the hooks to tell of answers and runs, and keep neither.
+  void ForgetHistory() { keeps_history_ = false; }
 
   void RunFor(Duration length);
   // Runs until `done` or the limit; true if done.
@@ -132,6 +143,8 @@
 
   static LinkKey KeyOf(const std::string& a, const std::string& b);
   bool IsCut(const std::string& a, const std::string& b) const;
+  void Schedule(TimePoint at, std::function<void()> action);
+  Scheduled TakeNext();
   void StartNode(Host& host);
   void Feed(Host& host, EventBody body);
   void FeedLater(const std::string& host, Duration delay, EventBody body);
@@ -153,16 +166,18 @@
 
   void Announce(const std::shared_ptr<Server>& server);
   void StartWaiting(const std::shared_ptr<Server>& server);
+  Duration ServiceTimeOf(const Server& server);
   void RunNested(const std::shared_ptr<Running>& running, size_t next);
   void FinishRun(const std::shared_ptr<Running>& running, int status);
   void CrashServer(const std::shared_ptr<Server>& server);
 
   TimePoint now_ = FromMicros(1'000'000);
+  bool keeps_history_ = true;
   uint64_t order_ = 0;
   uint64_t next_call_ = 1;
   uint64_t next_incarnation_ = 1000;
   std::mt19937_64 random_;
-  std::priority_queue<Scheduled> schedule_;
+  std::vector<Scheduled> schedule_;  // a heap, the next one at the front
   std::map<std::string, Host> hosts_;
   std::map<LinkKey, Link> links_;
   std::set<LinkKey> cuts_;
--- a/src/libnode/fake_fleet_server.h
+++ b/src/libnode/fake_fleet_server.h
@@ -15,6 +15,7 @@
   FakeServerOptions options;
   std::string host;
   bool up = true;
+  TimePoint started{};
   uint64_t life = 0;
   uint32_t busy = 0;
   std::deque<std::shared_ptr<Running>> waiting;
--- a/src/libnode/fake_servers.cc
+++ b/src/libnode/fake_servers.cc
@@ -57,7 +57,7 @@
   At(effect.timeout, [this, name, running] {
     Host& waiting = hosts_.at(name);
     if (waiting.dispatches.erase(running->dispatch) == 0) return;
-    running->gone = true;
+    running->gone = running->server->options.cancellable;
     Feed(waiting, Broken(running->dispatch));
   });
   StartWaiting(running->server);
@@ -66,7 +66,7 @@
 void FakeFleet::Do(Host& host, const CancelServer& effect) {
   const auto found = host.dispatches.find(effect.dispatch);
   if (found == host.dispatches.end()) return;
-  found->second->gone = true;
+  found->second->gone = found->second->server->options.cancellable;
   host.dispatches.erase(found);
   FeedLater(host.name, kSameHost, Broken(effect.dispatch));
 }
@@ -80,24 +80,44 @@
     running->started = true;
     ++server->busy;
     server->running.push_back(running);
-    running->effect = effected_.size();
     const std::vector<Header>& headers = running->request.headers;
-    effected_.push_back(
-        {now_, server->options.name, server->options.service,
-         std::string(FindHeader(headers, "X-Amaranth-Request-Id")),
-         std::string(FindHeader(headers, "Idempotency-Key")), false});
+    running->effect = effected_.size();
+    const Effected effect{
+        now_,
+        server->options.name,
+        server->options.service,
+        std::string(FindHeader(headers, "X-Amaranth-Request-Id")),
+        std::string(FindHeader(headers, "Idempotency-Key")),
+        false};
+    if (on_run) on_run(effect);
+    if (keeps_history_) effected_.push_back(effect);
     const std::string& crash = server->options.crash_body;
     if (!crash.empty() && running->request.body.view() == crash) {
       CrashServer(server);
       return;
     }
     const uint64_t life = server->life;
-    At(server->options.service_time, [this, running, life] {
+    At(ServiceTimeOf(*server), [this, running, life] {
       if (running->server->life == life) RunNested(running, 0);
     });
   }
 }
 
+Duration FakeFleet::ServiceTimeOf(const Server& server) {
+  double time = static_cast<double>(server.options.service_time.count());
+  const Duration warm_up = server.options.warm_up;
+  const Duration age = now_ - server.started;
+  if (age < warm_up) {
+    const double cold = 1 - static_cast<double>(age.count()) /
+                                static_cast<double>(warm_up.count());
+    time *= 1 + (server.options.cold_factor - 1) * cold;
+  }
+  if (server.options.random_service_time) {
+    time = std::exponential_distribution<double>(1 / time)(random_);
+  }
+  return Duration(static_cast<int64_t>(time));
+}
+
 void FakeFleet::RunNested(const std::shared_ptr<Running>& running,
                           size_t next) {
   const std::shared_ptr<Server>& server = running->server;
@@ -134,12 +154,13 @@
   list.erase(std::remove(list.begin(), list.end(), running), list.end());
   Host& host = hosts_.at(server->host);
   if (!running->gone && host.dispatches.erase(running->dispatch) > 0) {
-    effected_[running->effect].finished = status == 200;
+    if (keeps_history_) effected_[running->effect].finished = status == 200;
     HttpResponse response;
     response.status = status;
-    response.body =
-        Body(effected_[running->effect].request_id + "|" +
-             std::string(FindHeader(running->request.headers, "X-Token")));
+    response.body = Body(
+        std::string(
+            FindHeader(running->request.headers, "X-Amaranth-Request-Id")) +
+        "|" + std::string(FindHeader(running->request.headers, "X-Token")));
     FeedLater(server->host, kSameHost,
               ServerReplied{running->dispatch, std::move(response)});
   }
@@ -161,7 +182,10 @@
     host.dispatches.erase(dispatch);
     FeedLater(server->host, kSameHost, Broken(dispatch));
   }
-  At(server->options.restart_after, [server] { server->up = true; });
+  At(server->options.restart_after, [this, server] {
+    server->up = true;
+    server->started = now_;
+  });
 }
 
 }  // namespace amaranth::pvt
