Quarantines expire, and suspects make room for proved crash-makers

Cause: the fleet's list had no end of life, so a fingerprint stayed turned away for ever, and a crash with many victims could fill the list with suspects. Records now carry their remaining time and count it down at each holder, so gossip cannot renew them. Tables keyed by callers' class names are bounded.

--- a/src/include/amaranthroute/messages.h
+++ b/src/include/amaranthroute/messages.h
@@ -179,6 +179,9 @@
   std::string service;
   uint64_t fingerprint = 0;
   uint32_t crashes = 0;
+  /// Until every node forgets it; 0 for a record just made. Counted down by
+  /// each holder, so that gossip cannot keep a record alive for ever.
+  Duration remaining{0};
 };
 
 /// Exchange of member records over TCP: at join, for repair, and between data
--- a/src/libnode/entry_attempts.cc
+++ b/src/libnode/entry_attempts.cc
@@ -15,6 +15,8 @@
 constexpr Duration kAnswerMargin = std::chrono::milliseconds(10);
 constexpr int kShortDeadlineShare = 20;
 
+constexpr size_t kMaxRetryAfters = 4096;
+
 bool IsRetryableStatus(int status) {
   return status == 502 || status == 503 || status == 504;
 }
@@ -157,6 +159,8 @@
 void EntryRole::OnAttemptFailed(Call& call, Failure failure, Context& context) {
   if (failure.verdict != Verdict::kNotRun) call.doubt = true;
   if (failure.retry_after.count() > 0) {
+    // Callers choose class names: the table must not grow with them.
+    if (retry_after_.size() >= kMaxRetryAfters) retry_after_.clear();
     retry_after_[call.context.service + "/" + call.context.request_class] =
         failure.retry_after;
   }
--- a/src/libnode/membership.cc
+++ b/src/libnode/membership.cc
@@ -107,6 +107,7 @@
     }
   }
   ExpireServers(context);
+  quarantines_.Expire(context.now);
 }
 
 TimePoint Membership::next_timer() const {
@@ -229,7 +230,7 @@
 
 void Membership::AddQuarantine(const QuarantineRecord& record,
                                Context& context) {
-  if (!quarantines_.Add(record)) return;
+  if (!quarantines_.Add(record, context.now)) return;
   settings_pushes_left_ = kPushes;
   next_push_ = std::min(next_push_, context.now);
 }
@@ -312,7 +313,9 @@
 
 void Membership::MergeQuarantines(
     const std::vector<QuarantineRecord>& records) {
-  for (const QuarantineRecord& record : records) quarantines_.Add(record);
+  for (const QuarantineRecord& record : records) {
+    quarantines_.Add(record, last_now_);
+  }
 }
 
 void Membership::SeeSettings(const std::string& peer, uint64_t version,
--- a/src/libnode/membership.h
+++ b/src/libnode/membership.h
@@ -74,7 +74,7 @@
     return quarantines_.CrashesOf(service, fingerprint);
   }
   std::vector<QuarantineRecord> quarantines() const {
-    return quarantines_.All();
+    return quarantines_.All(last_now_);
   }
 
   uint64_t version() const { return Self().version; }
--- a/src/libnode/membership_spread.cc
+++ b/src/libnode/membership_spread.cc
@@ -134,7 +134,7 @@
 
 void Membership::AddQuarantines(size_t& size, GossipMessage& message) {
   for (const QuarantineRecord& record :
-       quarantines_.Next(kQuarantinesPerDatagram)) {
+       quarantines_.Next(kQuarantinesPerDatagram, last_now_)) {
     const size_t more = EncodedSize(record);
     if (size + more > kDatagramBudget) return;
     size += more;
--- a/src/libnode/membership_sync.cc
+++ b/src/libnode/membership_sync.cc
@@ -78,7 +78,7 @@
   answer.bucket_hashes = table_.BucketHashes();
   answer.members = Trim(table_.RecordsWhereDiffers(sync.bucket_hashes),
                         peer->data_centre, context);
-  answer.quarantines = quarantines_.Next(kQuarantinesPerSync);
+  answer.quarantines = quarantines_.Next(kQuarantinesPerSync, last_now_);
   answer.settings_version = settings_version_;
   context.Emit(SendPeer{from.name, peer->peer_address, std::move(answer)});
 }
--- a/src/libnode/membership_updates.cc
+++ b/src/libnode/membership_updates.cc
@@ -14,6 +14,10 @@
 constexpr size_t kQuarantineOverhead = 24;
 constexpr double kTransmissionsPerLog = 4.0;
 constexpr size_t kMaxQuarantines = 1024;
+// An operator who has mended the service, or a caller wrongly suspected, is
+// not shut out for longer. The same spans as CrashGuard's own.
+constexpr Duration kSuspectLife = std::chrono::minutes(10);
+constexpr Duration kQuarantineLife = std::chrono::minutes(30);
 
 }  // namespace
 
@@ -68,46 +72,61 @@
   return left_ <= 0 ? 0 : static_cast<size_t>(left_);
 }
 
-bool QuarantineList::Add(const QuarantineRecord& record) {
-  const bool known = Contains(record.service, record.fingerprint);
-  if (!known && crashes_.size() >= kMaxQuarantines) return false;
-  uint32_t& crashes = crashes_[{record.service, record.fingerprint}];
-  if (record.crashes <= crashes) return false;
-  crashes = record.crashes;
+bool QuarantineList::MakeRoom() {
+  if (entries_.size() < kMaxQuarantines) return true;
+  // Suspects are many after a crash; they must not keep out a fingerprint that
+  // is proved to crash servers.
+  for (auto it = entries_.begin(); it != entries_.end(); ++it) {
+    if (it->second.crashes >= kQuarantineCrashes) continue;
+    entries_.erase(it);
+    return true;
+  }
+  return false;
+}
+
+bool QuarantineList::Add(const QuarantineRecord& record, TimePoint now) {
+  const Key key(record.service, record.fingerprint);
+  const uint32_t known = CrashesOf(record.service, record.fingerprint);
+  if (record.crashes <= known) return false;
+  if (known == 0 && !MakeRoom()) return false;
+  const bool proved = record.crashes >= kQuarantineCrashes;
+  const Duration full = proved ? kQuarantineLife : kSuspectLife;
+  const bool is_new = record.remaining.count() <= 0;
+  const Duration left = is_new ? full : std::min(full, record.remaining);
+  entries_[key] = Entry{record.crashes, now + left};
   return true;
 }
 
-bool QuarantineList::Contains(const std::string& service,
-                              uint64_t fingerprint) const {
-  return crashes_.count({service, fingerprint}) != 0;
+void QuarantineList::Expire(TimePoint now) {
+  for (auto it = entries_.begin(); it != entries_.end();) {
+    it = it->second.expires <= now ? entries_.erase(it) : std::next(it);
+  }
 }
 
 uint32_t QuarantineList::CrashesOf(const std::string& service,
                                    uint64_t fingerprint) const {
-  const auto found = crashes_.find({service, fingerprint});
-  return found == crashes_.end() ? 0 : found->second;
+  const auto found = entries_.find({service, fingerprint});
+  return found == entries_.end() ? 0 : found->second.crashes;
 }
 
-std::vector<QuarantineRecord> QuarantineList::All() const {
+std::vector<QuarantineRecord> QuarantineList::All(TimePoint now) const {
   std::vector<QuarantineRecord> records;
-  records.reserve(crashes_.size());
-  for (const auto& [key, crashes] : crashes_) {
-    records.push_back({key.first, key.second, crashes});
+  records.reserve(entries_.size());
+  for (const auto& [key, entry] : entries_) {
+    if (entry.expires <= now) continue;
+    records.push_back(
+        {key.first, key.second, entry.crashes, entry.expires - now});
   }
   return records;
 }
 
-std::vector<QuarantineRecord> QuarantineList::Next(size_t count) {
+std::vector<QuarantineRecord> QuarantineList::Next(size_t count,
+                                                   TimePoint now) {
+  const std::vector<QuarantineRecord> all = All(now);
   std::vector<QuarantineRecord> records;
-  if (crashes_.empty()) return records;
-  const size_t wanted = std::min(count, crashes_.size());
-  auto entry = crashes_.begin();
-  std::advance(entry, position_ % crashes_.size());
-  while (records.size() < wanted) {
-    records.push_back({entry->first.first, entry->first.second, entry->second});
-    if (++entry == crashes_.end()) entry = crashes_.begin();
+  for (size_t i = 0; i < std::min(count, all.size()); ++i) {
+    records.push_back(all[position_++ % all.size()]);
   }
-  position_ = (position_ + wanted) % crashes_.size();
   return records;
 }
 
--- a/src/libnode/membership_updates.h
+++ b/src/libnode/membership_updates.h
@@ -73,15 +73,23 @@
 class QuarantineList {
  public:
   // True if this told something new.
-  bool Add(const QuarantineRecord& record);
-  bool Contains(const std::string& service, uint64_t fingerprint) const;
+  bool Add(const QuarantineRecord& record, TimePoint now);
+  void Expire(TimePoint now);
   uint32_t CrashesOf(const std::string& service, uint64_t fingerprint) const;
-  std::vector<QuarantineRecord> All() const;
+  std::vector<QuarantineRecord> All(TimePoint now) const;
   // The next few in turn, so that all are told again and again.
-  std::vector<QuarantineRecord> Next(size_t count);
+  std::vector<QuarantineRecord> Next(size_t count, TimePoint now);
 
  private:
-  std::map<std::pair<std::string, uint64_t>, uint32_t> crashes_;
+  struct Entry {
+    uint32_t crashes = 0;
+    TimePoint expires{};
+  };
+  using Key = std::pair<std::string, uint64_t>;
+
+  bool MakeRoom();
+
+  std::map<Key, Entry> entries_;
   size_t position_ = 0;
 };
 
--- /dev/null
+++ b/src/libnode/quarantine_list_test.cc
@@ -0,0 +1,35 @@
+#include <CppUTest/TestHarness.h>
+
+#include "membership_updates.h"
+
+namespace amaranth::pvt {
+
+TEST_GROUP(QuarantineList) {
+  QuarantineList list;
+  const TimePoint start = FromMicros(1'000'000);
+};
+
+// Callers of a service whose crash was mended long ago are still turned away,
+// because nodes that forgot the record hear it from those that have not. Each
+// holder counts the remaining time down, so that gossip cannot renew it.
+TEST(QuarantineList, GossipCannotKeepARecordAlive) {
+  list.Add({"proofing", 7, kQuarantineCrashes}, start);
+  const TimePoint late = start + std::chrono::minutes(29);
+  QuarantineList other;
+  for (const QuarantineRecord& record : list.All(late)) {
+    other.Add(record, late);
+  }
+  CHECK_EQUAL(kQuarantineCrashes, other.CrashesOf("proofing", 7));
+  other.Expire(late + std::chrono::minutes(2));
+  CHECK_EQUAL(0u, other.CrashesOf("proofing", 7));
+}
+
+TEST(QuarantineList, SuspectsMakeRoomForAProvedCrashMaker) {
+  for (uint64_t fingerprint = 1; fingerprint <= 5000; ++fingerprint) {
+    list.Add({"proofing", fingerprint, kSuspectCrashes}, start);
+  }
+  CHECK(list.Add({"proofing", 9999, kQuarantineCrashes}, start));
+  CHECK_EQUAL(kQuarantineCrashes, list.CrashesOf("proofing", 9999));
+}
+
+}  // namespace amaranth::pvt
--- a/src/libutil/fields.h
+++ b/src/libutil/fields.h
@@ -79,7 +79,7 @@
 }
 
 inline auto Fields(const QuarantineRecord& v) {
-  return std::tie(v.service, v.fingerprint, v.crashes);
+  return std::tie(v.service, v.fingerprint, v.crashes, v.remaining);
 }
 
 inline auto Fields(const MemberSync& v) {
--- a/src/libwire/amaranth.thrift
+++ b/src/libwire/amaranth.thrift
@@ -186,7 +186,8 @@
 struct QuarantineRecord {
   1: required string service_name,
   2: required i64 fingerprint,
-  3: required i64 crashes
+  3: required i64 crashes,
+  4: required i64 remaining_us
 }
 
 struct MemberSync {
--- a/src/libwire/from_wire.cc
+++ b/src/libwire/from_wire.cc
@@ -119,6 +119,7 @@
   out.service = std::move(in.service_name);
   out.fingerprint = Unsigned(in.fingerprint);
   out.crashes = check.Narrow<uint32_t>(in.crashes, "crashes");
+  out.remaining = Duration(in.remaining_us);
 }
 
 template <typename In, typename Out>
--- a/src/libwire/gen-cpp/amaranth_types.cpp
+++ b/src/libwire/gen-cpp/amaranth_types.cpp
@@ -4106,6 +4106,10 @@
 void QuarantineRecord::__set_crashes(const int64_t val) {
   this->crashes = val;
 }
+
+void QuarantineRecord::__set_remaining_us(const int64_t val) {
+  this->remaining_us = val;
+}
 std::ostream& operator<<(std::ostream& out, const QuarantineRecord& obj)
 {
   obj.printTo(out);
@@ -4128,6 +4132,7 @@
   bool isset_service_name = false;
   bool isset_fingerprint = false;
   bool isset_crashes = false;
+  bool isset_remaining_us = false;
 
   while (true)
   {
@@ -4161,6 +4166,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->remaining_us);
+          isset_remaining_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4176,6 +4189,8 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_crashes)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_remaining_us)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -4196,6 +4211,10 @@
   xfer += oprot->writeI64(this->crashes);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("remaining_us", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->remaining_us);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4206,28 +4225,33 @@
   swap(a.service_name, b.service_name);
   swap(a.fingerprint, b.fingerprint);
   swap(a.crashes, b.crashes);
+  swap(a.remaining_us, b.remaining_us);
 }
 
 QuarantineRecord::QuarantineRecord(const QuarantineRecord& other126) {
   service_name = other126.service_name;
   fingerprint = other126.fingerprint;
   crashes = other126.crashes;
+  remaining_us = other126.remaining_us;
 }
 QuarantineRecord::QuarantineRecord(QuarantineRecord&& other127) noexcept {
   service_name = std::move(other127.service_name);
   fingerprint = other127.fingerprint;
   crashes = other127.crashes;
+  remaining_us = other127.remaining_us;
 }
 QuarantineRecord& QuarantineRecord::operator=(const QuarantineRecord& other128) {
   service_name = other128.service_name;
   fingerprint = other128.fingerprint;
   crashes = other128.crashes;
+  remaining_us = other128.remaining_us;
   return *this;
 }
 QuarantineRecord& QuarantineRecord::operator=(QuarantineRecord&& other129) noexcept {
   service_name = std::move(other129.service_name);
   fingerprint = other129.fingerprint;
   crashes = other129.crashes;
+  remaining_us = other129.remaining_us;
   return *this;
 }
 void QuarantineRecord::printTo(std::ostream& out) const {
@@ -4236,6 +4260,7 @@
   out << "service_name=" << to_string(service_name);
   out << ", " << "fingerprint=" << to_string(fingerprint);
   out << ", " << "crashes=" << to_string(crashes);
+  out << ", " << "remaining_us=" << to_string(remaining_us);
   out << ")";
 }
 
--- a/src/libwire/gen-cpp/amaranth_types.h
+++ b/src/libwire/gen-cpp/amaranth_types.h
@@ -1400,13 +1400,15 @@
   QuarantineRecord() noexcept
                    : service_name(),
                      fingerprint(0),
-                     crashes(0) {
+                     crashes(0),
+                     remaining_us(0) {
   }
 
   virtual ~QuarantineRecord() noexcept;
   std::string service_name;
   int64_t fingerprint;
   int64_t crashes;
+  int64_t remaining_us;
 
   void __set_service_name(const std::string& val);
 
@@ -1414,6 +1416,8 @@
 
   void __set_crashes(const int64_t val);
 
+  void __set_remaining_us(const int64_t val);
+
   bool operator == (const QuarantineRecord & rhs) const
   {
     if (!(service_name == rhs.service_name))
@@ -1422,6 +1426,8 @@
       return false;
     if (!(crashes == rhs.crashes))
       return false;
+    if (!(remaining_us == rhs.remaining_us))
+      return false;
     return true;
   }
   bool operator != (const QuarantineRecord &rhs) const {
--- a/src/libwire/to_wire.cc
+++ b/src/libwire/to_wire.cc
@@ -35,7 +35,7 @@
 static_assert(kHasFields<ClaimReply, 1>);
 static_assert(kHasFields<ServerRecord, 5>);
 static_assert(kHasFields<MemberRecord, 8>);
-static_assert(kHasFields<QuarantineRecord, 3>);
+static_assert(kHasFields<QuarantineRecord, 4>);
 static_assert(kHasFields<MemberSync, 5>);
 static_assert(kHasFields<GossipMessage, 10>);
 
@@ -150,6 +150,7 @@
   out.service_name = in.service;
   out.fingerprint = Signed(in.fingerprint);
   out.crashes = in.crashes;
+  out.remaining_us = in.remaining.count();
 }
 
 template <typename In, typename Out>
