--- a/src/cmake/Sanitizers.cmake
+++ b/src/cmake/Sanitizers.cmake
@@ -5,6 +5,7 @@
                       -fno-sanitize-recover=all)
   # g++ 12 sees uninitialized members in libstdc++'s own <regex> once it adds
   # its checks; the release build keeps this warning an error.
-  add_compile_options(-Wno-error=maybe-uninitialized)
+  add_compile_options(
+    $<$<CXX_COMPILER_ID:GNU>:-Wno-error=maybe-uninitialized>)
   add_link_options(-fsanitize=${AMARANTH_SANITIZE})
 endif()
