--- a/testsuite/demo/run.py
+++ b/testsuite/demo/run.py
@@ -62,7 +62,8 @@
 def offer(nodes, share, seconds):
     loads = [
         calls.Load("catalogue", "browse", "GET", PER_SECOND_BROWSE * share),
-        calls.Load("catalogue", "renewal", "POST", PER_SECOND_RENEWAL * share),
+        calls.Load("catalogue", "renewal", "POST", PER_SECOND_RENEWAL * share,
+                   ticketed=True),
     ]
     wanted = sum(load.per_second for load in loads) * seconds
     ports = [node.callers for node in nodes]
--- a/testsuite/lib/calls.py
+++ b/testsuite/lib/calls.py
@@ -103,7 +103,9 @@
     method: str
     per_second: float
     deadline_ms: int = 2000
-    keyed: bool = False
+    # Each request uses a ticket: from the last answer of its node, or asked
+    # for. A ticket makes a resend safe and needs no platform.
+    ticketed: bool = False
 
 
 class LoadRun:
@@ -116,10 +118,9 @@
 
     LATE_SECONDS = 0.25
 
-    def __init__(self, ports, loads, workers=64, on_answer=None):
+    def __init__(self, ports, loads, workers=64):
         self._ports = ports  # a function: the callers' ports in use now
         self._loads = loads
-        self._on_answer = on_answer
         self._lock = threading.Lock()
         self._stopped = threading.Event()
         self._start = time.monotonic()
@@ -127,6 +128,7 @@
         self._sent = 0
         self.late = 0
         self.answers = collections.defaultdict(list)
+        self._tickets = collections.defaultdict(list)  # by node
         self._threads = [
             threading.Thread(target=self._work, daemon=True)
             for _ in range(workers)
@@ -156,6 +158,13 @@
             self._sent += 1
             return self._loads[index], due[index], self._sent
 
+    def _ticket(self, connection, port):
+        with self._lock:
+            if self._tickets[port]:
+                return self._tickets[port].pop()
+        answer = _request(connection, "/amaranth/v1/ticket", "POST", b"", {})
+        return answer.json()["ticket"] if answer.status == 200 else ""
+
     def _work(self):
         connections = {}
         while not self._stopped.is_set():
@@ -179,15 +188,15 @@
             load.service,
             load.request_class,
             token=token,
-            request_id=f"request-{token}",
-            key=f"key-{token}" if load.keyed else "",
+            key=self._ticket(connections[port], port) if load.ticketed else "",
             deadline_ms=load.deadline_ms,
         )
         body = b"{}" if load.method == "POST" else None
         answer = _request(
             connections[port], f"/{token}", load.method, body, headers
         )
+        if answer.header("X-Amaranth-Ticket"):
+            with self._lock:
+                self._tickets[port].append(answer.header("X-Amaranth-Ticket"))
         with self._lock:
             self.answers[load.request_class].append((token, answer))
-        if self._on_answer:
-            self._on_answer(load, token, answer)
