--- a/src/libnode/membership_limits.h
+++ b/src/libnode/membership_limits.h
@@ -70,8 +70,8 @@
 // Gossip alone settles a difference within this; longer is worth a sync.
 inline constexpr Duration kMismatchPatience = std::chrono::seconds(2);
 inline constexpr Duration kRemoteSyncInterval = std::chrono::seconds(2);
-// A sync that teaches fewer records leaves the rest to gossip and comes less
-// often; one that teaches more goes on at once.
+// A sync that teaches more records than this was likely cut short and goes on
+// at once; one that teaches nothing makes the next one come later.
 inline constexpr size_t kFewRecords = 5;
 inline constexpr size_t kQuarantinesPerSync = 64;
 
--- a/src/libnode/membership_property_test.cc
+++ b/src/libnode/membership_property_test.cc
@@ -21,9 +21,9 @@
   int time_ms = 0;
 };
 
-void showValue(const Step& step, std::ostream& out) {
-  out << "{" << step.action << " node " << step.node << " " << step.time_ms
-      << " ms}";
+std::ostream& operator<<(std::ostream& out, const Step& step) {
+  return out << "{" << step.action << " node " << step.node << " "
+             << step.time_ms << " ms}";
 }
 
 std::string Name(int index) { return "n" + std::to_string(index); }
--- a/src/libnode/membership_settings.cmake
+++ b/src/libnode/membership_settings.cmake
@@ -13,4 +13,20 @@
     settings_tree.cc)
 set(AMARANTH_MEMBERSHIP_SETTINGS_TESTS
     membership_property_test.cc
-    membership_test.cc)
+    membership_test.cc
+    settings_store_test.cc
+    settings_tree_test.cc)
+
+set_source_files_properties(
+  settings_tree_test.cc
+  PROPERTIES COMPILE_DEFINITIONS "AMARANTH_SOURCE_DIR=\"${CMAKE_SOURCE_DIR}\"")
+
+# `cmake --build build --target settings_reference_page` rewrites the page
+# after the table has changed.
+amaranth_program(settings_reference SOURCES settings_reference.cc LIBS
+                 amaranth_node)
+add_custom_target(
+  settings_reference_page
+  COMMAND settings_reference >
+          ${CMAKE_SOURCE_DIR}/docs/operators/settings-reference.md
+  VERBATIM)
--- a/src/libnode/membership_sync.cc
+++ b/src/libnode/membership_sync.cc
@@ -87,9 +87,8 @@
                             size_t learnt, Context& context) {
   joined_ = true;
   verified_ = true;
-  sync_interval_ = learnt >= kFewRecords
-                       ? kMinSyncInterval
-                       : std::min(sync_interval_ * 2, kMaxSyncInterval);
+  sync_interval_ = learnt > 0 ? kMinSyncInterval
+                              : std::min(sync_interval_ * 2, kMaxSyncInterval);
   const MemberRecord* peer = Find(from.name);
   if (peer == nullptr) return;
   std::map<std::string, const MemberRecord*> theirs;
