--- a/src/include/amaranthroute/policy/outlier.h
+++ b/src/include/amaranthroute/policy/outlier.h
@@ -27,12 +27,16 @@
   double max_share = 0.5;
   /// Results that a verdict needs; decayed counts.
   double min_results = 10;
+  /// Failures in a row that need no such count: a service with a call a second
+  /// never has ten results that are recent.
+  int failures_in_row = 5;
   /// Failed share that ejects: this, and this much above the peers' median.
   double failure_share = 0.5;
   double failure_excess = 0.3;
-  /// Latency, in medians of the peers, that ejects. The choice of server
-  /// already sends a server of 3 times the latency a third of the calls; a
-  /// fifth of the speed is no load difference any more.
+  /// Latency, in medians of the peers, that ejects. A server of 3 times the
+  /// latency is left to the choice of server, which sends it less than a fifth
+  /// of the calls of three (ServerPickerTest, SlowServerGetsFewerCalls); a
+  /// fifth of the speed is no difference of load any more.
   double latency_factor = 5.0;
   /// ... and at least this much slower: 2 ms against 0.3 ms harms nobody.
   Duration min_excess = std::chrono::milliseconds(20);
@@ -81,6 +85,7 @@
     TimePoint updated{};
     TimePoint ejected_until{};
     TimePoint last_ejected{};
+    int failed_in_row = 0;
     int ejections = 0;
   };
 
