--- a/src/libnode/local_server.cc
+++ b/src/libnode/local_server.cc
@@ -58,7 +58,9 @@
 void LocalServer::OnDispatched(uint64_t dispatch, uint64_t fingerprint,
                                bool is_long) {
   dispatches_[dispatch] = Dispatch{fingerprint, is_long};
-  if (is_long) ++long_in_flight_;
+  if (!is_long) return;
+  ++long_in_flight_;
+  limit_.SetLongInFlight(long_in_flight_);
 }
 
 void LocalServer::OnEnded(uint64_t dispatch, Duration latency, bool failed,
@@ -66,7 +68,10 @@
   const auto found = dispatches_.find(dispatch);
   if (found == dispatches_.end()) return;
   const bool is_long = found->second.is_long;
-  if (is_long) --long_in_flight_;
+  if (is_long) {
+    --long_in_flight_;
+    limit_.SetLongInFlight(long_in_flight_);
+  }
   // Long work says nothing about how the server copes with ordinary calls.
   if (!is_long) limit_.OnSample(latency, in_flight(), failed, now);
   dispatches_.erase(found);
@@ -80,6 +85,7 @@
   expected_service_ = mean == 0 ? latency
                                 : Duration(static_cast<int64_t>(
                                       mean + kServiceWeight * (sample - mean)));
+  shedder_.OnServiceTime(expected_service_);
 }
 
 std::vector<std::pair<uint64_t, uint64_t>> LocalServer::InFlight() const {
--- a/src/libnode/local_server.h
+++ b/src/libnode/local_server.h
@@ -44,6 +44,7 @@
   const ServerRecord& record() const { return record_; }
   ConcurrencyLimit& limit() { return limit_; }
   AdmissionQueue& queue() { return queue_; }
+  const AdmissionQueue& queue() const { return queue_; }
   Shedder& shedder() { return shedder_; }
   DrainMeter& drain() { return drain_; }
   CrashWindow& crash_window() { return crash_window_; }
--- a/src/libnode/server_choice.cc
+++ b/src/libnode/server_choice.cc
@@ -28,7 +28,11 @@
   view.local = place.local;
   view.suspect = place.suspect;
   view.weight = SlowStartWeight(place.first_seen, now, settings.slow_start);
-  view.ejected = Ejected(place.service, key, now);
+  const auto outliers = outliers_.find(place.service);
+  if (outliers != outliers_.end()) {
+    view.ejected = outliers->second.Ejected(key, now);
+    view.weight *= outliers->second.Weight(key, now);
+  }
   view.excluded = tried.count(key) > 0;
   const auto found = seen_.find(key);
   if (found == seen_.end()) return view;
@@ -48,6 +52,8 @@
     const std::vector<ServerPlace>& places, const EffectiveSettings& settings,
     const std::set<std::string>& tried, std::optional<uint32_t> level,
     TimePoint now, std::mt19937_64& random) {
+  if (places.empty()) return std::nullopt;
+  outliers_[places.front().service].SetMaxShare(settings.max_eject_share);
   std::vector<ServerView> views;
   views.reserve(places.size());
   for (const ServerPlace& place : places) {
--- a/src/libnode/serving_role.cc
+++ b/src/libnode/serving_role.cc
@@ -154,6 +154,9 @@
 void ServingRole::Pump(LocalServer& server, Context& context) {
   PumpSuspects(server, context);
   while (server.HasFreeSlot()) {
+    // Read before Pop: the started call's own wait is short in any overload, as
+    // order is by tier and newest first, and nothing would be shed.
+    const Duration standing = server.queue().standing_delay(context.now);
     std::vector<QueuedCall> expired;
     const std::optional<QueuedCall> next =
         server.queue().Pop(context.now, server.expected_service(),
@@ -163,7 +166,7 @@
       if (server.queue().size() == 0) server.shedder().OnIdle(context.now);
       return;
     }
-    server.shedder().OnQueueDelay(context.now - next->enqueued, context.now);
+    server.shedder().OnQueueDelay(standing, context.now);
     Dispatch(hops_.at(next->id), server, context);
   }
 }
--- a/src/libnode/serving_role.h
+++ b/src/libnode/serving_role.h
@@ -84,6 +84,8 @@
   Hop TakeHop(uint64_t id);
   void Cancel(Hop& hop, Context& context);
   void CheckServers(Context& context);
+  // Gives up on waiting calls that are past deadline or patience.
+  void DropExpired(LocalServer& server, Context& context);
   void RemoveServer(const std::string& name, Context& context);
   Failure ExplainBreak(const ServerFailed& failed, const Hop& hop,
                        TimePoint now) const;
--- a/src/libnode/serving_servers.cc
+++ b/src/libnode/serving_servers.cc
@@ -150,13 +150,17 @@
               "Backend server " + name + " stopped announcing itself.");
 }
 
+void ServingRole::DropExpired(LocalServer& server, Context& context) {
+  std::vector<QueuedCall> expired;
+  server.queue().DropExpired(context.now, server.expected_service(), expired);
+  RefuseAll(expired, Reason::kDeadline, context);
+}
+
 void ServingRole::CheckServers(Context& context) {
   std::vector<std::string> silent;
   for (auto& [name, server] : servers_) {
     server.crash_window().Expire(context.now);
-    std::vector<QueuedCall> expired;
-    server.queue().DropExpired(context.now, server.expected_service(), expired);
-    RefuseAll(expired, Reason::kDeadline, context);
+    DropExpired(server, context);
     Pump(server, context);
     if (context.now - server.last_heard > kServerSilence) {
       silent.push_back(name);
@@ -179,6 +183,11 @@
     }
     Refuse(expired, Reason::kDeadline, context);
   }
+  for (auto& [name, server] : servers_) {
+    if (context.now >= server.queue().next_deadline()) {
+      DropExpired(server, context);
+    }
+  }
   if (context.now >= next_check_) {
     next_check_ = context.now + kCheckPeriod;
     CheckServers(context);
@@ -186,8 +195,12 @@
 }
 
 TimePoint ServingRole::next_timer() const {
-  const TimePoint check = servers_.empty() ? kNever : next_check_;
-  return std::min(check, queue_deadlines_.next());
+  TimePoint next = servers_.empty() ? kNever : next_check_;
+  // Patience ends before deadlines do.
+  for (const auto& [name, server] : servers_) {
+    next = std::min(next, server.queue().next_deadline());
+  }
+  return std::min(next, queue_deadlines_.next());
 }
 
 }  // namespace amaranth::pvt
