--- a/src/amaranthctl/options.cc
+++ b/src/amaranthctl/options.cc
@@ -9,6 +9,8 @@
 #include <limits>
 #include <string_view>
 
+#include "amaranthctl/replay.h"
+
 namespace amaranth::pvt {
 namespace {
 
@@ -29,6 +31,7 @@
   explain REQUEST-ID            why a request waited, went where it went, failed
   events                        what the node decided lately
   drain                         let the node finish its work and end
+  replay FILE                   drive a reducer with a log of amaranthd --record
 
   PATH is / (root), mesh, mesh/service, mesh/*/class or mesh/service/class.
 
@@ -50,12 +53,13 @@
   const char* help;
 };
 
-constexpr std::array<Flag, 13> kFlags = {{
+constexpr std::array<Flag, 14> kFlags = {{
     {"Node", "node", "", "IP:PORT", "operators' port of a node"},
     {"Node", "token", "", "TOKEN", "for changes; better by the environment"},
     {"Node", "timeout-ms", "10000", "MS", "longest wait for an answer"},
     {"Output", "output", "table", "FORMAT", "table or json"},
     {"Output", "plot", "false", "", "histograms: draw them as text"},
+    {"Output", "trace", "false", "", "replay: print every event and effect"},
     {"Filter", "service", "", "NAME", "servers: of this service only"},
     {"Filter", "tenant", "", "NAME", "histograms: of this tenant only"},
     {"Filter", "class", "", "NAME", "histograms: of this class only"},
@@ -211,7 +215,6 @@
   constexpr uint64_t kMaxRecords = 100'000;
   Reader reader(given, environment, parsed.errors);
   CtlOptions& options = parsed.options;
-  options.node = reader.Address("node");
   options.token = reader.Text("token");
   options.output = reader.Format("output");
   options.timeout =
@@ -224,11 +227,14 @@
   options.tenant = reader.Text("tenant");
   options.request_class = reader.Text("class");
   options.plot = reader.Switch("plot");
+  options.trace = reader.Switch("trace");
   options.since_us = reader.Number("since-us", 0, kMost);
   options.limit = reader.Number("limit", 1, kMaxRecords);
   if (given.count(kWords) > 0) {
     options.words = given[kWords].as<std::vector<std::string>>();
   }
+  const bool local = !options.words.empty() && options.words[0] == kReplayWord;
+  if (!local) options.node = reader.Address("node");
 }
 
 }  // namespace
--- a/src/amaranthctl/options.h
+++ b/src/amaranthctl/options.h
@@ -37,6 +37,7 @@
   std::string tenant;
   std::string request_class;
   bool plot = false;
+  bool trace = false;
   uint64_t since_us = 0;
   uint64_t limit = 0;
   std::vector<std::string> words;  // the command and its arguments
--- a/src/amaranthctl/run.cc
+++ b/src/amaranthctl/run.cc
@@ -1,6 +1,7 @@
 #include "amaranthctl/run.h"
 
 #include "amaranthctl/render.h"
+#include "amaranthctl/replay.h"
 
 namespace amaranth::pvt {
 namespace {
@@ -44,6 +45,9 @@
 
 ExitCode RunCommand(const CtlOptions& options, const AskNode& ask,
                     std::ostream& out, std::ostream& err) {
+  if (!options.words.empty() && options.words[0] == kReplayWord) {
+    return RunReplay(options, out, err);
+  }
   const Outcome<Command> command = BuildCommand(options);
   if (!command) {
     err << "amaranthctl: " << command.error() << "\n";
--- a/src/amaranthd/main.cc
+++ b/src/amaranthd/main.cc
@@ -17,6 +17,7 @@
 #include <utility>
 
 #include "amaranthd/options.h"
+#include "amaranthroute/event_log.h"
 #include "amaranthroute/reducer.h"
 #include "libhost/host.h"
 #include "libhost/platform_bridge.h"
@@ -70,24 +71,41 @@
   return host;
 }
 
+// Writes each event with its effects' digest, for `amaranthctl replay`. A new
+// process starts a new log: a replay drives one node from its start.
+HostReducer Recorded(const HostReducer& reducer, const NodeIdentity& identity,
+                     const std::string& path) {
+  const std::shared_ptr<std::ofstream> file =
+      std::make_shared<std::ofstream>(path, std::ios::trunc);
+  if (!*file) throw std::runtime_error("cannot write " + path);
+  HostReducer recorded;
+  recorded.start = [file, identity, start = reducer.start](TimePoint now) {
+    *file << FormatIdentity(identity, now) << "\n";
+    return start(now);
+  };
+  recorded.reduce = [file, reduce = reducer.reduce](const Event& event) {
+    Effects effects = reduce(event);
+    *file << FormatEvent(event, DigestOf(effects)) << "\n";
+    return effects;
+  };
+  return recorded;
+}
+
 // The node is made when the ports are bound: it tells its peers of them.
-HostReducer MakeReducer(NodeIdentity identity, const std::string& ip,
-                        const std::string& ports_file, const HostPorts& ports) {
+HostReducer MakeReducer(const DaemonOptions& options, const HostPorts& ports) {
+  NodeIdentity identity = options.identity;
+  const std::string& ip = options.ip;
   identity.peer_address = {ip, ports.peer};
   identity.gossip_address = {ip, ports.gossip};
   const auto node = std::make_shared<Node>(identity);
-  if (!ports_file.empty()) WritePortsFile(ports_file, identity, ports);
+  if (!options.ports_file.empty()) {
+    WritePortsFile(options.ports_file, identity, ports);
+  }
   HostReducer reducer;
   reducer.start = [node](TimePoint now) { return node->Start(now); };
   reducer.reduce = [node](const Event& event) { return node->Reduce(event); };
-  return reducer;
-}
-
-std::function<void(const Event&)> Recorder(const std::string& path) {
-  if (path.empty()) return nullptr;
-  const auto file = std::make_shared<std::ofstream>(path, std::ios::app);
-  if (!*file) throw std::runtime_error("cannot write " + path);
-  return [file](const Event& event) { *file << event << "\n"; };
+  if (options.record_file.empty()) return reducer;
+  return Recorded(reducer, identity, options.record_file);
 }
 
 std::shared_ptr<PlatformBridge> MakePlatform(asio::io_context& io,
@@ -114,9 +132,8 @@
     };
   }
   hooks.make_reducer = [&options](const HostPorts& ports) {
-    return MakeReducer(options.identity, options.ip, options.ports_file, ports);
+    return MakeReducer(options, ports);
   };
-  hooks.record = Recorder(options.record_file);
   Host host(io, ToHostOptions(options), std::move(hooks));
   host.HandleSignals();
   host.Start();
--- a/src/amaranthd/options.cc
+++ b/src/amaranthd/options.cc
@@ -58,7 +58,7 @@
      "text or json (one object a line)"},
     {"Operation", "ports-file", "", "FILE",
      "write the bound ports there as JSON"},
-    {"Operation", "record", "", "FILE", "append every event there, for replay"},
+    {"Operation", "record", "", "FILE", "write every event there, for replay"},
     {"Operation", "random-seed", "0", "N", "0 takes the incarnation"},
     {"Operation", "help", "", "", "print this and end"},
     {"Operation", "version", "", "", "print the version and end"},
--- a/src/libhost/host.cc
+++ b/src/libhost/host.cc
@@ -236,7 +236,6 @@
     while (!events_.empty() && !stopped_) {
       const Event event = std::move(events_.front());
       events_.pop_front();
-      if (hooks_.record) hooks_.record(event);
       CarryOut(reducer_.reduce(event));
     }
     reducing_ = false;
--- a/src/libhost/host.h
+++ b/src/libhost/host.h
@@ -58,8 +58,6 @@
   std::function<void(const PlatformRequest&,
                      std::function<void(PlatformReply)>)>
       platform;
-  // Sees each event before it is reduced; unset means no recording.
-  std::function<void(const Event&)> record;
 };
 
 class Host {
--- /dev/null
+++ b/src/libreplay/event_json.cc
@@ -0,0 +1,258 @@
+#include "event_json.h"
+
+#include <openssl/evp.h>
+
+#include <stdexcept>
+
+#include "amaranthroute/wire.h"
+
+namespace amaranth::pvt {
+namespace {
+
+using Json = nlohmann::json;
+
+// Bodies and wire messages are bytes, JSON is text.
+std::string Base64(std::string_view bytes) {
+  std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
+  const int length =
+      EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+                      reinterpret_cast<const unsigned char*>(bytes.data()),
+                      static_cast<int>(bytes.size()));
+  text.resize(static_cast<size_t>(length));
+  return text;
+}
+
+std::string FromBase64(const std::string& text) {
+  if (text.empty()) return "";
+  std::string bytes(text.size(), '\0');
+  const int length =
+      EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()),
+                      reinterpret_cast<const unsigned char*>(text.data()),
+                      static_cast<int>(text.size()));
+  if (length < 0) throw std::invalid_argument("bad base64");
+  size_t padding = 0;
+  while (padding < 2 && text[text.size() - 1 - padding] == '=') ++padding;
+  bytes.resize(static_cast<size_t>(length) - padding);
+  return bytes;
+}
+
+Json ToJson(const std::vector<Header>& headers) {
+  Json json = Json::array();
+  for (const Header& header : headers) {
+    json.push_back({Base64(header.name), Base64(header.value)});
+  }
+  return json;
+}
+
+std::vector<Header> HeadersFromJson(const Json& json) {
+  std::vector<Header> headers;
+  for (const Json& pair : json) {
+    headers.push_back({FromBase64(pair.at(0)), FromBase64(pair.at(1))});
+  }
+  return headers;
+}
+
+Json ToJson(const HttpRequest& request) {
+  return {{"method", request.method},
+          {"target", Base64(request.target)},
+          {"headers", ToJson(request.headers)},
+          {"body", Base64(request.body.view())}};
+}
+
+HttpRequest RequestFromJson(const Json& json) {
+  HttpRequest request;
+  request.method = json.at("method");
+  request.target = FromBase64(json.at("target"));
+  request.headers = HeadersFromJson(json.at("headers"));
+  request.body = Body(FromBase64(json.at("body")));
+  return request;
+}
+
+Json ToJson(const HttpResponse& response) {
+  return {{"status", response.status},
+          {"headers", ToJson(response.headers)},
+          {"body", Base64(response.body.view())}};
+}
+
+HttpResponse ResponseFromJson(const Json& json) {
+  HttpResponse response;
+  response.status = json.at("status");
+  response.headers = HeadersFromJson(json.at("headers"));
+  response.body = Body(FromBase64(json.at("body")));
+  return response;
+}
+
+Json ToJson(const Endpoint& endpoint) {
+  return {{"ip", endpoint.ip}, {"port", endpoint.port}};
+}
+
+Endpoint EndpointFromJson(const Json& json) {
+  return {json.at("ip"), json.at("port")};
+}
+
+Json ToJson(const PlatformReply& reply) {
+  return {{"status", static_cast<int>(reply.status)},
+          {"holders", reply.holders},
+          {"version", reply.version},
+          {"bytes", Base64(reply.bytes)},
+          {"peers", reply.peers}};
+}
+
+PlatformReply ReplyFromJson(const Json& json) {
+  PlatformReply reply;
+  reply.status = static_cast<PlatformStatus>(json.at("status").get<int>());
+  reply.holders = json.at("holders").get<std::vector<std::string>>();
+  reply.version = json.at("version");
+  reply.bytes = FromBase64(json.at("bytes"));
+  reply.peers = json.at("peers").get<std::vector<std::string>>();
+  return reply;
+}
+
+PeerMessage MessageFromJson(const Json& json) {
+  Outcome<PeerMessage> message = DecodePeerMessage(FromBase64(json));
+  if (!message) throw std::invalid_argument(message.error().message);
+  return std::move(message.value());
+}
+
+GossipMessage GossipFromJson(const Json& json) {
+  Outcome<GossipMessage> message = DecodeGossip(FromBase64(json));
+  if (!message) throw std::invalid_argument(message.error().message);
+  return std::move(message.value());
+}
+
+struct Writer {
+  Json operator()(const CallerRequest& e) const {
+    return {{"type", "caller-request"},
+            {"call", e.call},
+            {"request", ToJson(e.request)}};
+  }
+  Json operator()(const CallerGone& e) const {
+    return {{"type", "caller-gone"}, {"call", e.call}};
+  }
+  Json operator()(const OperatorRequest& e) const {
+    return {{"type", "operator-request"},
+            {"call", e.call},
+            {"request", ToJson(e.request)}};
+  }
+  Json operator()(const PeerReceived& e) const {
+    return {{"type", "peer-received"},
+            {"peer", e.peer.name},
+            {"incarnation", e.peer.incarnation},
+            {"message", Base64(EncodePeerMessage(e.message))}};
+  }
+  Json operator()(const PeerLost& e) const {
+    return {{"type", "peer-lost"}, {"peer", e.peer}};
+  }
+  Json operator()(const PeerSendFailed& e) const {
+    return {{"type", "peer-send-failed"},
+            {"peer", e.peer},
+            {"message", Base64(EncodePeerMessage(e.message))}};
+  }
+  Json operator()(const GossipReceived& e) const {
+    return {{"type", "gossip-received"},
+            {"from", ToJson(e.from)},
+            {"message", Base64(EncodeGossip(e.message))}};
+  }
+  Json operator()(const ServerReplied& e) const {
+    return {{"type", "server-replied"},
+            {"dispatch", e.dispatch},
+            {"response", ToJson(e.response)}};
+  }
+  Json operator()(const ServerFailed& e) const {
+    return {{"type", "server-failed"},
+            {"dispatch", e.dispatch},
+            {"verdict", static_cast<int>(e.verdict)},
+            {"reason", static_cast<int>(e.reason)}};
+  }
+  Json operator()(const PlatformReplied& e) const {
+    return {
+        {"type", "platform-replied"}, {"op", e.op}, {"reply", ToJson(e.reply)}};
+  }
+  Json operator()(const Tick&) const { return {{"type", "tick"}}; }
+  Json operator()(const StopRequested&) const {
+    return {{"type", "stop-requested"}};
+  }
+};
+
+}  // namespace
+
+Json EventToJson(const EventBody& body) { return std::visit(Writer(), body); }
+
+EventBody EventFromJson(const Json& json) {
+  const std::string type = json.at("type");
+  if (type == "caller-request") {
+    return CallerRequest{json.at("call"), RequestFromJson(json.at("request"))};
+  }
+  if (type == "caller-gone") return CallerGone{json.at("call")};
+  if (type == "operator-request") {
+    return OperatorRequest{json.at("call"),
+                           RequestFromJson(json.at("request"))};
+  }
+  if (type == "peer-received") {
+    return PeerReceived{{json.at("peer"), json.at("incarnation")},
+                        MessageFromJson(json.at("message"))};
+  }
+  if (type == "peer-lost") return PeerLost{json.at("peer")};
+  if (type == "peer-send-failed") {
+    return PeerSendFailed{json.at("peer"), MessageFromJson(json.at("message"))};
+  }
+  if (type == "gossip-received") {
+    return GossipReceived{EndpointFromJson(json.at("from")),
+                          GossipFromJson(json.at("message"))};
+  }
+  if (type == "server-replied") {
+    return ServerReplied{json.at("dispatch"),
+                         ResponseFromJson(json.at("response"))};
+  }
+  if (type == "server-failed") {
+    return ServerFailed{json.at("dispatch"),
+                        static_cast<Verdict>(json.at("verdict").get<int>()),
+                        static_cast<Reason>(json.at("reason").get<int>())};
+  }
+  if (type == "platform-replied") {
+    return PlatformReplied{json.at("op"), ReplyFromJson(json.at("reply"))};
+  }
+  if (type == "tick") return Tick{};
+  if (type == "stop-requested") return StopRequested{};
+  throw std::invalid_argument("unknown event type " + type);
+}
+
+Json IdentityToJson(const NodeIdentity& identity) {
+  Json seeds = Json::array();
+  for (const Endpoint& seed : identity.seeds) seeds.push_back(ToJson(seed));
+  return {{"node", identity.node.name},
+          {"incarnation", identity.node.incarnation},
+          {"fleet", identity.fleet},
+          {"mesh", identity.mesh},
+          {"data_centre", identity.data_centre},
+          {"region", identity.region},
+          {"peer_address", ToJson(identity.peer_address)},
+          {"gossip_address", ToJson(identity.gossip_address)},
+          {"seeds", std::move(seeds)},
+          {"use_platform", identity.use_platform},
+          {"random_seed", identity.random_seed},
+          {"has_operator_token", !identity.operator_token.empty()},
+          {"max_body_bytes", identity.max_body_bytes},
+          {"max_buffered_bytes", identity.max_buffered_bytes}};
+}
+
+NodeIdentity IdentityFromJson(const Json& json) {
+  NodeIdentity identity;
+  identity.node = {json.at("node"), json.at("incarnation")};
+  identity.fleet = json.at("fleet");
+  identity.mesh = json.at("mesh");
+  identity.data_centre = json.at("data_centre");
+  identity.region = json.at("region");
+  identity.peer_address = EndpointFromJson(json.at("peer_address"));
+  identity.gossip_address = EndpointFromJson(json.at("gossip_address"));
+  for (const Json& seed : json.at("seeds")) {
+    identity.seeds.push_back(EndpointFromJson(seed));
+  }
+  identity.use_platform = json.at("use_platform");
+  identity.random_seed = json.at("random_seed");
+  identity.max_body_bytes = json.at("max_body_bytes");
+  identity.max_buffered_bytes = json.at("max_buffered_bytes");
+  return identity;
+}
+
+}  // namespace amaranth::pvt
