--- /dev/null
+++ b/src/cmake/setup.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# The README's set-up command: installs Debian's packages (needs root) and
+# builds everything into build/.
+set -euo pipefail
+cd "$(dirname "$0")/../.."
+bash src/cmake/install_packages.sh
+cmake --preset release
+cmake --build --preset release
--- a/testsuite/lib/calls.py
+++ b/testsuite/lib/calls.py
@@ -125,7 +125,6 @@
         self._stopped = threading.Event()
         self._start = time.monotonic()
         self._next = [0] * len(loads)
-        self._sent = 0
         self.late = 0
         self.answers = collections.defaultdict(list)
         self._tickets = collections.defaultdict(list)  # by node
@@ -155,8 +154,7 @@
             ]
             index = due.index(min(due))
             self._next[index] += 1
-            self._sent += 1
-            return self._loads[index], due[index], self._sent
+            return self._loads[index], due[index], self._next[index]
 
     def _ticket(self, connection, port):
         with self._lock:
--- a/testsuite/paused-node/run.py
+++ b/testsuite/paused-node/run.py
@@ -88,6 +88,7 @@
                                  service_ms=200)]
     run.wait_ready(servers)
     answers = pause_serving_node(entry, serving, servers)
+    check_serves(entry)
     answers += pause_entry_node(entry, serving, servers)
     told = sorted((token, a.status, a.verdict, a.reason) for token, a in answers)
     print(*told, sep="\n")
@@ -114,9 +115,16 @@
 
 
 def check_serves(entry):
+    last = []
+
     def served():
-        return calls.call_service(entry, "catalogue", path="/after").status == 200
-    fleet.wait_until(served, "both nodes serve again")
+        last[:] = [calls.call_service(entry, "catalogue", path="/after")]
+        return last[0].status == 200
+
+    try:
+        fleet.wait_until(served, "both nodes serve again")
+    finally:
+        print("after the pause:", last[0].status, last[0].body.decode())
 
 
 if __name__ == "__main__":
