--- a/src/libnode/membership_sync.cc
+++ b/src/libnode/membership_sync.cc
@@ -78,7 +78,7 @@
   answer.bucket_hashes = table_.BucketHashes();
   answer.members = Trim(table_.RecordsWhereDiffers(sync.bucket_hashes),
                         peer->data_centre, context);
-  answer.quarantines = quarantines_.Next(kQuarantinesPerSync);
+  answer.quarantines = quarantines_.Next(kQuarantinesPerSync, last_now_);
   answer.settings_version = settings_version_;
   context.Emit(SendPeer{from.name, peer->peer_address, std::move(answer)});
 }
@@ -87,9 +87,8 @@
                             size_t learnt, Context& context) {
   joined_ = true;
   verified_ = true;
-  sync_interval_ = learnt >= kFewRecords
-                       ? kMinSyncInterval
-                       : std::min(sync_interval_ * 2, kMaxSyncInterval);
+  sync_interval_ = learnt > 0 ? kMinSyncInterval
+                              : std::min(sync_interval_ * 2, kMaxSyncInterval);
   const MemberRecord* peer = Find(from.name);
   if (peer == nullptr) return;
   std::map<std::string, const MemberRecord*> theirs;
