--- a/models/ledger.pml
+++ b/models/ledger.pml
@@ -9,6 +9,10 @@
  *   - credits held anywhere plus credits spent never exceed CREDITS;
  *   - each level runs at most 1 + credits spent times.
  *
+ * The sizes are small because hops whose answer was lost run beside all others:
+ * 3 levels with 1 credit, and 1 or 2 levels with 2 or 3, are searched whole.
+ * NO_DRAINING leaves the free retries out.
+ *
  * Mutations, each of which must be caught:
  *   MUTATION_INFLATED_RETURN  an answer returns more than was lent, uncapped
  *   MUTATION_REFUND_LOST      a lost answer's credits are given back although
@@ -64,7 +68,9 @@
   if
   :: level == 0 -> goto nested
   :: level > 0 -> atomic { answer[id] = REFUSED; returned[id] = hop; goto end }
+#ifndef NO_DRAINING
   :: level > 0 -> atomic { answer[id] = DRAINING; returned[id] = hop; goto end }
+#endif
   :: level > 0 ->
      atomic {
        runs[level]++;
