Frontend: its server lives as long as its connections

AddressSanitizer found a use after free when the process ends with callers connected: RESTinio's connections count themselves out of the server that was freed with the frontend. Test ConnectionsMayOutliveTheFrontend. host_test: 68 tests pass in the release and in the asan build.

--- a/src/libhost/frontend_socket.cc
+++ b/src/libhost/frontend_socket.cc
@@ -14,13 +14,30 @@
 
 }  // namespace
 
-thread_local std::string Farewell::pending;
-thread_local size_t Farewell::live = 0;
-thread_local FrontendSocket* FrontendSocket::current = nullptr;
-thread_local std::shared_ptr<HttpIntake> FrontendSocket::thread_intake;
+// Behind functions, as g++ 12's undefined behaviour sanitizer takes a store to
+// a thread's variable of another source file for a store to a null pointer.
+std::string& Farewell::Pending() {
+  thread_local std::string pending;
+  return pending;
+}
+
+size_t& Farewell::Live() {
+  thread_local size_t live = 0;
+  return live;
+}
+
+FrontendSocket*& FrontendSocket::Current() {
+  thread_local FrontendSocket* current = nullptr;
+  return current;
+}
+
+std::shared_ptr<HttpIntake>& FrontendSocket::ThreadIntake() {
+  thread_local std::shared_ptr<HttpIntake> intake;
+  return intake;
+}
 
 void Farewell::Say(asio::ip::tcp::socket socket, std::string text) {
-  if (live >= kMaxFarewells) return;
+  if (Live() >= kMaxFarewells) return;
   std::make_shared<Farewell>(std::move(socket), std::move(text))->Start();
 }
 
@@ -28,7 +45,7 @@
     : socket_(std::move(socket)),
       text_(std::move(text)),
       timer_(socket_.get_executor()) {
-  ++live;
+  ++Live();
 }
 
 void Farewell::Start() {
--- a/src/libhost/frontend_socket.h
+++ b/src/libhost/frontend_socket.h
@@ -7,7 +7,7 @@
 // over a limit: the caller would see a bare reset and not know whether its
 // request ran. RESTinio has no hook for an answer there, but it logs the error
 // and then closes its socket in the same breath; the logger leaves the answer
-// in Farewell::pending and this socket's shutdown() picks it up. RESTinio is
+// in Farewell::Pending() and this socket's shutdown() picks it up. RESTinio is
 // used on one thread, so nothing can come in between.
 
 #include <array>
@@ -31,17 +31,17 @@
 class Farewell : public std::enable_shared_from_this<Farewell> {
  public:
   // Set by the logger, taken by the next FrontendSocket::shutdown.
-  static thread_local std::string pending;
+  static std::string& Pending();
 
   static void Say(asio::ip::tcp::socket socket, std::string text);
 
   Farewell(asio::ip::tcp::socket socket, std::string text);
-  ~Farewell() { --live; }
+  ~Farewell() { --Live(); }
   Farewell(const Farewell&) = delete;
   Farewell& operator=(const Farewell&) = delete;
 
  private:
-  static thread_local size_t live;
+  static size_t& Live();
 
   void Start();
   void Drain();
@@ -69,20 +69,20 @@
         buffers,
         [this, own_handler = std::forward<Handler>(handler)](
             const asio::error_code& error, std::size_t length) mutable {
-          current = this;
+          Current() = this;
           const bool fits = CountRead(length);
           own_handler(fits ? error : asio::error::no_buffer_space, length);
-          current = nullptr;
+          Current() = nullptr;
         });
   }
 
   void shutdown(shutdown_type what, asio::error_code& error) {
     SettleParsed();
-    if (Farewell::pending.empty()) {
+    if (Farewell::Pending().empty()) {
       Base::shutdown(what, error);
       return;
     }
-    std::string text = std::exchange(Farewell::pending, {});
+    std::string text = std::exchange(Farewell::Pending(), {});
     Farewell::Say(Base(std::move(static_cast<Base&>(*this))), std::move(text));
   }
 
@@ -94,13 +94,13 @@
 
   // The socket whose read is being handled; it may be gone when the handler
   // returns, so it is only used inside the handler.
-  static thread_local FrontendSocket* current;
+  static FrontendSocket*& Current();
   // Where sockets count. One frontend thread has one intake.
-  static thread_local std::shared_ptr<HttpIntake> thread_intake;
+  static std::shared_ptr<HttpIntake>& ThreadIntake();
 
  private:
   bool CountRead(std::size_t length) {
-    if (!intake_) intake_ = thread_intake;
+    if (!intake_) intake_ = ThreadIntake();
     if (!intake_) return true;
     unparsed_ += length;
     intake_->buffered_bytes += length;
--- a/src/libhost/http_frontend.cc
+++ b/src/libhost/http_frontend.cc
@@ -171,7 +171,7 @@
 
   restinio::request_handling_status_t Take(
       const restinio::request_handle_t& from) {
-    if (FrontendSocket::current) FrontendSocket::current->SettleParsed();
+    if (FrontendSocket::Current()) FrontendSocket::Current()->SettleParsed();
     if (stopped_) return restinio::request_rejected();
     const CallId call = intake_->next_call++;
     const bool upgrade = from->header().connection() ==
@@ -218,7 +218,7 @@
         (!found->second.calls.empty() || found->second.unwritten > 0)) {
       return;
     }
-    Farewell::pending = SerializeRefusal(MakeRefusal(
+    Farewell::Pending() = SerializeRefusal(MakeRefusal(
         failure->status, failure->reason, options_.node_name, failure->detail));
   }
 
@@ -334,15 +334,43 @@
 
 }  // namespace
 
+namespace {
+
+// Keeps what it is given until the io_context itself goes, after all pending
+// handlers. RESTinio's connections point into their server (connection count)
+// and live in handlers; freed with the frontend, the server would be written
+// to by each connection that outlives it: a use after free when the process
+// ends with callers connected.
+class Graveyard : public asio::execution_context::service {
+ public:
+  static asio::execution_context::id id;
+
+  explicit Graveyard(asio::execution_context& context)
+      : asio::execution_context::service(context) {}
+
+  void Keep(std::shared_ptr<void> kept) { kept_.push_back(std::move(kept)); }
+
+ private:
+  void shutdown() override {}
+
+  std::vector<std::shared_ptr<void>> kept_;
+};
+
+asio::execution_context::id Graveyard::id;
+
+}  // namespace
+
 class HttpFrontend::Impl {
  public:
   Impl(asio::io_context& io, const Endpoint& listen,
        std::shared_ptr<FrontendState> state)
-      : state_(std::move(state)),
+      : io_(io),
+        state_(std::move(state)),
         server_(restinio::external_io_context(io), Settings(listen)) {
     server_.open_sync();
   }
 
+  asio::io_context& io() { return io_; }
   FrontendState& state() { return *state_; }
   uint16_t port() const { return port_; }
   void CloseAcceptor() { server_.close_sync(); }
@@ -384,6 +412,7 @@
     return settings;
   }
 
+  asio::io_context& io_;
   std::shared_ptr<FrontendState> state_;
   uint16_t port_ = 0;
   Server server_;
@@ -393,14 +422,17 @@
                            HttpFrontendOptions options,
                            std::shared_ptr<HttpIntake> intake,
                            HttpFrontendHooks hooks) {
-  FrontendSocket::thread_intake = intake;
+  FrontendSocket::ThreadIntake() = intake;
   impl_ = std::make_shared<Impl>(
       io, listen,
       std::make_shared<FrontendState>(std::move(options), std::move(intake),
                                       std::move(hooks)));
 }
 
-HttpFrontend::~HttpFrontend() { Stop(); }
+HttpFrontend::~HttpFrontend() {
+  Stop();
+  asio::use_service<Graveyard>(impl_->io()).Keep(impl_);
+}
 
 uint16_t HttpFrontend::port() const { return impl_->port(); }
 
--- a/src/libhost/http_frontend_test.cc
+++ b/src/libhost/http_frontend_test.cc
@@ -237,6 +237,20 @@
   CHECK_EQUAL(1u, CountOf(peer->received, "last"));
 }
 
+TEST(HttpFrontend, ConnectionsMayOutliveTheFrontend) {
+  // The process ends with callers connected, one of them waiting: the
+  // frontend goes first, its connections only with the io_context. They once
+  // wrote into the freed server (found by AddressSanitizer).
+  Open();
+  const auto idle = Connect();
+  const auto waiting = Connect();
+  waiting->Write("GET / HTTP/1.1\r\n\r\n");
+  CHECK(Until([&] { return requests.size() == 1; }));
+  frontend.reset();
+  CHECK(gone.empty());
+  CHECK_EQUAL(0u, intake->buffered_bytes);
+}
+
 TEST(HttpFrontend, AnswerMayAskToEndTheConnection) {
   Open();
   const auto peer = Connect();
