Suspects of a crash run with no other call at their server

A suspect ran beside ordinary calls, at most one suspect at a time; when one of those was a new crash-maker, the suspect was quarantined for it. Ordinary calls now pause for the lone run, for 200 ms of draining at most, and get at least as long as the pause took before the next.

--- a/src/libnode/calls_test.cc
+++ b/src/libnode/calls_test.cc
@@ -257,4 +257,46 @@
   CHECK_EQUAL(200, after.response.status);
 }
 
+// Callers of innocent requests are served, before and after. A first
+// crash-maker takes innocents down with it, which are then suspects; a second
+// one arrives as an ordinary call while they run again. Were they run beside
+// it, its crash would have one suspect in flight, the wrong one.
+TEST(Calls, AnInnocentIsNotBlamedForANewCrashMaker) {
+  fleet.AddNode("a1", "bilbao-a");
+  for (const char* host : {"2", "3", "4", "5", "6", "7"}) {
+    fleet.AddNode(std::string("a") + host, "bilbao-a");
+    FakeServerOptions options =
+        ServerOf(std::string("s") + host, "subscriptions");
+    options.service_time = std::chrono::milliseconds(40);
+    options.crash_body = "boom";
+    options.restart_after = std::chrono::milliseconds(300);
+    fleet.AddServer(std::string("a") + host, options);
+  }
+  fleet.RunFor(kSettle);
+  const auto innocent = [](int number) {
+    HttpRequest request = MakeRequest("GET", "subscriptions");
+    request.target = "/innocent/" + std::to_string(number);
+    return request;
+  };
+  const auto deadly = [](int number) {
+    HttpRequest request = MakeRequest("GET", "subscriptions");
+    request.target = "/deadly/" + std::to_string(number);
+    request.body = Body("boom");
+    return request;
+  };
+  constexpr int kInnocents = 24;
+  for (int wave = 0; wave < 6; ++wave) {
+    for (int i = 0; i < kInnocents; ++i) fleet.Call("a1", innocent(i));
+    fleet.Call("a1", deadly(wave));
+    fleet.RunFor(std::chrono::milliseconds(60));
+    for (int i = 0; i < kInnocents; ++i) fleet.Call("a1", innocent(i));
+    fleet.Call("a1", deadly(wave + 100));
+    fleet.RunFor(std::chrono::seconds(1));
+  }
+  fleet.RunFor(kSettle);
+  for (int i = 0; i < kInnocents; ++i) {
+    CHECK_EQUAL(200, AnswerTo("a1", innocent(i)).response.status);
+  }
+}
+
 }  // namespace amaranth::pvt
--- a/src/libnode/local_server.h
+++ b/src/libnode/local_server.h
@@ -51,10 +51,18 @@
   DrainMeter& drain() { return drain_; }
   CrashWindow& crash_window() { return crash_window_; }
 
-  // Calls that were in flight at a crash wait here: at most one of them runs
-  // at a time, so that a second crash names the one that caused it.
+  // Calls that were in flight at a crash wait here. Each runs with no other
+  // call in flight, so that a second crash names the one that caused it.
   std::deque<uint64_t> waiting_suspects;
   bool suspect_in_flight = false;
+  // Ordinary calls wait since then for a suspect's lone run; kNever if not.
+  TimePoint paused_since = kNever;
+  // No new pause before this.
+  TimePoint next_pause{};
+
+  bool OrdinaryPaused() const {
+    return suspect_in_flight || paused_since != kNever;
+  }
   bool draining = false;
   TimePoint last_heard{};
 
--- a/src/libnode/serving_role.cc
+++ b/src/libnode/serving_role.cc
@@ -14,6 +14,11 @@
 // More suspects than this wait for no server: they are refused as not run.
 constexpr size_t kMaxWaitingSuspects = 16;
 
+// How long ordinary calls wait for those in flight to end before a suspect's
+// lone run. Long work would otherwise stop its server for seconds; the suspect
+// then tries again, or ends at its deadline as not run.
+constexpr Duration kLongestPause = std::chrono::milliseconds(200);
+
 // A crash with more victims than this is not told to other nodes as suspects:
 // gossip must stay small, and the entry nodes still mark their own retries.
 constexpr size_t kMaxGossipedSuspects = 16;
@@ -153,7 +158,7 @@
 
 void ServingRole::Pump(LocalServer& server, Context& context) {
   PumpSuspects(server, context);
-  while (server.HasFreeSlot()) {
+  while (server.HasFreeSlot() && !server.OrdinaryPaused()) {
     // Read before Pop: the started call's own wait is short in any overload, as
     // order is by tier and newest first, and nothing would be shed.
     const Duration standing = server.queue().standing_delay(context.now);
@@ -172,20 +177,46 @@
 }
 
 void ServingRole::PumpSuspects(LocalServer& server, Context& context) {
-  if (server.suspect_in_flight || !server.HasFreeSlot()) return;
-  while (!server.waiting_suspects.empty()) {
-    Hop& hop = hops_.at(server.waiting_suspects.front());
-    server.waiting_suspects.pop_front();
-    if (HandlingOf(hop, context.now) == CrashGuard::Handling::kQuarantined) {
-      const Hop refused = TakeHop(hop.id);
-      Refuse(refused, Reason::kQuarantined, context);
-      continue;
-    }
-    hop.is_suspect = true;
-    server.suspect_in_flight = true;
-    Dispatch(hop, server, context);
+  if (server.suspect_in_flight) return;
+  RefuseQuarantined(server, context);
+  if (server.waiting_suspects.empty()) {
+    server.paused_since = kNever;
+    return;
+  }
+  if (context.now < server.next_pause) return;
+  if (server.paused_since == kNever) server.paused_since = context.now;
+  if (server.in_flight() > 0) {
+    const bool too_long = context.now - server.paused_since >= kLongestPause;
+    if (too_long) EndPause(server, context.now);
     return;
   }
+  Hop& hop = hops_.at(server.waiting_suspects.front());
+  server.waiting_suspects.pop_front();
+  hop.is_suspect = true;
+  server.suspect_in_flight = true;
+  Dispatch(hop, server, context);
+}
+
+void ServingRole::RefuseQuarantined(LocalServer& server, Context& context) {
+  std::deque<uint64_t>& waiting = server.waiting_suspects;
+  while (!waiting.empty()) {
+    const Hop& hop = hops_.at(waiting.front());
+    if (HandlingOf(hop, context.now) != CrashGuard::Handling::kQuarantined) {
+      return;
+    }
+    waiting.pop_front();
+    const Hop refused = TakeHop(hop.id);
+    Refuse(refused, Reason::kQuarantined, context);
+  }
+}
+
+void ServingRole::EndPause(LocalServer& server, TimePoint now) {
+  server.suspect_in_flight = false;
+  if (server.paused_since == kNever) return;
+  // Ordinary calls get at least as long as the pause took: a crash with a
+  // hundred in flight would otherwise stop them for a hundred lone runs.
+  server.next_pause = now + (now - server.paused_since);
+  server.paused_since = kNever;
 }
 
 void ServingRole::Dispatch(Hop& hop, LocalServer& server, Context& context) {
@@ -231,7 +262,7 @@
   LocalServer& server = found->second;
   server.OnEnded(id, context.now - hop.dispatched, hop.OwnTime(context.now),
                  failed, context.now);
-  if (hop.is_suspect) server.suspect_in_flight = false;
+  if (hop.is_suspect) EndPause(server, context.now);
   return hop;
 }
 
--- a/src/libnode/serving_role.h
+++ b/src/libnode/serving_role.h
@@ -65,6 +65,8 @@
 
   void Pump(LocalServer& server, Context& context);
   void PumpSuspects(LocalServer& server, Context& context);
+  void RefuseQuarantined(LocalServer& server, Context& context);
+  static void EndPause(LocalServer& server, TimePoint now);
   void Dispatch(Hop& hop, LocalServer& server, Context& context);
   HttpRequest RequestFor(const Hop& hop, TimePoint now) const;
   Duration DispatchTimeout(const Hop& hop, const LocalServer& server,
