--- a/src/bench/capacity_bench.cc
+++ b/src/bench/capacity_bench.cc
@@ -22,6 +22,8 @@
 constexpr size_t kPlannedServices = 140;
 constexpr size_t kReplacements = 10;
 constexpr size_t kSettingsChanges = 20;
+// By then the head has moved; the time in force counts from the change's start.
+constexpr Duration kPlatformTime = std::chrono::milliseconds(250);
 constexpr double kPlannedCallsPerNode = 306;
 
 struct Row {
@@ -43,6 +45,7 @@
           const std::function<void()>& action) {
   fleet.TakePeakBytes();
   fleet.TakePeakNanos();
+  fleet.TakePeakPlatformCalls();
   const Usage before = fleet.usage();
   action();
   const Usage used = fleet.usage() - before;
@@ -65,11 +68,11 @@
       static_cast<double>(used.platform_writes) / seconds;
   row.values["fleet rows/s"] =
       static_cast<double>(used.platform_rows) / seconds;
+  row.values["peak fleet platform calls/s"] =
+      static_cast<double>(fleet.TakePeakPlatformCalls());
   const double calls = static_cast<double>(used.calls_ok + used.calls_failed);
   if (calls > 0) {
-    row.values["us/call"] =
-        static_cast<double>(used.reducer_ns + used.codec_ns) / 1e3 / calls;
-    row.values["bytes/call"] = static_cast<double>(used.bytes) / calls;
+    row.values["calls/s"] = calls / per_node;
     row.values["failed calls %"] =
         100 * static_cast<double>(used.calls_failed) / calls;
   }
@@ -129,12 +132,17 @@
   fleet.ChangeSettings(0, kPlannedServices);
   fleet.RunFor(seconds(10));
   const uint64_t version = fleet.settings_version();
-  rows.push_back(Phase("settings changes", fleet, seconds(20), [&] {
+  Duration slowest{0};
+  rows.push_back(Phase("settings changes", fleet, seconds(100), [&] {
     for (size_t i = 0; i < kSettingsChanges; ++i) {
       fleet.ChangeSettings(i % nodes, 1);
-      fleet.RunFor(seconds(1));
+      fleet.RunFor(kPlatformTime);
+      const Duration taken = fleet.RunUntilInForce(seconds(4)) + kPlatformTime;
+      slowest = std::max(slowest, taken);
+      fleet.RunFor(seconds(5) - taken);
     }
   }));
+  rows.back().values["slowest in force s"] = Seconds(slowest);
   rows.back().values["accepted"] =
       static_cast<double>(fleet.settings_version() - version);
   rows.push_back(Phase("region cut", fleet, seconds(30), [&] {
@@ -153,23 +161,39 @@
   return rows;
 }
 
+// What a call costs, over what the same fleet costs without calls.
+void AddCostOfCalls(Row& row, const Row& quiet) {
+  const double calls = row.values["calls/s"];
+  const auto more = [&](const std::string& figure) {
+    return (row.values.at(figure) - quiet.values.at(figure)) / calls;
+  };
+  row.values["us/call"] = more("reducer us/s") + more("codec us/s");
+  row.values["bytes/call"] = more("bytes/s");
+}
+
 // Calls of one hop each, at the planned rate; then with keys to claim.
-std::vector<Row> MeasureCalls(size_t nodes) {
+std::vector<Row> MeasureCalls(size_t nodes, size_t entries) {
   using std::chrono::seconds;
+  const double empty = Heap();
   CapacityFleet fleet(nodes, kDataCentres, ServicesFor(nodes));
   fleet.StartAll();
   fleet.RunUntilSeen(nodes, seconds(60));
+  fleet.RunFor(seconds(40));
   std::vector<Row> rows;
   rows.push_back(
       Phase("no calls", fleet, seconds(5), [&] { fleet.RunFor(seconds(5)); }));
-  fleet.SetCallRate(kPlannedCallsPerNode, 0);
+  fleet.SetCallRate(kPlannedCallsPerNode, 0, entries);
   fleet.RunFor(seconds(1));
   rows.push_back(
       Phase("calls", fleet, seconds(5), [&] { fleet.RunFor(seconds(5)); }));
-  fleet.SetCallRate(kPlannedCallsPerNode, 0.05);
+  fleet.SetCallRate(kPlannedCallsPerNode, 0.05, entries);
   fleet.RunFor(seconds(1));
   rows.push_back(Phase("calls, 5% keyed", fleet, seconds(5),
                        [&] { fleet.RunFor(seconds(5)); }));
+  rows.back().values["heap KB"] =
+      (Heap() - empty) / 1024 / static_cast<double>(nodes);
+  AddCostOfCalls(rows[1], rows[0]);
+  AddCostOfCalls(rows[2], rows[0]);
   for (const Row& row : rows) Print(row);
   return rows;
 }
@@ -217,13 +241,16 @@
 int Main(int argc, const char* const* argv) {
   cxxopts::Options options("capacity_bench",
                            "Measures what a node costs by size of fleet.");
-  options.add_options()(
-      "sizes", "Sizes for the membership phases",
-      cxxopts::value<std::vector<size_t>>()->default_value("10,50,200,400"))(
-      "call-sizes", "Sizes for the phases with calls",
-      cxxopts::value<std::vector<size_t>>()->default_value("10,50,100"))(
-      "placement", "Measure the placement methods only")("help",
-                                                         "Print this page");
+  using Sizes = std::vector<size_t>;
+  cxxopts::OptionAdder add = options.add_options();
+  add("sizes", "Sizes for the membership phases",
+      cxxopts::value<Sizes>()->default_value("10,50,200,400"));
+  add("call-sizes", "Sizes for the phases with calls",
+      cxxopts::value<Sizes>()->default_value("10,50,100"));
+  add("entries", "Nodes that callers ask, in the phases with calls",
+      cxxopts::value<size_t>()->default_value("100000"));
+  add("placement", "Measure the placement methods only");
+  add("help", "Print this page");
   const cxxopts::ParseResult parsed = options.parse(argc, argv);
   if (parsed.count("help") > 0) {
     std::cout << options.help();
@@ -234,11 +261,13 @@
     return 0;
   }
   std::vector<Row> rows;
-  for (const size_t nodes : parsed["sizes"].as<std::vector<size_t>>()) {
+  for (const size_t nodes : parsed["sizes"].as<Sizes>()) {
     for (Row& row : MeasureFleet(nodes)) rows.push_back(std::move(row));
   }
-  for (const size_t nodes : parsed["call-sizes"].as<std::vector<size_t>>()) {
-    for (Row& row : MeasureCalls(nodes)) rows.push_back(std::move(row));
+  const size_t entries = parsed["entries"].as<size_t>();
+  for (const size_t nodes : parsed["call-sizes"].as<Sizes>()) {
+    for (Row& row : MeasureCalls(nodes, entries))
+      rows.push_back(std::move(row));
   }
   FitAll(rows);
   return 0;
--- a/src/bench/capacity_fleet.cc
+++ b/src/bench/capacity_fleet.cc
@@ -20,6 +20,7 @@
 constexpr size_t kSeeds = 5;
 constexpr size_t kBodyBytes = 512;
 constexpr size_t kWatchedNodes = 8;
+constexpr Duration kCheckPeriod = std::chrono::milliseconds(250);
 
 uint64_t ProcessNanos() {
   timespec time{};
@@ -99,7 +100,6 @@
   host.up = true;
   Apply(node, host.node->Start(now_));
   Announce(node, identity.node.incarnation);
-  if (call_rate_ > 0) ScheduleCall(node, call_generation_);
 }
 
 void CapacityFleet::Announce(size_t node, uint64_t incarnation) {
@@ -132,31 +132,49 @@
   now_ = end;
 }
 
-Duration CapacityFleet::RunUntilSeen(size_t alive, Duration limit) {
+Duration CapacityFleet::RunUntilAll(
+    const std::function<bool(size_t node)>& holds, Duration limit) {
   const TimePoint start = now_;
   while (now_ - start < limit) {
-    RunFor(std::chrono::milliseconds(250));
-    size_t agreeing = 0;
-    size_t asked = 0;
-    for (size_t i = 0; i < kWatchedNodes; ++i) {
+    RunFor(kCheckPeriod);
+    bool all = true;
+    for (size_t i = 0; i < kWatchedNodes && all; ++i) {
       const size_t node = i * (hosts_.size() - 1) / (kWatchedNodes - 1);
-      if (!hosts_[node].up) continue;
-      ++asked;
-      if (AliveSeenBy(node) == alive) ++agreeing;
+      all = !hosts_[node].up || holds(node);
     }
-    if (agreeing == asked) break;
+    if (all) break;
   }
   return now_ - start;
 }
 
-size_t CapacityFleet::AliveSeenBy(size_t node) {
+Duration CapacityFleet::RunUntilSeen(size_t alive, Duration limit) {
+  return RunUntilAll([&](size_t node) { return AliveSeenBy(node) == alive; },
+                     limit);
+}
+
+Duration CapacityFleet::RunUntilInForce(Duration limit) {
+  return RunUntilAll(
+      [this](size_t node) {
+        const std::string wanted =
+            "\"settings_version\":" + std::to_string(head_version_) + ",";
+        return StatusOf(node).find(wanted) != std::string_view::npos;
+      },
+      limit);
+}
+
+// Asked beside the measurement: its cost is not counted.
+std::string_view CapacityFleet::StatusOf(size_t node) {
   HttpRequest request;
   request.method = "GET";
   request.target = "/status";
   watched_call_ = next_call_++;
   const OperatorRequest asked{watched_call_, std::move(request)};
   Apply(node, hosts_[node].node->Reduce({now_, asked}));
-  const std::string_view text = watched_answer_.body.view();
+  return watched_answer_.body.view();
+}
+
+size_t CapacityFleet::AliveSeenBy(size_t node) {
+  const std::string_view text = StatusOf(node);
   const std::string_view wanted = "\"state\":\"alive\"";
   size_t count = 0;
   for (size_t at = text.find(wanted); at != std::string_view::npos;
@@ -207,12 +225,13 @@
   Feed(node, OperatorRequest{watched_call_, std::move(request)});
 }
 
-void CapacityFleet::SetCallRate(double calls_per_node, double keyed_share) {
+void CapacityFleet::SetCallRate(double calls_per_node, double keyed_share,
+                                size_t entries) {
   call_rate_ = calls_per_node;
   keyed_share_ = keyed_share;
   ++call_generation_;
   if (call_rate_ <= 0) return;
-  for (size_t node = 0; node < hosts_.size(); ++node) {
+  for (size_t node = 0; node < std::min(entries, hosts_.size()); ++node) {
     ScheduleCall(node, call_generation_);
   }
 }
@@ -272,6 +291,18 @@
   return std::exchange(peak_bytes_, 0);
 }
 
+void CapacityFleet::CountPlatformCall() {
+  const int64_t second = ToMicros(now_) / 1'000'000;
+  if (second != platform_second_) platform_second_calls_ = 0;
+  platform_second_ = second;
+  ++platform_second_calls_;
+  peak_platform_calls_ = std::max(peak_platform_calls_, platform_second_calls_);
+}
+
+uint64_t CapacityFleet::TakePeakPlatformCalls() {
+  return std::exchange(peak_platform_calls_, 0);
+}
+
 uint64_t CapacityFleet::TakePeakNanos() {
   return std::exchange(peak_nanos_, 0);
 }
@@ -393,6 +424,7 @@
 }
 
 PlatformReply CapacityFleet::RunPlatform(const PlatformRequest& request) {
+  CountPlatformCall();
   PlatformReply reply;
   reply.status = PlatformStatus::kOk;
   if (const auto* claims = std::get_if<TableClaimRows>(&request)) {
--- a/src/bench/capacity_fleet.h
+++ b/src/bench/capacity_fleet.h
@@ -46,6 +46,8 @@
   void RunFor(Duration length);
   /// Until the asked nodes see `alive` members, or the limit; the time taken.
   Duration RunUntilSeen(size_t alive, Duration limit);
+  /// Until the asked nodes have the newest settings in force.
+  Duration RunUntilInForce(Duration limit);
 
   void Kill(size_t node);
   void Restart(size_t node);
@@ -55,14 +57,17 @@
   /// An operator's change of this many services, asked of `node`.
   void ChangeSettings(size_t node, size_t paths);
   uint64_t settings_version() const { return head_version_; }
-  /// Callers ask each node at this rate; a share of calls brings a key.
-  void SetCallRate(double calls_per_node, double keyed_share);
+  /// Callers ask each of the first `entries` nodes at this rate; a share of
+  /// calls brings a key.
+  void SetCallRate(double calls_per_node, double keyed_share, size_t entries);
 
   Usage usage() const { return usage_; }
   /// Most bytes that any one node sent in one second since the last call.
   uint64_t TakePeakBytes();
   /// Most processor time that any one node took in one second.
   uint64_t TakePeakNanos();
+  /// Most calls of the platform by the whole fleet in one second.
+  uint64_t TakePeakPlatformCalls();
   size_t size() const { return hosts_.size(); }
   size_t up() const;
   size_t DataCentreOf(size_t node) const { return node % data_centres_; }
@@ -95,6 +100,10 @@
   bool Reaches(size_t a, size_t b) const;
   Duration Latency(size_t a, size_t b);
   void Count(size_t node, uint64_t bytes, uint64_t nanos);
+  void CountPlatformCall();
+  Duration RunUntilAll(const std::function<bool(size_t node)>& holds,
+                       Duration limit);
+  std::string_view StatusOf(size_t node);
   size_t AliveSeenBy(size_t node);
 
   void Do(size_t node, const AnswerCaller& effect);
@@ -131,6 +140,9 @@
   Usage usage_;
   uint64_t peak_bytes_ = 0;
   uint64_t peak_nanos_ = 0;
+  int64_t platform_second_ = 0;
+  uint64_t platform_second_calls_ = 0;
+  uint64_t peak_platform_calls_ = 0;
   std::unordered_map<std::string, std::string> rows_;
   std::map<std::string, std::string> objects_;
   std::map<std::string, uint64_t> changes_;
--- a/src/bench/placement.cc
+++ b/src/bench/placement.cc
@@ -80,6 +80,7 @@
   const Clock::time_point ended = Clock::now();
 
   std::vector<size_t> loads;
+  loads.reserve(names.size());
   for (const std::string& name : names) {
     loads.push_back(
         static_cast<size_t>(std::count(placed.begin(), placed.end(), name)));
