--- a/src/include/amaranthroute/platform_client.h
+++ b/src/include/amaranthroute/platform_client.h
@@ -52,7 +52,9 @@
   /// `request_timeout + call_timeout` after Call.
   Duration request_timeout = std::chrono::milliseconds(2000);
   /// This node's share of the platform's rates, in rows a second. The bucket
-  /// holds one second's worth.
+  /// holds one second's worth. Claims, nearly all writes, go through two
+  /// delegates of each data centre: with four data centres the fleet stays
+  /// under 320 writes and 800 reads a second.
   double writes_per_second = 40;
   double reads_per_second = 100;
 };
--- a/testsuite/demo/run.py
+++ b/testsuite/demo/run.py
@@ -24,6 +24,7 @@
 PER_SECOND_RENEWAL = 200
 BURST_SECONDS = 10
 CALM_SHARE = 0.25
+MIN_RENEWAL_SHARE = 0.9
 
 
 def start(run):
@@ -93,8 +94,17 @@
             fleet.check(
                 answer.status != 200 or chain.is_whole(answer, SERVICES, token),
                 f"an answer is not whole or not {token}'s: {answer.body}")
+        check_priority(answers)
     print("\nevery answer was whole and its own caller's")
 
 
+def check_priority(answers):
+    """Renewals alone fit in the capacity, so browsing must make room."""
+    rows = {name: report.summarize(got) for name, got in answers.items()}
+    ok = {name: row["ok"] / row["sent"] for name, row in rows.items()}
+    fleet.check(ok["renewal"] >= MIN_RENEWAL_SHARE,
+                f"renewals are shed after browsing: {ok}")
+
+
 if __name__ == "__main__":
     sys.exit(fleet.run_case(burst))
