--- a/src/libnode/calls_test.cc
+++ b/src/libnode/calls_test.cc
@@ -288,4 +288,113 @@
   STRCMP_EQUAL("may-have-run", answer.Verdict().c_str());
 }
 
+// Callers see whole answers. A host dies with forty reads in flight and more
+// arriving; all fail over at once, far beyond the ratio of retries, to servers
+// that have room. A budget that counted them would fail most of them.
+TEST(Calls, ADeadHostsReadsAllGoOnWhereThereIsRoom) {
+  for (const char* name : {"a1", "a2", "a3", "a4"}) {
+    fleet.AddNode(name, "bilbao-a");
+  }
+  for (const char* host : {"2", "3", "4"}) {
+    FakeServerOptions options =
+        ServerOf(std::string("s") + host, "subscriptions");
+    options.slots = 100;
+    options.service_time = std::chrono::milliseconds(50);
+    fleet.AddServer(std::string("a") + host, options);
+  }
+  fleet.RunFor(kSettle);
+  std::vector<uint64_t> calls;
+  for (int i = 0; i < 300; ++i) {
+    fleet.At(std::chrono::milliseconds(2) * i, [&] {
+      calls.push_back(fleet.Call("a1", MakeRequest("GET", "subscriptions")));
+    });
+  }
+  fleet.RunFor(std::chrono::milliseconds(300));
+  fleet.Kill("a2");
+  fleet.RunFor(std::chrono::seconds(4));
+  CHECK_EQUAL(300u, calls.size());
+  for (const uint64_t call : calls) {
+    CHECK(fleet.AnswerOf(call) != nullptr);
+    CHECK_EQUAL(200, fleet.AnswerOf(call)->response.status);
+  }
+}
+
+// Callers of a popular page go on seeing it. The page is in flight at each
+// crash that a crash-maker causes; it was answered a moment ago, so it is
+// neither run one at a time nor quarantined.
+TEST(Calls, APopularPageIsNotBlamedForCrashes) {
+  for (const char* name : {"a1", "a2", "a3"}) fleet.AddNode(name, "bilbao-a");
+  for (const char* host : {"2", "3"}) {
+    FakeServerOptions options =
+        ServerOf(std::string("s") + host, "subscriptions");
+    options.crash_body = "boom";
+    options.restart_after = std::chrono::milliseconds(100);
+    fleet.AddServer(std::string("a") + host, options);
+  }
+  fleet.RunFor(kSettle);
+  size_t pages = 0;
+  for (int i = 0; i < 1000; ++i) {
+    fleet.At(std::chrono::milliseconds(3) * i, [&] {
+      fleet.Call("a1", MakeRequest("GET", "subscriptions", "page"));
+    });
+  }
+  size_t quarantined = 0;
+  fleet.on_answer = [&](uint64_t, const FakeAnswer& answer) {
+    if (answer.response.status == 200) ++pages;
+    if (answer.Reason() == "quarantined") ++quarantined;
+  };
+  for (int i = 0; i < 3; ++i) {
+    fleet.At(std::chrono::milliseconds(500) * (i + 1), [&] {
+      HttpRequest deadly = MakeRequest("POST", "subscriptions");
+      deadly.body = Body("boom");
+      fleet.Call("a1", std::move(deadly));
+    });
+  }
+  fleet.RunFor(std::chrono::seconds(6));
+  CHECK(pages > 950);
+  CHECK(quarantined <= 1);
+}
+
+// Callers of innocent requests are served, before and after. A first
+// crash-maker takes innocents down with it, which are then suspects; a second
+// one arrives as an ordinary call while they run again. Were they run beside
+// it, its crash would have one suspect in flight, the wrong one.
+TEST(Calls, AnInnocentIsNotBlamedForANewCrashMaker) {
+  fleet.AddNode("a1", "bilbao-a");
+  for (const char* host : {"2", "3", "4", "5", "6", "7"}) {
+    fleet.AddNode(std::string("a") + host, "bilbao-a");
+    FakeServerOptions options =
+        ServerOf(std::string("s") + host, "subscriptions");
+    options.service_time = std::chrono::milliseconds(40);
+    options.crash_body = "boom";
+    options.restart_after = std::chrono::milliseconds(300);
+    fleet.AddServer(std::string("a") + host, options);
+  }
+  fleet.RunFor(kSettle);
+  const auto innocent = [](int number) {
+    HttpRequest request = MakeRequest("GET", "subscriptions");
+    request.target = "/innocent/" + std::to_string(number);
+    return request;
+  };
+  const auto deadly = [](int number) {
+    HttpRequest request = MakeRequest("GET", "subscriptions");
+    request.target = "/deadly/" + std::to_string(number);
+    request.body = Body("boom");
+    return request;
+  };
+  constexpr int kInnocents = 24;
+  for (int wave = 0; wave < 6; ++wave) {
+    for (int i = 0; i < kInnocents; ++i) fleet.Call("a1", innocent(i));
+    fleet.Call("a1", deadly(wave));
+    fleet.RunFor(std::chrono::milliseconds(60));
+    for (int i = 0; i < kInnocents; ++i) fleet.Call("a1", innocent(i));
+    fleet.Call("a1", deadly(wave + 100));
+    fleet.RunFor(std::chrono::seconds(1));
+  }
+  fleet.RunFor(kSettle);
+  for (int i = 0; i < kInnocents; ++i) {
+    CHECK_EQUAL(200, AnswerTo("a1", innocent(i)).response.status);
+  }
+}
+
 }  // namespace amaranth::pvt
