--- a/src/amaranthctl/render.cc
+++ b/src/amaranthctl/render.cc
@@ -8,22 +8,13 @@
 
 #include "amaranthctl/plot.h"
 #include "amaranthctl/table.h"
+#include "libutil/shallow_json.h"
 
 namespace amaranth::pvt {
 namespace {
 
 using Json = nlohmann::json;
 
-// Deeper than any answer of a node. nlohmann prints by recursion, so an answer
-// of brackets alone would overflow the stack; what lies deeper is left out.
-constexpr int kMaxDepth = 32;
-
-Json ParseAnswer(const std::string& body) {
-  const Json::parser_callback_t shallow =
-      [](int depth, Json::parse_event_t, Json&) { return depth <= kMaxDepth; };
-  return Json::parse(body, shallow, false);
-}
-
 // A node of another version may leave a member out: shown as "-", since a
 // missing detail must not hide the rest in an incident.
 std::string Cell(const Json& object, const char* name) {
@@ -250,7 +241,7 @@
 
 Outcome<std::string> Render(const Command& command, const CtlOptions& options,
                             const std::string& body) {
-  const Json answer = ParseAnswer(body);
+  const Json answer = ParseShallowJson<Json>(body);
   if (answer.is_discarded() || !answer.is_object()) {
     return Error{ErrorCode::kInvalid, "the node's answer is not JSON"};
   }
@@ -261,7 +252,7 @@
 }
 
 std::string RefusalText(const std::string& body) {
-  const Json answer = ParseAnswer(body);
+  const Json answer = ParseShallowJson<Json>(body);
   if (answer.is_discarded() || !answer.is_object()) {
     return body;
   }
@@ -279,7 +270,7 @@
 }
 
 bool SaysReady(const std::string& body) {
-  const Json answer = ParseAnswer(body);
+  const Json answer = ParseShallowJson<Json>(body);
   return !answer.is_discarded() && answer.is_object() &&
          Cell(answer, "ready") == "yes";
 }
--- a/src/libnode/operator_api.cc
+++ b/src/libnode/operator_api.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "libnode/answers.h"
+#include "libutil/shallow_json.h"
 
 namespace amaranth::pvt {
 namespace {
@@ -217,7 +218,7 @@
     context.Emit(AnswerCaller{request.call, JsonResponse(400, Dump(errors))});
     return;
   }
-  const nlohmann::json json = nlohmann::json::parse(body, nullptr, false);
+  const nlohmann::json json = ParseShallowJson(body);
   std::optional<uint64_t> expected;
   std::string author = "unknown";
   if (json.contains("expected_version") &&
--- a/src/libnode/serving_servers.cc
+++ b/src/libnode/serving_servers.cc
@@ -4,6 +4,7 @@
 
 #include "libnode/answers.h"
 #include "libnode/serving_role.h"
+#include "libutil/shallow_json.h"
 
 namespace amaranth::pvt {
 namespace {
@@ -41,8 +42,7 @@
 }
 
 Outcome<ServerRecord> ParseAnnouncement(const Body& body) {
-  const nlohmann::json json =
-      nlohmann::json::parse(body.view(), nullptr, false);
+  const nlohmann::json json = ParseShallowJson(body.view());
   if (!json.is_object()) {
     return Error{ErrorCode::kInvalid, "announcement is not a JSON object"};
   }
@@ -109,8 +109,7 @@
 
 void ServingRole::OnLeave(CallId call, const HttpRequest& request,
                           Context& context) {
-  const nlohmann::json json =
-      nlohmann::json::parse(request.body.view(), nullptr, false);
+  const nlohmann::json json = ParseShallowJson(request.body.view());
   std::string name;
   if (json.is_object() && json.contains("server") &&
       json["server"].is_string()) {
--- a/src/libnode/settings_document.cc
+++ b/src/libnode/settings_document.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "amaranthroute/hash.h"
+#include "libutil/shallow_json.h"
 
 namespace amaranth::pvt {
 
@@ -96,7 +97,7 @@
 
 Outcome<SettingsDocument> ParseDocument(std::string_view text) {
   if (text.empty()) return SettingsDocument();
-  const Json json = Json::parse(text, nullptr, false);
+  const Json json = ParseShallowJson<Json>(text);
   const bool whole = json.is_object() && json.contains("version") &&
                      json["version"].is_number_unsigned() &&
                      json.contains("settings") && json.contains("history") &&
--- a/src/libnode/settings_tree.cc
+++ b/src/libnode/settings_tree.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "amaranthroute/settings.h"
+#include "libutil/shallow_json.h"
 
 namespace amaranth {
 
@@ -358,7 +359,7 @@
 }
 
 Outcome<SettingsTree> ParseSettings(std::string_view text) {
-  const Json json = Json::parse(text, nullptr, false);
+  const Json json = pvt::ParseShallowJson<Json>(text);
   if (!json.is_object()) {
     return Error{ErrorCode::kInvalid, "settings are not a JSON object"};
   }
@@ -377,7 +378,7 @@
 
 Outcome<std::vector<SettingsChange>> ParseSettingsChanges(
     std::string_view text) {
-  const Json json = Json::parse(text, nullptr, false);
+  const Json json = pvt::ParseShallowJson<Json>(text);
   const Error malformed{ErrorCode::kInvalid,
                         "expected {\"changes\": [{\"path\", \"name\", "
                         "\"value\"}, ...]}"};
--- a/src/libnode/settings_tree_test.cc
+++ b/src/libnode/settings_tree_test.cc
@@ -138,6 +138,21 @@
   }
 }
 
+// An operator, or a peer, sends a value of a million opened arrays; printing it
+// overflowed the stack and ended the node. Found with fuzz_settings.
+TEST(SettingsTree, DeepNestingIsRefusedAndDoesNotEndTheProcess) {
+  constexpr size_t kLevels = 1'000'000;
+  const std::string deep =
+      std::string(kLevels, '[') + std::string(kLevels, ']');
+  const Outcome<SettingsTree> tree =
+      ParseSettings("{\"\":{\"tier\":" + deep + "}}");
+  CHECK(!tree || !tree.value().Validate().empty());
+  const Outcome<std::vector<SettingsChange>> changes = ParseSettingsChanges(
+      "{\"changes\":[{\"path\":\"\",\"name\":\"tier\",\"value\":" + deep +
+      "}]}");
+  CHECK(!changes || !SettingsTree().Apply(changes.value()).Validate().empty());
+}
+
 TEST(SettingsTree, ReferencePageIsThatOfTheTable) {
   std::ifstream page(AMARANTH_SOURCE_DIR
                      "/docs/operators/settings-reference.md");
--- a/src/libplatform/table_codec.cc
+++ b/src/libplatform/table_codec.cc
@@ -3,6 +3,8 @@
 #include <charconv>
 #include <nlohmann/json.hpp>
 
+#include "libutil/shallow_json.h"
+
 namespace amaranth::pvt {
 namespace {
 
@@ -79,7 +81,7 @@
 }
 
 json ReadBody(const HttpResponse& response) {
-  return json::parse(response.body.view(), nullptr, false);
+  return ParseShallowJson<json>(response.body.view());
 }
 
 // The error's name without its namespace; empty if the body holds none.
