Data centre first, not host first; thresholds by server, and no false zeros

Now the data centre counts. - A full quick server lost to a slow one with a free slot, whatever their speeds. Now a full server that is quicker than each free one is a choice too. - The entry shed by the mean of its servers' thresholds, although one of them had room. Own servers are left out one by one; what goes up the chain is the least threshold of a service's servers. - Calls that were refused unrun reported a threshold of 0 for the services below, and calls shed at a nested entry reported nothing. - The fake servers kept a cancelled run's slot, unlike the users' servers.

--- a/src/include/amaranthroute/policy/shedder.h
+++ b/src/include/amaranthroute/policy/shedder.h
@@ -152,14 +152,15 @@
   /// The lowest level worth sending to `service` now; 0 if unknown.
   uint32_t ThresholdFor(const std::string& service, TimePoint now) const;
 
+  /// What is left at `now` of a threshold reported at `learned`.
+  static double Faded(double threshold, TimePoint learned, TimePoint now);
+
  private:
   struct Entry {
     double threshold = 0;
     TimePoint learned{};
   };
 
-  static double Faded(const Entry& entry, TimePoint now);
-
   std::map<std::string, Entry> entries_;
 };
 
--- a/src/libnode/entry_attempts.cc
+++ b/src/libnode/entry_attempts.cc
@@ -113,7 +113,7 @@
                                 Context& context) {
   const Attempt attempt = *call.attempt;
   call.ledger.Return(attempt.lent, answer.credits_returned);
-  LearnLoad(call, answer.load, context);
+  LearnLoad(call, answer, context);
   const bool answered = answer.failure.reason == Reason::kNone;
   const bool broke = !answered && answer.failure.verdict != Verdict::kNotRun;
   const bool final =
@@ -139,19 +139,38 @@
   FinishWithResponse(call, answer.response, context);
 }
 
-void EntryRole::LearnLoad(const Call& call, const LoadReport& load,
+void EntryRole::LearnLoad(const Call& call, const CallAnswer& answer,
                           Context& context) {
+  const LoadReport& load = answer.load;
   if (!load.server.empty()) {
     choice_.OnReport(ServerKey(call.attempt->node.name, load.server), load,
                      context.now);
   }
-  const uint32_t threshold =
-      std::max(load.shed_threshold, load.downstream_threshold);
-  thresholds_.Learn(call.context.service + "/" + call.context.request_class,
-                    threshold, context.now);
+  // A call that was refused unrun has asked nothing of the services below: its
+  // zero is no news, and would let in what they go on turning away.
+  const bool asked_below = answer.failure.verdict != Verdict::kNotRun ||
+                           answer.failure.reason == Reason::kNone ||
+                           load.downstream_threshold > 0;
+  if (asked_below) {
+    thresholds_.Learn(ThresholdKey(call), load.downstream_threshold,
+                      context.now);
+  }
+  TellParent(call, context.now);
+}
+
+std::string EntryRole::ThresholdKey(const Call& call) {
+  return call.context.service + "/" + call.context.request_class;
+}
+
+void EntryRole::TellParent(const Call& call, TimePoint now) {
   if (call.is_root) return;
   Hop* hop = parts_.serving.FindHop(call.parent_hop);
   if (hop == nullptr) return;
+  const std::vector<ServerPlace>& places =
+      parts_.membership.ServersOf(call.context.service);
+  const uint32_t threshold =
+      std::max(choice_.Threshold(places, now),
+               thresholds_.ThresholdFor(ThresholdKey(call), now));
   hop->downstream_threshold = std::max(hop->downstream_threshold, threshold);
 }
 
--- a/src/libnode/entry_begin.cc
+++ b/src/libnode/entry_begin.cc
@@ -50,7 +50,8 @@
 
 }  // namespace
 
-EntryRole::EntryRole(const Parts& parts) : parts_(parts) {}
+EntryRole::EntryRole(const Parts& parts)
+    : parts_(parts), choice_(parts.data_centre) {}
 
 void EntryRole::OnCallerRequest(CallId http_call, const HttpRequest& request,
                                 Context& context) {
@@ -256,9 +257,7 @@
 bool EntryRole::ShedAtEntry(const Call& call, Context& context) {
   const uint32_t level =
       SheddingLevel(call.context.tier, call.context.request_id);
-  const std::string key =
-      call.context.service + "/" + call.context.request_class;
-  return level < thresholds_.ThresholdFor(key, context.now);
+  return level < thresholds_.ThresholdFor(ThresholdKey(call), context.now);
 }
 
 void EntryRole::StartRunning(Call& call, Context& context) {
@@ -273,6 +272,7 @@
     return FinishWithFailure(call, std::move(failure), context);
   }
   if (ShedAtEntry(call, context)) {
+    TellParent(call, context.now);
     Failure failure;
     failure.verdict = Verdict::kNotRun;
     failure.reason = Reason::kShedAtEntry;
@@ -282,6 +282,7 @@
   }
   retry_budgets_[call.context.service].OnFirstTry(context.now);
   if (TryNext(call, std::nullopt, context)) return;
+  TellParent(call, context.now);
   Failure failure;
   failure.verdict = Verdict::kNotRun;
   const bool any = !parts_.membership.ServersOf(call.context.service).empty();
--- a/src/libnode/entry_role.h
+++ b/src/libnode/entry_role.h
@@ -39,6 +39,7 @@
     Outbox& outbox;
     Stats& stats;
     Records& records;
+    std::string data_centre;  // of this node
   };
 
   explicit EntryRole(const Parts& parts);
@@ -105,7 +106,11 @@
   void OnAttemptFailed(Call& call, Failure failure, Context& context);
   bool MayRetry(const Call& call, const Failure& failure) const;
   bool PayRetry(Call& call, Context& context);
-  void LearnLoad(const Call& call, const LoadReport& load, Context& context);
+  void LearnLoad(const Call& call, const CallAnswer& answer, Context& context);
+  // Name under which thresholds of the services below a call are learned.
+  static std::string ThresholdKey(const Call& call);
+  // What a nested call's service turns away is passed up its chain.
+  void TellParent(const Call& call, TimePoint now);
   void SetAttempt(Call& call, const Attempt& attempt);
   void EndAttempt(Call& call, std::optional<Duration> latency, bool failed,
                   TimePoint now);
--- a/src/libnode/fake_fleet.h
+++ b/src/libnode/fake_fleet.h
@@ -27,6 +27,9 @@
   Duration service_time = std::chrono::milliseconds(10);
   // Exponential around service_time, instead of the same each time.
   bool random_service_time = false;
+  // Requests with this body take slow_factor as long.
+  std::string slow_body;
+  double slow_factor = 1;
   // Cold start: the first call takes this many service times, falling to one
   // over the warm-up.
   double cold_factor = 1;
@@ -169,9 +172,10 @@
 
   void Announce(const std::shared_ptr<Server>& server);
   void StartWaiting(const std::shared_ptr<Server>& server);
-  Duration ServiceTimeOf(const Server& server);
+  Duration ServiceTimeOf(const Server& server, const HttpRequest& request);
   void RunNested(const std::shared_ptr<Running>& running, size_t next);
   void FinishRun(const std::shared_ptr<Running>& running, int status);
+  void Abandon(const std::shared_ptr<Running>& running);
   void CrashServer(const std::shared_ptr<Server>& server);
 
   TimePoint now_ = FromMicros(1'000'000);
--- a/src/libnode/fake_fleet_server.h
+++ b/src/libnode/fake_fleet_server.h
@@ -28,6 +28,7 @@
   HttpRequest request;
   size_t effect = 0;
   bool started = false;
+  bool ended = false;
   bool gone = false;  // cancelled, timed out, or its server crashed
 };
 
--- a/src/libnode/fake_servers.cc
+++ b/src/libnode/fake_servers.cc
@@ -57,7 +57,7 @@
   At(effect.timeout, [this, name, running] {
     Host& waiting = hosts_.at(name);
     if (waiting.dispatches.erase(running->dispatch) == 0) return;
-    running->gone = running->server->options.cancellable;
+    Abandon(running);
     Feed(waiting, Broken(running->dispatch));
   });
   StartWaiting(running->server);
@@ -66,11 +66,18 @@
 void FakeFleet::Do(Host& host, const CancelServer& effect) {
   const auto found = host.dispatches.find(effect.dispatch);
   if (found == host.dispatches.end()) return;
-  found->second->gone = found->second->server->options.cancellable;
+  const std::shared_ptr<Running> running = found->second;
   host.dispatches.erase(found);
+  Abandon(running);
   FeedLater(host.name, kSameHost, Broken(effect.dispatch));
 }
 
+void FakeFleet::Abandon(const std::shared_ptr<Running>& running) {
+  if (!running->server->options.cancellable) return;
+  running->gone = true;
+  if (running->started) FinishRun(running, 503);
+}
+
 void FakeFleet::StartWaiting(const std::shared_ptr<Server>& server) {
   while (server->up && server->busy < server->options.slots &&
          !server->waiting.empty()) {
@@ -97,14 +104,19 @@
       return;
     }
     const uint64_t life = server->life;
-    At(ServiceTimeOf(*server), [this, running, life] {
+    At(ServiceTimeOf(*server, running->request), [this, running, life] {
       if (running->server->life == life) RunNested(running, 0);
     });
   }
 }
 
-Duration FakeFleet::ServiceTimeOf(const Server& server) {
+Duration FakeFleet::ServiceTimeOf(const Server& server,
+                                  const HttpRequest& request) {
   double time = static_cast<double>(server.options.service_time.count());
+  const std::string& slow = server.options.slow_body;
+  if (!slow.empty() && request.body.view() == slow) {
+    time *= server.options.slow_factor;
+  }
   const Duration warm_up = server.options.warm_up;
   const Duration age = now_ - server.started;
   if (age < warm_up) {
@@ -121,6 +133,7 @@
 void FakeFleet::RunNested(const std::shared_ptr<Running>& running,
                           size_t next) {
   const std::shared_ptr<Server>& server = running->server;
+  if (running->ended) return;
   if (running->gone || next == server->options.nested.size()) {
     FinishRun(running, 200);
     return;
@@ -156,6 +169,8 @@
 
 void FakeFleet::FinishRun(const std::shared_ptr<Running>& running, int status) {
   const std::shared_ptr<Server> server = running->server;
+  if (running->ended) return;
+  running->ended = true;
   --server->busy;
   std::vector<std::shared_ptr<Running>>& list = server->running;
   list.erase(std::remove(list.begin(), list.end(), running), list.end());
--- a/src/libnode/node_state.cc
+++ b/src/libnode/node_state.cc
@@ -29,7 +29,7 @@
       serving(membership, settings_cache, outbox, stats, records),
       claims(membership, outbox, stats),
       entry({membership, settings_cache, serving, claims, outbox, stats,
-             records}) {
+             records, identity.data_centre}) {
   JoinModules();
 }
 
--- a/src/libnode/server_choice.cc
+++ b/src/libnode/server_choice.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "amaranthroute/policy/shedder.h"
 #include "amaranthroute/policy/slow_start.h"
 
 namespace amaranth::pvt {
@@ -25,7 +26,9 @@
                                 TimePoint now) const {
   const std::string key = ServerKey(place.node, place.server);
   ServerView view{};
-  view.local = place.local;
+  // Not place.local, which means this very host: half of a data centre's calls
+  // would stay with a slow server on the host that they came in by.
+  view.local = place.data_centre == data_centre_;
   view.suspect = place.suspect;
   view.weight = SlowStartWeight(place.first_seen, now, settings.slow_start);
   const auto outliers = outliers_.find(place.service);
@@ -43,11 +46,28 @@
     view.in_flight = std::max(seen.in_flight, seen.report.in_flight);
     view.limit = seen.report.limit;
     view.queued = seen.report.queued;
-    if (level && *level < seen.report.shed_threshold) view.excluded = true;
   }
+  if (level && *level < ThresholdOf(seen, now)) view.excluded = true;
   return view;
 }
 
+uint32_t ServerChoice::ThresholdOf(const Seen& seen, TimePoint now) {
+  return static_cast<uint32_t>(DownstreamThresholds::Faded(
+      seen.report.shed_threshold, seen.reported, now));
+}
+
+uint32_t ServerChoice::Threshold(const std::vector<ServerPlace>& places,
+                                 TimePoint now) const {
+  uint32_t lowest = kMaxSheddingLevel;
+  for (const ServerPlace& place : places) {
+    if (place.suspect) continue;
+    const auto found = seen_.find(ServerKey(place.node, place.server));
+    if (found == seen_.end()) return 0;
+    lowest = std::min(lowest, ThresholdOf(found->second, now));
+  }
+  return places.empty() ? 0 : lowest;
+}
+
 std::optional<ServerPlace> ServerChoice::Choose(
     const std::vector<ServerPlace>& places, const EffectiveSettings& settings,
     const std::set<std::string>& tried, std::optional<uint32_t> level,
--- a/src/libnode/server_choice.h
+++ b/src/libnode/server_choice.h
@@ -10,6 +10,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "amaranthroute/messages.h"
@@ -25,6 +26,9 @@
 
 class ServerChoice {
  public:
+  explicit ServerChoice(std::string data_centre = "")
+      : data_centre_(std::move(data_centre)) {}
+
   // Chooses among `places`, leaving out `tried` and, if `level` is given,
   // servers known to shed that level now.
   std::optional<ServerPlace> Choose(const std::vector<ServerPlace>& places,
@@ -33,6 +37,10 @@
                                     std::optional<uint32_t> level,
                                     TimePoint now, std::mt19937_64& random);
 
+  // The lowest level that any of `places` lets in, as far as known.
+  uint32_t Threshold(const std::vector<ServerPlace>& places,
+                     TimePoint now) const;
+
   void OnSent(const std::string& server_key);
   // Ends what OnSent began. `failed`: broke or timed out, not refused.
   void OnEnded(const std::string& service, const std::string& server_key,
@@ -55,10 +63,12 @@
     TimePoint used{};
   };
 
+  static uint32_t ThresholdOf(const Seen& seen, TimePoint now);
   ServerView ViewOf(const ServerPlace& place, const EffectiveSettings& settings,
                     const std::set<std::string>& tried,
                     std::optional<uint32_t> level, TimePoint now) const;
 
+  std::string data_centre_;  // of this node
   std::map<std::string, Seen> seen_;
   std::map<std::string, OutlierDetector> outliers_;  // by service
 };
--- a/src/libpolicy/server_picker.cc
+++ b/src/libpolicy/server_picker.cc
@@ -99,6 +99,26 @@
   return found;
 }
 
+// `with_room` and those of `all` that are quicker than each of them although
+// they are full: a free slot of a server at a tenth of the speed is worth less
+// than a short wait at another, and would draw all that the others can't take
+// at once.
+Indexes WithQuicker(const std::vector<ServerView>& servers,
+                    const Indexes& with_room, const Indexes& all) {
+  const double latency = DefaultLatency(servers);
+  double best = ExpectedWait(servers[with_room.front()], latency);
+  for (const size_t index : with_room) {
+    best = std::min(best, ExpectedWait(servers[index], latency));
+  }
+  Indexes chosen = with_room;
+  for (const size_t index : all) {
+    if (HasRoom(servers[index])) continue;
+    const bool quicker = ExpectedWait(servers[index], latency) < best;
+    if (quicker) chosen.push_back(index);
+  }
+  return chosen;
+}
+
 size_t PickLocalFirst(const std::vector<ServerView>& servers,
                       const Indexes& usable, const PickOptions& options,
                       std::mt19937_64& random) {
@@ -109,7 +129,9 @@
     return TwoChoices(servers, with_room.empty() ? remote : with_room, random);
   }
   const Indexes local_room = Where(servers, local, HasRoom);
-  if (!local_room.empty()) return TwoChoices(servers, local_room, random);
+  if (!local_room.empty()) {
+    return TwoChoices(servers, WithQuicker(servers, local_room, local), random);
+  }
   const Indexes remote_room = Where(servers, remote, HasRoom);
   std::bernoulli_distribution spill(std::clamp(options.spill_share, 0.0, 1.0));
   if (!remote_room.empty() && spill(random)) {
--- a/src/libpolicy/shedder.cc
+++ b/src/libpolicy/shedder.cc
@@ -162,7 +162,8 @@
   if (threshold == 0 && entries_.count(service) == 0) return;
   const auto [found, is_new] = entries_.try_emplace(service);
   Entry& entry = found->second;
-  const double current = is_new ? 0 : Faded(entry, now);
+  const double current =
+      is_new ? 0 : Faded(entry.threshold, entry.learned, now);
   entry.threshold = current + kGain * (threshold - current);
   entry.learned = now;
   if (entry.threshold < kNoThreshold) entries_.erase(found);
@@ -172,16 +173,18 @@
                                             TimePoint now) const {
   const auto found = entries_.find(service);
   if (found == entries_.end()) return 0;
-  const double faded = Faded(found->second, now);
+  const Entry& entry = found->second;
+  const double faded = Faded(entry.threshold, entry.learned, now);
   return faded < kNoThreshold ? 0 : static_cast<uint32_t>(faded);
 }
 
-double DownstreamThresholds::Faded(const Entry& entry, TimePoint now) {
-  const Duration age = now - entry.learned;
-  if (age <= kHold) return entry.threshold;
+double DownstreamThresholds::Faded(double threshold, TimePoint learned,
+                                   TimePoint now) {
+  const Duration age = now - learned;
+  if (age <= kHold) return threshold;
   const double fallen = static_cast<double>((age - kHold).count()) /
                         static_cast<double>(kFall.count());
-  return entry.threshold * std::max(0.0, 1.0 - fallen);
+  return threshold * std::max(0.0, 1.0 - fallen);
 }
 
 }  // namespace amaranth
