--- a/src/cmake/lint.sh
+++ b/src/cmake/lint.sh
@@ -15,7 +15,9 @@
     g++ -std=c++17 -MM -I. -Isrc/include -Isrc "$file" | tr -d '\\\n' |
       cut -d: -f2 | xargs cat; } | sha256sum | cut -d' ' -f1)
   [ -e "$cache/$stamp" ] && return 0
-  clang-tidy --quiet -p build "$file" 2>/dev/null || {
+  # The build is g++'s; clang need not know each of its warnings.
+  clang-tidy --quiet -p build --extra-arg=-Wno-unknown-warning-option "$file" \
+    2>/dev/null || {
     echo "lint: $file" >&2
     return 1
   }
--- a/src/libnode/overload_test.cc
+++ b/src/libnode/overload_test.cc
@@ -54,7 +54,7 @@
       {"path":"default/*/renewal","name":"tier","value":"critical"},
       {"path":"default/*/batch","name":"long_work","value":"true"},
       {"path":"default/*/batch","name":"deadline_ms","value":"8000"}]})");
-    CHECK_EQUAL(200, fleet.Operator("a1", std::move(settings)).status);
+    CHECK_EQUAL(200, fleet.Operator("a1", settings).status);
     fleet.RunFor(std::chrono::seconds(5));
     for (const std::string& host : hosts) {
       FakeServerOptions server;
