--- a/src/libnode/membership.cc
+++ b/src/libnode/membership.cc
@@ -224,14 +224,14 @@
 void Membership::SetSettingsVersion(uint64_t version) {
   if (version <= settings_version_) return;
   settings_version_ = version;
-  settings_pushes_left_ = kPushes;
+  plain_pushes_left_ = kPushes;
   next_push_ = std::min(next_push_, last_now_);
 }
 
 void Membership::AddQuarantine(const QuarantineRecord& record,
                                Context& context) {
   if (!quarantines_.Add(record, context.now)) return;
-  settings_pushes_left_ = kPushes;
+  plain_pushes_left_ = kPushes;
   next_push_ = std::min(next_push_, context.now);
 }
 
--- a/src/libnode/membership.h
+++ b/src/libnode/membership.h
@@ -183,7 +183,7 @@
 
   // Urgent news and how many pushes of each are left.
   std::map<std::string, int> urgent_;
-  int settings_pushes_left_ = 0;
+  int plain_pushes_left_ = 0;  // for the header and quarantines alone
   TimePoint next_push_ = kNever;
 
   ByteBudget gossip_budget_;
--- a/src/libnode/membership_spread.cc
+++ b/src/libnode/membership_spread.cc
@@ -172,8 +172,8 @@
   for (auto entry = urgent_.begin(); entry != urgent_.end();) {
     entry = --entry->second <= 0 ? urgent_.erase(entry) : std::next(entry);
   }
-  if (settings_pushes_left_ > 0) --settings_pushes_left_;
-  const bool more = !urgent_.empty() || settings_pushes_left_ > 0;
+  if (plain_pushes_left_ > 0) --plain_pushes_left_;
+  const bool more = !urgent_.empty() || plain_pushes_left_ > 0;
   next_push_ = more ? context.now + kPushInterval : kNever;
 }
 
