--- a/src/include/amaranthroute/policy/shedder.h
+++ b/src/include/amaranthroute/policy/shedder.h
@@ -79,6 +79,9 @@
  public:
   explicit Shedder(ShedderOptions options = {});
 
+  /// Changes ShedderOptions::target_delay.
+  void SetTargetDelay(Duration target);
+
   /// Every call that arrives, whether it will be let in or not.
   void OnArrival(uint32_t level, TimePoint now);
   /// Once for each call that is started: AdmissionQueue::standing_delay just
@@ -149,14 +152,15 @@
   /// The lowest level worth sending to `service` now; 0 if unknown.
   uint32_t ThresholdFor(const std::string& service, TimePoint now) const;
 
+  /// What is left at `now` of a threshold reported at `learned`.
+  static double Faded(double threshold, TimePoint learned, TimePoint now);
+
  private:
   struct Entry {
     double threshold = 0;
     TimePoint learned{};
   };
 
-  static double Faded(const Entry& entry, TimePoint now);
-
   std::map<std::string, Entry> entries_;
 };
 
--- a/src/libnode/entry_attempts.cc
+++ b/src/libnode/entry_attempts.cc
@@ -26,6 +26,12 @@
          reason == Reason::kTooLarge || reason == Reason::kBadRequest;
 }
 
+// The request met no overloaded server, but a broken way to one.
+bool IsFailureOfTheWay(Reason reason) {
+  return reason == Reason::kConnectFailed ||
+         reason == Reason::kConnectionLost || reason == Reason::kDeadline;
+}
+
 bool IsShed(Reason reason) {
   return reason == Reason::kShedAtServer || reason == Reason::kShedAtEntry ||
          reason == Reason::kQueueFull;
@@ -57,6 +63,7 @@
                            context.random);
   }
   if (!place) return false;
+  if (last && !PayRetry(call, *last, *place, context)) return false;
   SendAttempt(call, *place, context);
   return true;
 }
@@ -108,14 +115,15 @@
     }
     return;
   }
-  OnAttemptAnswer(call, answer, context);
+  OnAttemptAnswer(call, from, answer, context);
 }
 
-void EntryRole::OnAttemptAnswer(Call& call, const CallAnswer& answer,
-                                Context& context) {
+void EntryRole::OnAttemptAnswer(Call& call, const NodeRef& from,
+                                const CallAnswer& answer, Context& context) {
   const Attempt attempt = *call.attempt;
+  choice_.OnReached(from.name);
   call.ledger.Return(attempt.lent, answer.credits_returned);
-  LearnLoad(call, answer.load, context);
+  LearnLoad(call, answer, context);
   const bool answered = answer.failure.reason == Reason::kNone;
   const bool broke = !answered && answer.failure.verdict != Verdict::kNotRun;
   const bool final =
@@ -127,15 +135,15 @@
   if (answered) latency = context.now - attempt.sent;
   EndAttempt(call, latency, broke || server_error, context.now);
   if (!answered) {
-    if (answer.failure.reason == Reason::kConnectionLost) {
-      ++call.context.suspected_crashes;
+    Failure failure = answer.failure;
+    if (failure.reason == Reason::kConnectionLost) {
+      CountCrash(call, failure, context);
     }
-    OnAttemptFailed(call, answer.failure, context);
+    OnAttemptFailed(call, std::move(failure), context);
     return;
   }
   if (IsRetryableStatus(answer.response.status) && !final &&
-      call.context.idempotent && PayRetry(call, context) &&
-      TryNext(call, Reason::kServerError, context)) {
+      call.context.idempotent && TryNext(call, Reason::kServerError, context)) {
     // It ran once, whatever the next try proves about itself.
     call.doubt = true;
     return;
@@ -143,19 +151,38 @@
   FinishWithResponse(call, answer.response, context);
 }
 
-void EntryRole::LearnLoad(const Call& call, const LoadReport& load,
+void EntryRole::LearnLoad(const Call& call, const CallAnswer& answer,
                           Context& context) {
+  const LoadReport& load = answer.load;
   if (!load.server.empty()) {
     choice_.OnReport(ServerKey(call.attempt->node.name, load.server), load,
                      context.now);
   }
-  const uint32_t threshold =
-      std::max(load.shed_threshold, load.downstream_threshold);
-  thresholds_.Learn(call.context.service + "/" + call.context.request_class,
-                    threshold, context.now);
+  // A call that was refused unrun has asked nothing of the services below: its
+  // zero is no news, and would let in what they go on turning away.
+  const bool asked_below = answer.failure.verdict != Verdict::kNotRun ||
+                           answer.failure.reason == Reason::kNone ||
+                           load.downstream_threshold > 0;
+  if (asked_below) {
+    thresholds_.Learn(ThresholdKey(call), load.downstream_threshold,
+                      context.now);
+  }
+  TellParent(call, context.now);
+}
+
+std::string EntryRole::ThresholdKey(const Call& call) {
+  return call.context.service + "/" + call.context.request_class;
+}
+
+void EntryRole::TellParent(const Call& call, TimePoint now) {
   if (call.is_root) return;
   Hop* hop = parts_.serving.FindHop(call.parent_hop);
   if (hop == nullptr) return;
+  const std::vector<ServerPlace>& places =
+      parts_.membership.ServersOf(call.context.service);
+  const uint32_t threshold =
+      std::max(choice_.Threshold(places, now),
+               thresholds_.ThresholdFor(ThresholdKey(call), now));
   hop->downstream_threshold = std::max(hop->downstream_threshold, threshold);
 }
 
@@ -167,17 +194,11 @@
     retry_after_[call.context.service + "/" + call.context.request_class] =
         failure.retry_after;
   }
-  if (MayRetry(call, failure)) {
-    // A planned leave costs no credit: nothing ran, each server refuses a call
-    // at most once, and a planned stop must not cut a request that has none.
-    const bool free = failure.reason == Reason::kDraining;
-    if ((free || PayRetry(call, context)) &&
-        TryNext(call, failure.reason, context)) {
-      parts_.records.Add(context.now, call.context.request_id, "retry",
-                         "after " + std::string(ToString(failure.reason)) +
-                             " now at " + call.attempt->server);
-      return;
-    }
+  if (MayRetry(call, failure) && TryNext(call, failure.reason, context)) {
+    parts_.records.Add(context.now, call.context.request_id, "retry",
+                       "after " + std::string(ToString(failure.reason)) +
+                           " now at " + call.attempt->server);
+    return;
   }
   FinishWithFailure(call, std::move(failure), context);
 }
@@ -187,13 +208,42 @@
   return failure.verdict == Verdict::kNotRun || call.context.idempotent;
 }
 
-bool EntryRole::PayRetry(Call& call, Context& context) {
+// Two backend servers in a row broke the connection of this very call, and
+// nobody has lately had an answer to the same request: it goes no further. The
+// serving nodes reach the same verdict from their own crash windows, but only
+// when the last connection of the crashed server is down, while this call
+// would already be on its way to a third server.
+void EntryRole::CountCrash(Call& call, Failure& failure, Context& context) {
+  ++call.context.suspected_crashes;
+  if (call.context.suspected_crashes < kQuarantineCrashes) return;
+  if (answered_.Contains(call.context.fingerprint, context.now)) return;
+  parts_.membership.AddQuarantine(
+      {call.context.service, call.context.fingerprint, kQuarantineCrashes},
+      context);
+  failure.reason = Reason::kQuarantined;
+  failure.final = true;
+  failure.detail = "this request broke two backend servers in a row";
+}
+
+bool EntryRole::PayRetry(Call& call, Reason last, const ServerPlace& place,
+                         Context& context) {
+  // A planned leave costs no credit: nothing ran, each server refuses a call
+  // at most once, and a planned stop must not cut a request that has none.
+  if (last == Reason::kDraining) return true;
   if (call.ledger.available() == 0) return false;
+  // The budget keeps retries from loading a service that is short of capacity.
+  // A host that dies or a connection that goes silent is no such shortage: all
+  // its calls fail at once, far over any ratio, while the servers left have
+  // room for them. So a failure of the way there is budgeted only if the next
+  // server is not known to have room.
+  const std::string server_key = ServerKey(place.node, place.server);
+  const bool harmless =
+      IsFailureOfTheWay(last) && choice_.HasRoom(server_key, context.now);
   RetryBudget& budget = retry_budgets_[call.context.service];
   budget.SetRatio(
       parts_.settings.Of(call.context.service, call.context.request_class)
           .retry_ratio);
-  if (!budget.TryRetry(context.now)) {
+  if (!harmless && !budget.TryRetry(context.now)) {
     parts_.stats.Count("amaranth_retries_over_budget_total");
     return false;
   }
@@ -244,6 +294,7 @@
     if (call == nullptr || !call->attempt) continue;
     const bool forwarded = call->phase == CallPhase::kForwarded;
     EndAttempt(*call, std::nullopt, !forwarded, context.now);
+    choice_.OnUnreachable(peer, context.now);
     Failure failure;
     failure.verdict = Verdict::kMayHaveRun;
     failure.reason =
@@ -267,6 +318,7 @@
   const bool forwarded = call.phase == CallPhase::kForwarded;
   call.ledger.Return(call.attempt->lent, call.attempt->lent);
   EndAttempt(call, std::nullopt, !forwarded, context.now);
+  choice_.OnUnreachable(peer, context.now);
   Failure failure;
   // This message never left, but an earlier sending of the same key may have
   // reached its home.
--- a/src/libnode/server_choice.cc
+++ b/src/libnode/server_choice.cc
@@ -1,7 +1,9 @@
 #include "server_choice.h"
 
 #include <algorithm>
+#include <iterator>
 
+#include "amaranthroute/policy/shedder.h"
 #include "amaranthroute/policy/slow_start.h"
 
 namespace amaranth::pvt {
@@ -9,6 +11,9 @@
 
 // A load report older than this says nothing: queues empty in far less.
 constexpr Duration kReportLife = std::chrono::seconds(1);
+// A host that broke its link is avoided this long, then tried by one call: as
+// long as a refused connection costs that call only a retry, this may be short.
+constexpr Duration kAvoidUnreachable = std::chrono::seconds(1);
 constexpr Duration kForgetAfter = std::chrono::minutes(2);
 constexpr double kLatencyWeight = 0.2;
 
@@ -25,8 +30,10 @@
                                 TimePoint now) const {
   const std::string key = ServerKey(place.node, place.server);
   ServerView view{};
-  view.local = place.local;
-  view.suspect = place.suspect;
+  // Not place.local, which means this very host: half of a data centre's calls
+  // would stay with a slow server on the host that they came in by.
+  view.local = place.data_centre == data_centre_;
+  view.suspect = place.suspect || IsUnreachable(place.node, now);
   view.weight = SlowStartWeight(place.first_seen, now, settings.slow_start);
   const auto outliers = outliers_.find(place.service);
   if (outliers != outliers_.end()) {
@@ -43,11 +50,28 @@
     view.in_flight = std::max(seen.in_flight, seen.report.in_flight);
     view.limit = seen.report.limit;
     view.queued = seen.report.queued;
-    if (level && *level < seen.report.shed_threshold) view.excluded = true;
   }
+  if (level && *level < ThresholdOf(seen, now)) view.excluded = true;
   return view;
 }
 
+uint32_t ServerChoice::ThresholdOf(const Seen& seen, TimePoint now) {
+  return static_cast<uint32_t>(DownstreamThresholds::Faded(
+      seen.report.shed_threshold, seen.reported, now));
+}
+
+uint32_t ServerChoice::Threshold(const std::vector<ServerPlace>& places,
+                                 TimePoint now) const {
+  uint32_t lowest = kMaxSheddingLevel;
+  for (const ServerPlace& place : places) {
+    if (place.suspect) continue;
+    const auto found = seen_.find(ServerKey(place.node, place.server));
+    if (found == seen_.end()) return 0;
+    lowest = std::min(lowest, ThresholdOf(found->second, now));
+  }
+  return places.empty() ? 0 : lowest;
+}
+
 std::optional<ServerPlace> ServerChoice::Choose(
     const std::vector<ServerPlace>& places, const EffectiveSettings& settings,
     const std::set<std::string>& tried, std::optional<uint32_t> level,
@@ -98,7 +122,29 @@
   seen.used = now;
 }
 
+void ServerChoice::OnUnreachable(const std::string& node, TimePoint now) {
+  unreachable_[node] = now + kAvoidUnreachable;
+}
+
+bool ServerChoice::IsUnreachable(const std::string& node, TimePoint now) const {
+  const auto found = unreachable_.find(node);
+  return found != unreachable_.end() && now < found->second;
+}
+
+bool ServerChoice::HasRoom(const std::string& server_key, TimePoint now) const {
+  const auto found = seen_.find(server_key);
+  if (found == seen_.end()) return false;
+  const Seen& seen = found->second;
+  const LoadReport& report = seen.report;
+  return now - seen.reported <= kReportLife && report.queued == 0 &&
+         report.shed_threshold == 0 &&
+         std::max(seen.in_flight, report.in_flight) < report.limit;
+}
+
 void ServerChoice::Expire(TimePoint now) {
+  for (auto it = unreachable_.begin(); it != unreachable_.end();) {
+    it = it->second <= now ? unreachable_.erase(it) : std::next(it);
+  }
   for (auto it = seen_.begin(); it != seen_.end();) {
     const bool idle = it->second.in_flight == 0;
     if (idle && now - it->second.used > kForgetAfter) {
--- a/src/libnode/serving_role.cc
+++ b/src/libnode/serving_role.cc
@@ -14,10 +14,14 @@
 // More suspects than this wait for no server: they are refused as not run.
 constexpr size_t kMaxWaitingSuspects = 16;
 
+// How long ordinary calls wait for those in flight to end before a suspect's
+// lone run. Long work would otherwise stop its server for seconds; the suspect
+// then tries again, or ends at its deadline as not run.
+constexpr Duration kLongestPause = std::chrono::milliseconds(200);
+
 // A crash with more victims than this is not told to other nodes as suspects:
 // gossip must stay small, and the entry nodes still mark their own retries.
 constexpr size_t kMaxGossipedSuspects = 16;
-constexpr size_t kMaxCleared = 4096;
 
 // How long after its deadline a non-idempotent call's answer is still awaited.
 constexpr Duration kLateAnswerGrace = std::chrono::seconds(5);
@@ -76,13 +80,15 @@
 CrashGuard::Handling ServingRole::HandlingOf(const Hop& hop,
                                              TimePoint now) const {
   const uint64_t fingerprint = hop.context.fingerprint;
+  if (answered_.Contains(fingerprint, now)) {
+    return CrashGuard::Handling::kNormal;
+  }
   const uint32_t crashes =
       membership_.CrashesOf(hop.context.service, fingerprint);
   if (crashes >= kQuarantineCrashes) return CrashGuard::Handling::kQuarantined;
   const CrashGuard::Handling own = crash_guard_.HandlingOf(fingerprint, now);
   const bool suspected_elsewhere =
-      cleared_.count(fingerprint) == 0 &&
-      (crashes >= kSuspectCrashes || hop.context.suspected_crashes > 0);
+      crashes >= kSuspectCrashes || hop.context.suspected_crashes > 0;
   if (own == CrashGuard::Handling::kNormal && suspected_elsewhere) {
     return CrashGuard::Handling::kRunAlone;
   }
@@ -153,7 +159,7 @@
 
 void ServingRole::Pump(LocalServer& server, Context& context) {
   PumpSuspects(server, context);
-  while (server.HasFreeSlot()) {
+  while (server.HasFreeSlot() && !server.OrdinaryPaused()) {
     // Read before Pop: the started call's own wait is short in any overload, as
     // order is by tier and newest first, and nothing would be shed.
     const Duration standing = server.queue().standing_delay(context.now);
@@ -172,20 +178,46 @@
 }
 
 void ServingRole::PumpSuspects(LocalServer& server, Context& context) {
-  if (server.suspect_in_flight || !server.HasFreeSlot()) return;
-  while (!server.waiting_suspects.empty()) {
-    Hop& hop = hops_.at(server.waiting_suspects.front());
-    server.waiting_suspects.pop_front();
-    if (HandlingOf(hop, context.now) == CrashGuard::Handling::kQuarantined) {
-      const Hop refused = TakeHop(hop.id);
-      Refuse(refused, Reason::kQuarantined, context);
-      continue;
-    }
-    hop.is_suspect = true;
-    server.suspect_in_flight = true;
-    Dispatch(hop, server, context);
+  if (server.suspect_in_flight) return;
+  RefuseQuarantined(server, context);
+  if (server.waiting_suspects.empty()) {
+    server.paused_since = kNever;
     return;
   }
+  if (context.now < server.next_pause) return;
+  if (server.paused_since == kNever) server.paused_since = context.now;
+  if (server.in_flight() > 0) {
+    const bool too_long = context.now - server.paused_since >= kLongestPause;
+    if (too_long) EndPause(server, context.now);
+    return;
+  }
+  Hop& hop = hops_.at(server.waiting_suspects.front());
+  server.waiting_suspects.pop_front();
+  hop.is_suspect = true;
+  server.suspect_in_flight = true;
+  Dispatch(hop, server, context);
+}
+
+void ServingRole::RefuseQuarantined(LocalServer& server, Context& context) {
+  std::deque<uint64_t>& waiting = server.waiting_suspects;
+  while (!waiting.empty()) {
+    const Hop& hop = hops_.at(waiting.front());
+    if (HandlingOf(hop, context.now) != CrashGuard::Handling::kQuarantined) {
+      return;
+    }
+    waiting.pop_front();
+    const Hop refused = TakeHop(hop.id);
+    Refuse(refused, Reason::kQuarantined, context);
+  }
+}
+
+void ServingRole::EndPause(LocalServer& server, TimePoint now) {
+  server.suspect_in_flight = false;
+  if (server.paused_since == kNever) return;
+  // Ordinary calls get at least as long as the pause took: a crash with a
+  // hundred in flight would otherwise stop them for a hundred lone runs.
+  server.next_pause = now + (now - server.paused_since);
+  server.paused_since = kNever;
 }
 
 void ServingRole::Dispatch(Hop& hop, LocalServer& server, Context& context) {
@@ -231,7 +263,7 @@
   LocalServer& server = found->second;
   server.OnEnded(id, context.now - hop.dispatched, hop.OwnTime(context.now),
                  failed, context.now);
-  if (hop.is_suspect) server.suspect_in_flight = false;
+  if (hop.is_suspect) EndPause(server, context.now);
   return hop;
 }
 
@@ -240,10 +272,7 @@
   if (hops_.count(replied.dispatch) == 0) return;
   const Hop hop = EndDispatch(replied.dispatch, false, context);
   crash_guard_.OnSurvived(hop.context.fingerprint, context.now);
-  if (hop.is_suspect) {
-    if (cleared_.size() >= kMaxCleared) cleared_.clear();
-    cleared_.insert(hop.context.fingerprint);
-  }
+  answered_.Insert(hop.context.fingerprint, context.now);
   Answer(hop, replied.response, context);
   const auto found = servers_.find(hop.server);
   if (found == servers_.end()) return;
@@ -275,9 +304,10 @@
   const bool cancelled = broken->cancelled;
   const Hop hop = EndDispatch(failed.dispatch, !cancelled, context);
   on_hop_cancelled(hop.id, context);
+  // Told to the fleet before the caller is answered, who may send it again.
+  if (found != servers_.end()) NoteCrash(found->second, context);
   Fail(hop, ExplainBreak(failed, hop, context.now), context);
   if (found == servers_.end()) return;
-  NoteCrash(found->second, context);
   Pump(found->second, context);
 }
 
@@ -295,15 +325,21 @@
 }
 
 void ServingRole::NoteCrash(LocalServer& server, Context& context) {
-  const std::vector<uint64_t> victims = server.crash_window().TakeCrash();
+  std::vector<uint64_t> victims = server.crash_window().TakeCrash();
   if (victims.empty()) return;
+  const size_t in_flight = victims.size();
+  victims.erase(std::remove_if(victims.begin(), victims.end(),
+                               [&](uint64_t fingerprint) {
+                                 return answered_.Contains(fingerprint,
+                                                           context.now);
+                               }),
+                victims.end());
   const std::string& service = server.record().service;
   crash_guard_.OnCrash(victims, context.now);
-  for (const uint64_t victim : victims) cleared_.erase(victim);
   stats_.Count("amaranth_server_crashes_total", "service=\"" + service + "\"");
   records_.Add(context.now, "", "crash",
                server.record().server + " crashed with " +
-                   std::to_string(victims.size()) + " calls in flight");
+                   std::to_string(in_flight) + " calls in flight");
   context.Log(LogLevel::kWarning, kPart,
               "Backend server " + server.record().server + " crashed.");
   const std::vector<uint64_t> suspects = crash_guard_.TakeNewSuspects();
