--- a/src/bench/policy_bench.cc
+++ b/src/bench/policy_bench.cc
@@ -96,6 +96,7 @@
     }
   };
   std::vector<std::thread> threads;
+  threads.reserve(static_cast<size_t>(options.jobs));
   for (int i = 0; i < options.jobs; ++i) threads.emplace_back(work);
   for (std::thread& thread : threads) thread.join();
 }
--- a/src/libnode/overload_test.cc
+++ b/src/libnode/overload_test.cc
@@ -54,7 +54,8 @@
       {"path":"default/*/renewal","name":"tier","value":"critical"},
       {"path":"default/*/batch","name":"long_work","value":"true"},
       {"path":"default/*/batch","name":"deadline_ms","value":"8000"}]})");
-    CHECK_EQUAL(200, fleet.Operator("a1", std::move(settings)).status);
+    const HttpResponse accepted = fleet.Operator("a1", std::move(settings));
+    CHECK_EQUAL(200, accepted.status);
     fleet.RunFor(std::chrono::seconds(5));
     for (const std::string& host : hosts) {
       FakeServerOptions server;
