--- a/src/libnode/membership.cc
+++ b/src/libnode/membership.cc
@@ -224,7 +224,7 @@
 void Membership::SetSettingsVersion(uint64_t version) {
   if (version <= settings_version_) return;
   settings_version_ = version;
-  settings_pushes_left_ = kPushes;
+  plain_pushes_left_ = kPushes;
   next_push_ = std::min(next_push_, last_now_);
 }
 
@@ -232,7 +232,7 @@
                                Context& context) {
   if (!quarantines_.Add(record, context.now)) return;
   to_tell_.push_back(record);
-  settings_pushes_left_ = kPushes;
+  plain_pushes_left_ = kPushes;
   next_push_ = std::min(next_push_, context.now);
 }
 
