Fair shares among callers while shedding

A caller's level is now scaled by its fair share over its demand, at the edge, and travels with the call. Ruled out: turns in the queue, which come too late for what is shed before.

--- a/src/include/amaranthroute/messages.h
+++ b/src/include/amaranthroute/messages.h
@@ -44,6 +44,9 @@
   uint64_t fingerprint = 0;    ///< of the request's content, for crash-makers
   /// Tries of this request so far whose backend server broke the connection.
   uint8_t suspected_crashes = 0;
+  /// Shedding level, fixed at the edge and the same at every hop (see
+  /// policy/shedder.h and policy/caller_shares.h).
+  uint32_t level = 0;
 };
 
 /// Load of one backend server, piggybacked on each answer.
--- a/src/libnode/entry_begin.cc
+++ b/src/libnode/entry_begin.cc
@@ -91,6 +91,7 @@
         waiter, verdict, Reason::kUnknownService, call.context.request_id,
         "no backend server has announced this service", context);
   }
+  if (call.is_root) TakeLevel(call, context.now);
   parts_.stats.Count("amaranth_requests_total");
   call.joinable = call.is_root && !headers.request_id.empty();
   if (JoinInFlight(call, waiter)) return;
@@ -162,6 +163,7 @@
   about.tenant = parent.tenant;
   about.caller_key = parent.caller_key;
   about.tier = parent.tier;
+  about.level = parent.level;
   about.depth = static_cast<uint8_t>(parent.depth + 1);
   const EffectiveSettings& settings =
       parts_.settings.Of(about.service, about.request_class);
@@ -245,6 +247,14 @@
   return true;
 }
 
+void EntryRole::TakeLevel(Call& call, TimePoint now) {
+  CallContext& about = call.context;
+  CallerShares& shares = caller_shares_[{about.service, about.tier}];
+  shares.OnArrival(about.caller_key, now);
+  about.level = WeightedSheddingLevel(about.tier, about.request_id,
+                                      shares.Weight(about.caller_key));
+}
+
 void EntryRole::TakeKey(Call& call, const CallerHeaders& headers) {
   const bool keyed = call.is_root && !call.context.idempotent;
   if (keyed && !headers.idempotency_key.empty()) {
@@ -276,8 +286,7 @@
 }
 
 bool EntryRole::ShedAtEntry(const Call& call, Context& context) {
-  const uint32_t level =
-      SheddingLevel(call.context.tier, call.context.request_id);
+  const uint32_t level = call.context.level;
   return level < thresholds_.ThresholdFor(ThresholdKey(call), context.now);
 }
 
--- a/src/libnode/entry_role.h
+++ b/src/libnode/entry_role.h
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "amaranthroute/event.h"
+#include "amaranthroute/policy/caller_shares.h"
 #include "amaranthroute/policy/retry_budget.h"
 #include "amaranthroute/policy/shedder.h"
 #include "libnode/call.h"
@@ -85,6 +86,7 @@
                      Context& context);
   bool RefuseNestedRepeat(Call& call, Context& context);
   void ReturnLoan(const Call& call);
+  void TakeLevel(Call& call, TimePoint now);
   void TakeKey(Call& call, const CallerHeaders& headers);
   bool JoinInFlight(const Call& call, const Waiter& waiter);
   bool ShedAtEntry(const Call& call, Context& context);
@@ -145,6 +147,8 @@
   RecentSet answered_;  // fingerprints that were answered lately
   KeyRegistry keys_;
   DownstreamThresholds thresholds_;
+  // By service and tier; only known services get here, see Begin.
+  std::map<std::pair<std::string, Tier>, CallerShares> caller_shares_;
   std::map<std::string, RetryBudget> retry_budgets_;  // by service
   std::map<std::string, Duration> retry_after_;       // by service and class
   std::map<uint64_t, Call> calls_;
--- a/src/libnode/overload_test.cc
+++ b/src/libnode/overload_test.cc
@@ -153,4 +153,18 @@
   CHECK(tallies["long"].good >= 15);
 }
 
+// Nine quiet callers are answered; the one that asks for three times the
+// capacity pays for it. All are of one tier, so shedding alone would make all
+// pay alike.
+TEST(Overload, AHotCallerDoesNotTakeTheOthersShare) {
+  Start({"a1"});  // 200 a second
+  std::vector<Stream> streams{{"hot", "browse", "hot", 600}};
+  for (int i = 0; i < 9; ++i) {
+    streams.push_back({"quiet", "browse", "quiet" + std::to_string(i), 8});
+  }
+  Play(streams, 10);
+  CHECK(tallies["quiet"].share() >= 0.9);
+  CHECK(tallies["quiet"].share() > tallies["hot"].share());
+}
+
 }  // namespace amaranth::pvt
--- a/src/libnode/serving_role.cc
+++ b/src/libnode/serving_role.cc
@@ -113,8 +113,7 @@
     return AdmitSuspect(std::move(hop), server, context);
   }
 
-  const uint32_t level =
-      SheddingLevel(hop.context.tier, hop.context.request_id);
+  const uint32_t level = hop.context.level;
   server.shedder().OnArrival(level, context.now);
   if (!server.shedder().Admits(level, context.now)) {
     return Refuse(hop, Reason::kShedAtServer, context);
--- a/src/libnode/serving_role.h
+++ b/src/libnode/serving_role.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "amaranthroute/event.h"
@@ -57,6 +58,13 @@
 
  private:
   using AttemptKey = std::pair<NodeRef, AttemptId>;
+  // Attempt ids count up at each entry node, and its incarnation tells nodes
+  // apart; the name need not be hashed, only compared.
+  struct AttemptKeyHash {
+    size_t operator()(const AttemptKey& key) const {
+      return std::hash<uint64_t>()(key.first.incarnation * 31 + key.second);
+    }
+  };
 
   void Admit(Hop hop, Context& context);
   void AdmitSuspect(Hop hop, LocalServer& server, Context& context);
@@ -104,7 +112,7 @@
   RecentSet answered_;
   std::map<std::string, LocalServer> servers_;
   std::map<uint64_t, Hop> hops_;
-  std::map<AttemptKey, uint64_t> by_attempt_;
+  std::unordered_map<AttemptKey, uint64_t, AttemptKeyHash> by_attempt_;
   DeadlineSet queue_deadlines_;
   TimePoint next_check_{};
 };
--- a/src/libwire/amaranth.thrift
+++ b/src/libwire/amaranth.thrift
@@ -80,7 +80,8 @@
   11: required i64 remaining_us,
   12: required i32 retry_credits,
   13: required i64 fingerprint,
-  14: required i32 suspected_crashes
+  14: required i32 suspected_crashes,
+  15: required i64 level
 }
 
 struct LoadReport {
--- a/src/libwire/from_wire.cc
+++ b/src/libwire/from_wire.cc
@@ -70,6 +70,7 @@
   out.fingerprint = Unsigned(in.fingerprint);
   out.suspected_crashes =
       check.Narrow<uint8_t>(in.suspected_crashes, "suspected_crashes");
+  out.level = check.Narrow<uint32_t>(in.level, "level");
 }
 
 void FromWire(wire::LoadReport& in, LoadReport& out, RangeCheck& check) {
--- a/src/libwire/gen-cpp/amaranth_types.cpp
+++ b/src/libwire/gen-cpp/amaranth_types.cpp
@@ -1182,6 +1182,10 @@
 void CallContext::__set_suspected_crashes(const int32_t val) {
   this->suspected_crashes = val;
 }
+
+void CallContext::__set_level(const int64_t val) {
+  this->level = val;
+}
 std::ostream& operator<<(std::ostream& out, const CallContext& obj)
 {
   obj.printTo(out);
@@ -1215,6 +1219,7 @@
   bool isset_retry_credits = false;
   bool isset_fingerprint = false;
   bool isset_suspected_crashes = false;
+  bool isset_level = false;
 
   while (true)
   {
@@ -1336,6 +1341,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->level);
+          isset_level = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1373,6 +1386,8 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_suspected_crashes)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_level)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -1437,6 +1452,10 @@
   xfer += oprot->writeI32(this->suspected_crashes);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("level", ::apache::thrift::protocol::T_I64, 15);
+  xfer += oprot->writeI64(this->level);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1458,6 +1477,7 @@
   swap(a.retry_credits, b.retry_credits);
   swap(a.fingerprint, b.fingerprint);
   swap(a.suspected_crashes, b.suspected_crashes);
+  swap(a.level, b.level);
 }
 
 CallContext::CallContext(const CallContext& other40) {
@@ -1475,6 +1495,7 @@
   retry_credits = other40.retry_credits;
   fingerprint = other40.fingerprint;
   suspected_crashes = other40.suspected_crashes;
+  level = other40.level;
 }
 CallContext::CallContext(CallContext&& other41) noexcept {
   request_id = std::move(other41.request_id);
@@ -1491,6 +1512,7 @@
   retry_credits = other41.retry_credits;
   fingerprint = other41.fingerprint;
   suspected_crashes = other41.suspected_crashes;
+  level = other41.level;
 }
 CallContext& CallContext::operator=(const CallContext& other42) {
   request_id = other42.request_id;
@@ -1507,6 +1529,7 @@
   retry_credits = other42.retry_credits;
   fingerprint = other42.fingerprint;
   suspected_crashes = other42.suspected_crashes;
+  level = other42.level;
   return *this;
 }
 CallContext& CallContext::operator=(CallContext&& other43) noexcept {
@@ -1524,6 +1547,7 @@
   retry_credits = other43.retry_credits;
   fingerprint = other43.fingerprint;
   suspected_crashes = other43.suspected_crashes;
+  level = other43.level;
   return *this;
 }
 void CallContext::printTo(std::ostream& out) const {
@@ -1543,6 +1567,7 @@
   out << ", " << "retry_credits=" << to_string(retry_credits);
   out << ", " << "fingerprint=" << to_string(fingerprint);
   out << ", " << "suspected_crashes=" << to_string(suspected_crashes);
+  out << ", " << "level=" << to_string(level);
   out << ")";
 }
 
--- a/src/libwire/gen-cpp/amaranth_types.h
+++ b/src/libwire/gen-cpp/amaranth_types.h
@@ -470,7 +470,8 @@
                 remaining_us(0),
                 retry_credits(0),
                 fingerprint(0),
-                suspected_crashes(0) {
+                suspected_crashes(0),
+                level(0) {
   }
 
   virtual ~CallContext() noexcept;
@@ -488,6 +489,7 @@
   int32_t retry_credits;
   int64_t fingerprint;
   int32_t suspected_crashes;
+  int64_t level;
 
   void __set_request_id(const std::string& val);
 
@@ -517,6 +519,8 @@
 
   void __set_suspected_crashes(const int32_t val);
 
+  void __set_level(const int64_t val);
+
   bool operator == (const CallContext & rhs) const
   {
     if (!(request_id == rhs.request_id))
@@ -547,6 +551,8 @@
       return false;
     if (!(suspected_crashes == rhs.suspected_crashes))
       return false;
+    if (!(level == rhs.level))
+      return false;
     return true;
   }
   bool operator != (const CallContext &rhs) const {
--- a/src/libwire/generators_test.cc
+++ b/src/libwire/generators_test.cc
@@ -71,6 +71,7 @@
   context.retry_credits = Any<uint16_t>();
   context.fingerprint = Any<uint64_t>();
   context.suspected_crashes = Any<uint8_t>();
+  context.level = Any<uint32_t>();
   return context;
 }
 
--- a/src/libwire/to_wire.cc
+++ b/src/libwire/to_wire.cc
@@ -18,7 +18,7 @@
     std::tuple_size_v<decltype(Fields(std::declval<const Message&>()))> ==
     count;
 
-static_assert(kHasFields<CallContext, 14>);
+static_assert(kHasFields<CallContext, 15>);
 static_assert(kHasFields<LoadReport, 6>);
 static_assert(kHasFields<Hello, 3>);
 static_assert(kHasFields<CallForward, 4>);
@@ -104,6 +104,7 @@
   out.retry_credits = in.retry_credits;
   out.fingerprint = Signed(in.fingerprint);
   out.suspected_crashes = in.suspected_crashes;
+  out.level = in.level;
 }
 
 void ToWire(const LoadReport& in, wire::LoadReport& out) {
