--- a/src/libnode/entry_finish.cc
+++ b/src/libnode/entry_finish.cc
@@ -140,13 +140,8 @@
     return;
   }
   CallAnswer answer;
-  answer.attempt = waiter.peer_attempt;
-  answer.entry_incarnation = waiter.peer.incarnation;
   answer.response = response;
-  const MemberRecord* member = parts_.membership.Find(waiter.peer.name);
-  parts_.outbox.Send(waiter.peer.name,
-                     member == nullptr ? Endpoint() : member->peer_address,
-                     std::move(answer), context);
+  AnswerPeer(waiter, std::move(answer), context);
 }
 
 void EntryRole::AnswerWaiter(const Waiter& waiter, const Failure& failure,
@@ -158,13 +153,18 @@
     return;
   }
   CallAnswer answer;
+  answer.failure = failure;
+  AnswerPeer(waiter, std::move(answer), context);
+}
+
+void EntryRole::AnswerPeer(const Waiter& waiter, CallAnswer answer,
+                           Context& context) {
   answer.attempt = waiter.peer_attempt;
   answer.entry_incarnation = waiter.peer.incarnation;
-  answer.failure = failure;
   const MemberRecord* member = parts_.membership.Find(waiter.peer.name);
-  parts_.outbox.Send(waiter.peer.name,
-                     member == nullptr ? Endpoint() : member->peer_address,
-                     std::move(answer), context);
+  const Endpoint address =
+      member == nullptr ? Endpoint() : member->peer_address;
+  parts_.outbox.Send(waiter.peer.name, address, std::move(answer), context);
 }
 
 Call* EntryRole::FindCall(uint64_t id) {
--- a/src/libnode/entry_role.h
+++ b/src/libnode/entry_role.h
@@ -132,6 +132,7 @@
   void Remove(Call& call);
   void AnswerWaiter(const Waiter& waiter, const HttpResponse& response,
                     Context& context);
+  void AnswerPeer(const Waiter& waiter, CallAnswer answer, Context& context);
   void AnswerWaiter(const Waiter& waiter, const Failure& failure,
                     const std::string& request_id, Context& context);
   // Gives back what the parent hop lent; `failed` is what the backend server
