A process that hears of its successor stops

Cause: membership knew that a later process uses this node's name (a paused host whose slot was given away), but nothing acted on it: the old process stayed ready. Test ARetiredProcessStopsWhenItHearsOfItsSuccessor; without the call it stays ready.

--- a/src/libnode/calls_test.cc
+++ b/src/libnode/calls_test.cc
@@ -2,6 +2,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
+
 #include "fake_fleet.h"
 
 namespace amaranth::pvt {
@@ -439,4 +441,30 @@
   CHECK(deep_runs <= 4);
 }
 
+// Callers of the old process are sent elsewhere. It was paused while its host's
+// slot was given to a new process of the same name, and hears of it by gossip
+// when it comes back: it is ready no more and exits.
+TEST(Calls, ARetiredProcessStopsWhenItHearsOfItsSuccessor) {
+  NodeIdentity identity;
+  identity.node = {"a1", 1};
+  identity.use_platform = false;
+  Node node(identity);
+  node.Start(FromMicros(0));
+  CHECK(node.ready());
+  GossipMessage news;
+  news.from = {"a2", 1};
+  MemberRecord successor;
+  successor.node = {"a1", 2};
+  successor.version = 1;
+  news.updates = {successor};
+  node.Reduce({FromMicros(1000), GossipReceived{{"a2", 2}, news}});
+  CHECK_FALSE(node.ready());
+  const Effects effects = node.Reduce({FromMicros(10'000'000), Tick{}});
+  const bool exits =
+      std::any_of(effects.begin(), effects.end(), [](const Effect& effect) {
+        return std::holds_alternative<ExitProcess>(effect);
+      });
+  CHECK(exits);
+}
+
 }  // namespace amaranth::pvt
--- a/src/libnode/node_state.cc
+++ b/src/libnode/node_state.cc
@@ -91,6 +91,10 @@
   DeliverLocal(context);
   RunTimers(context);
   DeliverLocal(context);
+  // A host was given to a new process while this one was paused. Its tickets
+  // and claims name this incarnation, so nothing runs twice; but callers and
+  // backend servers belong to the new process now.
+  if (membership.superseded()) RequestStop(context);
   ConsiderExit(context);
   AskForWake(context);
   return effects;
