--- a/src/libnode/membership.h
+++ b/src/libnode/membership.h
@@ -169,6 +169,7 @@
   uint64_t settings_version_ = 0;
   bool verified_ = true;
   bool superseded_ = false;
+  std::optional<TimePoint> started_;
   TimePoint last_now_{};
 
   std::map<std::string, TimePoint> announced_;  // local servers, last heard
--- a/src/libnode/membership_limits.h
+++ b/src/libnode/membership_limits.h
@@ -78,6 +78,10 @@
 inline constexpr Duration kPlatformInterval = std::chrono::seconds(2);
 inline constexpr Duration kMaxPlatformInterval = std::chrono::seconds(16);
 inline constexpr size_t kPeersFromPlatform = 5;
+// A living seed answers within a round trip or two.
+inline constexpr Duration kSeedsBeforePlatform = std::chrono::seconds(1);
+// 1,600 rows over this are 100 writes a second.
+inline constexpr Duration kPeerRowSpread = std::chrono::seconds(16);
 
 }  // namespace amaranth::pvt
 
--- a/src/libnode/membership_spread.cc
+++ b/src/libnode/membership_spread.cc
@@ -259,11 +259,23 @@
   if (!alone && peer_row_written_) return;
   next_platform_ = context.now + platform_interval_;
   platform_interval_ = std::min(platform_interval_ * 2, kMaxPlatformInterval);
-  if (alone && !read_peers_op_) {
+  // When a whole region starts at once, each node asking for everything at once
+  // is thousands of calls in one second on a table that takes a few hundred.
+  // The seeds are asked first, and the rows are written spread out by hash.
+  if (!started_) started_ = context.now;
+  const Duration up_for = context.now - *started_;
+  const bool seeds_failed =
+      identity_.seeds.empty() || up_for >= kSeedsBeforePlatform;
+  const Duration row_delay(Hash64(identity_.node.name) %
+                           static_cast<uint64_t>(kPeerRowSpread.count()));
+  if (!peer_row_written_ && up_for < row_delay) {
+    next_platform_ = std::min(next_platform_, *started_ + row_delay);
+  }
+  if (alone && seeds_failed && !read_peers_op_) {
     read_peers_op_ = context.NextId();
     context.Emit(SendPlatform{*read_peers_op_, TableReadPeers{}});
   }
-  if (!peer_row_written_ && !write_peer_op_) {
+  if (!peer_row_written_ && !write_peer_op_ && up_for >= row_delay) {
     write_peer_op_ = context.NextId();
     context.Emit(SendPlatform{
         *write_peer_op_,
