--- a/src/libnode/fake_fleet.cc
+++ b/src/libnode/fake_fleet.cc
@@ -45,6 +45,16 @@
 
 FakeFleet::FakeFleet(uint64_t seed) : random_(seed) {}
 
+// A server and the requests that it runs hold each other.
+FakeFleet::~FakeFleet() {
+  for (auto& [name, host] : hosts_) {
+    for (const std::shared_ptr<Server>& server : host.servers) {
+      server->running.clear();
+      server->waiting.clear();
+    }
+  }
+}
+
 void FakeFleet::AddNode(const std::string& name, const std::string& data_centre,
                         bool use_platform) {
   Host& host = hosts_[name];
--- a/src/libnode/fake_fleet.h
+++ b/src/libnode/fake_fleet.h
@@ -74,6 +74,9 @@
 class FakeFleet {
  public:
   explicit FakeFleet(uint64_t seed);
+  ~FakeFleet();
+  FakeFleet(const FakeFleet&) = delete;
+  FakeFleet& operator=(const FakeFleet&) = delete;
 
   // Nodes and servers are named; servers live on their node's host.
   void AddNode(const std::string& name, const std::string& data_centre,
