One place for a peer's address, for leaving a queue, and for returning a loan

Found in reading the whole change: the look-up of a node's peer address stood six times (now Membership::PeerAddressOf), taking a waiting hop out of its queues twice (TakeWaitingHop), and RefuseNestedRepeat returned a loan beside ReturnLoan.

--- a/src/libnode/claim_desk.cc
+++ b/src/libnode/claim_desk.cc
@@ -175,8 +175,7 @@
   outcome.claim_id = batched.claim.claim_id;
   ClaimReply reply;
   reply.outcomes.push_back(std::move(outcome));
-  const MemberRecord* asker = membership_.Find(batched.asker.name);
-  const Endpoint address = asker == nullptr ? Endpoint() : asker->peer_address;
+  const Endpoint address = membership_.PeerAddressOf(batched.asker.name);
   outbox_.Send(batched.asker.name, address, std::move(reply), context);
 }
 
--- a/src/libnode/entry_attempts.cc
+++ b/src/libnode/entry_attempts.cc
@@ -273,9 +273,7 @@
 void EntryRole::CancelAttempt(Call& call, Context& context) {
   if (!call.attempt) return;
   const Attempt attempt = *call.attempt;
-  const MemberRecord* member = parts_.membership.Find(attempt.node.name);
-  const Endpoint address =
-      member == nullptr ? Endpoint() : member->peer_address;
+  const Endpoint address = parts_.membership.PeerAddressOf(attempt.node.name);
   EndAttempt(call, std::nullopt, false, context.now);
   // A home goes on: its other waiters, or a resend, want the answer.
   if (attempt.server.empty()) return;
--- a/src/libnode/entry_begin.cc
+++ b/src/libnode/entry_begin.cc
@@ -217,7 +217,7 @@
       call.context.idempotent || failed->second == Verdict::kNotRun;
   // The loan goes back whole before the repeat is paid for: a call that kept it
   // would have credits that the hop lends out a second time.
-  hop->ledger.Return(call.lent_by_parent, call.lent_by_parent);
+  ReturnLoan(call);
   if (safe && hop->ledger.Spend()) {
     call.lent_by_parent = hop->ledger.LendToNested();
     call.ledger = CreditLedger(call.lent_by_parent);
--- a/src/libnode/entry_finish.cc
+++ b/src/libnode/entry_finish.cc
@@ -161,9 +161,7 @@
                            Context& context) {
   answer.attempt = waiter.peer_attempt;
   answer.entry_incarnation = waiter.peer.incarnation;
-  const MemberRecord* member = parts_.membership.Find(waiter.peer.name);
-  const Endpoint address =
-      member == nullptr ? Endpoint() : member->peer_address;
+  const Endpoint address = parts_.membership.PeerAddressOf(waiter.peer.name);
   parts_.outbox.Send(waiter.peer.name, address, std::move(answer), context);
 }
 
--- a/src/libnode/membership.cc
+++ b/src/libnode/membership.cc
@@ -215,6 +215,11 @@
   return table_.Find(node_name);
 }
 
+Endpoint Membership::PeerAddressOf(const std::string& node_name) const {
+  const MemberRecord* member = Find(node_name);
+  return member == nullptr ? Endpoint() : member->peer_address;
+}
+
 std::vector<std::string> Membership::AliveInDataCentre() const {
   std::vector<std::string> names = UpPeers();
   if (IsUp(Self())) names.push_back(identity_.node.name);
--- a/src/libnode/membership.h
+++ b/src/libnode/membership.h
@@ -48,6 +48,9 @@
 
   // Null if there is no record.
   const MemberRecord* Find(const std::string& node_name) const;
+  // Where the node's peer link is dialled; port 0 if there is no record, which
+  // leaves only a link that is open already.
+  Endpoint PeerAddressOf(const std::string& node_name) const;
   const std::map<std::string, MemberRecord>& members() const {
     return table_.members();
   }
--- a/src/libnode/node_state.cc
+++ b/src/libnode/node_state.cc
@@ -211,14 +211,10 @@
   } else if (const auto* home = std::get_if<HomeForward>(&message)) {
     entry.OnHomeForward(from, *home, context);
   } else if (const auto* ping = std::get_if<LinkPing>(&message)) {
-    const MemberRecord* member = membership.Find(from.name);
-    const Endpoint address =
-        member == nullptr ? Endpoint() : member->peer_address;
+    const Endpoint address = membership.PeerAddressOf(from.name);
     context.Emit(SendPeer{from.name, address, LinkPong{ping->sequence}});
   } else if (const auto* request = std::get_if<SettingsRequest>(&message)) {
-    const MemberRecord* member = membership.Find(from.name);
-    const Endpoint address =
-        member == nullptr ? Endpoint() : member->peer_address;
+    const Endpoint address = membership.PeerAddressOf(from.name);
     settings.OnSettingsRequest(from, address, *request, context);
   } else if (const auto* snapshot = std::get_if<SettingsSnapshot>(&message)) {
     settings.OnSnapshot(*snapshot, context);
--- a/src/libnode/serving_role.cc
+++ b/src/libnode/serving_role.cc
@@ -64,8 +64,7 @@
   hop.id = context.NextId();
   hop.nonce = context.random();
   hop.entry = from;
-  const MemberRecord* entry = membership_.Find(from.name);
-  if (entry != nullptr) hop.entry_address = entry->peer_address;
+  hop.entry_address = membership_.PeerAddressOf(from.name);
   hop.attempt = forward.attempt;
   hop.server = std::move(forward.server);
   hop.context = std::move(forward.context);
@@ -376,14 +375,7 @@
     on_hop_cancelled(hop.id, context);
     return;
   }
-  const Hop removed = TakeHop(hop.id);
-  const auto server = servers_.find(removed.server);
-  if (server != servers_.end()) {
-    server->second.queue().Remove(removed.id);
-    std::deque<uint64_t>& waiting = server->second.waiting_suspects;
-    waiting.erase(std::remove(waiting.begin(), waiting.end(), removed.id),
-                  waiting.end());
-  }
+  const Hop removed = TakeWaitingHop(hop.id);
   Refuse(removed, Reason::kCancelled, context);
 }
 
@@ -411,6 +403,17 @@
   return hop;
 }
 
+Hop ServingRole::TakeWaitingHop(uint64_t id) {
+  Hop hop = TakeHop(id);
+  const auto found = servers_.find(hop.server);
+  if (found == servers_.end()) return hop;
+  LocalServer& server = found->second;
+  server.queue().Remove(id);
+  std::deque<uint64_t>& waiting = server.waiting_suspects;
+  waiting.erase(std::remove(waiting.begin(), waiting.end(), id), waiting.end());
+  return hop;
+}
+
 void ServingRole::RefuseAll(const std::vector<QueuedCall>& calls, Reason reason,
                             Context& context) {
   for (const QueuedCall& call : calls) {
--- a/src/libnode/serving_role.h
+++ b/src/libnode/serving_role.h
@@ -92,6 +92,8 @@
   Hop EndDispatch(uint64_t id, bool failed, Context& context);
   void NoteCrash(LocalServer& server, Context& context);
   Hop TakeHop(uint64_t id);
+  // The same for one not yet dispatched, which also leaves its queue.
+  Hop TakeWaitingHop(uint64_t id);
   void Cancel(Hop& hop, Context& context);
   void CheckServers(Context& context);
   // Gives up on waiting calls that are past deadline or patience.
--- a/src/libnode/serving_servers.cc
+++ b/src/libnode/serving_servers.cc
@@ -172,14 +172,7 @@
   for (const uint64_t id : queue_deadlines_.TakeDue(context.now)) {
     Hop* hop = FindHop(id);
     if (hop == nullptr || hop->state == HopState::kDispatched) continue;
-    const Hop expired = TakeHop(id);
-    const auto server = servers_.find(expired.server);
-    if (server != servers_.end()) {
-      server->second.queue().Remove(id);
-      std::deque<uint64_t>& waiting = server->second.waiting_suspects;
-      waiting.erase(std::remove(waiting.begin(), waiting.end(), id),
-                    waiting.end());
-    }
+    const Hop expired = TakeWaitingHop(id);
     Refuse(expired, Reason::kDeadline, context);
   }
   for (auto& [name, server] : servers_) {
