--- a/src/amaranthd/main.cc
+++ b/src/amaranthd/main.cc
@@ -21,6 +21,8 @@
 #include "amaranthroute/reducer.h"
 #include "libhost/host.h"
 #include "libhost/platform_bridge.h"
+#include "platform/adapter.h"
+#include "platform/row_store.h"
 
 namespace amaranth::pvt {
 namespace {
@@ -29,6 +31,10 @@
 constexpr int kExitFailed = 1;
 constexpr int kExitUsage = 2;
 
+// Of the grace that a stopping process has, the part in which it waits for
+// requests in flight; the rest is for writing the last answers.
+constexpr double kDrainPartOfGrace = 0.85;
+
 // Later starts on one host get higher numbers as long as its wall clock does
 // not go back by more than the time between two starts.
 uint64_t NewIncarnation() {
@@ -64,6 +70,10 @@
   host.frontend.node_name = options.identity.node.name;
   host.frontend.max_body_bytes = options.identity.max_body_bytes;
   host.max_buffered_bytes = options.identity.max_buffered_bytes;
+  if (options.announce_port) {
+    host.announce_listen = Endpoint{options.ip, *options.announce_port};
+  }
+  if (options.rows) platform::AdaptShells(host);
   host.client.max_response_bytes = options.identity.max_body_bytes;
   host.log.level = options.log_level;
   host.log.format = options.log_format;
@@ -104,8 +114,11 @@
   HostReducer reducer;
   reducer.start = [node](TimePoint now) { return node->Start(now); };
   reducer.reduce = [node](const Event& event) { return node->Reduce(event); };
-  if (options.record_file.empty()) return reducer;
-  return Recorded(reducer, identity, options.record_file);
+  if (!options.record_file.empty()) {
+    reducer = Recorded(reducer, identity, options.record_file);
+  }
+  if (!options.rows) return reducer;
+  return platform::Adapt(reducer, {options.server_service});
 }
 
 std::shared_ptr<PlatformBridge> MakePlatform(asio::io_context& io,
@@ -121,9 +134,32 @@
   return std::make_shared<PlatformBridge>(io, std::move(platform));
 }
 
+std::shared_ptr<platform::RowStore> MakeRowStore(asio::io_context& io,
+                                                 const DaemonOptions& options) {
+  if (!options.rows) return nullptr;
+  platform::RowStoreOptions rows;
+  rows.address = *options.rows;
+  rows.config.mesh = options.identity.mesh;
+  rows.config.drain_timeout = std::chrono::duration_cast<Duration>(
+      options.stop_grace * kDrainPartOfGrace);
+  HttpClientOptions client;
+  client.silence_limit = platform::kSilenceLimit;
+  const auto http = std::make_shared<HttpClient>(io, client);
+  return std::make_shared<platform::RowStore>(
+      rows, HttpCallOn(http),
+      [](const std::string& text) { std::cerr << text << "\n"; });
+}
+
 int Run(const DaemonOptions& options) {
   asio::io_context io(1);
   HostHooks hooks;
+  const std::shared_ptr<platform::RowStore> rows = MakeRowStore(io, options);
+  if (rows) {
+    hooks.platform = [rows](const PlatformRequest& request,
+                            std::function<void(PlatformReply)> done) {
+      rows->Call(request, std::move(done));
+    };
+  }
   const std::shared_ptr<PlatformBridge> platform = MakePlatform(io, options);
   if (platform) {
     hooks.platform = [platform](const PlatformRequest& request,
--- a/src/amaranthd/options.cc
+++ b/src/amaranthd/options.cc
@@ -8,6 +8,8 @@
 #include <cxxopts.hpp>
 #include <string_view>
 
+#include "libutil/duration_text.h"
+
 namespace amaranth::pvt {
 namespace {
 
@@ -21,7 +23,7 @@
   const char* help;
 };
 
-constexpr std::array<Flag, 25> kFlags = {{
+constexpr std::array<Flag, 34> kFlags = {{
     {"Identity", "node-name", "", "NAME",
      "name of this node, unique in the fleet"},
     {"Identity", "fleet", "default", "NAME",
@@ -37,6 +39,9 @@
     {"Network", "peer-port", "0", "PORT", "TCP from other nodes; 0 takes any"},
     {"Network", "gossip-port", "0", "PORT",
      "UDP from other nodes; 0 takes any"},
+    {"Network", "announce-port", "", "PORT",
+     "HTTP from this host's backend servers alone, for their announcements; "
+     "they come to the callers' port if empty"},
     {"Network", "seeds", "", "IP:PORT,...", "gossip addresses of some nodes"},
     {"Platform", "platform-table", "", "IP:PORT",
      "table service; none if empty"},
@@ -46,6 +51,22 @@
      "better given by the environment"},
     {"Platform", "platform-secret-key", "", "KEY",
      "better given by the environment"},
+    {"Platform", "rows", "", "IP:PORT",
+     "store of rows, in the place of both: operators write settings there"},
+    {"Deployment", "server-service", "", "NAME",
+     "service of this host's backend server, with --rows"},
+    {"Deployment", "announce-period", "500ms", "TIME",
+     "how often a backend server announces itself"},
+    {"Deployment", "drain", "0s", "TIME",
+     "how long a leaving backend server takes calls; 0 for as long as it runs"},
+    {"Deployment", "stop-grace", "0s", "TIME",
+     "a stopping node is ended by force after this; 0 for never"},
+    {"Deployment", "retry-ratio", "0", "SHARE",
+     "retries of all nodes per request of a service; 0 leaves each node its "
+     "own"},
+    {"Deployment", "retry-slack", "0", "N",
+     "retries of all nodes in a window on top of the ratio"},
+    {"Deployment", "retry-window", "10s", "TIME", "window in which both hold"},
     {"Limits", "max-body-bytes", "8388608", "N",
      "largest body of a request or answer"},
     {"Limits", "max-buffered-bytes", "67108864", "N",
@@ -156,8 +177,31 @@
     return text;
   }
 
+  // "PORT", or "IP:PORT" as deployments name the addresses of a host.
   uint16_t Port(const std::string& flag) {
-    return ReadNumber<uint16_t>(flag, "a port (0 to 65535)");
+    const std::string text = Text(flag);
+    const std::optional<uint16_t> port =
+        ToNumber<uint16_t>(std::string_view(text).substr(text.rfind(':') + 1));
+    if (!port) {
+      Fail(flag, "takes a port (0 to 65535), not '" + text + "'");
+    }
+    return port.value_or(0);
+  }
+
+  Duration Time(const std::string& flag) {
+    const Outcome<Duration> time = ParseDuration(Text(flag));
+    if (time) return time.value();
+    Fail(flag, "takes a time such as 500ms or 2.5s: " + time.error().message);
+    return Duration(0);
+  }
+
+  double Share(const std::string& flag) {
+    const std::string text = Text(flag);
+    const std::optional<double> share = ToNumber<double>(text);
+    if (!share || !(*share >= 0 && *share <= 1)) {
+      Fail(flag, "takes a share from 0 to 1, not '" + text + "'");
+    }
+    return share.value_or(0);
   }
 
   uint64_t Number(const std::string& flag) {
@@ -260,6 +304,35 @@
   return setup;
 }
 
+// Backend servers that miss four announcements in a row are gone.
+constexpr int kMissedAnnouncements = 4;
+
+// Half of the drain is for calls that are queued when it begins, the other half
+// for those that run then.
+constexpr int kDrainShare = 2;
+
+void ReadDeployment(Reader& reader, DaemonOptions& options) {
+  DeploymentRules& rules = options.identity.rules;
+  options.stop_grace = reader.Time("stop-grace");
+  rules.server_lease = reader.Time("announce-period") * kMissedAnnouncements;
+  rules.drain_limit = reader.Time("drain") / kDrainShare;
+  rules.fleet_retry_ratio = reader.Share("retry-ratio");
+  rules.fleet_retry_slack = static_cast<uint32_t>(reader.Number("retry-slack"));
+  rules.fleet_retry_window = reader.Time("retry-window");
+  if (!reader.Text("announce-port").empty()) {
+    options.announce_port = reader.Port("announce-port");
+    rules.announce_port = true;
+  }
+  if (reader.Text("rows").empty()) return;
+  options.rows = reader.Address("rows");
+  options.server_service = reader.Name("server-service");
+  rules.settings_source = SettingsSource::kWatch;
+  rules.ids_name_sendings = true;
+  rules.callers_repeat = true;
+  // A deployment of this kind has tens of nodes, not 1,600.
+  rules.peer_row_spread = std::chrono::seconds(1);
+}
+
 void ReadOperation(Reader& reader, DaemonOptions& options) {
   const std::string level = reader.Text("log-level");
   const std::optional<LogLevel> parsed = ParseLogLevel(level);
@@ -281,7 +354,9 @@
   ReadIdentity(reader, options.identity);
   ReadNetwork(reader, options);
   options.platform = ReadPlatform(reader);
-  options.identity.use_platform = options.platform.has_value();
+  ReadDeployment(reader, options);
+  options.identity.use_platform =
+      options.platform.has_value() || options.rows.has_value();
   ReadOperation(reader, options);
 }
 
@@ -294,8 +369,8 @@
   try {
     const cxxopts::ParseResult given = described.parse(argc, argv);
     if (given.count("help") > 0) {
-      parsed.text = described.help(
-          {"Identity", "Network", "Platform", "Limits", "Operation"});
+      parsed.text = described.help({"Identity", "Network", "Platform",
+                                    "Deployment", "Limits", "Operation"});
       return parsed;
     }
     if (given.count("version") > 0) {
--- a/src/amaranthd/options.h
+++ b/src/amaranthd/options.h
@@ -30,7 +30,12 @@
   uint16_t operator_port = 0;
   uint16_t peer_port = 0;
   uint16_t gossip_port = 0;
+  std::optional<uint16_t> announce_port;
   std::optional<PlatformSetup> platform;
+  // The users' store of rows; with it their platform's words are spoken.
+  std::optional<Endpoint> rows;
+  std::string server_service;
+  Duration stop_grace{0};
   LogLevel log_level = LogLevel::kInfo;
   LogFormat log_format = LogFormat::kText;
   std::string ports_file;
--- a/src/cmake/AmaranthTargets.cmake
+++ b/src/cmake/AmaranthTargets.cmake
@@ -21,6 +21,9 @@
 # library; src/libutil/test_main.cc gives it main(). rapidcheck's seed is fixed
 # so that CI gives the same verdict every time.
 function(amaranth_unit_test name)
+  if(NOT AMARANTH_TESTS)
+    return()
+  endif()
   cmake_parse_arguments(ARG "" "" "SOURCES;LIBS" ${ARGN})
   amaranth_program(${name} SOURCES ${ARG_SOURCES}
                    "${CMAKE_SOURCE_DIR}/src/libutil/test_main.cc"
--- a/src/include/amaranthroute/event.h
+++ b/src/include/amaranthroute/event.h
@@ -3,6 +3,7 @@
 
 /// Everything that can happen to a node. The reducer is driven by these alone.
 
+#include <cstdint>
 #include <ostream>
 #include <string>
 #include <variant>
@@ -16,11 +17,21 @@
 
 namespace amaranth {
 
+/// Who sent a CallerRequest, as far as its connection tells.
+enum class CallerKind : uint8_t {
+  kCaller = 0,  ///< callers' port
+  /// Callers' port, from an address of this very host: a nested call.
+  kLocalServer = 1,
+  /// The port that only backend servers' announcements come to.
+  kAnnouncer = 2,
+};
+
 /// A whole HTTP request on the callers' port: from a caller, or from a backend
 /// server of this host (nested call, announcement).
 struct CallerRequest {
   CallId call = 0;
   HttpRequest request;
+  CallerKind from = CallerKind::kCaller;
 };
 
 /// The caller's connection ended before its answer.
--- a/src/include/amaranthroute/platform.h
+++ b/src/include/amaranthroute/platform.h
@@ -54,6 +54,13 @@
   std::string address;  ///< "ip:port" of the peer link
 };
 
+/// Waits for settings that the operators write beside the product's own tree,
+/// and answers with the whole document once it has changed since `after`, or
+/// without one when the wait is over. 0 asks for what is there now.
+struct TableWatchSettings {
+  uint64_t after = 0;  ///< PlatformReply::version of the reply before
+};
+
 struct ObjectPut {
   std::string name;
   std::string bytes;
@@ -64,7 +71,8 @@
 
 using PlatformRequest =
     std::variant<TableClaimRows, TableReadHead, TableMoveHead, TableReadChange,
-                 TableReadPeers, TableWritePeer, ObjectPut, ObjectGet>;
+                 TableReadPeers, TableWritePeer, TableWatchSettings, ObjectPut,
+                 ObjectGet>;
 
 /// How a request to the platform ended.
 enum class PlatformStatus {
@@ -84,8 +92,10 @@
   /// TableClaimRows: the holder of each row, in the order of the request.
   std::vector<std::string> holders;
   /// TableReadHead, TableReadChange: the version (0 if none).
+  /// TableWatchSettings: where the next watch goes on.
   uint64_t version = 0;
-  /// TableReadHead: object name. ObjectGet: the bytes.
+  /// TableReadHead: object name. ObjectGet: the bytes. TableWatchSettings: the
+  /// settings document, empty if there is none or nothing has changed.
   std::string bytes;
   /// TableReadPeers: "name=ip:port" for each.
   std::vector<std::string> peers;
@@ -97,6 +107,7 @@
 bool operator==(const TableReadChange& a, const TableReadChange& b);
 bool operator==(const TableReadPeers& a, const TableReadPeers& b);
 bool operator==(const TableWritePeer& a, const TableWritePeer& b);
+bool operator==(const TableWatchSettings& a, const TableWatchSettings& b);
 bool operator==(const ObjectPut& a, const ObjectPut& b);
 bool operator==(const ObjectGet& a, const ObjectGet& b);
 bool operator==(const PlatformReply& a, const PlatformReply& b);
--- a/src/include/amaranthroute/verdict.h
+++ b/src/include/amaranthroute/verdict.h
@@ -43,6 +43,7 @@
   kClaimedElsewhere,  ///< another node holds the key, its result is unknown
   kTooLarge,          ///< body over the limit, or no buffer memory left
   kNotReady,          ///< the node has no settings yet
+  kNoRoute,           ///< no route of the settings takes this host and path
 };
 
 /// Stable lower-case text, e.g. "may-have-run".
--- a/src/libhost/host.cc
+++ b/src/libhost/host.cc
@@ -66,9 +66,26 @@
   void Open() {
     intake_ = std::make_shared<HttpIntake>();
     intake_->max_buffered_bytes = options_.max_buffered_bytes;
-    callers_ = OpenFrontend<CallerRequest>("callers", options_.caller_listen);
-    operators_ =
-        OpenFrontend<OperatorRequest>("operators", options_.operator_listen);
+    callers_ = OpenFrontend(
+        "callers", options_.caller_listen,
+        [this](CallId call, HttpRequest request, const std::string& remote) {
+          const CallerKind from = IsThisHost(remote) ? CallerKind::kLocalServer
+                                                     : CallerKind::kCaller;
+          Post(CallerRequest{call, std::move(request), from});
+        });
+    operators_ = OpenFrontend(
+        "operators", options_.operator_listen,
+        [this](CallId call, HttpRequest request, const std::string&) {
+          Post(OperatorRequest{call, std::move(request)});
+        });
+    if (options_.announce_listen) {
+      announcers_ = OpenFrontend(
+          "announcements", *options_.announce_listen,
+          [this](CallId call, HttpRequest request, const std::string&) {
+            Post(CallerRequest{call, std::move(request),
+                               CallerKind::kAnnouncer});
+          });
+    }
     peers_ = Bind("peers", options_.peer_listen, [&] {
       return std::make_unique<PeerTransport>(
           io_, options_.self, options_.peer_listen, PeerEvents());
@@ -116,13 +133,15 @@
     signals_.cancel();
     if (callers_) callers_->Stop();
     if (operators_) operators_->Stop();
+    if (announcers_) announcers_->Stop();
     if (peers_) peers_->Stop();
     if (gossip_) gossip_->Stop();
   }
 
   void Do(AnswerCaller& effect) {
     if (callers_->Answer(effect.call, effect.response)) return;
-    operators_->Answer(effect.call, effect.response);
+    if (operators_->Answer(effect.call, effect.response)) return;
+    if (announcers_) announcers_->Answer(effect.call, effect.response);
   }
 
   void Do(SendPeer& effect) {
@@ -182,18 +201,25 @@
   void Do(ExitProcess&) {
     callers_->StopAccepting();
     operators_->StopAccepting();
+    if (announcers_) announcers_->StopAccepting();
     flush_until_ = std::chrono::steady_clock::now() + kFlushLimit;
     AwaitFlush();
   }
 
  private:
-  template <typename EventType>
-  std::unique_ptr<HttpFrontend> OpenFrontend(const char* what,
-                                             const Endpoint& listen) {
+  // A backend server calls the node of its own host, from that host's address
+  // or from the loopback's. Off unless asked for: on one machine with many
+  // nodes, as in tests, every caller would pass for a server.
+  bool IsThisHost(const std::string& remote) const {
+    return options_.tell_local_servers &&
+           (remote == options_.caller_listen.ip || remote == "127.0.0.1");
+  }
+
+  std::unique_ptr<HttpFrontend> OpenFrontend(
+      const char* what, const Endpoint& listen,
+      std::function<void(CallId, HttpRequest, const std::string&)> on_request) {
     HttpFrontendHooks hooks;
-    hooks.on_request = [this](CallId call, HttpRequest request) {
-      Post(EventType{call, std::move(request)});
-    };
+    hooks.on_request = std::move(on_request);
     hooks.on_gone = [this](CallId call) { Post(CallerGone{call}); };
     return Bind(what, listen, [&] {
       return std::make_unique<HttpFrontend>(io_, listen, options_.frontend,
@@ -280,7 +306,10 @@
   }
 
   bool Flushed() const {
-    return callers_->unwritten_answers() + operators_->unwritten_answers() == 0;
+    const size_t announced = announcers_ ? announcers_->unwritten_answers() : 0;
+    return callers_->unwritten_answers() + operators_->unwritten_answers() +
+               announced ==
+           0;
   }
 
   void AwaitFlush() {
@@ -322,6 +351,7 @@
   std::unordered_map<uint64_t, uint64_t> dispatches_;  // to the client's ids
   std::unique_ptr<HttpFrontend> callers_;
   std::unique_ptr<HttpFrontend> operators_;
+  std::unique_ptr<HttpFrontend> announcers_;
   std::unique_ptr<PeerTransport> peers_;
   std::unique_ptr<GossipSocket> gossip_;
   HttpClient client_;
--- a/src/libhost/host.h
+++ b/src/libhost/host.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "amaranthroute/effect.h"
@@ -29,6 +30,10 @@
   Hello self;
   Endpoint caller_listen;
   Endpoint operator_listen;
+  // Backend servers' announcements; without it they come to the callers' port.
+  std::optional<Endpoint> announce_listen;
+  // Callers from this host's own address are its backend servers.
+  bool tell_local_servers = false;
   Endpoint peer_listen;
   Endpoint gossip_listen;
   HttpFrontendOptions frontend;
--- a/src/libhost/http_client.cc
+++ b/src/libhost/http_client.cc
@@ -1,6 +1,8 @@
 #include "libhost/http_client.h"
 
 #include <curl/curl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -199,6 +201,15 @@
       ::close(fd);
       return CURL_SOCKET_BAD;
     }
+    if (options_.silence_limit.count() > 0) {
+      // Unacknowledged bytes are given up after this; without it the system
+      // sends them again for a quarter of an hour.
+      const unsigned int millis =
+          static_cast<unsigned int>(options_.silence_limit.count());
+      ::setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &millis, sizeof millis);
+      const int probes = 2;
+      ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+    }
     ++connections_opened_;
     watches_.emplace(fd, std::move(watch));
     return fd;
--- a/src/libhost/http_client.h
+++ b/src/libhost/http_client.h
@@ -29,6 +29,17 @@
   // An idle connection older than this is not used again.
   std::chrono::seconds max_idle_age{10};
   std::chrono::milliseconds connect_timeout{1000};
+  // A response that does not repeat this field of its request belongs to
+  // another one: it is not used, and its connection is closed. Empty: no check.
+  std::string echoed_field;
+  // Take a body that ends with its connection, closed in order, as whole. The
+  // other side must then reset a connection whose answer it breaks off.
+  bool body_may_end_with_connection = false;
+  // A connection on which the other side acknowledges nothing for this long is
+  // given up, also while it is idle; 0 leaves the system's hours. Shorter than
+  // the time in which a lost connection must be noticed, longer than a burst of
+  // lost packets.
+  std::chrono::milliseconds silence_limit{0};
 };
 
 class HttpClient {
--- a/src/libhost/http_frontend.h
+++ b/src/libhost/http_frontend.h
@@ -41,7 +41,9 @@
 };
 
 struct HttpFrontendHooks {
-  std::function<void(CallId, HttpRequest)> on_request;
+  // `remote_ip` is the address that the connection comes from.
+  std::function<void(CallId, HttpRequest, const std::string& remote_ip)>
+      on_request;
   // The connection ended before the answer; a later Answer is dropped.
   std::function<void(CallId)> on_gone;
 };
--- a/src/libhost/http_transfer.cc
+++ b/src/libhost/http_transfer.cc
@@ -61,6 +61,9 @@
   request_ = std::move(request);
   max_body_bytes_ = options.max_response_bytes;
   max_header_bytes_ = options.max_response_header_bytes;
+  body_may_end_with_connection_ = options.body_may_end_with_connection;
+  echoed_field_ = options.echoed_field;
+  if (options.silence_limit.count() > 0) SetProbes(options.silence_limit);
   if (!IsWritableTarget(request_.target) ||
       !IsWritableTarget(request_.method)) {
     return false;
@@ -83,6 +86,15 @@
   return true;
 }
 
+// Two probes a second apart after half of the limit: a peer that is gone
+// without a reset is noticed on an idle connection, too.
+void HttpTransfer::SetProbes(std::chrono::milliseconds limit) {
+  const long seconds = std::max<long>(1, limit.count() / 2000);
+  curl_easy_setopt(easy_, CURLOPT_TCP_KEEPALIVE, 1L);
+  curl_easy_setopt(easy_, CURLOPT_TCP_KEEPIDLE, seconds);
+  curl_easy_setopt(easy_, CURLOPT_TCP_KEEPINTVL, 1L);
+}
+
 // libcurl copies a string at each setting; a handle mostly goes to the same
 // server again.
 void HttpTransfer::SetUrl(const std::string& url) {
@@ -192,6 +204,9 @@
     response_.headers.clear();
     return line.size();
   }
+  // The empty line ends the headers; a failed callback makes libcurl close the
+  // connection, with whatever else comes on it.
+  if (TrimLine(line).empty() && !EchoesRequest()) return 0;
   const size_t colon = line.find(':');
   if (colon != std::string_view::npos) {
     response_.headers.push_back(
@@ -201,6 +216,15 @@
   return line.size();
 }
 
+// A server may send a second answer to an earlier request just where the answer
+// to this one is due. Its caller would get somebody else's answer.
+bool HttpTransfer::EchoesRequest() const {
+  if (echoed_field_.empty()) return true;
+  const std::string_view sent = FindHeader(request_.headers, echoed_field_);
+  const std::string_view echoed = FindHeader(response_.headers, echoed_field_);
+  return sent.empty() || echoed.empty() || sent == echoed;
+}
+
 size_t HttpTransfer::OnBody(char* data, size_t size, size_t count, void* self) {
   return static_cast<HttpTransfer*>(self)->TakeBody(
       std::string_view(data, size * count));
@@ -239,7 +263,8 @@
   long status = 0;
   curl_easy_getinfo(easy_, CURLINFO_RESPONSE_CODE, &status);
   response_.status = static_cast<int>(status);
-  if (status < 200 || status > 999 || !HasKnownLength()) {
+  const bool whole = HasKnownLength() || body_may_end_with_connection_;
+  if (status < 200 || status > 999 || !whole) {
     return GiveUp(Reason::kServerError);
   }
   const bool is_head = request_.method == "HEAD";
--- a/src/libhost/http_transfer.h
+++ b/src/libhost/http_transfer.h
@@ -59,6 +59,8 @@
   // A body whose end is told only by the end of the connection looks the same
   // whole and cut short, so it never counts as whole.
   bool HasKnownLength() const;
+  bool EchoesRequest() const;
+  void SetProbes(std::chrono::milliseconds limit);
 
   CURL* easy_;
   // libcurl reads the list and leaves it to its maker, so the nodes and lines
@@ -76,6 +78,8 @@
   size_t header_bytes_ = 0;
   uint64_t max_body_bytes_ = 0;
   size_t max_header_bytes_ = 0;
+  std::string echoed_field_;
+  bool body_may_end_with_connection_ = false;
   int times_sent_ = 0;
   bool responding_ = false;
   bool too_large_ = false;
--- a/src/libhost/platform_bridge.h
+++ b/src/libhost/platform_bridge.h
@@ -13,6 +13,20 @@
 
 namespace amaranth::pvt {
 
+// Makes calls on `http`, and keeps it alive.
+inline HttpCall HttpCallOn(const std::shared_ptr<HttpClient>& http) {
+  return
+      [http](const Endpoint& endpoint, HttpRequest request, Duration timeout,
+             const PlatformCredentials* credentials, HttpClientCallback done) {
+        if (credentials == nullptr) {
+          http->Send(endpoint, std::move(request), timeout, std::move(done));
+          return;
+        }
+        http->SendSigned(endpoint, std::move(request), timeout, *credentials,
+                         std::move(done));
+      };
+}
+
 class PlatformBridge {
  public:
   PlatformBridge(asio::io_context& io, PlatformOptions options)
@@ -26,19 +40,6 @@
   }
 
  private:
-  static HttpCall HttpCallOn(const std::shared_ptr<HttpClient>& http) {
-    return [http](const Endpoint& endpoint, HttpRequest request,
-                  Duration timeout, const PlatformCredentials* credentials,
-                  HttpClientCallback done) {
-      if (credentials == nullptr) {
-        http->Send(endpoint, std::move(request), timeout, std::move(done));
-        return;
-      }
-      http->SendSigned(endpoint, std::move(request), timeout, *credentials,
-                       std::move(done));
-    };
-  }
-
   std::shared_ptr<HttpClient> http_;
   PlatformClient client_;
 };
--- a/src/libnode/answers.cc
+++ b/src/libnode/answers.cc
@@ -11,6 +11,7 @@
   switch (failure.reason) {
     case Reason::kBadRequest:
       return 400;
+    case Reason::kNoRoute:
     case Reason::kUnknownService:
       return 404;
     case Reason::kTooLarge:
--- a/src/libnode/caller_headers.cc
+++ b/src/libnode/caller_headers.cc
@@ -84,7 +84,8 @@
 
 }  // namespace
 
-Outcome<CallerHeaders> ParseCallerHeaders(const HttpRequest& request) {
+Outcome<CallerHeaders> ParseCallerHeaders(
+    const HttpRequest& request, const std::optional<RoutedTo>& routed) {
   struct Field {
     std::string_view header;
     std::string CallerHeaders::*member;
@@ -106,6 +107,10 @@
     if (!text) return text.error();
     if (!text.value().empty()) headers.*field.member = text.value();
   }
+  if (routed) {
+    headers.service = routed->service;
+    headers.request_class = routed->request_class;
+  }
   if (headers.service.empty()) {
     return Error{ErrorCode::kInvalid,
                  std::string(kServiceHeader) + " is missing"};
--- a/src/libnode/caller_headers.h
+++ b/src/libnode/caller_headers.h
@@ -45,8 +45,18 @@
   std::optional<Duration> deadline;
 };
 
+// Service and class of a request that names no service itself.
+struct RoutedTo {
+  std::string service;
+  std::string request_class;
+};
+
 // Reads and checks the headers; the Error's message is fit for the caller.
-Outcome<CallerHeaders> ParseCallerHeaders(const HttpRequest& request);
+// With `routed`, service and class are taken from there, whatever the headers
+// say.
+Outcome<CallerHeaders> ParseCallerHeaders(
+    const HttpRequest& request,
+    const std::optional<RoutedTo>& routed = std::nullopt);
 
 // Identifies a hop in flight to its own node. The nonce keeps a backend server
 // (or a caller who guesses) from naming a hop that is not its own.
--- a/src/libnode/entry_attempts.cc
+++ b/src/libnode/entry_attempts.cc
@@ -141,7 +141,9 @@
     OnAttemptFailed(call, std::move(failure), context);
     return;
   }
-  if (IsRetryableStatus(answer.response.status) && !final &&
+  const bool left_to_caller =
+      context.identity.rules.callers_repeat && !call.context.nested;
+  if (IsRetryableStatus(answer.response.status) && !final && !left_to_caller &&
       call.context.idempotent && TryNext(call, Reason::kServerError, context)) {
     // It ran once, whatever the next try proves about itself.
     call.doubt = true;
@@ -193,7 +195,8 @@
     retry_after_[call.context.service + "/" + call.context.request_class] =
         failure.retry_after;
   }
-  if (MayRetry(call, failure) && TryNext(call, failure.reason, context)) {
+  if (MayRetry(call, failure, context.identity.rules) &&
+      TryNext(call, failure.reason, context)) {
     parts_.records.Add(context.now, call.context.request_id, "retry",
                        "after " + std::string(ToString(failure.reason)) +
                            " now at " + call.attempt->server);
@@ -202,8 +205,11 @@
   FinishWithFailure(call, std::move(failure), context);
 }
 
-bool EntryRole::MayRetry(const Call& call, const Failure& failure) const {
+bool EntryRole::MayRetry(const Call& call, const Failure& failure,
+                         const DeploymentRules& rules) const {
   if (failure.final || RetryCannotHelp(failure.reason)) return false;
+  const bool unproved = failure.verdict != Verdict::kNotRun;
+  if (unproved && rules.callers_repeat && !call.context.nested) return false;
   return failure.verdict == Verdict::kNotRun || call.context.idempotent;
 }
 
--- a/src/libnode/entry_begin.cc
+++ b/src/libnode/entry_begin.cc
@@ -15,17 +15,31 @@
 
 // Never passed on: they belong to one connection, or are ours to set.
 constexpr std::string_view kStrippedHeaders[] = {
-    "Connection",     "Keep-Alive", "Proxy-Connection", "Transfer-Encoding",
-    "Content-Length", "Host",       "Upgrade",          "TE",
-    "Trailer",        "Expect",     kContextHeader,     kDeadlineHeader,
-    kVerdictHeader,   kFinalHeader, kTicketHeader,      kRefusedHeader,
+    "Connection",
+    "Keep-Alive",
+    "Proxy-Connection",
+    "Transfer-Encoding",
+    "Content-Length",
+    "Upgrade",
+    "TE",
+    "Trailer",
+    "Expect",
+    kContextHeader,
+    kDeadlineHeader,
+    kVerdictHeader,
+    kFinalHeader,
+    kTicketHeader,
+    kRefusedHeader,
 };
 
-HttpRequest Cleaned(const HttpRequest& request) {
+// The host that a request was sent to is ours, unless a route was chosen by it:
+// then it is part of what the backend server is asked for.
+HttpRequest Cleaned(const HttpRequest& request, bool routed) {
   HttpRequest cleaned = request;
   for (const std::string_view name : kStrippedHeaders) {
     RemoveHeader(cleaned.headers, name);
   }
+  if (!routed) RemoveHeader(cleaned.headers, "Host");
   return cleaned;
 }
 
@@ -53,11 +67,27 @@
 EntryRole::EntryRole(const Parts& parts)
     : parts_(parts), choice_(parts.data_centre) {}
 
-void EntryRole::OnCallerRequest(CallId http_call, const HttpRequest& request,
-                                Context& context) {
+void EntryRole::OnCallerRequest(const CallerRequest& event, Context& context) {
   Waiter waiter;
-  waiter.http_call = http_call;
-  Begin(waiter, request, std::nullopt, context);
+  waiter.http_call = event.call;
+  const bool nested = event.from == CallerKind::kLocalServer;
+  const RouteTable& routes = parts_.settings.routes();
+  const bool by_route =
+      !routes.empty() &&
+      FindHeader(event.request.headers, kServiceHeader).empty();
+  if (!by_route) {
+    Begin(waiter, event.request, nested, std::nullopt, std::nullopt, context);
+    return;
+  }
+  const Route* route = routes.Find(FindHeader(event.request.headers, "Host"),
+                                   event.request.target);
+  if (route == nullptr) {
+    const std::string id(FindHeader(event.request.headers, kRequestIdHeader));
+    return RefuseUnbuilt(waiter, Verdict::kNotRun, Reason::kNoRoute, id,
+                         "no route takes this host and path", context);
+  }
+  const RoutedTo routed{DrawTarget(*route, context.random), route->name};
+  Begin(waiter, event.request, nested, routed, std::nullopt, context);
 }
 
 void EntryRole::OnTicketRequest(CallId http_call, Context& context) {
@@ -67,20 +97,22 @@
 }
 
 void EntryRole::Begin(const Waiter& waiter, const HttpRequest& request,
+                      bool nested, const std::optional<RoutedTo>& routed,
                       std::optional<Duration> remaining, Context& context) {
-  const Outcome<CallerHeaders> parsed = ParseCallerHeaders(request);
+  const Outcome<CallerHeaders> parsed = ParseCallerHeaders(request, routed);
   if (!parsed) {
     return RefuseUnbuilt(waiter, Verdict::kNotRun, Reason::kBadRequest, "",
                          parsed.error().message, context);
   }
   const CallerHeaders& headers = parsed.value();
-  Outcome<Call> built = BuildCall(request, headers, remaining, context);
+  Outcome<Call> built =
+      BuildCall(request, headers, routed.has_value(), remaining, context);
   if (!built) {
     return RefuseUnbuilt(waiter, Verdict::kNotRun, Reason::kBadRequest,
                          headers.request_id, built.error().message, context);
   }
   Call call = std::move(built.value());
-  TakeKey(call, headers);
+  if (!context.identity.rules.ids_name_sendings) TakeKey(call, headers);
   if (!parts_.membership.ServiceKnown(headers.service)) {
     ReturnLoan(call);
     // This node knows of no server, but an earlier asking under the same key
@@ -92,8 +124,14 @@
         "no backend server has announced this service", context);
   }
   if (call.is_root) TakeLevel(call, context.now);
+  // Its request was let in, and has cost its services something already.
+  if (nested && call.is_root) {
+    call.context.level = kMaxSheddingLevel;
+    call.context.nested = true;
+  }
   parts_.stats.Count("amaranth_requests_total");
-  call.joinable = call.is_root && !headers.request_id.empty();
+  call.joinable = call.is_root && !headers.request_id.empty() &&
+                  !context.identity.rules.ids_name_sendings;
   if (JoinInFlight(call, waiter)) return;
   call.waiters.push_back(waiter);
   if (RefuseNestedRepeat(call, context)) return;
@@ -107,12 +145,12 @@
 }
 
 Outcome<Call> EntryRole::BuildCall(const HttpRequest& request,
-                                   const CallerHeaders& headers,
+                                   const CallerHeaders& headers, bool routed,
                                    std::optional<Duration> remaining,
                                    Context& context) {
   Call call;
   call.id = context.NextId();
-  call.request = Cleaned(request);
+  call.request = Cleaned(request, routed);
   call.started = context.now;
   CallContext& about = call.context;
   about.mesh = parts_.settings.mesh();
@@ -136,6 +174,8 @@
   about.idempotent = IsIdempotent(settings, request.method);
   about.fingerprint = FingerprintOf(about.service, call.request);
   Duration limit = headers.deadline.value_or(settings.deadline);
+  // A route's time limit is the operators' own: a caller may ask for less only.
+  if (routed) limit = std::min(limit, settings.deadline);
   if (remaining) limit = std::min(limit, *remaining);
   call.deadline = context.now + limit;
   call.ledger = CreditLedger(static_cast<uint16_t>(settings.retry_credits));
--- a/src/libnode/entry_finish.cc
+++ b/src/libnode/entry_finish.cc
@@ -135,7 +135,10 @@
     HttpResponse answer = response;
     // A ticket with every answer: the caller's next renewal then needs no
     // platform, also while it is down.
-    SetHeader(answer.headers, kTicketHeader, FormatTicket(keys_.Mint(context)));
+    if (!context.identity.rules.ids_name_sendings) {
+      SetHeader(answer.headers, kTicketHeader,
+                FormatTicket(keys_.Mint(context)));
+    }
     context.Emit(AnswerCaller{waiter.http_call, std::move(answer)});
     return;
   }
--- a/src/libnode/entry_role.h
+++ b/src/libnode/entry_role.h
@@ -46,8 +46,7 @@
 
   explicit EntryRole(const Parts& parts);
 
-  void OnCallerRequest(CallId http_call, const HttpRequest& request,
-                       Context& context);
+  void OnCallerRequest(const CallerRequest& event, Context& context);
   void OnCallerGone(CallId http_call, Context& context);
   void OnTicketRequest(CallId http_call, Context& context);
   void OnHomeForward(const NodeRef& from, const HomeForward& forward,
@@ -74,10 +73,12 @@
 
  private:
   // entry_begin.cc: from the request to the first try.
-  void Begin(const Waiter& waiter, const HttpRequest& request,
+  // `nested`: sent by a backend server of this host.
+  void Begin(const Waiter& waiter, const HttpRequest& request, bool nested,
+             const std::optional<RoutedTo>& routed,
              std::optional<Duration> remaining, Context& context);
   Outcome<Call> BuildCall(const HttpRequest& request,
-                          const CallerHeaders& headers,
+                          const CallerHeaders& headers, bool routed,
                           std::optional<Duration> remaining, Context& context);
   Outcome<Call> BuildNested(Call call, const CallerHeaders& headers,
                             Context& context);
@@ -111,7 +112,8 @@
   void OnAttemptAnswer(Call& call, const NodeRef& from,
                        const CallAnswer& answer, Context& context);
   void OnAttemptFailed(Call& call, Failure failure, Context& context);
-  bool MayRetry(const Call& call, const Failure& failure) const;
+  bool MayRetry(const Call& call, const Failure& failure,
+                const DeploymentRules& rules) const;
   bool PayRetry(Call& call, Reason last, const ServerPlace& place,
                 Context& context);
   void CountCrash(Call& call, Failure& failure, Context& context);
--- a/src/libnode/local_server.h
+++ b/src/libnode/local_server.h
@@ -19,6 +19,13 @@
 
 namespace amaranth::pvt {
 
+// Which process of a backend server an announcement speaks for, and in which
+// order its announcements were made; zeros where the server does not tell.
+struct ServerStart {
+  uint64_t started_ms = 0;  // Unix time of its start
+  uint64_t sequence = 0;    // counts up from its start
+};
+
 class LocalServer {
  public:
   LocalServer(ServerRecord record, const EffectiveSettings& settings,
@@ -64,7 +71,9 @@
     return suspect_in_flight || paused_since != kNever;
   }
   bool draining = false;
+  TimePoint draining_since{};
   TimePoint last_heard{};
+  ServerStart start;
 
  private:
   struct Dispatch {
--- a/src/libnode/membership.cc
+++ b/src/libnode/membership.cc
@@ -115,7 +115,7 @@
       std::min({next_period_, next_push_, next_platform_, follow_up_at_});
   if (probe_) next = std::min(next, probe_->indirect_at);
   for (const auto& [server, heard] : announced_) {
-    next = std::min(next, heard + kServerLease);
+    next = std::min(next, heard + identity_.rules.server_lease);
   }
   return next;
 }
@@ -194,7 +194,9 @@
 void Membership::ExpireServers(Context& context) {
   std::vector<std::string> expired;
   for (const auto& [server, heard] : announced_) {
-    if (context.now >= heard + kServerLease) expired.push_back(server);
+    if (context.now >= heard + identity_.rules.server_lease) {
+      expired.push_back(server);
+    }
   }
   for (const std::string& server : expired) {
     context.Log(LogLevel::kWarning, kMembershipPart,
--- a/src/libnode/membership_limits.h
+++ b/src/libnode/membership_limits.h
@@ -37,9 +37,6 @@
 // dead again by probes.
 inline constexpr Duration kTombstoneTime = std::chrono::minutes(10);
 
-// Servers announce themselves about every half second.
-inline constexpr Duration kServerLease = std::chrono::seconds(2);
-
 // News that stops new work is pushed on by each who learns it.
 inline constexpr Duration kPushInterval = std::chrono::milliseconds(100);
 inline constexpr size_t kPushFanout = 3;
@@ -80,8 +77,6 @@
 inline constexpr size_t kPeersFromPlatform = 5;
 // A living seed answers within a round trip or two.
 inline constexpr Duration kSeedsBeforePlatform = std::chrono::seconds(1);
-// 1,600 rows over this are 100 writes a second.
-inline constexpr Duration kPeerRowSpread = std::chrono::seconds(16);
 
 }  // namespace amaranth::pvt
 
--- a/src/libnode/membership_spread.cc
+++ b/src/libnode/membership_spread.cc
@@ -267,7 +267,8 @@
   const bool seeds_failed =
       identity_.seeds.empty() || up_for >= kSeedsBeforePlatform;
   const Duration row_delay(Hash64(identity_.node.name) %
-                           static_cast<uint64_t>(kPeerRowSpread.count()));
+                           static_cast<uint64_t>(std::max<int64_t>(
+                               1, identity_.rules.peer_row_spread.count())));
   if (!peer_row_written_ && up_for < row_delay) {
     next_platform_ = std::min(next_platform_, *started_ + row_delay);
   }
--- a/src/libnode/node_state.cc
+++ b/src/libnode/node_state.cc
@@ -13,11 +13,6 @@
 constexpr std::string_view kLeavePath = "/amaranth/v1/leave";
 constexpr std::string_view kTicketPath = "/amaranth/v1/ticket";
 
-// A leaving node goes on serving this long, since other nodes and callers hear
-// of it only then: half of the brief's "few seconds". Stopping at once would
-// cut the calls that are already on their way.
-constexpr Duration kLeaveGrace = std::chrono::seconds(2);
-
 // Without settings the class is unknown; the method alone must do.
 bool IsKeyed(const HttpRequest& request) {
   const bool reads = request.method == "GET" || request.method == "HEAD" ||
@@ -104,7 +99,8 @@
                              Context& context) {
   Failure failure;
   // An earlier asking under the same key may have run through another node.
-  const bool may_be_resend = IsKeyed(event.request);
+  const bool may_be_resend =
+      !identity.rules.ids_name_sendings && IsKeyed(event.request);
   failure.verdict = may_be_resend ? Verdict::kMayHaveRun : Verdict::kNotRun;
   failure.reason = reason;
   failure.retry_after = RetryAfter(0, 0, random);
@@ -114,24 +110,32 @@
 
 void NodeState::ApplyOne(const CallerRequest& event, Context& context) {
   const std::string& target = event.request.target;
-  if (target == kAnnouncePath) {
+  const bool announcer = event.from == CallerKind::kAnnouncer;
+  const bool may_announce = announcer || !identity.rules.announce_port;
+  if (may_announce && target == kAnnouncePath) {
     return serving.OnAnnounce(event.call, event.request, context);
   }
-  if (target == kLeavePath) {
+  if (may_announce && target == kLeavePath) {
     return serving.OnLeave(event.call, event.request, context);
   }
+  if (announcer) {
+    context.Emit(AnswerCaller{
+        event.call, JsonResponse(404, R"({"error":"no such call"})")});
+    return;
+  }
   if (!settings.ready()) {
     return RefuseCaller(event, Reason::kNotReady, context);
   }
   if (target == kTicketPath) return entry.OnTicketRequest(event.call, context);
   const bool nested =
+      event.from == CallerKind::kLocalServer ||
       !FindHeader(event.request.headers, kContextHeader).empty();
   const bool past_grace =
-      stop.requested && context.now - stop.since >= kLeaveGrace;
+      stop.requested && context.now - stop.since >= identity.rules.leave_grace;
   if (past_grace && !nested) {
     return RefuseCaller(event, Reason::kDraining, context);
   }
-  entry.OnCallerRequest(event.call, event.request, context);
+  entry.OnCallerRequest(event, context);
 }
 
 void NodeState::ApplyOne(const CallerGone& event, Context& context) {
@@ -255,7 +259,7 @@
   const Duration since = context.now - stop.since;
   const bool idle = entry.calls() == 0 && serving.hops() == 0;
   const Duration limit = settings_cache.Of("", "").drain_timeout;
-  if (since < kLeaveGrace || (!idle && since < limit)) return;
+  if (since < identity.rules.leave_grace || (!idle && since < limit)) return;
   stop.exited = true;
   context.Log(LogLevel::kInfo, "node",
               idle ? "Drained; exiting." : "Drain timed out; exiting.");
@@ -265,7 +269,7 @@
 void NodeState::AskForWake(Context& context) {
   TimePoint next = NextTimer();
   if (stop.requested && !stop.exited) {
-    const TimePoint grace_end = stop.since + kLeaveGrace;
+    const TimePoint grace_end = stop.since + identity.rules.leave_grace;
     const TimePoint retry = context.now + std::chrono::milliseconds(50);
     next = std::min(next, std::max(grace_end, retry));
   }
--- a/src/libnode/serving_role.cc
+++ b/src/libnode/serving_role.cc
@@ -222,7 +222,7 @@
   queue_deadlines_.Remove(hop.deadline, hop.id);
   hop.state = HopState::kDispatched;
   hop.dispatched = context.now;
-  const Duration timeout = DispatchTimeout(hop, server, context.now);
+  const Duration timeout = DispatchTimeout(hop, server, context);
   hop.timeout_at = context.now + timeout;
   server.OnDispatched(hop.id, hop.context.fingerprint, hop.context.long_work);
   stats_.Observe("node", "queue", "dispatched", context.now - hop.arrived);
@@ -231,8 +231,13 @@
 }
 
 Duration ServingRole::DispatchTimeout(const Hop& hop, const LocalServer& server,
-                                      TimePoint now) const {
-  const Duration remaining = hop.deadline - now;
+                                      const Context& context) const {
+  const Duration remaining = hop.deadline - context.now;
+  const DeploymentRules& rules = context.identity.rules;
+  // Nobody asks again for a late answer, and what a caller repeats by itself is
+  // worth its whole time here.
+  if (rules.ids_name_sendings && !hop.context.idempotent) return remaining;
+  if (rules.callers_repeat && !hop.context.nested) return remaining;
   // A non-idempotent call on a silent connection cannot be tried again, so
   // giving up early would only lose an answer that may still come, and that a
   // resend of its key will ask for.
@@ -388,8 +393,9 @@
     Hop& hop = hops_.at(id);
     // A dispatched non-idempotent call is left to finish: stopping it half way
     // helps nobody, and its keyed caller may come back for the answer.
-    const bool keep =
-        hop.state == HopState::kDispatched && !hop.context.idempotent;
+    const bool keep = hop.state == HopState::kDispatched &&
+                      !hop.context.idempotent &&
+                      !context.identity.rules.ids_name_sendings;
     if (!keep) Cancel(hop, context);
   }
 }
--- a/src/libnode/serving_role.h
+++ b/src/libnode/serving_role.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -78,7 +79,7 @@
   void Dispatch(Hop& hop, LocalServer& server, Context& context);
   HttpRequest RequestFor(const Hop& hop, TimePoint now) const;
   Duration DispatchTimeout(const Hop& hop, const LocalServer& server,
-                           TimePoint now) const;
+                           const Context& context) const;
 
   void RefuseAll(const std::vector<QueuedCall>& calls, Reason reason,
                  Context& context);
@@ -95,6 +96,12 @@
   // The same for one not yet dispatched, which also leaves its queue.
   Hop TakeWaitingHop(uint64_t id);
   void Cancel(Hop& hop, Context& context);
+  bool IsOutdated(const ServerRecord& record, const ServerStart& start) const;
+  void RemoveReplaced(const ServerRecord& record, const ServerStart& start,
+                      Context& context);
+  void RememberLeft(const std::string& name, uint64_t started_ms);
+  static void BeginDrain(LocalServer& server, Context& context);
+  void RefuseUndrained(LocalServer& server, Context& context);
   void CheckServers(Context& context);
   // Gives up on waiting calls that are past deadline or patience.
   void DropExpired(LocalServer& server, Context& context);
@@ -113,6 +120,8 @@
   // at a time on every host, and at a second crash be quarantined.
   RecentSet answered_;
   std::map<std::string, LocalServer> servers_;
+  // Servers that said they leave, by name and start.
+  std::set<std::pair<std::string, uint64_t>> left_;
   std::map<uint64_t, Hop> hops_;
   std::unordered_map<AttemptKey, uint64_t, AttemptKeyHash> by_attempt_;
   DeadlineSet queue_deadlines_;
--- a/src/libnode/serving_servers.cc
+++ b/src/libnode/serving_servers.cc
@@ -11,12 +11,9 @@
 
 constexpr const char* kPart = "serving";
 
-// A server announces itself every 500 ms; after four lost announcements, and
-// with no answer in that time either, it is gone. Shorter would drop servers
-// that are merely busy, longer would keep sending work to dead ones.
-constexpr Duration kServerSilence = std::chrono::seconds(2);
 constexpr Duration kCheckPeriod = std::chrono::milliseconds(100);
 constexpr size_t kMaxLocalServers = 64;
+constexpr size_t kMaxLeftServers = 256;
 constexpr size_t kMaxNameLength = 100;
 
 std::optional<Endpoint> ParseEndpoint(const std::string& text) {
@@ -41,13 +38,21 @@
          text.find_first_of("/*,; \"\\") == std::string::npos;
 }
 
-Outcome<ServerRecord> ParseAnnouncement(const Body& body) {
+struct Announcement {
+  ServerRecord record;
+  ServerStart start;
+};
+
+Outcome<Announcement> ParseAnnouncement(const Body& body) {
   const nlohmann::json json = ParseShallowJson(body.view());
   if (!json.is_object()) {
     return Error{ErrorCode::kInvalid, "announcement is not a JSON object"};
   }
   try {
-    ServerRecord record;
+    Announcement announcement;
+    announcement.start.started_ms = json.value("started_ms", uint64_t{0});
+    announcement.start.sequence = json.value("sequence", uint64_t{0});
+    ServerRecord& record = announcement.record;
     record.server = json.value("server", "");
     record.service = json.value("service", "");
     record.slots = json.value("slots", 0u);
@@ -59,7 +64,7 @@
                    "announcement needs server, service, address ip:port"};
     }
     record.address = *address;
-    return record;
+    return announcement;
   } catch (const nlohmann::json::exception& error) {
     return Error{ErrorCode::kInvalid, error.what()};
   }
@@ -78,26 +83,48 @@
 
 void ServingRole::OnAnnounce(CallId call, const HttpRequest& request,
                              Context& context) {
-  Outcome<ServerRecord> parsed = ParseAnnouncement(request.body);
+  Outcome<Announcement> parsed = ParseAnnouncement(request.body);
   if (!parsed) {
+    context.Log(LogLevel::kWarning, kPart,
+                "Announcement refused: " + parsed.error().message + ".");
     context.Emit(
         AnswerCaller{call, BadAnnouncement(parsed.error().message, context)});
     return;
   }
-  const ServerRecord& record = parsed.value();
+  ServerRecord& record = parsed.value().record;
+  const ServerStart& start = parsed.value().start;
+  if (IsOutdated(record, start)) {
+    context.Log(LogLevel::kInfo, kPart,
+                "Late announcement of backend server " + record.server +
+                    " passed over, sequence " + std::to_string(start.sequence) +
+                    ".");
+    context.Emit(AnswerCaller{call, JsonResponse(200, "{}")});
+    return;
+  }
+  RemoveReplaced(record, start, context);
+  if (left_.count({record.server, start.started_ms}) > 0) {
+    record.draining = true;
+  }
   const EffectiveSettings& settings = settings_.Of(record.service, "");
   const auto found = servers_.find(record.server);
   if (found != servers_.end()) {
-    found->second.Configure(record, settings);
-    found->second.last_heard = context.now;
-    found->second.draining = record.draining;
+    LocalServer& known = found->second;
+    known.Configure(record, settings);
+    known.last_heard = context.now;
+    known.start = start;
+    if (record.draining) {
+      BeginDrain(known, context);
+    } else {
+      known.draining = false;
+    }
   } else if (servers_.size() >= kMaxLocalServers) {
     context.Emit(AnswerCaller{
         call, BadAnnouncement("too many backend servers here", context)});
     return;
   } else {
     LocalServer server(record, settings, context.now);
-    server.draining = record.draining;
+    server.start = start;
+    if (record.draining) BeginDrain(server, context);
     servers_.emplace(record.server, std::move(server));
     context.Log(LogLevel::kInfo, kPart,
                 "Backend server " + record.server + " of service " +
@@ -107,6 +134,73 @@
   context.Emit(AnswerCaller{call, JsonResponse(200, "{}")});
 }
 
+// An announcement that was held up on its way may arrive after a later one, or
+// after its sender's successor has announced itself. Believed, it would send
+// calls to a server that has said it is leaving, or expect an instance that is
+// gone: each of its calls would be refused by the one that has the address.
+bool ServingRole::IsOutdated(const ServerRecord& record,
+                             const ServerStart& start) const {
+  for (const auto& [name, server] : servers_) {
+    const bool same_server = name == record.server;
+    const bool same_address = server.record().address == record.address;
+    if (!same_server && !same_address) continue;
+    if (start.started_ms < server.start.started_ms) return true;
+    const bool same_start = start.started_ms == server.start.started_ms;
+    if (same_server && same_start && start.sequence != 0 &&
+        start.sequence <= server.start.sequence) {
+      return true;
+    }
+  }
+  return false;
+}
+
+// A server that starts again, under its old name or at its old address under a
+// new one, knows nothing of before: its record, its queue and what was measured
+// of it are those of a process that is gone.
+void ServingRole::RemoveReplaced(const ServerRecord& record,
+                                 const ServerStart& start, Context& context) {
+  std::vector<std::string> replaced;
+  for (const auto& [name, server] : servers_) {
+    const bool restarted =
+        name == record.server && start.started_ms > server.start.started_ms;
+    const bool moved_in =
+        name != record.server && server.record().address == record.address;
+    if (restarted || moved_in) replaced.push_back(name);
+  }
+  for (const std::string& name : replaced) RemoveServer(name, context);
+}
+
+// Announcements that say "ready" may still be on their way when a server has
+// left; they must not bring it back. The oldest is forgotten first: a host has
+// one or two servers, and a late announcement comes within seconds.
+void ServingRole::RememberLeft(const std::string& name, uint64_t started_ms) {
+  left_.emplace(name, started_ms);
+  if (left_.size() > kMaxLeftServers) left_.erase(left_.begin());
+}
+
+void ServingRole::BeginDrain(LocalServer& server, Context& context) {
+  if (server.draining) return;
+  server.draining = true;
+  server.draining_since = context.now;
+}
+
+// A server ends some time after it has told of its leaving; calls that still
+// wait for it then would reach it too late or never.
+void ServingRole::RefuseUndrained(LocalServer& server, Context& context) {
+  const Duration limit = context.identity.rules.drain_limit;
+  if (limit == Duration::zero() || !server.draining) return;
+  if (context.now - server.draining_since < limit) return;
+  std::vector<uint64_t> waiting;
+  for (const auto& [id, hop] : hops_) {
+    const bool waits = hop.state != HopState::kDispatched;
+    if (waits && hop.server == server.record().server) waiting.push_back(id);
+  }
+  for (const uint64_t id : waiting) {
+    const Hop hop = TakeWaitingHop(id);
+    Refuse(hop, Reason::kDraining, context);
+  }
+}
+
 void ServingRole::OnLeave(CallId call, const HttpRequest& request,
                           Context& context) {
   const nlohmann::json json = ParseShallowJson(request.body.view());
@@ -117,13 +211,17 @@
   }
   const auto found = servers_.find(name);
   if (found == servers_.end()) {
-    context.Emit(
-        AnswerCaller{call, BadAnnouncement("no such server", context)});
+    const bool remembers = context.identity.rules.announce_port && IsName(name);
+    if (remembers) RememberLeft(name, 0);
+    context.Emit(AnswerCaller{
+        call, remembers ? JsonResponse(200, "{}")
+                        : BadAnnouncement("no such server", context)});
     return;
   }
+  RememberLeft(name, found->second.start.started_ms);
   // From now on stragglers are refused as not run; what is in flight or queued
   // still runs, since the server promised to finish it.
-  found->second.draining = true;
+  BeginDrain(found->second, context);
   membership_.SetServerDraining(name, context);
   records_.Add(context.now, "", "leave", name + " is leaving");
   context.Log(LogLevel::kInfo, kPart,
@@ -160,8 +258,12 @@
   for (auto& [name, server] : servers_) {
     server.crash_window().Expire(context.now);
     DropExpired(server, context);
+    RefuseUndrained(server, context);
     Pump(server, context);
-    if (context.now - server.last_heard > kServerSilence) {
+    // Four lost announcements, and no answer in that time either. Shorter would
+    // drop servers that are merely busy, longer would keep sending work to dead
+    // ones.
+    if (context.now - server.last_heard > context.identity.rules.server_lease) {
       silent.push_back(name);
     }
   }
--- a/src/libnode/settings_cache.h
+++ b/src/libnode/settings_cache.h
@@ -33,6 +33,7 @@
   }
 
   const std::string& mesh() const { return mesh_; }
+  const RouteTable& routes() const { return store_.routes(); }
 
  private:
   // Callers choose class names; the cache must not grow with them.
--- a/src/libnode/settings_document.cc
+++ b/src/libnode/settings_document.cc
@@ -65,6 +65,41 @@
   return entry;
 }
 
+Json ToJson(const RouteTable& table) {
+  Json json = Json::array();
+  for (const Route& route : table.routes()) {
+    Json targets = Json::array();
+    for (const RouteTarget& target : route.targets) {
+      targets.push_back(
+          {{"service", target.service}, {"weight", target.weight}});
+    }
+    json.push_back({{"name", route.name},
+                    {"host", route.host},
+                    {"prefix", route.prefix},
+                    {"targets", std::move(targets)}});
+  }
+  return json;
+}
+
+Outcome<RouteTable> ParseRoutes(const Json& json) {
+  std::vector<Route> routes;
+  try {
+    for (const Json& item : json) {
+      Route route;
+      route.name = item.at("name");
+      route.host = item.at("host");
+      route.prefix = item.at("prefix");
+      for (const Json& target : item.at("targets")) {
+        route.targets.push_back({target.at("service"), target.at("weight")});
+      }
+      routes.push_back(std::move(route));
+    }
+  } catch (const Json::exception& error) {
+    return Error{ErrorCode::kInvalid, error.what()};
+  }
+  return RouteTable(std::move(routes));
+}
+
 std::string HashText(std::string_view text) {
   return std::to_string(Hash64(text));
 }
@@ -79,6 +114,7 @@
   next.version = base.version + 1;
   next.tree = base.tree.Apply(changes);
   next.history = base.history;
+  next.routes = base.routes;
   next.history.push_back({next.version, author, change_id, changes});
   if (next.history.size() > kSettingsHistoryLength) {
     next.history.erase(next.history.begin());
@@ -92,6 +128,7 @@
   json["version"] = document.version;
   json["settings"] = Json::parse(amaranth::ToText(document.tree));
   json["history"] = ToJson(document.history);
+  if (!document.routes.empty()) json["routes"] = ToJson(document.routes);
   return Dump(json);
 }
 
@@ -113,6 +150,11 @@
     if (!entry) return entry.error();
     document.history.push_back(std::move(entry.value()));
   }
+  if (json.contains("routes")) {
+    Outcome<RouteTable> routes = ParseRoutes(json["routes"]);
+    if (!routes) return routes.error();
+    document.routes = std::move(routes.value());
+  }
   return document;
 }
 
--- a/src/libnode/settings_document.h
+++ b/src/libnode/settings_document.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "amaranthroute/outcome.h"
+#include "amaranthroute/routes.h"
 #include "amaranthroute/settings.h"
 
 namespace amaranth::pvt {
@@ -34,9 +35,11 @@
   uint64_t version = 0;
   SettingsTree tree;
   std::vector<SettingsHistoryEntry> history;  // newest last
+  RouteTable routes;
 
   friend bool operator==(const SettingsDocument& a, const SettingsDocument& b) {
-    return a.version == b.version && a.tree == b.tree && a.history == b.history;
+    return a.version == b.version && a.tree == b.tree &&
+           a.history == b.history && a.routes == b.routes;
   }
 };
 
--- a/src/libnode/settings_store.cc
+++ b/src/libnode/settings_store.cc
@@ -22,6 +22,18 @@
 constexpr Duration kMaxPollInterval = std::chrono::seconds(8);
 constexpr Duration kOperationTimeout = std::chrono::seconds(3);
 
+// A watch that failed is begun anew after this, twice as long after each
+// further failure: a changed document must be in force within two seconds, but
+// refused calls of a whole fleet must not take the platform's rates when it
+// comes back.
+constexpr Duration kWatchRetry = std::chrono::milliseconds(200);
+constexpr Duration kMaxWatchRetry = std::chrono::milliseconds(1600);
+// A watch that ends sooner than this without news did not wait; asking again
+// at once would be a busy loop over the network.
+constexpr Duration kShortestWatch = std::chrono::milliseconds(100);
+// The platform holds a watch for ten seconds at most.
+constexpr Duration kWatchTimeout = std::chrono::seconds(13);
+
 constexpr Duration kAskInterval = std::chrono::milliseconds(300);
 constexpr size_t kPeersAsked = 3;
 constexpr size_t kMaxPeers = 16;
@@ -66,12 +78,23 @@
     BecomeReady(context, "no platform is used");
     return;
   }
+  if (watches()) {
+    poll_interval_ = kWatchRetry;
+    Watch(context);
+    return;
+  }
   PollHead(context);
 }
 
 void SettingsStore::OnTimer(Context& context) {
   if (context.now >= op_deadline_) OnPlatformSilent(context);
-  if (context.now >= next_poll_) PollHead(context);
+  if (context.now >= next_poll_) {
+    if (watches()) {
+      Watch(context);
+    } else {
+      PollHead(context);
+    }
+  }
   if (context.now >= next_ask_) AskPeers(context);
   if (!ready_) ConsiderReady(context);
   if (change_) {
@@ -96,7 +119,9 @@
   if (!op_ || *op_ != replied.op) return false;
   op_.reset();
   op_deadline_ = kNever;
-  if (op_reads_object_) {
+  if (watches()) {
+    OnWatched(replied.reply, context);
+  } else if (op_reads_object_) {
     OnObject(replied.reply, context);
   } else {
     OnHead(replied.reply, context);
@@ -128,6 +153,10 @@
     OnPlatformSilent(context);
     return;
   }
+  if (platform_lost_) {
+    platform_lost_ = false;
+    context.Log(LogLevel::kInfo, kPart, "the platform answers again");
+  }
   poll_interval_ = kPollInterval;
   head_known_ = true;
   if (reply.version >= head_.version) head_ = {reply.version, reply.bytes};
@@ -152,9 +181,62 @@
   Adopt(std::move(document.value()), reply.bytes, context);
 }
 
+void SettingsStore::Watch(Context& context) {
+  next_poll_ = kNever;
+  if (op_) return;
+  op_ = context.NextId();
+  op_deadline_ = context.now + kWatchTimeout;
+  watch_began_ = context.now;
+  context.Emit(SendPlatform{*op_, TableWatchSettings{watched_}});
+}
+
+void SettingsStore::OnWatched(const PlatformReply& reply, Context& context) {
+  if (Failed(reply)) {
+    OnPlatformSilent(context);
+    return;
+  }
+  if (platform_lost_) {
+    platform_lost_ = false;
+    context.Log(LogLevel::kInfo, kPart, "the platform answers again");
+  }
+  poll_interval_ = kWatchRetry;
+  watched_ = reply.version;
+  if (!reply.bytes.empty()) {
+    Outcome<SettingsDocument> document = ParseDocument(reply.bytes);
+    if (document) {
+      Adopt(std::move(document.value()), reply.bytes, context);
+    } else {
+      context.Log(LogLevel::kError, kPart,
+                  "settings document cannot be read, version " +
+                      std::to_string(document_.version) +
+                      " stays in force: " + document.error().message);
+    }
+  }
+  // An empty table is no reason to serve: the operators' first document is
+  // under way.
+  head_known_ = document_.version > 0;
+  const bool waited = context.now - watch_began_ >= kShortestWatch;
+  if (waited || !reply.bytes.empty()) {
+    Watch(context);
+  } else {
+    next_poll_ = context.now + Jittered(poll_interval_, context);
+  }
+}
+
 void SettingsStore::OnPlatformSilent(Context& context) {
   op_.reset();
   op_deadline_ = kNever;
+  if (!platform_lost_) {
+    platform_lost_ = true;
+    context.Log(LogLevel::kWarning, kPart,
+                "the platform does not answer; version " +
+                    std::to_string(document_.version) + " stays in force");
+  }
+  if (watches()) {
+    next_poll_ = context.now + Jittered(poll_interval_, context);
+    poll_interval_ = std::min(poll_interval_ * 2, kMaxWatchRetry);
+    return;
+  }
   poll_interval_ = IsDelegate()
                        ? kPollInterval
                        : std::min(poll_interval_ * 2, kMaxPollInterval);
@@ -167,7 +249,7 @@
                                       Context& context) {
   // A node that is not ready does not know that there are no settings.
   const bool newer = document_.version > request.have_version;
-  const bool none_at_all = ready_ && document_.version == 0;
+  const bool none_at_all = ready_ && document_.version == 0 && !watches();
   if (!newer && !none_at_all) return;
   context.Emit(
       SendPeer{from.name, address,
@@ -192,6 +274,7 @@
                                   const Endpoint& address, uint64_t version,
                                   Context& context) {
   if (ready_ && version <= document_.version) return;
+  if (watches() && version <= document_.version) return;
   if (peers_.size() >= kMaxPeers && peers_.count(peer) == 0) return;
   PeerVersion& entry = peers_[peer];
   entry.address = address;
@@ -260,6 +343,7 @@
     return;
   }
   if (context.now < peers_settled_at_) return;
+  if (watches() && document_.version == 0) return;
   const bool highest = document_.version >= HighestSeen();
   if (!highest && context.now < give_up_higher_at_) return;
   BecomeReady(context, "peers told what they hold");
--- a/src/libnode/settings_store.h
+++ b/src/libnode/settings_store.h
@@ -55,6 +55,7 @@
               Context& context);
 
   const SettingsTree& tree() const { return document_.tree; }
+  const RouteTable& routes() const { return document_.routes; }
   uint64_t version() const { return document_.version; }
   bool ready() const { return ready_; }
   // Newest last.
@@ -71,6 +72,11 @@
 
   bool IsDelegate() const;
   void PollHead(Context& context);
+  void Watch(Context& context);
+  void OnWatched(const PlatformReply& reply, Context& context);
+  bool watches() const {
+    return identity_.rules.settings_source == SettingsSource::kWatch;
+  }
   void OnHead(const PlatformReply& reply, Context& context);
   void OnObject(const PlatformReply& reply, Context& context);
   void OnPlatformSilent(Context& context);
@@ -92,7 +98,10 @@
   std::optional<PlatformOpId> op_;  // reading the head or a snapshot
   bool op_reads_object_ = false;
   TimePoint op_deadline_ = kNever;
-  bool head_known_ = false;  // the platform has told the head at least once
+  bool head_known_ = false;     // the platform has told the head at least once
+  bool platform_lost_ = false;  // told in the log
+  uint64_t watched_ = 0;        // where the next watch goes on
+  TimePoint watch_began_{};
   SettingsHead head_;
 
   std::map<std::string, PeerVersion> peers_;  // that hold more than this node
--- a/src/libplatform/platform_client.cc
+++ b/src/libplatform/platform_client.cc
@@ -45,6 +45,12 @@
   void Start(const TableWritePeer& request, pvt::PlatformDone done) {
     table_.WritePeer(request, std::move(done));
   }
+  void Start(const TableWatchSettings&, pvt::PlatformDone done) {
+    // Settings come from this table's head row, which nobody else writes.
+    PlatformReply reply;
+    reply.status = PlatformStatus::kUnreachable;
+    done(std::move(reply));
+  }
   void Start(const ObjectPut& request, pvt::PlatformDone done) {
     objects_.Put(request, std::move(done));
   }
--- a/src/libreplay/event_json.cc
+++ b/src/libreplay/event_json.cc
@@ -1,10 +1,11 @@
 #include "event_json.h"
 
-#include <openssl/evp.h>
-
+#include <optional>
 #include <stdexcept>
+#include <utility>
 
 #include "amaranthroute/wire.h"
+#include "libutil/base64.h"
 
 namespace amaranth::pvt {
 namespace {
@@ -12,28 +13,10 @@
 using Json = nlohmann::json;
 
 // Bodies and wire messages are bytes, JSON is text.
-std::string Base64(std::string_view bytes) {
-  std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
-  const int length =
-      EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
-                      reinterpret_cast<const unsigned char*>(bytes.data()),
-                      static_cast<int>(bytes.size()));
-  text.resize(static_cast<size_t>(length));
-  return text;
-}
-
-std::string FromBase64(const std::string& text) {
-  if (text.empty()) return "";
-  std::string bytes(text.size(), '\0');
-  const int length =
-      EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()),
-                      reinterpret_cast<const unsigned char*>(text.data()),
-                      static_cast<int>(text.size()));
-  if (length < 0) throw std::invalid_argument("bad base64");
-  size_t padding = 0;
-  while (padding < 2 && text[text.size() - 1 - padding] == '=') ++padding;
-  bytes.resize(static_cast<size_t>(length) - padding);
-  return bytes;
+std::string BytesOf(const Json& text) {
+  std::optional<std::string> bytes = FromBase64(text.get<std::string>());
+  if (!bytes) throw std::invalid_argument("bad base64");
+  return std::move(*bytes);
 }
 
 Json ToJson(const std::vector<Header>& headers) {
@@ -47,7 +30,7 @@
 std::vector<Header> HeadersFromJson(const Json& json) {
   std::vector<Header> headers;
   for (const Json& pair : json) {
-    headers.push_back({FromBase64(pair.at(0)), FromBase64(pair.at(1))});
+    headers.push_back({BytesOf(pair.at(0)), BytesOf(pair.at(1))});
   }
   return headers;
 }
@@ -62,9 +45,9 @@
 HttpRequest RequestFromJson(const Json& json) {
   HttpRequest request;
   request.method = json.at("method");
-  request.target = FromBase64(json.at("target"));
+  request.target = BytesOf(json.at("target"));
   request.headers = HeadersFromJson(json.at("headers"));
-  request.body = Body(FromBase64(json.at("body")));
+  request.body = Body(BytesOf(json.at("body")));
   return request;
 }
 
@@ -78,7 +61,7 @@
   HttpResponse response;
   response.status = json.at("status");
   response.headers = HeadersFromJson(json.at("headers"));
-  response.body = Body(FromBase64(json.at("body")));
+  response.body = Body(BytesOf(json.at("body")));
   return response;
 }
 
@@ -103,19 +86,19 @@
   reply.status = static_cast<PlatformStatus>(json.at("status").get<int>());
   reply.holders = json.at("holders").get<std::vector<std::string>>();
   reply.version = json.at("version");
-  reply.bytes = FromBase64(json.at("bytes"));
+  reply.bytes = BytesOf(json.at("bytes"));
   reply.peers = json.at("peers").get<std::vector<std::string>>();
   return reply;
 }
 
 PeerMessage MessageFromJson(const Json& json) {
-  Outcome<PeerMessage> message = DecodePeerMessage(FromBase64(json));
+  Outcome<PeerMessage> message = DecodePeerMessage(BytesOf(json));
   if (!message) throw std::invalid_argument(message.error().message);
   return std::move(message.value());
 }
 
 GossipMessage GossipFromJson(const Json& json) {
-  Outcome<GossipMessage> message = DecodeGossip(FromBase64(json));
+  Outcome<GossipMessage> message = DecodeGossip(BytesOf(json));
   if (!message) throw std::invalid_argument(message.error().message);
   return std::move(message.value());
 }
@@ -124,6 +107,7 @@
   Json operator()(const CallerRequest& e) const {
     return {{"type", "caller-request"},
             {"call", e.call},
+            {"from", static_cast<int>(e.from)},
             {"request", ToJson(e.request)}};
   }
   Json operator()(const CallerGone& e) const {
@@ -181,7 +165,9 @@
 EventBody EventFromJson(const Json& json) {
   const std::string type = json.at("type");
   if (type == "caller-request") {
-    return CallerRequest{json.at("call"), RequestFromJson(json.at("request"))};
+    // Logs of nodes that did not tell callers apart have no such field.
+    return CallerRequest{json.at("call"), RequestFromJson(json.at("request")),
+                         static_cast<CallerKind>(json.value("from", 0))};
   }
   if (type == "caller-gone") return CallerGone{json.at("call")};
   if (type == "operator-request") {
--- /dev/null
+++ b/src/libutil/duration_text.cc
@@ -0,0 +1,33 @@
+#include "libutil/duration_text.h"
+
+#include <charconv>
+#include <string>
+
+namespace amaranth::pvt {
+namespace {
+
+constexpr double kMaxSeconds = 86'400;
+
+Error Invalid(std::string_view text, const char* what) {
+  return {ErrorCode::kInvalid, "'" + std::string(text) + "' " + what};
+}
+
+}  // namespace
+
+Outcome<Duration> ParseDuration(std::string_view text) {
+  double number = 0;
+  const char* end = text.data() + text.size();
+  const std::from_chars_result read = std::from_chars(text.data(), end, number);
+  const std::string_view unit(read.ptr, static_cast<size_t>(end - read.ptr));
+  if (read.ec != std::errc() || (unit != "ms" && unit != "s")) {
+    return Invalid(text, "is no time");
+  }
+  const double seconds = unit == "s" ? number : number / 1000;
+  if (!(seconds >= 0 && seconds <= kMaxSeconds)) {
+    return Invalid(text, "is out of range");
+  }
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(seconds));
+}
+
+}  // namespace amaranth::pvt
--- a/src/libutil/fields.h
+++ b/src/libutil/fields.h
@@ -16,8 +16,8 @@
 
 inline auto Fields(const CallContext& v) {
   return std::tie(v.request_id, v.mesh, v.service, v.request_class, v.tenant,
-                  v.caller_key, v.tier, v.idempotent, v.long_work, v.depth,
-                  v.remaining, v.retry_credits, v.fingerprint,
+                  v.caller_key, v.tier, v.idempotent, v.long_work, v.nested,
+                  v.depth, v.remaining, v.retry_credits, v.fingerprint,
                   v.suspected_crashes, v.level);
 }
 
@@ -105,6 +105,8 @@
 
 inline std::tuple<> Fields(const TableReadPeers&) { return {}; }
 
+inline auto Fields(const TableWatchSettings& v) { return std::tie(v.after); }
+
 inline auto Fields(const TableWritePeer& v) {
   return std::tie(v.name, v.address);
 }
@@ -122,7 +124,7 @@
 }
 
 inline auto Fields(const CallerRequest& v) {
-  return std::tie(v.call, v.request);
+  return std::tie(v.call, v.request, v.from);
 }
 
 inline auto Fields(const CallerGone& v) { return std::tie(v.call); }
@@ -222,6 +224,9 @@
   return "TableReadChange";
 }
 inline const char* TypeName(const TableReadPeers&) { return "TableReadPeers"; }
+inline const char* TypeName(const TableWatchSettings&) {
+  return "TableWatchSettings";
+}
 inline const char* TypeName(const TableWritePeer&) { return "TableWritePeer"; }
 inline const char* TypeName(const ObjectPut&) { return "ObjectPut"; }
 inline const char* TypeName(const ObjectGet&) { return "ObjectGet"; }
--- a/src/libutil/platform.cc
+++ b/src/libutil/platform.cc
@@ -29,6 +29,10 @@
   return pvt::Fields(a) == pvt::Fields(b);
 }
 
+bool operator==(const TableWatchSettings& a, const TableWatchSettings& b) {
+  return pvt::Fields(a) == pvt::Fields(b);
+}
+
 bool operator==(const ObjectPut& a, const ObjectPut& b) {
   return pvt::Fields(a) == pvt::Fields(b);
 }
--- a/src/libutil/verdict.cc
+++ b/src/libutil/verdict.cc
@@ -20,6 +20,8 @@
       return "none";
     case Reason::kBadRequest:
       return "bad-request";
+    case Reason::kNoRoute:
+      return "no-route";
     case Reason::kUnknownService:
       return "unknown-service";
     case Reason::kNoServer:
--- a/src/libwire/gen-cpp/amaranth_types.cpp
+++ b/src/libwire/gen-cpp/amaranth_types.cpp
@@ -1186,6 +1186,11 @@
 void CallContext::__set_level(const int64_t val) {
   this->level = val;
 }
+
+void CallContext::__set_nested(const bool val) {
+  this->nested = val;
+__isset.nested = true;
+}
 std::ostream& operator<<(std::ostream& out, const CallContext& obj)
 {
   obj.printTo(out);
@@ -1349,6 +1354,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->nested);
+          this->__isset.nested = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1456,6 +1469,11 @@
   xfer += oprot->writeI64(this->level);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.nested) {
+    xfer += oprot->writeFieldBegin("nested", ::apache::thrift::protocol::T_BOOL, 16);
+    xfer += oprot->writeBool(this->nested);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1478,6 +1496,8 @@
   swap(a.fingerprint, b.fingerprint);
   swap(a.suspected_crashes, b.suspected_crashes);
   swap(a.level, b.level);
+  swap(a.nested, b.nested);
+  swap(a.__isset, b.__isset);
 }
 
 CallContext::CallContext(const CallContext& other40) {
@@ -1496,6 +1516,8 @@
   fingerprint = other40.fingerprint;
   suspected_crashes = other40.suspected_crashes;
   level = other40.level;
+  nested = other40.nested;
+  __isset = other40.__isset;
 }
 CallContext::CallContext(CallContext&& other41) noexcept {
   request_id = std::move(other41.request_id);
@@ -1513,6 +1535,8 @@
   fingerprint = other41.fingerprint;
   suspected_crashes = other41.suspected_crashes;
   level = other41.level;
+  nested = other41.nested;
+  __isset = other41.__isset;
 }
 CallContext& CallContext::operator=(const CallContext& other42) {
   request_id = other42.request_id;
@@ -1530,6 +1554,8 @@
   fingerprint = other42.fingerprint;
   suspected_crashes = other42.suspected_crashes;
   level = other42.level;
+  nested = other42.nested;
+  __isset = other42.__isset;
   return *this;
 }
 CallContext& CallContext::operator=(CallContext&& other43) noexcept {
@@ -1548,6 +1574,8 @@
   fingerprint = other43.fingerprint;
   suspected_crashes = other43.suspected_crashes;
   level = other43.level;
+  nested = other43.nested;
+  __isset = other43.__isset;
   return *this;
 }
 void CallContext::printTo(std::ostream& out) const {
@@ -1568,6 +1596,7 @@
   out << ", " << "fingerprint=" << to_string(fingerprint);
   out << ", " << "suspected_crashes=" << to_string(suspected_crashes);
   out << ", " << "level=" << to_string(level);
+  out << ", " << "nested="; (__isset.nested ? (out << to_string(nested)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libwire/gen-cpp/amaranth_types.h
+++ b/src/libwire/gen-cpp/amaranth_types.h
@@ -448,6 +448,10 @@
 
 std::ostream& operator<<(std::ostream& out, const Failure& obj);
 
+typedef struct _CallContext__isset {
+  _CallContext__isset() : nested(false) {}
+  bool nested :1;
+} _CallContext__isset;
 
 class CallContext : public virtual ::apache::thrift::TBase {
  public:
@@ -471,7 +475,8 @@
                 retry_credits(0),
                 fingerprint(0),
                 suspected_crashes(0),
-                level(0) {
+                level(0),
+                nested(0) {
   }
 
   virtual ~CallContext() noexcept;
@@ -490,6 +495,9 @@
   int64_t fingerprint;
   int32_t suspected_crashes;
   int64_t level;
+  bool nested;
+
+  _CallContext__isset __isset;
 
   void __set_request_id(const std::string& val);
 
@@ -521,6 +529,8 @@
 
   void __set_level(const int64_t val);
 
+  void __set_nested(const bool val);
+
   bool operator == (const CallContext & rhs) const
   {
     if (!(request_id == rhs.request_id))
@@ -553,6 +563,10 @@
       return false;
     if (!(level == rhs.level))
       return false;
+    if (__isset.nested != rhs.__isset.nested)
+      return false;
+    else if (__isset.nested && !(nested == rhs.nested))
+      return false;
     return true;
   }
   bool operator != (const CallContext &rhs) const {
--- a/src/libwire/generators_test.cc
+++ b/src/libwire/generators_test.cc
@@ -51,7 +51,7 @@
 }
 
 Failure AnyFailure() {
-  return {AnyEnum(Verdict::kRan), AnyEnum(Reason::kNotReady), AnyDuration(),
+  return {AnyEnum(Verdict::kRan), AnyEnum(Reason::kNoRoute), AnyDuration(),
           Any<bool>(), Any<std::string>()};
 }
 
@@ -66,6 +66,7 @@
   context.tier = AnyEnum(Tier::kCritical);
   context.idempotent = Any<bool>();
   context.long_work = Any<bool>();
+  context.nested = Any<bool>();
   context.depth = Any<uint8_t>();
   context.remaining = AnyDuration();
   context.retry_credits = Any<uint16_t>();
--- a/src/libwire/to_wire.cc
+++ b/src/libwire/to_wire.cc
@@ -18,7 +18,7 @@
     std::tuple_size_v<decltype(Fields(std::declval<const Message&>()))> ==
     count;
 
-static_assert(kHasFields<CallContext, 15>);
+static_assert(kHasFields<CallContext, 16>);
 static_assert(kHasFields<LoadReport, 6>);
 static_assert(kHasFields<Hello, 3>);
 static_assert(kHasFields<CallForward, 4>);
@@ -105,6 +105,7 @@
   out.fingerprint = Signed(in.fingerprint);
   out.suspected_crashes = in.suspected_crashes;
   out.level = in.level;
+  if (in.nested) out.__set_nested(true);
 }
 
 void ToWire(const LoadReport& in, wire::LoadReport& out) {
