Nested calls find their parents; a retry budget that holds summed over nodes

Cause: every request, clients' and servers', comes from the host's own address, so all passed for nested calls and none was shed. Ruled out: telling them by address or by deadline (both equal for all). Retries are counted where they reach a server, by shares of the fleet's budget.

--- a/src/bench/echo_server.cc
+++ b/src/bench/echo_server.cc
@@ -60,8 +60,9 @@
         client_(io, {}),
         announce_timer_(io) {
     pvt::HttpFrontendHooks hooks;
-    hooks.on_request = [this](CallId call, const HttpRequest& request,
-                              const std::string&) { Run(call, request); };
+    hooks.on_request = [this](CallId call, const HttpRequest& request) {
+      Run(call, request);
+    };
     hooks.on_gone = [](CallId) {};
     frontend_ = std::make_unique<pvt::HttpFrontend>(
         io, Endpoint{options_.ip, options_.port}, pvt::HttpFrontendOptions{},
--- a/src/include/amaranthroute/event.h
+++ b/src/include/amaranthroute/event.h
@@ -20,10 +20,8 @@
 /// Who sent a CallerRequest, as far as its connection tells.
 enum class CallerKind : uint8_t {
   kCaller = 0,  ///< callers' port
-  /// Callers' port, from an address of this very host: a nested call.
-  kLocalServer = 1,
   /// The port that only backend servers' announcements come to.
-  kAnnouncer = 2,
+  kAnnouncer = 1,
 };
 
 /// A whole HTTP request on the callers' port: from a caller, or from a backend
--- a/src/include/amaranthroute/messages.h
+++ b/src/include/amaranthroute/messages.h
@@ -38,9 +38,6 @@
   Tier tier = Tier::kStandard;
   bool idempotent = false;
   bool long_work = false;
-  /// Sent by a backend server without a context of its own request; such a
-  /// server gives up its whole request when this call fails.
-  bool nested = false;
   uint8_t depth = 0;           ///< 0 at the edge
   Duration remaining{0};       ///< until the request's deadline
   uint16_t retry_credits = 0;  ///< lent to this hop's subtree
@@ -89,6 +86,9 @@
   Failure failure;
   uint16_t credits_returned = 0;
   LoadReport load;
+  /// The backend server made calls of its own for this one: a repeat of it
+  /// repeats those, too.
+  bool made_calls = false;
 };
 
 /// The caller has gone or its deadline passed. Answered by a CallAnswer with a
--- a/src/include/amaranthroute/verdict.h
+++ b/src/include/amaranthroute/verdict.h
@@ -44,6 +44,7 @@
   kTooLarge,          ///< body over the limit, or no buffer memory left
   kNotReady,          ///< the node has no settings yet
   kNoRoute,           ///< no route of the settings takes this host and path
+  kServerRefused,     ///< the backend server says that it did not run it
 };
 
 /// Stable lower-case text, e.g. "may-have-run".
--- a/src/libhost/host.cc
+++ b/src/libhost/host.cc
@@ -66,25 +66,20 @@
   void Open() {
     intake_ = std::make_shared<HttpIntake>();
     intake_->max_buffered_bytes = options_.max_buffered_bytes;
-    callers_ = OpenFrontend(
-        "callers", options_.caller_listen,
-        [this](CallId call, HttpRequest request, const std::string& remote) {
-          const CallerKind from = IsThisHost(remote) ? CallerKind::kLocalServer
-                                                     : CallerKind::kCaller;
-          Post(CallerRequest{call, std::move(request), from});
-        });
-    operators_ = OpenFrontend(
-        "operators", options_.operator_listen,
-        [this](CallId call, HttpRequest request, const std::string&) {
-          Post(OperatorRequest{call, std::move(request)});
-        });
+    callers_ = OpenFrontend("callers", options_.caller_listen,
+                            [this](CallId call, HttpRequest request) {
+                              Post(CallerRequest{call, std::move(request)});
+                            });
+    operators_ = OpenFrontend("operators", options_.operator_listen,
+                              [this](CallId call, HttpRequest request) {
+                                Post(OperatorRequest{call, std::move(request)});
+                              });
     if (options_.announce_listen) {
-      announcers_ = OpenFrontend(
-          "announcements", *options_.announce_listen,
-          [this](CallId call, HttpRequest request, const std::string&) {
-            Post(CallerRequest{call, std::move(request),
-                               CallerKind::kAnnouncer});
-          });
+      announcers_ = OpenFrontend("announcements", *options_.announce_listen,
+                                 [this](CallId call, HttpRequest request) {
+                                   Post(CallerRequest{call, std::move(request),
+                                                      CallerKind::kAnnouncer});
+                                 });
     }
     peers_ = Bind("peers", options_.peer_listen, [&] {
       return std::make_unique<PeerTransport>(
@@ -207,17 +202,9 @@
   }
 
  private:
-  // A backend server calls the node of its own host, from that host's address
-  // or from the loopback's. Off unless asked for: on one machine with many
-  // nodes, as in tests, every caller would pass for a server.
-  bool IsThisHost(const std::string& remote) const {
-    return options_.tell_local_servers &&
-           (remote == options_.caller_listen.ip || remote == "127.0.0.1");
-  }
-
   std::unique_ptr<HttpFrontend> OpenFrontend(
       const char* what, const Endpoint& listen,
-      std::function<void(CallId, HttpRequest, const std::string&)> on_request) {
+      std::function<void(CallId, HttpRequest)> on_request) {
     HttpFrontendHooks hooks;
     hooks.on_request = std::move(on_request);
     hooks.on_gone = [this](CallId call) { Post(CallerGone{call}); };
--- a/src/libhost/host.h
+++ b/src/libhost/host.h
@@ -32,8 +32,6 @@
   Endpoint operator_listen;
   // Backend servers' announcements; without it they come to the callers' port.
   std::optional<Endpoint> announce_listen;
-  // Callers from this host's own address are its backend servers.
-  bool tell_local_servers = false;
   Endpoint peer_listen;
   Endpoint gossip_listen;
   HttpFrontendOptions frontend;
--- a/src/libhost/http_frontend.cc
+++ b/src/libhost/http_frontend.cc
@@ -186,8 +186,7 @@
     } else if (intake_->buffered_bytes > intake_->max_buffered_bytes) {
       Refuse(call, 503, Reason::kTooLarge, "no buffer memory left");
     } else {
-      hooks_.on_request(call, std::move(request),
-                        from->remote_endpoint().address().to_string());
+      hooks_.on_request(call, std::move(request));
     }
     return restinio::request_accepted();
   }
--- a/src/libhost/http_frontend.h
+++ b/src/libhost/http_frontend.h
@@ -41,9 +41,7 @@
 };
 
 struct HttpFrontendHooks {
-  // `remote_ip` is the address that the connection comes from.
-  std::function<void(CallId, HttpRequest, const std::string& remote_ip)>
-      on_request;
+  std::function<void(CallId, HttpRequest)> on_request;
   // The connection ended before the answer; a later Answer is dropped.
   std::function<void(CallId)> on_gone;
 };
--- a/src/libhost/http_frontend_test.cc
+++ b/src/libhost/http_frontend_test.cc
@@ -16,8 +16,7 @@
 
   void Open(const HttpFrontendOptions& options = {}) {
     HttpFrontendHooks hooks;
-    hooks.on_request = [this](CallId call, HttpRequest request,
-                              const std::string&) {
+    hooks.on_request = [this](CallId call, HttpRequest request) {
       requests.emplace_back(call, std::move(request));
     };
     hooks.on_gone = [this](CallId call) { gone.push_back(call); };
@@ -268,7 +267,7 @@
   Open();
   HttpFrontendHooks hooks;
   std::vector<CallId> operator_calls;
-  hooks.on_request = [&](CallId call, const HttpRequest&, const std::string&) {
+  hooks.on_request = [&](CallId call, const HttpRequest&) {
     operator_calls.push_back(call);
   };
   hooks.on_gone = [](CallId) {};
--- a/src/libnode/call.h
+++ b/src/libnode/call.h
@@ -54,7 +54,13 @@
   bool joinable = false;
   std::optional<Attempt> attempt;
   std::set<std::string> tried;  // "node/server"
+  // The class that its own route gave it; that of the whole request is in the
+  // context.
+  std::string own_class;
   int tries = 0;
+  int reached = 0;  // tries that came as far as a backend server
+  // Most backend servers that it may reach, by its route; 0 for no such limit.
+  int most_tries = 0;
   // Its caller was told "may have run" at the deadline; kept for the answer,
   // which a resend of the key will ask for.
   bool lingering = false;
--- a/src/libnode/entry_attempts.cc
+++ b/src/libnode/entry_attempts.cc
@@ -17,6 +17,11 @@
 
 constexpr size_t kMaxRetryAfters = 4096;
 
+// Tries of a call that no backend server has met: two further ones pass a dead
+// host and a full server, more would only keep its caller waiting.
+constexpr int kMostUnseenTries = 3;
+constexpr size_t kMaxCallMakers = 4096;
+
 bool IsRetryableStatus(int status) {
   return status == 502 || status == 503 || status == 504;
 }
@@ -34,7 +39,13 @@
 
 bool IsShed(Reason reason) {
   return reason == Reason::kShedAtServer || reason == Reason::kShedAtEntry ||
-         reason == Reason::kQueueFull;
+         reason == Reason::kQueueFull || reason == Reason::kServerRefused;
+}
+
+// Whether a failed try came as far as a backend server.
+bool ReachedServer(const Failure& failure) {
+  return failure.verdict != Verdict::kNotRun ||
+         failure.reason == Reason::kServerRefused;
 }
 
 }  // namespace
@@ -124,6 +135,10 @@
   call.ledger.Return(attempt.lent, answer.credits_returned);
   LearnLoad(call, answer, context);
   const bool answered = answer.failure.reason == Reason::kNone;
+  if (answered) ++call.reached;
+  if (answer.made_calls && makes_calls_.size() < kMaxCallMakers) {
+    makes_calls_.emplace(call.context.service, call.own_class);
+  }
   const bool broke = !answered && answer.failure.verdict != Verdict::kNotRun;
   const bool final =
       answered && !FindHeader(answer.response.headers, kFinalHeader).empty();
@@ -142,7 +157,7 @@
     return;
   }
   const bool left_to_caller =
-      context.identity.rules.callers_repeat && !call.context.nested;
+      context.identity.rules.callers_repeat && call.is_root;
   if (IsRetryableStatus(answer.response.status) && !final && !left_to_caller &&
       call.context.idempotent && TryNext(call, Reason::kServerError, context)) {
     // It ran once, whatever the next try proves about itself.
@@ -189,6 +204,7 @@
 
 void EntryRole::OnAttemptFailed(Call& call, Failure failure, Context& context) {
   if (failure.verdict != Verdict::kNotRun) call.doubt = true;
+  if (ReachedServer(failure)) ++call.reached;
   if (failure.retry_after.count() > 0) {
     // Callers choose class names: the table must not grow with them.
     if (retry_after_.size() >= kMaxRetryAfters) retry_after_.clear();
@@ -209,7 +225,7 @@
                          const DeploymentRules& rules) const {
   if (failure.final || RetryCannotHelp(failure.reason)) return false;
   const bool unproved = failure.verdict != Verdict::kNotRun;
-  if (unproved && rules.callers_repeat && !call.context.nested) return false;
+  if (unproved && rules.callers_repeat && call.is_root) return false;
   return failure.verdict == Verdict::kNotRun || call.context.idempotent;
 }
 
@@ -235,6 +251,9 @@
   // A planned leave costs no credit: nothing ran, each server refuses a call
   // at most once, and a planned stop must not cut a request that has none.
   if (last == Reason::kDraining) return true;
+  if (context.identity.rules.fleet_retry_slack > 0) {
+    return PayFromFleetShare(call, context);
+  }
   if (call.ledger.available() == 0) return false;
   // The budget keeps retries from loading a service that is short of capacity.
   // A host that dies or a connection that goes silent is no such shortage: all
@@ -256,6 +275,36 @@
   return call.ledger.Spend();
 }
 
+// Where the budget is the fleet's, what counts are arrivals at backend servers:
+// a try that a serving node turned away, or that met no host, has cost the
+// service nothing and its repeat is the first that it sees.
+bool EntryRole::PayFromFleetShare(Call& call, Context& context) {
+  if (call.reached == 0) return call.tries < kMostUnseenTries;
+  if (call.most_tries > 0 && call.reached >= call.most_tries) return false;
+  // The repeat of a call that made others repeats those too, and so on down:
+  // the budget of the deepest service would be gone after a few.
+  if (makes_calls_.count({call.context.service, call.own_class}) > 0) {
+    return false;
+  }
+  if (call.ledger.available() == 0) return false;
+  const DeploymentRules& rules = context.identity.rules;
+  const size_t nodes = parts_.membership.NodesKnown();
+  if (!FleetShareOf(call.context.service, rules).TryRetry(nodes, context.now)) {
+    parts_.stats.Count("amaranth_retries_over_budget_total");
+    return false;
+  }
+  parts_.stats.Count("amaranth_retries_total");
+  return call.ledger.Spend();
+}
+
+FleetRetryShare& EntryRole::FleetShareOf(const std::string& service,
+                                         const DeploymentRules& rules) {
+  const FleetRetryLimits limits{rules.fleet_retry_ratio,
+                                static_cast<double>(rules.fleet_retry_slack),
+                                rules.fleet_retry_window};
+  return fleet_shares_.try_emplace(service, limits).first->second;
+}
+
 void EntryRole::SetAttempt(Call& call, const Attempt& attempt) {
   call.attempt = attempt;
   by_attempt_[attempt.id] = call.id;
--- a/src/libnode/entry_begin.cc
+++ b/src/libnode/entry_begin.cc
@@ -70,13 +70,12 @@
 void EntryRole::OnCallerRequest(const CallerRequest& event, Context& context) {
   Waiter waiter;
   waiter.http_call = event.call;
-  const bool nested = event.from == CallerKind::kLocalServer;
   const RouteTable& routes = parts_.settings.routes();
   const bool by_route =
       !routes.empty() &&
       FindHeader(event.request.headers, kServiceHeader).empty();
   if (!by_route) {
-    Begin(waiter, event.request, nested, std::nullopt, std::nullopt, context);
+    Begin(waiter, event.request, std::nullopt, std::nullopt, context);
     return;
   }
   const Route* route = routes.Find(FindHeader(event.request.headers, "Host"),
@@ -87,7 +86,7 @@
                          "no route takes this host and path", context);
   }
   const RoutedTo routed{DrawTarget(*route, context.random), route->name};
-  Begin(waiter, event.request, nested, routed, std::nullopt, context);
+  Begin(waiter, event.request, routed, std::nullopt, context);
 }
 
 void EntryRole::OnTicketRequest(CallId http_call, Context& context) {
@@ -97,7 +96,7 @@
 }
 
 void EntryRole::Begin(const Waiter& waiter, const HttpRequest& request,
-                      bool nested, const std::optional<RoutedTo>& routed,
+                      const std::optional<RoutedTo>& routed,
                       std::optional<Duration> remaining, Context& context) {
   const Outcome<CallerHeaders> parsed = ParseCallerHeaders(request, routed);
   if (!parsed) {
@@ -124,11 +123,6 @@
         "no backend server has announced this service", context);
   }
   if (call.is_root) TakeLevel(call, context.now);
-  // Its request was let in, and has cost its services something already.
-  if (nested && call.is_root) {
-    call.context.level = kMaxSheddingLevel;
-    call.context.nested = true;
-  }
   parts_.stats.Count("amaranth_requests_total");
   call.joinable = call.is_root && !headers.request_id.empty() &&
                   !context.identity.rules.ids_name_sendings;
@@ -165,7 +159,7 @@
                        std::to_string(call.id);
   }
   if (!headers.context_token.empty()) {
-    return BuildNested(std::move(call), headers, context);
+    return BuildNested(std::move(call), headers, routed, context);
   }
   const EffectiveSettings& settings =
       parts_.settings.Of(about.service, about.request_class);
@@ -178,12 +172,14 @@
   if (routed) limit = std::min(limit, settings.deadline);
   if (remaining) limit = std::min(limit, *remaining);
   call.deadline = context.now + limit;
+  call.own_class = headers.request_class;
+  if (routed) call.most_tries = 1 + static_cast<int>(settings.retry_credits);
   call.ledger = CreditLedger(static_cast<uint16_t>(settings.retry_credits));
   return call;
 }
 
 Outcome<Call> EntryRole::BuildNested(Call call, const CallerHeaders& headers,
-                                     Context& context) {
+                                     bool routed, Context& context) {
   const std::optional<ContextToken> token =
       ParseContextToken(headers.context_token);
   Hop* hop = token ? parts_.serving.FindHop(*token) : nullptr;
@@ -205,14 +201,21 @@
   about.tier = parent.tier;
   about.level = parent.level;
   about.depth = static_cast<uint8_t>(parent.depth + 1);
-  const EffectiveSettings& settings =
-      parts_.settings.Of(about.service, about.request_class);
+  // A route says of its own calls what may be repeated and for how long they
+  // may wait, whatever request they serve.
+  const EffectiveSettings& settings = parts_.settings.Of(
+      about.service, routed ? headers.request_class : about.request_class);
   about.long_work = settings.long_work;
   about.idempotent = IsIdempotent(settings, call.request.method);
   about.fingerprint = FingerprintOf(about.service, call.request);
   call.is_root = false;
   call.parent_hop = hop->id;
   call.deadline = hop->deadline;
+  call.own_class = headers.request_class;
+  if (routed) {
+    call.deadline = std::min(call.deadline, context.now + settings.deadline);
+    call.most_tries = 1 + static_cast<int>(settings.retry_credits);
+  }
   if (headers.deadline) {
     call.deadline = std::min(call.deadline, context.now + *headers.deadline);
   }
@@ -352,6 +355,10 @@
     return;
   }
   retry_budgets_[call.context.service].OnFirstTry(context.now);
+  if (call.is_root && context.identity.rules.fleet_retry_slack > 0) {
+    FleetShareOf(call.context.service, context.identity.rules)
+        .OnRequest(context.now);
+  }
   if (TryNext(call, std::nullopt, context)) return;
   TellParent(call, context.now);
   Failure failure;
--- a/src/libnode/entry_finish.cc
+++ b/src/libnode/entry_finish.cc
@@ -22,7 +22,7 @@
 
 bool IsOverload(Reason reason) {
   return reason == Reason::kShedAtEntry || reason == Reason::kShedAtServer ||
-         reason == Reason::kQueueFull;
+         reason == Reason::kQueueFull || reason == Reason::kServerRefused;
 }
 
 }  // namespace
--- a/src/libnode/entry_keys.cc
+++ b/src/libnode/entry_keys.cc
@@ -216,8 +216,7 @@
                    "the process that alone may run this key is gone"),
         "", context);
   }
-  Begin(waiter, forward.request, false, std::nullopt, forward.remaining,
-        context);
+  Begin(waiter, forward.request, std::nullopt, forward.remaining, context);
 }
 
 void EntryRole::SettleKey(const Call& call, const HttpResponse* response,
--- a/src/libnode/entry_role.h
+++ b/src/libnode/entry_role.h
@@ -8,10 +8,12 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "amaranthroute/event.h"
 #include "amaranthroute/policy/caller_shares.h"
+#include "amaranthroute/policy/fleet_retry_share.h"
 #include "amaranthroute/policy/retry_budget.h"
 #include "amaranthroute/policy/shedder.h"
 #include "libnode/call.h"
@@ -73,15 +75,14 @@
 
  private:
   // entry_begin.cc: from the request to the first try.
-  // `nested`: sent by a backend server of this host.
-  void Begin(const Waiter& waiter, const HttpRequest& request, bool nested,
+  void Begin(const Waiter& waiter, const HttpRequest& request,
              const std::optional<RoutedTo>& routed,
              std::optional<Duration> remaining, Context& context);
   Outcome<Call> BuildCall(const HttpRequest& request,
                           const CallerHeaders& headers, bool routed,
                           std::optional<Duration> remaining, Context& context);
   Outcome<Call> BuildNested(Call call, const CallerHeaders& headers,
-                            Context& context);
+                            bool routed, Context& context);
   void RefuseUnbuilt(const Waiter& waiter, Verdict verdict, Reason reason,
                      const std::string& request_id, const std::string& detail,
                      Context& context);
@@ -116,6 +117,9 @@
                 const DeploymentRules& rules) const;
   bool PayRetry(Call& call, Reason last, const ServerPlace& place,
                 Context& context);
+  bool PayFromFleetShare(Call& call, Context& context);
+  FleetRetryShare& FleetShareOf(const std::string& service,
+                                const DeploymentRules& rules);
   void CountCrash(Call& call, Failure& failure, Context& context);
   void LearnLoad(const Call& call, const CallAnswer& answer, Context& context);
   // Name under which thresholds of the services below a call are learned.
@@ -152,8 +156,11 @@
   DownstreamThresholds thresholds_;
   // By service and tier; only known services get here, see Begin.
   std::map<std::pair<std::string, Tier>, CallerShares> caller_shares_;
-  std::map<std::string, RetryBudget> retry_budgets_;  // by service
-  std::map<std::string, Duration> retry_after_;       // by service and class
+  std::map<std::string, RetryBudget> retry_budgets_;     // by service
+  std::map<std::string, FleetRetryShare> fleet_shares_;  // by service
+  // Service and class of calls whose servers make calls of their own.
+  std::set<std::pair<std::string, std::string>> makes_calls_;
+  std::map<std::string, Duration> retry_after_;  // by service and class
   std::map<uint64_t, Call> calls_;
   std::map<AttemptId, uint64_t> by_attempt_;
   std::map<std::string, size_t> awaited_;  // attempts in flight, by peer
--- a/src/libnode/membership.h
+++ b/src/libnode/membership.h
@@ -66,6 +66,10 @@
   // the same delegates from them by hash.
   std::vector<std::string> AliveInDataCentre() const;
 
+  // Nodes that are up or were until lately, ours included: those of a data
+  // centre that is cut off may still be at work.
+  size_t NodesKnown() const { return table_.members().size(); }
+
   void SetSettingsVersion(uint64_t version);
   // Shares a crash-making fingerprint with the fleet.
   void AddQuarantine(const QuarantineRecord& record, Context& context);
--- a/src/libnode/node_state.cc
+++ b/src/libnode/node_state.cc
@@ -128,7 +128,6 @@
   }
   if (target == kTicketPath) return entry.OnTicketRequest(event.call, context);
   const bool nested =
-      event.from == CallerKind::kLocalServer ||
       !FindHeader(event.request.headers, kContextHeader).empty();
   const bool past_grace =
       stop.requested && context.now - stop.since >= identity.rules.leave_grace;
--- a/src/libnode/serving_role.cc
+++ b/src/libnode/serving_role.cc
@@ -237,7 +237,7 @@
   // Nobody asks again for a late answer, and what a caller repeats by itself is
   // worth its whole time here.
   if (rules.ids_name_sendings && !hop.context.idempotent) return remaining;
-  if (rules.callers_repeat && !hop.context.nested) return remaining;
+  if (rules.callers_repeat && hop.context.depth == 0) return remaining;
   // A non-idempotent call on a silent connection cannot be tried again, so
   // giving up early would only lose an answer that may still come, and that a
   // resend of its key will ask for.
@@ -465,7 +465,7 @@
   // whose effect it could not take back.
   const bool refused = !FindHeader(response.headers, kRefusedHeader).empty();
   if (refused && hop.nested_calls == 0) {
-    return Refuse(hop, Reason::kShedAtServer, context);
+    return Refuse(hop, Reason::kServerRefused, context);
   }
   CallAnswer answer;
   answer.response = std::move(response);
@@ -486,6 +486,7 @@
   const auto found = servers_.find(hop.server);
   if (found != servers_.end()) answer.load = found->second.Report(context.now);
   answer.load.downstream_threshold = hop.downstream_threshold;
+  answer.made_calls = hop.nested_calls > 0;
   outbox_.Send(hop.entry.name, hop.entry_address, std::move(answer), context);
 }
 
--- a/src/libnode/serving_servers.cc
+++ b/src/libnode/serving_servers.cc
@@ -163,8 +163,10 @@
   for (const auto& [name, server] : servers_) {
     const bool restarted =
         name == record.server && start.started_ms > server.start.started_ms;
-    const bool moved_in =
-        name != record.server && server.record().address == record.address;
+    // Of servers that do not tell their start nobody knows which came last.
+    const bool moved_in = name != record.server &&
+                          server.record().address == record.address &&
+                          start.started_ms > server.start.started_ms;
     if (restarted || moved_in) replaced.push_back(name);
   }
   for (const std::string& name : replaced) RemoveServer(name, context);
--- a/src/libutil/fields.h
+++ b/src/libutil/fields.h
@@ -16,8 +16,8 @@
 
 inline auto Fields(const CallContext& v) {
   return std::tie(v.request_id, v.mesh, v.service, v.request_class, v.tenant,
-                  v.caller_key, v.tier, v.idempotent, v.long_work, v.nested,
-                  v.depth, v.remaining, v.retry_credits, v.fingerprint,
+                  v.caller_key, v.tier, v.idempotent, v.long_work, v.depth,
+                  v.remaining, v.retry_credits, v.fingerprint,
                   v.suspected_crashes, v.level);
 }
 
@@ -36,7 +36,7 @@
 
 inline auto Fields(const CallAnswer& v) {
   return std::tie(v.attempt, v.entry_incarnation, v.response, v.failure,
-                  v.credits_returned, v.load);
+                  v.credits_returned, v.load, v.made_calls);
 }
 
 inline auto Fields(const CallCancel& v) { return std::tie(v.attempt); }
--- a/src/libutil/verdict.cc
+++ b/src/libutil/verdict.cc
@@ -22,6 +22,8 @@
       return "bad-request";
     case Reason::kNoRoute:
       return "no-route";
+    case Reason::kServerRefused:
+      return "server-refused";
     case Reason::kUnknownService:
       return "unknown-service";
     case Reason::kNoServer:
--- a/src/libwire/amaranth.thrift
+++ b/src/libwire/amaranth.thrift
@@ -81,8 +81,7 @@
   12: required i32 retry_credits,
   13: required i64 fingerprint,
   14: required i32 suspected_crashes,
-  15: required i64 level,
-  16: optional bool nested
+  15: required i64 level
 }
 
 struct LoadReport {
@@ -113,7 +112,8 @@
   3: required HttpResponse response,
   4: required Failure failure,
   5: required i32 credits_returned,
-  6: required LoadReport load
+  6: required LoadReport load,
+  7: optional bool made_calls
 }
 
 struct CallCancel {
--- a/src/libwire/from_wire.cc
+++ b/src/libwire/from_wire.cc
@@ -48,7 +48,7 @@
 
 void FromWire(wire::Failure& in, Failure& out, RangeCheck& check) {
   out.verdict = check.ToEnum(in.verdict, Verdict::kRan, "verdict");
-  out.reason = check.ToEnum(in.reason, Reason::kNoRoute, "reason");
+  out.reason = check.ToEnum(in.reason, Reason::kServerRefused, "reason");
   out.retry_after = check.ToDuration(in.retry_after_us, "retry_after_us");
   out.final = in.is_final;
   out.detail = std::move(in.detail);
@@ -71,7 +71,6 @@
   out.suspected_crashes =
       check.Narrow<uint8_t>(in.suspected_crashes, "suspected_crashes");
   out.level = check.Narrow<uint32_t>(in.level, "level");
-  out.nested = in.__isset.nested && in.nested;
 }
 
 void FromWire(wire::LoadReport& in, LoadReport& out, RangeCheck& check) {
@@ -156,6 +155,7 @@
   out.credits_returned =
       check.Narrow<uint16_t>(in.credits_returned, "credits_returned");
   FromWire(in.load, out.load, check);
+  out.made_calls = in.__isset.made_calls && in.made_calls;
 }
 
 void FromWire(wire::CallCancel& in, CallCancel& out, RangeCheck&) {
--- a/src/libwire/gen-cpp/amaranth_types.cpp
+++ b/src/libwire/gen-cpp/amaranth_types.cpp
@@ -1186,11 +1186,6 @@
 void CallContext::__set_level(const int64_t val) {
   this->level = val;
 }
-
-void CallContext::__set_nested(const bool val) {
-  this->nested = val;
-__isset.nested = true;
-}
 std::ostream& operator<<(std::ostream& out, const CallContext& obj)
 {
   obj.printTo(out);
@@ -1354,14 +1349,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 16:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->nested);
-          this->__isset.nested = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1469,11 +1456,6 @@
   xfer += oprot->writeI64(this->level);
   xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.nested) {
-    xfer += oprot->writeFieldBegin("nested", ::apache::thrift::protocol::T_BOOL, 16);
-    xfer += oprot->writeBool(this->nested);
-    xfer += oprot->writeFieldEnd();
-  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1496,8 +1478,6 @@
   swap(a.fingerprint, b.fingerprint);
   swap(a.suspected_crashes, b.suspected_crashes);
   swap(a.level, b.level);
-  swap(a.nested, b.nested);
-  swap(a.__isset, b.__isset);
 }
 
 CallContext::CallContext(const CallContext& other40) {
@@ -1516,8 +1496,6 @@
   fingerprint = other40.fingerprint;
   suspected_crashes = other40.suspected_crashes;
   level = other40.level;
-  nested = other40.nested;
-  __isset = other40.__isset;
 }
 CallContext::CallContext(CallContext&& other41) noexcept {
   request_id = std::move(other41.request_id);
@@ -1535,8 +1513,6 @@
   fingerprint = other41.fingerprint;
   suspected_crashes = other41.suspected_crashes;
   level = other41.level;
-  nested = other41.nested;
-  __isset = other41.__isset;
 }
 CallContext& CallContext::operator=(const CallContext& other42) {
   request_id = other42.request_id;
@@ -1554,8 +1530,6 @@
   fingerprint = other42.fingerprint;
   suspected_crashes = other42.suspected_crashes;
   level = other42.level;
-  nested = other42.nested;
-  __isset = other42.__isset;
   return *this;
 }
 CallContext& CallContext::operator=(CallContext&& other43) noexcept {
@@ -1574,8 +1548,6 @@
   fingerprint = other43.fingerprint;
   suspected_crashes = other43.suspected_crashes;
   level = other43.level;
-  nested = other43.nested;
-  __isset = other43.__isset;
   return *this;
 }
 void CallContext::printTo(std::ostream& out) const {
@@ -1596,7 +1568,6 @@
   out << ", " << "fingerprint=" << to_string(fingerprint);
   out << ", " << "suspected_crashes=" << to_string(suspected_crashes);
   out << ", " << "level=" << to_string(level);
-  out << ", " << "nested="; (__isset.nested ? (out << to_string(nested)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2175,6 +2146,11 @@
 void CallAnswer::__set_load(const LoadReport& val) {
   this->load = val;
 }
+
+void CallAnswer::__set_made_calls(const bool val) {
+  this->made_calls = val;
+__isset.made_calls = true;
+}
 std::ostream& operator<<(std::ostream& out, const CallAnswer& obj)
 {
   obj.printTo(out);
@@ -2257,6 +2233,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->made_calls);
+          this->__isset.made_calls = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2310,6 +2294,11 @@
   xfer += this->load.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.made_calls) {
+    xfer += oprot->writeFieldBegin("made_calls", ::apache::thrift::protocol::T_BOOL, 7);
+    xfer += oprot->writeBool(this->made_calls);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2323,6 +2312,8 @@
   swap(a.failure, b.failure);
   swap(a.credits_returned, b.credits_returned);
   swap(a.load, b.load);
+  swap(a.made_calls, b.made_calls);
+  swap(a.__isset, b.__isset);
 }
 
 CallAnswer::CallAnswer(const CallAnswer& other56) {
@@ -2332,6 +2323,8 @@
   failure = other56.failure;
   credits_returned = other56.credits_returned;
   load = other56.load;
+  made_calls = other56.made_calls;
+  __isset = other56.__isset;
 }
 CallAnswer::CallAnswer(CallAnswer&& other57) noexcept {
   attempt = other57.attempt;
@@ -2340,6 +2333,8 @@
   failure = std::move(other57.failure);
   credits_returned = other57.credits_returned;
   load = std::move(other57.load);
+  made_calls = other57.made_calls;
+  __isset = other57.__isset;
 }
 CallAnswer& CallAnswer::operator=(const CallAnswer& other58) {
   attempt = other58.attempt;
@@ -2348,6 +2343,8 @@
   failure = other58.failure;
   credits_returned = other58.credits_returned;
   load = other58.load;
+  made_calls = other58.made_calls;
+  __isset = other58.__isset;
   return *this;
 }
 CallAnswer& CallAnswer::operator=(CallAnswer&& other59) noexcept {
@@ -2357,6 +2354,8 @@
   failure = std::move(other59.failure);
   credits_returned = other59.credits_returned;
   load = std::move(other59.load);
+  made_calls = other59.made_calls;
+  __isset = other59.__isset;
   return *this;
 }
 void CallAnswer::printTo(std::ostream& out) const {
@@ -2368,6 +2367,7 @@
   out << ", " << "failure=" << to_string(failure);
   out << ", " << "credits_returned=" << to_string(credits_returned);
   out << ", " << "load=" << to_string(load);
+  out << ", " << "made_calls="; (__isset.made_calls ? (out << to_string(made_calls)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libwire/gen-cpp/amaranth_types.h
+++ b/src/libwire/gen-cpp/amaranth_types.h
@@ -448,10 +448,6 @@
 
 std::ostream& operator<<(std::ostream& out, const Failure& obj);
 
-typedef struct _CallContext__isset {
-  _CallContext__isset() : nested(false) {}
-  bool nested :1;
-} _CallContext__isset;
 
 class CallContext : public virtual ::apache::thrift::TBase {
  public:
@@ -475,8 +471,7 @@
                 retry_credits(0),
                 fingerprint(0),
                 suspected_crashes(0),
-                level(0),
-                nested(0) {
+                level(0) {
   }
 
   virtual ~CallContext() noexcept;
@@ -495,9 +490,6 @@
   int64_t fingerprint;
   int32_t suspected_crashes;
   int64_t level;
-  bool nested;
-
-  _CallContext__isset __isset;
 
   void __set_request_id(const std::string& val);
 
@@ -529,8 +521,6 @@
 
   void __set_level(const int64_t val);
 
-  void __set_nested(const bool val);
-
   bool operator == (const CallContext & rhs) const
   {
     if (!(request_id == rhs.request_id))
@@ -563,10 +553,6 @@
       return false;
     if (!(level == rhs.level))
       return false;
-    if (__isset.nested != rhs.__isset.nested)
-      return false;
-    else if (__isset.nested && !(nested == rhs.nested))
-      return false;
     return true;
   }
   bool operator != (const CallContext &rhs) const {
@@ -759,6 +745,10 @@
 
 std::ostream& operator<<(std::ostream& out, const CallForward& obj);
 
+typedef struct _CallAnswer__isset {
+  _CallAnswer__isset() : made_calls(false) {}
+  bool made_calls :1;
+} _CallAnswer__isset;
 
 class CallAnswer : public virtual ::apache::thrift::TBase {
  public:
@@ -770,7 +760,8 @@
   CallAnswer() noexcept
              : attempt(0),
                entry_incarnation(0),
-               credits_returned(0) {
+               credits_returned(0),
+               made_calls(0) {
   }
 
   virtual ~CallAnswer() noexcept;
@@ -780,6 +771,9 @@
   Failure failure;
   int32_t credits_returned;
   LoadReport load;
+  bool made_calls;
+
+  _CallAnswer__isset __isset;
 
   void __set_attempt(const int64_t val);
 
@@ -793,6 +787,8 @@
 
   void __set_load(const LoadReport& val);
 
+  void __set_made_calls(const bool val);
+
   bool operator == (const CallAnswer & rhs) const
   {
     if (!(attempt == rhs.attempt))
@@ -807,6 +803,10 @@
       return false;
     if (!(load == rhs.load))
       return false;
+    if (__isset.made_calls != rhs.__isset.made_calls)
+      return false;
+    else if (__isset.made_calls && !(made_calls == rhs.made_calls))
+      return false;
     return true;
   }
   bool operator != (const CallAnswer &rhs) const {
--- a/src/libwire/generators_test.cc
+++ b/src/libwire/generators_test.cc
@@ -51,8 +51,8 @@
 }
 
 Failure AnyFailure() {
-  return {AnyEnum(Verdict::kRan), AnyEnum(Reason::kNoRoute), AnyDuration(),
-          Any<bool>(), Any<std::string>()};
+  return {AnyEnum(Verdict::kRan), AnyEnum(Reason::kServerRefused),
+          AnyDuration(), Any<bool>(), Any<std::string>()};
 }
 
 CallContext AnyContext() {
@@ -66,7 +66,6 @@
   context.tier = AnyEnum(Tier::kCritical);
   context.idempotent = Any<bool>();
   context.long_work = Any<bool>();
-  context.nested = Any<bool>();
   context.depth = Any<uint8_t>();
   context.remaining = AnyDuration();
   context.retry_credits = Any<uint16_t>();
@@ -120,7 +119,8 @@
                          AnyRequest()};
     case 2:
       return CallAnswer{Any<uint64_t>(), Any<uint64_t>(), AnyResponse(),
-                        AnyFailure(),    Any<uint16_t>(), AnyLoad()};
+                        AnyFailure(),    Any<uint16_t>(), AnyLoad(),
+                        Any<bool>()};
     case 3:
       return CallCancel{Any<uint64_t>()};
     case 4:
--- a/src/libwire/to_wire.cc
+++ b/src/libwire/to_wire.cc
@@ -18,11 +18,11 @@
     std::tuple_size_v<decltype(Fields(std::declval<const Message&>()))> ==
     count;
 
-static_assert(kHasFields<CallContext, 16>);
+static_assert(kHasFields<CallContext, 15>);
 static_assert(kHasFields<LoadReport, 6>);
 static_assert(kHasFields<Hello, 3>);
 static_assert(kHasFields<CallForward, 4>);
-static_assert(kHasFields<CallAnswer, 6>);
+static_assert(kHasFields<CallAnswer, 7>);
 static_assert(kHasFields<CallCancel, 1>);
 static_assert(kHasFields<HomeForward, 4>);
 static_assert(kHasFields<LinkPing, 1>);
@@ -105,7 +105,6 @@
   out.fingerprint = Signed(in.fingerprint);
   out.suspected_crashes = in.suspected_crashes;
   out.level = in.level;
-  if (in.nested) out.__set_nested(true);
 }
 
 void ToWire(const LoadReport& in, wire::LoadReport& out) {
@@ -185,6 +184,7 @@
   ToWire(in.failure, out.failure);
   out.credits_returned = in.credits_returned;
   ToWire(in.load, out.load);
+  if (in.made_calls) out.__set_made_calls(true);
 }
 
 void ToWire(const CallCancel& in, wire::CallCancel& out) {
