Requests let in at the edge; threshold by the wait; full servers compared over all zones

Counts of arrivals never cut: a backlog of chains asks for just the capacity. Each failed request leaves a line with its id, inputs and outcome.

--- a/src/amaranthd/options.cc
+++ b/src/amaranthd/options.cc
@@ -329,6 +329,7 @@
   rules.settings_source = SettingsSource::kWatch;
   rules.ids_name_sendings = true;
   rules.callers_repeat = true;
+  rules.admit_at_edge = true;
   // A deployment of this kind has tens of nodes, not 1,600.
   rules.peer_row_spread = std::chrono::seconds(1);
 }
--- a/src/include/amaranthroute/policy/admission_queue.h
+++ b/src/include/amaranthroute/policy/admission_queue.h
@@ -77,6 +77,11 @@
   /// Wait that is no sign of overload; raised to the expected service time if
   /// that is longer, as with few slots one wait of that length is ordinary.
   Duration target_delay = std::chrono::milliseconds(20);
+  /// Serve an overloaded tier newest first and give up on what waits beyond the
+  /// patience. Off where requests were let in at their entry to be finished:
+  /// those that came first are then the nearest to their end, and the age of
+  /// the oldest is the true wait by which the entry is steered.
+  bool newest_first = true;
   /// How long the wait must stay over the target. CoDel's 100 ms: longer than
   /// a burst takes to drain, shorter than a caller notices.
   Duration interval = std::chrono::milliseconds(100);
--- a/src/include/amaranthroute/policy/shedder.h
+++ b/src/include/amaranthroute/policy/shedder.h
@@ -38,9 +38,20 @@
 /// requests always flow and tell of the recovery.
 inline constexpr uint32_t kMaxSheddingLevel = kTierCount * kLevelsPerTier;
 
+/// Groups of levels that are cut one after the other, two in each tier; see
+/// LevelByCost.
+inline constexpr uint32_t kLevelsPerGroup = kLevelsPerTier / 2;
+inline constexpr uint32_t kLevelGroups = kMaxSheddingLevel / kLevelsPerGroup;
+
 /// Level of a request, 1 to kMaxSheddingLevel; the same at every hop.
 uint32_t SheddingLevel(Tier tier, std::string_view request_id);
 
+/// Moves a level within its tier: requests that make calls of their own into
+/// the lower half, the others into the upper half. A request that makes eight
+/// calls at the service that is short costs it eight times as much as one that
+/// asks it directly and is worth no more; so it goes first.
+uint32_t LevelByCost(uint32_t level, bool makes_calls);
+
 /// Targets and steps of a Shedder.
 struct ShedderOptions {
   /// Age of the oldest waiting call that is no overload. The oldest is of the
@@ -69,6 +80,24 @@
   /// thought by at least this; the excess doubles with each such window in a
   /// row, so three times the capacity is found in four windows.
   double raise_idle = 1.1;
+  /// Set the threshold by the wait alone, for requests that are let in where
+  /// they enter and then make many calls here, one after the other. Counts tell
+  /// nothing of their demand: callers' nodes turn away what is under the
+  /// threshold, and what was let in asks for no more than the capacity however
+  /// long each call waits, so that a backlog once there would stand for good.
+  bool steer_by_wait = false;
+  /// With steer_by_wait: up to this wait everything is let in. A call's turn at
+  /// a server with a few slots is no overload.
+  Duration calm_wait = std::chrono::milliseconds(20);
+  /// ... and over as much more as this the lowest group of levels in use goes,
+  /// then the next. A request that waits four times for the usual half of it
+  /// still ends within its target of a second.
+  Duration group_wait = std::chrono::milliseconds(220);
+  /// The wait is taken as it will be after this, if it goes on as it does now:
+  /// a change is felt only when the answers of three hops have carried it up
+  /// and requests under way have ended. Without it the threshold swings between
+  /// nothing and everything every three seconds.
+  Duration wait_lead = std::chrono::milliseconds(300);
   /// Weight of a new window in the moving averages; a window that differs from
   /// them by more than chance allows replaces them.
   double gain = 0.3;
@@ -111,6 +140,8 @@
   void Roll(TimePoint now);
   bool WindowIsOver(TimePoint now) const;
   void CloseWindow(TimePoint now);
+  void SteerByWait(double delay, double seconds, TimePoint now);
+  uint32_t LowestLevelInUse(TimePoint now) const;
   void LearnDemand(double seconds);
   void LearnCapacity(double seconds, bool over);
   double Smoothed(double rate, double count, double seconds) const;
@@ -126,6 +157,8 @@
   bool was_over_ = false;   // the last window
   int idle_windows_ = 0;    // in a row
   uint32_t threshold_ = 0;
+  double wait_ = 0;  // with steer_by_wait: smoothed, microseconds
+  std::array<TimePoint, kLevelGroups> group_seen_{};  // last arrival
   bool started_ = false;
 };
 
--- a/src/include/amaranthroute/reducer.h
+++ b/src/include/amaranthroute/reducer.h
@@ -35,6 +35,10 @@
   /// theirs that may have run is not repeated here: each repeat of a whole call
   /// tree would load the deepest service many times over.
   bool callers_repeat = false;
+  /// Requests are let in or turned away where they enter; the calls that their
+  /// backend servers make then go through. A call that is turned away deep in a
+  /// chain has wasted all that its request cost before.
+  bool admit_at_edge = false;
   /// How long a leaving backend server still takes calls that were queued for
   /// it before it told; 0 for as long as they wait. What is left then is
   /// refused as not run, so that nothing reaches the server after its drain.
--- a/src/libhost/host.cc
+++ b/src/libhost/host.cc
@@ -112,6 +112,7 @@
       io_.stop();
       return;
     }
+    callers_->CloseAfterAnswers();
     Post(StopRequested{});
   }
 
@@ -208,6 +209,13 @@
     HttpFrontendHooks hooks;
     hooks.on_request = std::move(on_request);
     hooks.on_gone = [this](CallId call) { Post(CallerGone{call}); };
+    hooks.on_error = [this, what](const std::string& error, size_t calls) {
+      // Idle connections end all the time.
+      if (calls == 0) return;
+      log_.Write(Now(), {LogLevel::kWarning, what,
+                         "Connection with " + std::to_string(calls) +
+                             " open calls ended: " + error});
+    };
     return Bind(what, listen, [&] {
       return std::make_unique<HttpFrontend>(io_, listen, options_.frontend,
                                             intake_, std::move(hooks));
--- a/src/libhost/http_frontend.cc
+++ b/src/libhost/http_frontend.cc
@@ -212,8 +212,11 @@
   // be taken for the answer to an earlier request on that connection.
   void OnError(const std::string& message) {
     const ParseFailure* failure = FindParseFailure(message);
-    if (failure == nullptr) return;
     const auto found = connections_.find(ConnectionOf(message));
+    const size_t calls =
+        found == connections_.end() ? 0 : found->second.calls.size();
+    if (hooks_.on_error) hooks_.on_error(message, calls);
+    if (failure == nullptr) return;
     if (found != connections_.end() &&
         (!found->second.calls.empty() || found->second.unwritten > 0)) {
       return;
@@ -446,6 +449,8 @@
   return impl_->state().unwritten();
 }
 
+void HttpFrontend::CloseAfterAnswers() { impl_->state().set_closing(); }
+
 void HttpFrontend::StopAccepting() {
   impl_->state().set_closing();
   impl_->CloseAcceptor();
--- a/src/libhost/http_frontend.h
+++ b/src/libhost/http_frontend.h
@@ -44,6 +44,9 @@
   std::function<void(CallId, HttpRequest)> on_request;
   // The connection ended before the answer; a later Answer is dropped.
   std::function<void(CallId)> on_gone;
+  // A connection ended by an error; `open_calls` were not answered. May be
+  // unset.
+  std::function<void(const std::string& what, size_t open_calls)> on_error;
 };
 
 class HttpFrontend {
@@ -67,6 +70,10 @@
   // Answers handed to the kernel only in part yet.
   size_t unwritten_answers() const;
 
+  // Every answer from now on closes its connection, so that callers go
+  // elsewhere while this node still answers.
+  void CloseAfterAnswers();
+
   // Takes no new connection; every answer from now on closes its connection.
   void StopAccepting();
 
--- a/src/libnode/entry_attempts.cc
+++ b/src/libnode/entry_attempts.cc
@@ -62,7 +62,8 @@
       parts_.membership.ServersOf(call.context.service);
   const EffectiveSettings& settings =
       parts_.settings.Of(call.context.service, call.context.request_class);
-  const uint32_t level = call.context.level;
+  std::optional<uint32_t> level;
+  if (!PassesInside(call, context)) level = call.context.level;
   std::optional<ServerPlace> place = choice_.Choose(
       places, settings, call.tried, level, context.now, context.random);
   if (!place && last && !IsShed(*last)) {
--- a/src/libnode/entry_begin.cc
+++ b/src/libnode/entry_begin.cc
@@ -122,7 +122,9 @@
         waiter, verdict, Reason::kUnknownService, call.context.request_id,
         "no backend server has announced this service", context);
   }
-  if (call.is_root) TakeLevel(call, context.now);
+  if (call.is_root) {
+    TakeLevel(call, context.identity.rules.admit_at_edge, context.now);
+  }
   parts_.stats.Count("amaranth_requests_total");
   call.joinable = call.is_root && !headers.request_id.empty() &&
                   !context.identity.rules.ids_name_sendings;
@@ -290,12 +292,17 @@
   return true;
 }
 
-void EntryRole::TakeLevel(Call& call, TimePoint now) {
+void EntryRole::TakeLevel(Call& call, bool by_cost, TimePoint now) {
   CallContext& about = call.context;
   CallerShares& shares = caller_shares_[{about.service, about.tier}];
   shares.OnArrival(about.caller_key, now);
   about.level = WeightedSheddingLevel(about.tier, about.request_id,
                                       shares.Weight(about.caller_key));
+  if (by_cost) {
+    const bool makes_calls =
+        makes_calls_.count({about.service, call.own_class}) > 0;
+    about.level = LevelByCost(about.level, makes_calls);
+  }
 }
 
 void EntryRole::TakeKey(Call& call, const CallerHeaders& headers) {
@@ -328,6 +335,10 @@
   return id;
 }
 
+bool EntryRole::PassesInside(const Call& call, const Context& context) {
+  return context.identity.rules.admit_at_edge && !call.is_root;
+}
+
 bool EntryRole::ShedAtEntry(const Call& call, Context& context) {
   const uint32_t level = call.context.level;
   return level < thresholds_.ThresholdFor(ThresholdKey(call), context.now);
@@ -345,7 +356,7 @@
     failure.detail = "requests like this one crash their backend servers";
     return FinishWithFailure(call, std::move(failure), context);
   }
-  if (ShedAtEntry(call, context)) {
+  if (!PassesInside(call, context) && ShedAtEntry(call, context)) {
     TellParent(call, context.now);
     Failure failure;
     failure.verdict = Verdict::kNotRun;
--- a/src/libnode/entry_finish.cc
+++ b/src/libnode/entry_finish.cc
@@ -85,6 +85,7 @@
                          ") at " + about.service + " after " +
                          std::to_string(call.tries) +
                          " tries: " + failure.detail);
+  LogFailure(call, failure, context);
   const std::vector<Waiter> waiters = call.waiters;
   Remove(call);
   for (const Waiter& waiter : waiters) {
@@ -92,6 +93,28 @@
   }
 }
 
+// What an engineer needs who has only the id of a failed request: which call of
+// it failed, why, and on what grounds.
+void EntryRole::LogFailure(const Call& call, const Failure& failure,
+                           Context& context) {
+  const CallContext& about = call.context;
+  std::string text = "request=" + about.request_id;
+  text += " class=" + call.own_class;
+  text += " service=" + about.service;
+  text += " depth=" + std::to_string(about.depth);
+  text += " outcome=" + std::string(ToString(failure.reason));
+  text += " verdict=" + std::string(ToString(failure.verdict));
+  text += " tries=" + std::to_string(call.tries);
+  text += " reached=" + std::to_string(call.reached);
+  text += " level=" + std::to_string(about.level);
+  text += " threshold=" + std::to_string(thresholds_.ThresholdFor(
+                              ThresholdKey(call), context.now));
+  text += " held_ms=" + std::to_string(ToMillis(context.now - call.started));
+  text += " left_ms=" + std::to_string(ToMillis(call.deadline - context.now));
+  if (!failure.detail.empty()) text += " detail=\"" + failure.detail + "\"";
+  context.Log(LogLevel::kInfo, "entry", std::move(text));
+}
+
 void EntryRole::ReturnToParent(const Call& call, bool gave_up,
                                std::optional<Verdict> failed, TimePoint now) {
   if (call.is_root) return;
--- a/src/libnode/entry_role.h
+++ b/src/libnode/entry_role.h
@@ -88,9 +88,11 @@
                      Context& context);
   bool RefuseNestedRepeat(Call& call, Context& context);
   void ReturnLoan(const Call& call);
-  void TakeLevel(Call& call, TimePoint now);
+  void TakeLevel(Call& call, bool by_cost, TimePoint now);
   void TakeKey(Call& call, const CallerHeaders& headers);
   bool JoinInFlight(const Call& call, const Waiter& waiter);
+  // Its request was let in where it entered.
+  static bool PassesInside(const Call& call, const Context& context);
   bool ShedAtEntry(const Call& call, Context& context);
   uint64_t Register(Call call);
   void StartRunning(Call& call, Context& context);
@@ -135,6 +137,7 @@
   void FinishWithResponse(Call& call, const HttpResponse& response,
                           Context& context);
   void FinishWithFailure(Call& call, Failure failure, Context& context);
+  void LogFailure(const Call& call, const Failure& failure, Context& context);
   void Remove(Call& call);
   void AnswerWaiter(const Waiter& waiter, const HttpResponse& response,
                     Context& context);
--- a/src/libnode/local_server.cc
+++ b/src/libnode/local_server.cc
@@ -35,8 +35,10 @@
   return options;
 }
 
-AdmissionQueueOptions QueueOptions(const EffectiveSettings& settings) {
+AdmissionQueueOptions QueueOptions(const EffectiveSettings& settings,
+                                   bool in_order) {
   AdmissionQueueOptions options;
+  options.newest_first = !in_order;
   options.capacity = settings.queue_capacity;
   options.target_delay = settings.queue_target;
   return options;
@@ -45,11 +47,13 @@
 }  // namespace
 
 LocalServer::LocalServer(ServerRecord record, const EffectiveSettings& settings,
-                         TimePoint now)
+                         const ShedderOptions& shedding, TimePoint now)
     : last_heard(now),
       record_(std::move(record)),
       limit_(LimitOptions(record_, settings)),
-      queue_(QueueOptions(settings)),
+      in_order_(shedding.steer_by_wait),
+      queue_(QueueOptions(settings, in_order_)),
+      shedder_(shedding),
       long_work_(settings.long_work_share) {
   shedder_.SetTargetDelay(settings.queue_target * kShedderTargets);
 }
@@ -60,7 +64,7 @@
   limit_.SetCeiling(SlotsOf(record, settings));
   limit_.SetAdaptive(settings.concurrency == ConcurrencyMode::kAdaptive);
   long_work_ = LongWorkShare(settings.long_work_share);
-  queue_.Configure(QueueOptions(settings));
+  queue_.Configure(QueueOptions(settings, in_order_));
   shedder_.SetTargetDelay(settings.queue_target * kShedderTargets);
 }
 
--- a/src/libnode/local_server.h
+++ b/src/libnode/local_server.h
@@ -29,7 +29,7 @@
 class LocalServer {
  public:
   LocalServer(ServerRecord record, const EffectiveSettings& settings,
-              TimePoint now);
+              const ShedderOptions& shedding, TimePoint now);
 
   // The announced slots bound the limit; the operators' settings may fix it.
   void Configure(const ServerRecord& record, const EffectiveSettings& settings);
@@ -83,6 +83,8 @@
 
   ServerRecord record_;
   ConcurrencyLimit limit_;
+  // Where requests are let in at the edge all that wait here will be served.
+  bool in_order_ = false;
   AdmissionQueue queue_;
   Shedder shedder_;
   DrainMeter drain_;
--- a/src/libnode/serving_role.cc
+++ b/src/libnode/serving_role.cc
@@ -114,7 +114,9 @@
 
   const uint32_t level = hop.context.level;
   server.shedder().OnArrival(level, context.now);
-  if (!server.shedder().Admits(level, context.now)) {
+  const bool let_in =
+      context.identity.rules.admit_at_edge && hop.context.depth > 0;
+  if (!let_in && !server.shedder().Admits(level, context.now)) {
     return Refuse(hop, Reason::kShedAtServer, context);
   }
   Enqueue(std::move(hop), level, server, context);
@@ -138,6 +140,13 @@
   QueuedCall queued;
   queued.id = hop.id;
   queued.tier = hop.context.tier;
+  // A request that asks this service directly spends its whole time here, the
+  // others' calls only a part of theirs.
+  const bool direct =
+      context.identity.rules.admit_at_edge && hop.context.depth == 0;
+  if (direct && queued.tier != Tier::kCritical) {
+    queued.tier = static_cast<Tier>(static_cast<int>(queued.tier) + 1);
+  }
   queued.level = level;
   queued.caller_key = hop.context.caller_key;
   queued.long_work = hop.context.long_work;
--- a/src/libnode/serving_servers.cc
+++ b/src/libnode/serving_servers.cc
@@ -122,7 +122,9 @@
         call, BadAnnouncement("too many backend servers here", context)});
     return;
   } else {
-    LocalServer server(record, settings, context.now);
+    ShedderOptions shedding;
+    shedding.steer_by_wait = context.identity.rules.admit_at_edge;
+    LocalServer server(record, settings, shedding, context.now);
     server.start = start;
     if (record.draining) BeginDrain(server, context);
     servers_.emplace(record.server, std::move(server));
--- a/src/libpolicy/admission_queue.cc
+++ b/src/libpolicy/admission_queue.cc
@@ -202,6 +202,7 @@
     return;
   }
   if (lane.above_since == kNever) lane.above_since = now;
+  if (!options_.newest_first) return;
   if (now - lane.above_since >= options_.interval) lane.overloaded = true;
 }
 
--- a/src/libpolicy/server_picker.cc
+++ b/src/libpolicy/server_picker.cc
@@ -137,7 +137,11 @@
   if (!remote_room.empty() && spill(random)) {
     return TwoChoices(servers, remote_room, random);
   }
-  return TwoChoices(servers, local, random);
+  // All are full. Where a service is used as a whole, keeping calls at home
+  // would make them wait for their own servers: a slow one's queue grows without
+  // end beside a quick one's that is short, as servers differ more than callers.
+  const bool as_a_whole = options.spill_share >= 1.0 && remote_room.empty();
+  return TwoChoices(servers, as_a_whole ? usable : local, random);
 }
 
 }  // namespace
--- a/src/libpolicy/server_picker_test.cc
+++ b/src/libpolicy/server_picker_test.cc
@@ -128,4 +128,27 @@
   CHECK(std::abs(picks[0] - picks[1]) < 30000 / 50);
 }
 
+// Callers of the data centre with the slow server get most of the failures: all
+// servers are full, each data centre keeps its calls, and the slow one has the
+// same share of them as one twice as quick. Full servers are compared instead.
+TEST(ServerPickerTest, FullServersOfAllDataCentresAreComparedByTheirWait) {
+  ServerView slow;
+  slow.limit = 15;
+  slow.in_flight = 15;
+  slow.queued = 100;
+  slow.latency = std::chrono::milliseconds(200);
+  ServerView quick = slow;
+  quick.local = false;
+  quick.queued = 1;
+  quick.latency = std::chrono::milliseconds(40);
+  PickOptions options;
+  options.spill_share = 1.0;
+  std::mt19937_64 draw(1);
+  int quick_picked = 0;
+  for (int i = 0; i < 100; ++i) {
+    if (*PickServer({slow, quick}, options, draw) == 1) ++quick_picked;
+  }
+  CHECK_EQUAL(100, quick_picked);
+}
+
 }  // namespace amaranth
--- a/src/libpolicy/shedder.cc
+++ b/src/libpolicy/shedder.cc
@@ -19,6 +19,12 @@
 constexpr double kChance = 4.0;
 // Under this a faded threshold is none; every level is at least 1.
 constexpr double kNoThreshold = 1.0;
+// Weight of a new window in the wait: two windows follow a surge, one spike
+// does not cut everything.
+constexpr double kWaitGain = 0.5;
+// A group without arrivals for this long is not in use. Longer than the few
+// seconds for which it may be cut whole.
+constexpr Duration kGroupMemory = std::chrono::seconds(10);
 
 }  // namespace
 
@@ -28,6 +34,13 @@
   return 1 + static_cast<uint32_t>(tier) * kLevelsPerTier + step;
 }
 
+uint32_t LevelByCost(uint32_t level, bool makes_calls) {
+  const uint32_t tier = (level - 1) / kLevelsPerTier;
+  const uint32_t step = (level - 1) % kLevelsPerTier;
+  const uint32_t half = makes_calls ? 0 : kLevelsPerTier / 2;
+  return 1 + tier * kLevelsPerTier + half + step / 2;
+}
+
 Shedder::Shedder(ShedderOptions options) : options_(options) {}
 
 void Shedder::SetTargetDelay(Duration target) {
@@ -36,7 +49,9 @@
 
 void Shedder::OnArrival(uint32_t level, TimePoint now) {
   Roll(now);
-  arrivals_[std::clamp<uint32_t>(level, 1, kMaxSheddingLevel)] += 1;
+  const uint32_t known = std::clamp<uint32_t>(level, 1, kMaxSheddingLevel);
+  arrivals_[known] += 1;
+  group_seen_[(known - 1) / kLevelsPerGroup] = now;
   ++window_.arrivals;
 }
 
@@ -91,6 +106,12 @@
   const bool far_over = delay > kFarOver * target;
   LearnDemand(seconds);
   LearnCapacity(seconds, over);
+  if (options_.steer_by_wait) {
+    SteerByWait(delay, seconds, now);
+    window_ = Window{};
+    window_.start = now;
+    return;
+  }
   // One window over the target is a burst, which the queue is there for.
   if (threshold_ > 0 || far_over || (over && was_over_)) {
     double factor = options_.raise;
@@ -105,6 +126,36 @@
   window_.start = now;
 }
 
+void Shedder::SteerByWait(double delay, double seconds, TimePoint now) {
+  // Nothing was started and no slot was free: how long the next one waits is
+  // not known.
+  if (window_.starts == 0 && !window_.idle) return;
+  const double before = wait_;
+  wait_ += kWaitGain * (delay - wait_);
+  const double lead =
+      std::chrono::duration<double>(options_.wait_lead).count() / seconds;
+  const double coming = wait_ + lead * (wait_ - before);
+  const double over = coming - static_cast<double>(options_.calm_wait.count());
+  if (over <= 0) {
+    threshold_ = 0;
+    return;
+  }
+  const double groups = over / static_cast<double>(options_.group_wait.count());
+  const double levels = groups * kLevelsPerGroup;
+  const double threshold = LowestLevelInUse(now) + levels;
+  threshold_ =
+      static_cast<uint32_t>(std::min<double>(threshold, kMaxSheddingLevel));
+}
+
+uint32_t Shedder::LowestLevelInUse(TimePoint now) const {
+  for (uint32_t group = 0; group < kLevelGroups; ++group) {
+    const TimePoint seen = group_seen_[group];
+    const bool in_use = seen != TimePoint{} && now - seen < kGroupMemory;
+    if (in_use) return 1 + group * kLevelsPerGroup;
+  }
+  return 1;
+}
+
 void Shedder::LearnDemand(double seconds) {
   const double before = demand_rate_;
   demand_rate_ = Smoothed(demand_rate_, window_.arrivals, seconds);
--- a/src/libpolicy/shedder_test.cc
+++ b/src/libpolicy/shedder_test.cc
@@ -4,6 +4,10 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <deque>
+#include <string>
+#include <utility>
+#include <vector>
 
 #include "libpolicy/fake_node.h"
 
@@ -212,4 +216,113 @@
   CHECK_EQUAL(0u, thresholds.ThresholdFor("proofing", now));
 }
 
+namespace {
+
+// Requests that each make four calls at one server, one after the other, let in
+// where they enter by the server's threshold of 200 ms ago.
+class ChainLoad {
+ public:
+  explicit ChainLoad(const ShedderOptions& options) : shedder_(options) {}
+
+  // Offers `per_second` requests for `seconds`; returns the mean time of those
+  // that ended in the last half of it, in milliseconds, and their number.
+  std::pair<double, int> Run(int per_second, int seconds) {
+    double total_ms = 0;
+    int ended = 0;
+    for (int ms = 0; ms < seconds * 1000; ++ms) {
+      const TimePoint now = FromMicros(ms * 1000);
+      if (ms % 100 == 0) told_.push_back(shedder_.Threshold(now));
+      const uint32_t threshold = told_.size() > 2 ? told_[told_.size() - 3] : 0;
+      due_ += per_second / 1000.0;
+      for (; due_ >= 1; due_ -= 1) {
+        const uint32_t level = LevelByCost(
+            SheddingLevel(Tier::kBrowse, std::to_string(++requests_)), true);
+        if (level >= threshold) Call(level, ms, kCalls, now);
+      }
+      for (const Ended& call : Step(now, ms)) {
+        if (call.calls_left > 1) {
+          Call(call.level, call.began, call.calls_left - 1, now);
+        } else if (ms >= seconds * 500) {
+          total_ms += ms - call.began;
+          ++ended;
+        }
+      }
+    }
+    return {ended == 0 ? 0 : total_ms / ended, ended};
+  }
+
+ private:
+  static constexpr int kCalls = 4;
+  static constexpr int kSlots = 15;
+  static constexpr int kServiceMs = 15;
+  struct Ended {
+    uint32_t level;
+    int began;
+    int calls_left;
+    int at;  // waiting: since; running: ends
+  };
+
+  void Call(uint32_t level, int began, int calls, TimePoint now) {
+    shedder_.OnArrival(level, now);
+    waiting_.push_back(
+        {level, began, calls, static_cast<int>(ToMicros(now) / 1000)});
+  }
+
+  std::vector<Ended> Step(TimePoint now, int ms) {
+    std::vector<Ended> ended;
+    for (size_t i = 0; i < running_.size();) {
+      if (running_[i].at > ms) {
+        ++i;
+        continue;
+      }
+      ended.push_back(running_[i]);
+      running_.erase(running_.begin() + static_cast<ptrdiff_t>(i));
+    }
+    while (running_.size() < kSlots && !waiting_.empty()) {
+      const std::chrono::milliseconds oldest(ms - waiting_.front().at);
+      shedder_.OnQueueDelay(oldest, now);
+      running_.push_back(waiting_.front());
+      running_.back().at = ms + kServiceMs;
+      waiting_.pop_front();
+    }
+    if (running_.size() < kSlots) shedder_.OnIdle(now);
+    return ended;
+  }
+
+  Shedder shedder_;
+  std::deque<Ended> waiting_;
+  std::vector<Ended> running_;
+  std::vector<uint32_t> told_;
+  double due_ = 0;
+  int requests_ = 0;
+};
+
+}  // namespace
+
+// Browsing at twice what the deepest service can do: each request makes four
+// calls there, so a backlog feeds itself and every request ends late, although
+// the slots are never idle. Steered by the wait, most of the capacity becomes
+// answers within a second; by counts, hardly any of them are in time.
+TEST(ShedderTest, ABacklogOfChainsDoesNotStand) {
+  constexpr int kCapacity = 250;  // requests a second: 15 slots / 15 ms / 4
+  ShedderOptions by_wait;
+  by_wait.steer_by_wait = true;
+  const auto [millis, ended] = ChainLoad(by_wait).Run(2 * kCapacity, 20);
+  CHECK(millis < 900);
+  CHECK(ended > 0.85 * kCapacity * 10);
+  const auto [counted_millis, counted_ended] =
+      ChainLoad(ShedderOptions()).Run(2 * kCapacity, 20);
+  CHECK(counted_millis > 2 * millis);
+  CHECK(counted_ended > 0);
+}
+
+TEST(ShedderTest, RequestsThatCostMoreGoFirstWithinTheirTier) {
+  for (uint32_t level = 129; level <= 256; ++level) {
+    CHECK(LevelByCost(level, true) <= 192);
+    CHECK(LevelByCost(level, false) > 192);
+    CHECK(LevelByCost(level, true) >= 129);
+    CHECK(LevelByCost(level, false) <= 256);
+  }
+}
+
 }  // namespace amaranth
