Stop within the grace, leave later, and cross between data centres only for a shorter wait

Cause: two processes overran their grace waiting for slow readers (their open requests were cut); a stopping node gave up its server's slots two seconds before it had to; any full server sent calls across.

--- a/src/amaranthd/main.cc
+++ b/src/amaranthd/main.cc
@@ -31,6 +31,10 @@
 constexpr int kExitFailed = 1;
 constexpr int kExitUsage = 2;
 
+// A stopping process that has a grace must not overrun it for a slow reader: it
+// would be killed with its other connections.
+constexpr std::chrono::milliseconds kFlushInGrace{300};
+
 // Of the grace that a stopping process has, the part in which it waits for
 // requests in flight; the rest is for writing the last answers.
 constexpr double kDrainPartOfGrace = 0.85;
@@ -74,6 +78,7 @@
     host.announce_listen = Endpoint{options.ip, *options.announce_port};
   }
   if (options.rows) platform::AdaptShells(host);
+  if (options.stop_grace.count() > 0) host.flush_limit = kFlushInGrace;
   host.client.max_response_bytes = options.identity.max_body_bytes;
   host.log.level = options.log_level;
   host.log.format = options.log_format;
--- a/src/amaranthd/options.cc
+++ b/src/amaranthd/options.cc
@@ -330,6 +330,10 @@
   rules.ids_name_sendings = true;
   rules.callers_repeat = true;
   rules.admit_at_edge = true;
+  // Callers hear within two seconds that this node is not ready. Calls that
+  // others send meanwhile end within the grace, as nearly all take less than
+  // the rest of it.
+  rules.leave_delay = std::chrono::milliseconds(1200);
   // A deployment of this kind has tens of nodes, not 1,600.
   rules.peer_row_spread = std::chrono::seconds(1);
 }
--- a/src/include/amaranthroute/reducer.h
+++ b/src/include/amaranthroute/reducer.h
@@ -46,6 +46,10 @@
   /// How long a stopping node still takes new calls: until others and callers
   /// have heard of it.
   Duration leave_grace = std::chrono::seconds(2);
+  /// How long a stopping node still guards its backend server before it tells
+  /// others to send it no more calls. The server works on while its node is
+  /// replaced, but nobody reaches it: each second less is one of its slots.
+  Duration leave_delay{0};
   /// Silence after which a backend server counts as gone: four of its
   /// announcements, which come every half second by default.
   Duration server_lease = std::chrono::seconds(2);
--- a/src/libhost/host.cc
+++ b/src/libhost/host.cc
@@ -18,10 +18,9 @@
 namespace amaranth::pvt {
 namespace {
 
-// How often, and for how long, the end of the process waits for answers that
-// the kernel has not taken yet.
+// How often the end of the process looks whether the kernel has taken all
+// answers; for how long is an option.
 constexpr std::chrono::milliseconds kFlushCheck{5};
-constexpr std::chrono::seconds kFlushLimit{5};
 
 // The machine's clock counts finer and so overflows sooner than the reducer's;
 // a far alarm is reached in several sleeps.
@@ -198,7 +197,7 @@
     callers_->StopAccepting();
     operators_->StopAccepting();
     if (announcers_) announcers_->StopAccepting();
-    flush_until_ = std::chrono::steady_clock::now() + kFlushLimit;
+    flush_until_ = std::chrono::steady_clock::now() + options_.flush_limit;
     AwaitFlush();
   }
 
--- a/src/libhost/host.h
+++ b/src/libhost/host.h
@@ -4,6 +4,7 @@
 // Joins the reducer with the I/O shells: turns what the shells see into events
 // with the time, and carries out the effects in order. Decides nothing.
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -38,6 +39,8 @@
   uint64_t max_buffered_bytes = 64ull << 20;
   HttpClientOptions client;
   LogSinkOptions log;
+  // How long the end of the process waits for callers that read slowly.
+  std::chrono::milliseconds flush_limit{5000};
 };
 
 // The ports really bound.
--- a/src/libnode/node_state.cc
+++ b/src/libnode/node_state.cc
@@ -151,6 +151,9 @@
 }
 
 void NodeState::ApplyOne(const PeerLost& event, Context& context) {
+  context.Log(
+      LogLevel::kWarning, "links",
+      "Link to node " + event.peer + " ended; calls there may have run.");
   LosePeer(event.peer, context);
 }
 
@@ -198,7 +201,9 @@
   if (stop.requested) return;
   stop.requested = true;
   stop.since = context.now;
-  membership.Leave(context);
+  if (identity.rules.leave_delay == Duration::zero()) {
+    membership.Leave(context);
+  }
   records.Add(context.now, "", "stop", "graceful shutdown began");
   context.Log(LogLevel::kInfo, "node", "Graceful shutdown began.");
 }
@@ -256,6 +261,7 @@
 void NodeState::ConsiderExit(Context& context) {
   if (!stop.requested || stop.exited) return;
   const Duration since = context.now - stop.since;
+  if (since >= identity.rules.leave_delay) membership.Leave(context);
   const bool idle = entry.calls() == 0 && serving.hops() == 0;
   const Duration limit = settings_cache.Of("", "").drain_timeout;
   if (since < identity.rules.leave_grace || (!idle && since < limit)) return;
@@ -271,6 +277,8 @@
     const TimePoint grace_end = stop.since + identity.rules.leave_grace;
     const TimePoint retry = context.now + std::chrono::milliseconds(50);
     next = std::min(next, std::max(grace_end, retry));
+    const TimePoint leave_at = stop.since + identity.rules.leave_delay;
+    if (context.now < leave_at) next = std::min(next, leave_at);
   }
   // Timers often move later as work ends; an early Tick costs little, so only
   // an earlier need makes the shell set its timer again.
--- a/src/libpolicy/server_picker.cc
+++ b/src/libpolicy/server_picker.cc
@@ -15,6 +15,12 @@
 // A server whose limit nobody told us is taken to have this many slots.
 constexpr double kUnknownLimit = 10;
 
+// A server of another data centre is taken if its expected wait, so much longer
+// as this, is still the shorter one. 20 ms is the wait of two turns at a server
+// of short calls, which any burst brings.
+constexpr double kRemoteFactor = 1.5;
+constexpr double kRemoteMicros = 20'000;
+
 double WeightOf(const ServerView& server) {
   return std::clamp(server.weight, kMinWeight, 1.0);
 }
@@ -119,6 +125,23 @@
   return chosen;
 }
 
+// Where a service is used as a whole. Keeping calls at home would make them
+// wait for their own servers: a slow one's queue grows without end beside a
+// quick one's that is short, as servers differ more than callers. But a call to
+// another data centre costs its bytes, which are dear, and load reports are as
+// old as the last answer: the way there must be worth it.
+size_t NearOrQuicker(const std::vector<ServerView>& servers,
+                     const Indexes& local, const Indexes& remote,
+                     std::mt19937_64& random) {
+  const size_t near = TwoChoices(servers, local, random);
+  if (remote.empty()) return near;
+  const size_t far = TwoChoices(servers, remote, random);
+  const double latency = DefaultLatency(servers);
+  const double far_wait =
+      ExpectedWait(servers[far], latency) * kRemoteFactor + kRemoteMicros;
+  return far_wait < ExpectedWait(servers[near], latency) ? far : near;
+}
+
 size_t PickLocalFirst(const std::vector<ServerView>& servers,
                       const Indexes& usable, const PickOptions& options,
                       std::mt19937_64& random) {
@@ -132,16 +155,15 @@
   if (!local_room.empty()) {
     return TwoChoices(servers, WithQuicker(servers, local_room, local), random);
   }
+  if (options.spill_share >= 1.0) {
+    return NearOrQuicker(servers, local, remote, random);
+  }
   const Indexes remote_room = Where(servers, remote, HasRoom);
   std::bernoulli_distribution spill(std::clamp(options.spill_share, 0.0, 1.0));
   if (!remote_room.empty() && spill(random)) {
     return TwoChoices(servers, remote_room, random);
   }
-  // All are full. Where a service is used as a whole, keeping calls at home
-  // would make them wait for their own servers: a slow one's queue grows without
-  // end beside a quick one's that is short, as servers differ more than callers.
-  const bool as_a_whole = options.spill_share >= 1.0 && remote_room.empty();
-  return TwoChoices(servers, as_a_whole ? usable : local, random);
+  return TwoChoices(servers, local, random);
 }
 
 }  // namespace
