--- a/src/include/amaranthroute/messages.h
+++ b/src/include/amaranthroute/messages.h
@@ -60,6 +60,9 @@
   uint32_t shed_threshold = 0;
   /// The highest threshold that a deeper service of this call reported.
   uint32_t downstream_threshold = 0;
+  /// Time in which the server ends one call while all its slots are busy; 0 if
+  /// not measured. By it a report is brought up to date as it ages.
+  uint32_t turn_us = 0;
 };
 
 /// First frame on a peer link, in both directions.
--- a/src/include/amaranthroute/policy/retry_after.h
+++ b/src/include/amaranthroute/policy/retry_after.h
@@ -27,6 +27,18 @@
 Duration RetryAfter(size_t backlog, double drained_per_second,
                     std::mt19937_64& random);
 
+/// When a caller that was turned away at once should come back while its answer
+/// is still worth its full value.
+///
+/// Load pattern: an overload of seconds in which a part of the requests is let
+/// in, drawn anew at each sending. Told to come back after the second that an
+/// overload may take, a caller that is then served is served late; told a part
+/// of what is left of the `target` for its latency, as many are served and most
+/// in time. Spread over a quarter of it, so that a burst does not come back as
+/// one.
+Duration RetryWithinTarget(Duration target, Duration held,
+                           std::mt19937_64& random);
+
 /// Measures the rate at which calls of a service are done.
 class DrainMeter {
  public:
--- a/src/include/amaranthroute/policy/shedder.h
+++ b/src/include/amaranthroute/policy/shedder.h
@@ -93,6 +93,10 @@
   /// then the next. A request that waits four times for the usual half of it
   /// still ends within its target of a second.
   Duration group_wait = std::chrono::milliseconds(220);
+  /// Each further group takes this many times as long: cutting the lowest one
+  /// shows only when its requests under way have ended, and until then the wait
+  /// must not cost the groups above.
+  double next_groups = 4.0;
   /// The wait is taken as it will be after this, if it goes on as it does now:
   /// a change is felt only when the answers of three hops have carried it up
   /// and requests under way have ended. Without it the threshold swings between
--- a/src/libnode/entry_attempts.cc
+++ b/src/libnode/entry_attempts.cc
@@ -197,9 +197,10 @@
   if (hop == nullptr) return;
   const std::vector<ServerPlace>& places =
       parts_.membership.ServersOf(call.context.service);
+  const uint32_t here = admit_at_edge_ ? choice_.MeanThreshold(places, now)
+                                       : choice_.Threshold(places, now);
   const uint32_t threshold =
-      std::max(choice_.Threshold(places, now),
-               thresholds_.ThresholdFor(ThresholdKey(call), now));
+      std::max(here, thresholds_.ThresholdFor(ThresholdKey(call), now));
   hop->downstream_threshold = std::max(hop->downstream_threshold, threshold);
 }
 
--- a/src/libnode/entry_begin.cc
+++ b/src/libnode/entry_begin.cc
@@ -65,7 +65,9 @@
 }  // namespace
 
 EntryRole::EntryRole(const Parts& parts)
-    : parts_(parts), choice_(parts.data_centre) {}
+    : parts_(parts),
+      admit_at_edge_(parts.admit_at_edge),
+      choice_(parts.data_centre) {}
 
 void EntryRole::OnCallerRequest(const CallerRequest& event, Context& context) {
   Waiter waiter;
--- a/src/libnode/entry_finish.cc
+++ b/src/libnode/entry_finish.cc
@@ -65,6 +65,15 @@
   // was shed. Without a credit for a try of its own this layer has not
   // retried, and one above that has credits may.
   failure.final = failure.final || call.tries > 1 || IsOverload(failure.reason);
+  const Duration target =
+      parts_.settings.Of(about.service, call.own_class).target_p99;
+  const bool turned_away =
+      failure.verdict == Verdict::kNotRun && IsOverload(failure.reason);
+  if (context.identity.rules.admit_at_edge && call.is_root && turned_away &&
+      target > Duration::zero()) {
+    failure.retry_after =
+        RetryWithinTarget(target, context.now - call.started, context.random);
+  }
   if (failure.retry_after.count() == 0 && ComingBackHelps(failure.reason)) {
     const auto known =
         retry_after_.find(about.service + "/" + about.request_class);
--- a/src/libnode/entry_role.h
+++ b/src/libnode/entry_role.h
@@ -44,6 +44,7 @@
     Stats& stats;
     Records& records;
     std::string data_centre;  // of this node
+    bool admit_at_edge = false;
   };
 
   explicit EntryRole(const Parts& parts);
@@ -153,6 +154,7 @@
   void RemoveWaiter(Call& call, CallId http_call, Context& context);
 
   Parts parts_;
+  bool admit_at_edge_;
   ServerChoice choice_;
   RecentSet answered_;  // fingerprints that were answered lately
   KeyRegistry keys_;
--- a/src/libnode/local_server.cc
+++ b/src/libnode/local_server.cc
@@ -1,6 +1,7 @@
 #include "local_server.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace amaranth::pvt {
 namespace {
@@ -117,6 +118,9 @@
   report.limit = static_cast<uint32_t>(limit_.limit());
   report.queued = static_cast<uint32_t>(queue_.size());
   report.shed_threshold = shedder_.Threshold(now);
+  const int64_t turn = expected_service_.count() / std::max(1, limit_.limit());
+  report.turn_us = static_cast<uint32_t>(
+      std::clamp<int64_t>(turn, 0, std::numeric_limits<uint32_t>::max()));
   return report;
 }
 
--- a/src/libnode/node_state.cc
+++ b/src/libnode/node_state.cc
@@ -34,7 +34,7 @@
       serving(membership, settings_cache, outbox, stats, records),
       claims(membership, outbox, stats),
       entry({membership, settings_cache, serving, claims, outbox, stats,
-             records, identity.data_centre}) {
+             records, identity.data_centre, identity.rules.admit_at_edge}) {
   JoinModules();
 }
 
--- a/src/libnode/server_choice.cc
+++ b/src/libnode/server_choice.cc
@@ -50,11 +50,43 @@
     view.in_flight = std::max(seen.in_flight, seen.report.in_flight);
     view.limit = seen.report.limit;
     view.queued = seen.report.queued;
+    if (seen.report.turn_us > 0) BringUpToDate(seen, now, view);
   }
   if (level && *level < ThresholdOf(seen, now)) view.excluded = true;
   return view;
 }
 
+// A queue that was long when its server last answered keeps everybody away, and
+// as nobody is sent there no answer tells that it has drained: the server then
+// stands idle beside others with long queues until all come at once. So what it
+// has ended since is taken off, and what this node sent it since is added.
+void ServerChoice::BringUpToDate(const Seen& seen, TimePoint now,
+                                 ServerView& view) {
+  const LoadReport& report = seen.report;
+  const double ended = static_cast<double>((now - seen.reported).count()) /
+                       static_cast<double>(report.turn_us);
+  const double reported = report.in_flight + report.queued;
+  const double calls = std::max<double>(
+      std::max(0.0, reported - ended) + seen.sent_since, seen.in_flight);
+  const uint32_t there = static_cast<uint32_t>(calls);
+  view.in_flight = std::min(there, report.limit);
+  view.queued = there - view.in_flight;
+  view.latency = Duration(int64_t{report.turn_us} * report.limit);
+}
+
+uint32_t ServerChoice::MeanThreshold(const std::vector<ServerPlace>& places,
+                                     TimePoint now) const {
+  uint64_t sum = 0;
+  uint64_t known = 0;
+  for (const ServerPlace& place : places) {
+    const auto found = seen_.find(ServerKey(place.node, place.server));
+    if (place.suspect || found == seen_.end()) continue;
+    sum += ThresholdOf(found->second, now);
+    ++known;
+  }
+  return known == 0 ? 0 : static_cast<uint32_t>(sum / known);
+}
+
 uint32_t ServerChoice::ThresholdOf(const Seen& seen, TimePoint now) {
   return static_cast<uint32_t>(DownstreamThresholds::Faded(
       seen.report.shed_threshold, seen.reported, now));
@@ -91,7 +123,9 @@
 }
 
 void ServerChoice::OnSent(const std::string& server_key) {
-  ++seen_[server_key].in_flight;
+  Seen& seen = seen_[server_key];
+  ++seen.in_flight;
+  ++seen.sent_since;
 }
 
 void ServerChoice::OnEnded(const std::string& service,
@@ -118,6 +152,7 @@
                             const LoadReport& report, TimePoint now) {
   Seen& seen = seen_[server_key];
   seen.report = report;
+  seen.sent_since = 0;
   seen.reported = now;
   seen.used = now;
 }
--- a/src/libnode/server_choice.h
+++ b/src/libnode/server_choice.h
@@ -41,6 +41,11 @@
   uint32_t Threshold(const std::vector<ServerPlace>& places,
                      TimePoint now) const;
 
+  // The mean of their thresholds: what a call meets where a service is used as
+  // a whole. The least of them is that of whichever has just been idle.
+  uint32_t MeanThreshold(const std::vector<ServerPlace>& places,
+                         TimePoint now) const;
+
   void OnSent(const std::string& server_key);
   // Ends what OnSent began. `failed`: broke or timed out, not refused.
   void OnEnded(const std::string& service, const std::string& server_key,
@@ -65,11 +70,13 @@
     uint32_t in_flight = 0;  // this node's own
     Duration latency{0};     // moving mean
     LoadReport report;
+    uint32_t sent_since = 0;  // calls of this node since the report
     TimePoint reported{};
     TimePoint used{};
   };
 
   static uint32_t ThresholdOf(const Seen& seen, TimePoint now);
+  static void BringUpToDate(const Seen& seen, TimePoint now, ServerView& view);
   ServerView ViewOf(const ServerPlace& place, const EffectiveSettings& settings,
                     const std::set<std::string>& tried,
                     std::optional<uint32_t> level, TimePoint now) const;
--- a/src/libpolicy/retry_after.cc
+++ b/src/libpolicy/retry_after.cc
@@ -8,6 +8,14 @@
 // With no measured rate: a second is what recovery may take.
 constexpr double kUnknownSeconds = 1.0;
 
+// Parts of the time left of a caller's target after which it comes back. Under
+// the least the same queue would still stand; over the most too little is left
+// for the work itself.
+constexpr double kLeastPart = 0.1;
+constexpr double kMostPart = 0.35;
+// A few round trips to a caller; sooner would be a busy loop over the network.
+constexpr Duration kSoonest = std::chrono::milliseconds(20);
+
 double Seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
 
 }  // namespace
@@ -28,6 +36,14 @@
       std::chrono::duration<double>(seconds));
 }
 
+Duration RetryWithinTarget(Duration target, Duration held,
+                           std::mt19937_64& random) {
+  const double left = std::max(0.0, Seconds(target) - Seconds(held));
+  std::uniform_real_distribution<double> part(kLeastPart, kMostPart);
+  const std::chrono::duration<double> wait(left * part(random));
+  return std::max(std::chrono::duration_cast<Duration>(wait), kSoonest);
+}
+
 DrainMeter::DrainMeter() : done_(kWindow) {}
 
 void DrainMeter::OnDone(TimePoint now) {
--- a/src/libpolicy/retry_test.cc
+++ b/src/libpolicy/retry_test.cc
@@ -1,6 +1,8 @@
 #include <CppUTest/TestHarness.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
+
 #include "amaranthroute/policy/retry_after.h"
 #include "amaranthroute/policy/retry_budget.h"
 
@@ -96,4 +98,23 @@
   CHECK(meter.PerSecond(now + seconds(3)) == 0);
 }
 
+// Callers are turned away together in a burst; each must come back while it can
+// still be served in time, and not all at one moment.
+TEST(RetryTest, CallersComeBackWithinTheirTargetAndSpreadOut) {
+  std::mt19937_64 random(3);
+  const Duration target = std::chrono::milliseconds(1200);
+  Duration first = target;
+  Duration last{0};
+  for (int i = 0; i < 1000; ++i) {
+    const Duration wait =
+        RetryWithinTarget(target, std::chrono::milliseconds(200), random);
+    first = std::min(first, wait);
+    last = std::max(last, wait);
+  }
+  CHECK(first >= std::chrono::milliseconds(100));
+  CHECK(last <= std::chrono::milliseconds(350));
+  CHECK(last - first >= std::chrono::milliseconds(200));
+  CHECK(RetryWithinTarget(target, target * 2, random) > Duration::zero());
+}
+
 }  // namespace amaranth
--- a/src/libpolicy/shedder.cc
+++ b/src/libpolicy/shedder.cc
@@ -141,7 +141,9 @@
     return;
   }
   const double groups = over / static_cast<double>(options_.group_wait.count());
-  const double levels = groups * kLevelsPerGroup;
+  const double cut =
+      groups <= 1 ? groups : 1 + (groups - 1) / options_.next_groups;
+  const double levels = cut * kLevelsPerGroup;
   const double threshold = LowestLevelInUse(now) + levels;
   threshold_ =
       static_cast<uint32_t>(std::min<double>(threshold, kMaxSheddingLevel));
--- a/src/libutil/fields.h
+++ b/src/libutil/fields.h
@@ -23,7 +23,7 @@
 
 inline auto Fields(const LoadReport& v) {
   return std::tie(v.server, v.in_flight, v.limit, v.queued, v.shed_threshold,
-                  v.downstream_threshold);
+                  v.downstream_threshold, v.turn_us);
 }
 
 inline auto Fields(const Hello& v) {
--- a/src/libwire/amaranth.thrift
+++ b/src/libwire/amaranth.thrift
@@ -90,7 +90,8 @@
   3: required i64 limit,
   4: required i64 queued,
   5: required i64 shed_threshold,
-  6: required i64 downstream_threshold
+  6: required i64 downstream_threshold,
+  7: optional i64 turn_us
 }
 
 struct Hello {
--- a/src/libwire/from_wire.cc
+++ b/src/libwire/from_wire.cc
@@ -82,6 +82,9 @@
       check.Narrow<uint32_t>(in.shed_threshold, "shed_threshold");
   out.downstream_threshold =
       check.Narrow<uint32_t>(in.downstream_threshold, "downstream_threshold");
+  if (in.__isset.turn_us) {
+    out.turn_us = check.Narrow<uint32_t>(in.turn_us, "turn_us");
+  }
 }
 
 void FromWire(wire::KeyClaim& in, KeyClaim& out, RangeCheck&) {
--- a/src/libwire/gen-cpp/amaranth_types.cpp
+++ b/src/libwire/gen-cpp/amaranth_types.cpp
@@ -1599,6 +1599,11 @@
 void LoadReport::__set_downstream_threshold(const int64_t val) {
   this->downstream_threshold = val;
 }
+
+void LoadReport::__set_turn_us(const int64_t val) {
+  this->turn_us = val;
+__isset.turn_us = true;
+}
 std::ostream& operator<<(std::ostream& out, const LoadReport& obj)
 {
   obj.printTo(out);
@@ -1681,6 +1686,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->turn_us);
+          this->__isset.turn_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1734,6 +1747,11 @@
   xfer += oprot->writeI64(this->downstream_threshold);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.turn_us) {
+    xfer += oprot->writeFieldBegin("turn_us", ::apache::thrift::protocol::T_I64, 7);
+    xfer += oprot->writeI64(this->turn_us);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1747,6 +1765,8 @@
   swap(a.queued, b.queued);
   swap(a.shed_threshold, b.shed_threshold);
   swap(a.downstream_threshold, b.downstream_threshold);
+  swap(a.turn_us, b.turn_us);
+  swap(a.__isset, b.__isset);
 }
 
 LoadReport::LoadReport(const LoadReport& other44) {
@@ -1756,6 +1776,8 @@
   queued = other44.queued;
   shed_threshold = other44.shed_threshold;
   downstream_threshold = other44.downstream_threshold;
+  turn_us = other44.turn_us;
+  __isset = other44.__isset;
 }
 LoadReport::LoadReport(LoadReport&& other45) noexcept {
   server = std::move(other45.server);
@@ -1764,6 +1786,8 @@
   queued = other45.queued;
   shed_threshold = other45.shed_threshold;
   downstream_threshold = other45.downstream_threshold;
+  turn_us = other45.turn_us;
+  __isset = other45.__isset;
 }
 LoadReport& LoadReport::operator=(const LoadReport& other46) {
   server = other46.server;
@@ -1772,6 +1796,8 @@
   queued = other46.queued;
   shed_threshold = other46.shed_threshold;
   downstream_threshold = other46.downstream_threshold;
+  turn_us = other46.turn_us;
+  __isset = other46.__isset;
   return *this;
 }
 LoadReport& LoadReport::operator=(LoadReport&& other47) noexcept {
@@ -1781,6 +1807,8 @@
   queued = other47.queued;
   shed_threshold = other47.shed_threshold;
   downstream_threshold = other47.downstream_threshold;
+  turn_us = other47.turn_us;
+  __isset = other47.__isset;
   return *this;
 }
 void LoadReport::printTo(std::ostream& out) const {
@@ -1792,6 +1820,7 @@
   out << ", " << "queued=" << to_string(queued);
   out << ", " << "shed_threshold=" << to_string(shed_threshold);
   out << ", " << "downstream_threshold=" << to_string(downstream_threshold);
+  out << ", " << "turn_us="; (__isset.turn_us ? (out << to_string(turn_us)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libwire/gen-cpp/amaranth_types.h
+++ b/src/libwire/gen-cpp/amaranth_types.h
@@ -571,6 +571,10 @@
 
 std::ostream& operator<<(std::ostream& out, const CallContext& obj);
 
+typedef struct _LoadReport__isset {
+  _LoadReport__isset() : turn_us(false) {}
+  bool turn_us :1;
+} _LoadReport__isset;
 
 class LoadReport : public virtual ::apache::thrift::TBase {
  public:
@@ -585,7 +589,8 @@
                limit(0),
                queued(0),
                shed_threshold(0),
-               downstream_threshold(0) {
+               downstream_threshold(0),
+               turn_us(0) {
   }
 
   virtual ~LoadReport() noexcept;
@@ -595,6 +600,9 @@
   int64_t queued;
   int64_t shed_threshold;
   int64_t downstream_threshold;
+  int64_t turn_us;
+
+  _LoadReport__isset __isset;
 
   void __set_server(const std::string& val);
 
@@ -608,6 +616,8 @@
 
   void __set_downstream_threshold(const int64_t val);
 
+  void __set_turn_us(const int64_t val);
+
   bool operator == (const LoadReport & rhs) const
   {
     if (!(server == rhs.server))
@@ -622,6 +632,10 @@
       return false;
     if (!(downstream_threshold == rhs.downstream_threshold))
       return false;
+    if (__isset.turn_us != rhs.__isset.turn_us)
+      return false;
+    else if (__isset.turn_us && !(turn_us == rhs.turn_us))
+      return false;
     return true;
   }
   bool operator != (const LoadReport &rhs) const {
--- a/src/libwire/generators_test.cc
+++ b/src/libwire/generators_test.cc
@@ -76,7 +76,7 @@
 }
 
 LoadReport AnyLoad() {
-  return {AnyName(),       Any<uint32_t>(), Any<uint32_t>(),
+  return {AnyName(),       Any<uint32_t>(), Any<uint32_t>(), Any<uint32_t>(),
           Any<uint32_t>(), Any<uint32_t>(), Any<uint32_t>()};
 }
 
--- a/src/libwire/to_wire.cc
+++ b/src/libwire/to_wire.cc
@@ -19,7 +19,7 @@
     count;
 
 static_assert(kHasFields<CallContext, 15>);
-static_assert(kHasFields<LoadReport, 6>);
+static_assert(kHasFields<LoadReport, 7>);
 static_assert(kHasFields<Hello, 3>);
 static_assert(kHasFields<CallForward, 4>);
 static_assert(kHasFields<CallAnswer, 7>);
@@ -114,6 +114,7 @@
   out.queued = in.queued;
   out.shed_threshold = in.shed_threshold;
   out.downstream_threshold = in.downstream_threshold;
+  if (in.turn_us > 0) out.__set_turn_us(in.turn_us);
 }
 
 void ToWire(const KeyClaim& in, wire::KeyClaim& out) {
