--- a/src/include/amaranthroute/policy/shedder.h
+++ b/src/include/amaranthroute/policy/shedder.h
@@ -92,7 +92,7 @@
   /// ... and over as much more as this the lowest group of levels in use goes,
   /// then the next. A request that waits four times for the usual half of it
   /// still ends within its target of a second.
-  Duration group_wait = std::chrono::milliseconds(220);
+  Duration group_wait = std::chrono::milliseconds(130);
   /// Each further group takes this many times as long: cutting the lowest one
   /// shows only when its requests under way have ended, and until then the wait
   /// must not cost the groups above.
