--- a/src/amaranthd/main.cc
+++ b/src/amaranthd/main.cc
@@ -55,7 +55,8 @@
       {"node", identity.node.name}, {"incarnation", identity.node.incarnation},
       {"pid", ::getpid()},          {"ip", identity.peer_address.ip},
       {"caller", ports.caller},     {"operator", ports.operators},
-      {"peer", ports.peer},         {"gossip", ports.gossip}};
+      {"peer", ports.peer},         {"gossip", ports.gossip},
+      {"announce", ports.announce}};
   const std::string partial = path + ".partial";
   std::ofstream(partial) << text.dump() << "\n";
   if (std::rename(partial.c_str(), path.c_str()) != 0) {
@@ -150,9 +151,13 @@
   HttpClientOptions client;
   client.silence_limit = platform::kSilenceLimit;
   const auto http = std::make_shared<HttpClient>(io, client);
+  const auto log = std::make_shared<LogSink>(ToHostOptions(options).log);
   return std::make_shared<platform::RowStore>(
-      rows, HttpCallOn(http),
-      [](const std::string& text) { std::cerr << text << "\n"; });
+      rows, HttpCallOn(http), [log](const std::string& text) {
+        const auto now = std::chrono::steady_clock::now().time_since_epoch();
+        log->Write(TimePoint(std::chrono::duration_cast<Duration>(now)),
+                   {LogLevel::kWarning, "store", text});
+      });
 }
 
 int Run(const DaemonOptions& options) {
--- a/src/libhost/host.cc
+++ b/src/libhost/host.cc
@@ -92,7 +92,7 @@
           });
     });
     ports_ = {callers_->port(), operators_->port(), peers_->port(),
-              gossip_->port()};
+              gossip_->port(), announcers_ ? announcers_->port() : uint16_t{0}};
   }
 
   const HostPorts& ports() const { return ports_; }
--- a/src/libhost/host.h
+++ b/src/libhost/host.h
@@ -49,6 +49,7 @@
   uint16_t operators = 0;
   uint16_t peer = 0;
   uint16_t gossip = 0;
+  uint16_t announce = 0;  // 0 if announcements come to the callers' port
 };
 
 // What the host drives: a Node, or a fake in tests.
--- a/src/libhost/log_sink.cc
+++ b/src/libhost/log_sink.cc
@@ -28,9 +28,9 @@
   return kLevels[static_cast<size_t>(level)];
 }
 
-std::shared_ptr<spdlog::logger> StderrLogger(LogFormat format) {
+std::shared_ptr<spdlog::logger> StdoutLogger(LogFormat format) {
   auto logger = std::make_shared<spdlog::logger>(
-      "amaranthd", std::make_shared<spdlog::sinks::stderr_sink_st>());
+      "amaranthd", std::make_shared<spdlog::sinks::stdout_sink_st>());
   logger->set_level(spdlog::level::debug);
   logger->flush_on(spdlog::level::warn);
   logger->set_pattern(format == LogFormat::kJson
@@ -42,7 +42,7 @@
 }  // namespace
 
 LogSink::LogSink(LogSinkOptions options) : options_(std::move(options)) {
-  write_ = [logger = StderrLogger(options_.format)](LogLevel level,
+  write_ = [logger = StdoutLogger(options_.format)](LogLevel level,
                                                     const std::string& line) {
     logger->log(NameOf(level).spdlog_level, "{}", line);
   };
--- a/src/libhost/log_sink.h
+++ b/src/libhost/log_sink.h
@@ -33,7 +33,7 @@
  public:
   using WriteLine = std::function<void(LogLevel, const std::string& line)>;
 
-  // Writes to stderr by spdlog.
+  // Writes to standard output by spdlog.
   explicit LogSink(LogSinkOptions options);
   // Hands each line to `write` instead.
   LogSink(LogSinkOptions options, WriteLine write);
--- /dev/null
+++ b/testsuite/lib/users_platform.py
@@ -0,0 +1,243 @@
+"""Stand-ins for the users' platform, from its published protocol: a store of
+rows, a backend server that announces itself and makes calls of its own, and a
+node that runs against both. Everything listens on 127.0.0.1, port 0.
+"""
+
+import base64
+import http.client
+import http.server
+import json
+import threading
+import time
+
+import fleet
+
+SIGNATURE = "stand-in"
+BEAT_SECONDS = 0.2
+
+
+class _Server(http.server.ThreadingHTTPServer):
+    daemon_threads = True
+
+    def __init__(self, handler):
+        super().__init__(("127.0.0.1", 0), handler)
+        self.address = f"127.0.0.1:{self.server_port}"
+        threading.Thread(target=self.serve_forever, daemon=True).start()
+
+
+class _Handler(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, *_):
+        pass
+
+    def body(self):
+        return self.rfile.read(int(self.headers.get("Content-Length", 0)))
+
+    def answer(self, status, body=b"", headers=()):
+        self.send_response(status)
+        for name, value in headers:
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def answer_json(self, status, value):
+        self.answer(status, json.dumps(value).encode(),
+                    [("Content-Type", "application/json")])
+
+
+class RowStore:
+    """Rows by table and key, one version counter, watches; and its faults."""
+
+    def __init__(self):
+        self.away = False
+        self.writes = 0
+        self._changed = threading.Condition()
+        self._rows = {}
+        self._version = 1
+        store = self
+
+        class Handler(_Handler):
+            def do_GET(self):
+                store.read(self)
+
+            def do_POST(self):
+                store.write(self)
+
+        self.server = _Server(Handler)
+        self.address = self.server.address
+
+    def put(self, table, key, value):
+        with self._changed:
+            self._version += 1
+            self._rows[table, key] = (value, self._version)
+            self._changed.notify_all()
+
+    def put_config(self, version, routes):
+        config = {"version": f"r{version}", "routes": routes, "services": {},
+                  "limits": {}}
+        self.put("op", "config",
+                 base64.b64encode(json.dumps(config).encode()).decode())
+
+    def _reply(self, table, after):
+        rows = [{"table": table, "part": "", "key": key, "value": value,
+                 "ver": version}
+                for (of, key), (value, version) in sorted(self._rows.items())
+                if of == table and version > after]
+        return {"rows": rows, "ver": self._version, "now": "1ms",
+                "hasMore": False}
+
+    def read(self, call):
+        if self.away:
+            return call.answer(503)
+        path, _, text = call.path.partition("?")
+        query = dict(part.partition("=")[::2] for part in text.split("&"))
+        after = int(query.get("after", 0))
+        table = query["table"]
+        wait = int(query.get("waitMs", 0)) / 1000
+        with self._changed:
+            if path.endswith("rows-feed"):
+                self._changed.wait_for(
+                    lambda: self.away or self._reply(table, after)["rows"],
+                    wait)
+            reply = self._reply(table, after)
+        if self.away:
+            return call.answer(503)
+        return call.answer_json(200, reply)
+
+    def write(self, call):
+        body = json.loads(call.body())
+        if self.away:
+            return call.answer(503)
+        for row in body["upserts"]:
+            self.put(row["table"], row["key"], row["value"])
+        self.writes += 1
+        return call.answer_json(200, {"ver": self._version, "now": "1ms"})
+
+    def go_away(self):
+        with self._changed:
+            self.away = True
+            self._changed.notify_all()
+
+    def come_back(self):
+        self.away = False
+
+
+class Worker:
+    """A backend server beside `node`. It calls `nested` (host, path) once for
+    each request it runs, through its node's callers' port."""
+
+    def __init__(self, node, service, name, nested=None, slots=4):
+        self.service, self.name, self.nested = service, name, nested
+        self.runs = []
+        self.callers = []
+        self.state = "ready"
+        self._node, self._slots, self._sequence = node, slots, 0
+        self._started = int(time.time() * 1000)
+        worker = self
+
+        class Handler(_Handler):
+            def do_GET(self):
+                worker.serve(self)
+
+            do_POST = do_GET
+
+        self.server = _Server(Handler)
+        threading.Thread(target=self._announce, daemon=True).start()
+
+    def _announce(self):
+        while self.state in ("ready", "draining"):
+            self.beat(self.state)
+            time.sleep(BEAT_SECONDS)
+
+    def beat(self, state):
+        """One heartbeat; returns the status of its acknowledgement."""
+        self._sequence += 1
+        return self.control("workers.heartbeat", {
+            "addr": self.server.address, "born": self._started,
+            "info": {"service": self.service, "version": "v1", "zone": "z",
+                     "slots": self._slots},
+            "status": {"state": state, "seq": self._sequence,
+                       "coldLeft": "0ms"}})
+
+    def control(self, call, body):
+        return request(self._node.ports["announce"], "POST",
+                       f"/-/rpc?call={call}&of={self.name}",
+                       body=json.dumps(body)).status
+
+    def leave(self):
+        self.state = "left"
+        return self.control("workers.leave", {})
+
+    def serve(self, call):
+        call.body()
+        attempt = call.headers.get("Attempt-Id", "")
+        echo = [("Attempt-Id", attempt)]
+        if call.headers.get("Expect-Instance") != self.name:
+            return call.answer(421, headers=echo + [("Instance", self.name)])
+        self.runs.append(attempt)
+        self.callers.append(call.headers.get("Caller"))
+        if self.nested:
+            host, path = self.nested
+            below = request(self._node.ports["caller"], "GET", path, host=host,
+                            attempt=f"{attempt}.n{len(self.runs)}")
+            if below.status != 200:
+                return call.answer(500, headers=echo)
+        return call.answer(200, f"{self.service}:{call.path}".encode(),
+                           echo + [("Response-Sig", SIGNATURE)])
+
+
+class Answer:
+    def __init__(self, response):
+        self.status = response.status
+        self.headers = response.headers
+        self.body = response.read().decode()
+
+
+def request(port, method, path, host="", attempt="", body=None, timeout=10):
+    """One request on a connection of its own."""
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout)
+    headers = {"Deadline-Ms": "5000"}
+    if host:
+        headers["Host"] = host
+    if attempt:
+        headers["Attempt-Id"] = attempt
+    connection.request(method, path, body=body, headers=headers)
+    answer = Answer(connection.getresponse())
+    connection.close()
+    return answer
+
+
+def route(host, prefix, service, kind="idempotent"):
+    return {"host": host, "prefix": prefix, "service": service, "kind": kind,
+            "timeout": "5000ms", "targetLatency": "1200ms", "priority": 1,
+            "attempts": 2}
+
+
+def start_node(run, name, store, service, zone="z"):
+    """A node whose callers speak the users' platform; ready once it has read
+    the store's configuration."""
+    return fleet.Process(run, name, "src/amaranthd/amaranthd", [
+        "--node-name", name, "--mesh", "mesh", "--data-centre", zone,
+        "--ip", "127.0.0.1", "--announce-port", "0", "--rows", store.address,
+        "--server-service", service, "--announce-period", "500ms",
+        "--drain", "2s", "--stop-grace", "6s", "--retry-ratio", "0.2",
+        "--retry-slack", "47", "--log-format", "json"])
+
+
+def wait_ready(nodes):
+    for node in nodes:
+        fleet.wait_until(
+            lambda: request(node.ports["operator"], "GET",
+                            "/-/readyz").status == 200,
+            f"{node.name} is ready")
+
+
+def wait_served(node, host, path):
+    """Waits until `path` is answered with 200 and returns that answer."""
+    def ask():
+        answer = request(node.ports["caller"], "GET", path, host=host,
+                         attempt=f"w{time.monotonic_ns()}")
+        return answer if answer.status == 200 else None
+    return fleet.wait_until(ask, f"{path} is served by {node.name}")
