--- a/src/cmake/check.sh
+++ b/src/cmake/check.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/../.."
 
 mapfile -t sources < <(git ls-files 'src/*.cc' 'src/*.h' 'testsuite/*.cc' \
-  'testsuite/*.h' | grep -v gen-cpp)
+  'testsuite/*.h' 'platform/*.cc' 'platform/*.h' | grep -v gen-cpp)
 
 echo "== format"
 clang-format --dry-run --Werror "${sources[@]}"
--- a/src/libhost/http_client_test.cc
+++ b/src/libhost/http_client_test.cc
@@ -56,7 +56,7 @@
 
   // Sends to a server that answers with `text` and then closes.
   HttpClientResult ResultOf(const std::string& text, HttpRequest request,
-                            HttpClientOptions options = {}) {
+                            const HttpClientOptions& options = {}) {
     RawServer server(io, Answering([&](RawPeer& peer, const std::string&) {
                        peer.Write(text);
                        io.post([&peer] { peer.Close(); });
--- a/src/libplatform/platform_client.cc
+++ b/src/libplatform/platform_client.cc
@@ -45,7 +45,7 @@
   void Start(const TableWritePeer& request, pvt::PlatformDone done) {
     table_.WritePeer(request, std::move(done));
   }
-  void Start(const TableWatchSettings&, pvt::PlatformDone done) {
+  void Start(const TableWatchSettings&, const pvt::PlatformDone& done) {
     // Settings come from this table's head row, which nobody else writes.
     PlatformReply reply;
     reply.status = PlatformStatus::kUnreachable;
--- a/src/libpolicy/fleet_retry_share_test.cc
+++ b/src/libpolicy/fleet_retry_share_test.cc
@@ -22,7 +22,7 @@
   int requests = 0;
   int retries = 0;
   for (int millis = 0; millis < 9'000; millis += 100) {
-    const TimePoint now = FromMicros(millis * 1000);
+    const TimePoint now = FromMicros(int64_t{millis} * 1000);
     for (FleetRetryShare& node : nodes) {
       node.OnRequest(now);
       ++requests;
--- a/src/libpolicy/shedder_test.cc
+++ b/src/libpolicy/shedder_test.cc
@@ -230,7 +230,7 @@
     double total_ms = 0;
     int ended = 0;
     for (int ms = 0; ms < seconds * 1000; ++ms) {
-      const TimePoint now = FromMicros(ms * 1000);
+      const TimePoint now = FromMicros(int64_t{ms} * 1000);
       if (ms % 100 == 0) told_.push_back(shedder_.Threshold(now));
       const uint32_t threshold = told_.size() > 2 ? told_[told_.size() - 3] : 0;
       due_ += per_second / 1000.0;
