A slow call is not broken off at a server that works on it

Ruled out: a grace overrun (one process did, elsewhere), a lost link (none ended). Test: ASlowNestedCallIsNotBrokenOff, failing first.

--- a/src/libnode/serving_role.cc
+++ b/src/libnode/serving_role.cc
@@ -243,10 +243,10 @@
                                       const Context& context) const {
   const Duration remaining = hop.deadline - context.now;
   const DeploymentRules& rules = context.identity.rules;
-  // Nobody asks again for a late answer, and what a caller repeats by itself is
-  // worth its whole time here.
-  if (rules.ids_name_sendings && !hop.context.idempotent) return remaining;
-  if (rules.callers_repeat && hop.context.depth == 0) return remaining;
+  // Nobody asks again for a late answer. Nor is a slow one a sign of a silent
+  // connection where calls wait for the services below: broken off, its whole
+  // request fails although the server is at work on it.
+  if (rules.ids_name_sendings) return remaining;
   // A non-idempotent call on a silent connection cannot be tried again, so
   // giving up early would only lose an answer that may still come, and that a
   // resend of its key will ask for.
