--- a/src/libnode/caller_headers.cc
+++ b/src/libnode/caller_headers.cc
@@ -11,13 +11,6 @@
 constexpr std::string_view kTokenPrefix = "c1";
 constexpr std::string_view kTicketPrefix = "t1";
 
-// Printable ASCII without spaces and quotes: safe in logs, JSON and labels.
-bool IsCleanText(std::string_view text) {
-  return std::all_of(text.begin(), text.end(), [](char c) {
-    return c > ' ' && c < '\x7f' && c != '"' && c != '\\';
-  });
-}
-
 Outcome<std::string> ReadText(const HttpRequest& request,
                               std::string_view name) {
   const std::string_view value = FindHeader(request.headers, name);
@@ -84,6 +77,12 @@
 
 }  // namespace
 
+bool IsCleanText(std::string_view text) {
+  return std::all_of(text.begin(), text.end(), [](char c) {
+    return c > ' ' && c < '\x7f' && c != '"' && c != '\\';
+  });
+}
+
 Outcome<CallerHeaders> ParseCallerHeaders(
     const HttpRequest& request, const std::optional<RoutedTo>& routed) {
   struct Field {
--- a/src/libnode/caller_headers.h
+++ b/src/libnode/caller_headers.h
@@ -45,6 +45,9 @@
   std::optional<Duration> deadline;
 };
 
+// Printable ASCII without spaces and quotes: safe in logs, JSON and labels.
+bool IsCleanText(std::string_view text);
+
 // Service and class of a request that names no service itself.
 struct RoutedTo {
   std::string service;
--- a/src/libnode/serving_role.h
+++ b/src/libnode/serving_role.h
@@ -101,6 +101,8 @@
                       Context& context);
   void RememberLeft(const std::string& name, uint64_t started_ms);
   static void BeginDrain(LocalServer& server, Context& context);
+  // Hops of `server` that are not dispatched yet.
+  std::vector<uint64_t> WaitingAt(const std::string& server) const;
   void RefuseUndrained(LocalServer& server, Context& context);
   void CheckServers(Context& context);
   // Gives up on waiting calls that are past deadline or patience.
--- a/src/libnode/serving_servers.cc
+++ b/src/libnode/serving_servers.cc
@@ -175,8 +175,8 @@
 }
 
 // Announcements that say "ready" may still be on their way when a server has
-// left; they must not bring it back. The oldest is forgotten first: a host has
-// one or two servers, and a late announcement comes within seconds.
+// left; they must not bring it back. The bound is far over what a host sees in
+// the seconds in which such an announcement may come.
 void ServingRole::RememberLeft(const std::string& name, uint64_t started_ms) {
   left_.emplace(name, started_ms);
   if (left_.size() > kMaxLeftServers) left_.erase(left_.begin());
@@ -188,18 +188,23 @@
   server.draining_since = context.now;
 }
 
+std::vector<uint64_t> ServingRole::WaitingAt(const std::string& server) const {
+  std::vector<uint64_t> waiting;
+  for (const auto& [id, hop] : hops_) {
+    if (hop.server == server && hop.state != HopState::kDispatched) {
+      waiting.push_back(id);
+    }
+  }
+  return waiting;
+}
+
 // A server ends some time after it has told of its leaving; calls that still
 // wait for it then would reach it too late or never.
 void ServingRole::RefuseUndrained(LocalServer& server, Context& context) {
   const Duration limit = context.identity.rules.drain_limit;
   if (limit == Duration::zero() || !server.draining) return;
   if (context.now - server.draining_since < limit) return;
-  std::vector<uint64_t> waiting;
-  for (const auto& [id, hop] : hops_) {
-    const bool waits = hop.state != HopState::kDispatched;
-    if (waits && hop.server == server.record().server) waiting.push_back(id);
-  }
-  for (const uint64_t id : waiting) {
+  for (const uint64_t id : WaitingAt(server.record().server)) {
     const Hop hop = TakeWaitingHop(id);
     Refuse(hop, Reason::kDraining, context);
   }
@@ -235,13 +240,7 @@
 
 void ServingRole::RemoveServer(const std::string& name, Context& context) {
   membership_.RemoveServer(name, context);
-  std::vector<uint64_t> waiting;
-  for (const auto& [id, hop] : hops_) {
-    if (hop.server == name && hop.state != HopState::kDispatched) {
-      waiting.push_back(id);
-    }
-  }
-  for (const uint64_t id : waiting) {
+  for (const uint64_t id : WaitingAt(name)) {
     const Hop hop = TakeHop(id);
     Refuse(hop, Reason::kNoServer, context);
   }
--- a/src/libnode/settings_store.cc
+++ b/src/libnode/settings_store.cc
@@ -153,10 +153,7 @@
     OnPlatformSilent(context);
     return;
   }
-  if (platform_lost_) {
-    platform_lost_ = false;
-    context.Log(LogLevel::kInfo, kPart, "the platform answers again");
-  }
+  NotePlatformAnswers(context);
   poll_interval_ = kPollInterval;
   head_known_ = true;
   if (reply.version >= head_.version) head_ = {reply.version, reply.bytes};
@@ -195,10 +192,7 @@
     OnPlatformSilent(context);
     return;
   }
-  if (platform_lost_) {
-    platform_lost_ = false;
-    context.Log(LogLevel::kInfo, kPart, "the platform answers again");
-  }
+  NotePlatformAnswers(context);
   poll_interval_ = kWatchRetry;
   watched_ = reply.version;
   if (!reply.bytes.empty()) {
@@ -223,6 +217,12 @@
   }
 }
 
+void SettingsStore::NotePlatformAnswers(Context& context) {
+  if (!platform_lost_) return;
+  platform_lost_ = false;
+  context.Log(LogLevel::kInfo, kPart, "the platform answers again");
+}
+
 void SettingsStore::OnPlatformSilent(Context& context) {
   op_.reset();
   op_deadline_ = kNever;
--- a/src/libnode/settings_store.h
+++ b/src/libnode/settings_store.h
@@ -79,6 +79,7 @@
   }
   void OnHead(const PlatformReply& reply, Context& context);
   void OnObject(const PlatformReply& reply, Context& context);
+  void NotePlatformAnswers(Context& context);
   void OnPlatformSilent(Context& context);
   void AskPeers(Context& context);
   uint64_t HighestSeen() const;
