A late announcement does not bring back a server that left

Cause: a leave that reached a node before any announcement of that server (the node had just been started again) was remembered with start 0; a late "ready" announcement tells its start, did not match, and the server was used for up to its lease.

Test first: ALateAnnouncementDoesNotBringBackAServerThatLeft failed, passes. The first late announcement now tells the start that left; a successor's first announcement (sequence 1, or later than ten seconds) clears the entry.

Ruled out: comparing with the wall clock, which differs between machines and may step.

--- a/src/libnode/deployment_rules_test.cc
+++ b/src/libnode/deployment_rules_test.cc
@@ -1,5 +1,6 @@
 #include <CppUTest/TestHarness.h>
 
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 #include <utility>
@@ -29,6 +30,24 @@
   return request;
 }
 
+HttpRequest ReadyAnnouncement(const std::string& server, uint64_t started_ms,
+                              uint64_t sequence) {
+  HttpRequest request = Announcement(server, "10.0.0.1:3");
+  nlohmann::json json = nlohmann::json::parse(request.body.view());
+  json["started_ms"] = started_ms;
+  json["sequence"] = sequence;
+  request.body = Body(json.dump());
+  return request;
+}
+
+HttpRequest Leave(const std::string& server) {
+  HttpRequest request;
+  request.method = "POST";
+  request.target = "/amaranth/v1/leave";
+  request.body = Body(R"({"server":")" + server + R"("})");
+  return request;
+}
+
 HttpRequest CallTo(const std::string& service, const std::string& context) {
   HttpRequest request;
   request.headers = {{std::string(kServiceHeader), service},
@@ -53,16 +72,22 @@
     identity.node = {"a1", 1};
     identity.use_platform = false;
     identity.rules.ids_name_sendings = true;
+    identity.rules.announce_port = true;
     node.emplace(identity);
     node->Start(now);
-    Arrive(Announcement("front", "10.0.0.1:1"));
-    Arrive(Announcement("deep", "10.0.0.1:2"));
+    Announce(Announcement("front", "10.0.0.1:1"));
+    Announce(Announcement("deep", "10.0.0.1:2"));
   }
 
   Effects Arrive(HttpRequest request) {
     return node->Reduce({now, CallerRequest{next_call++, std::move(request)}});
   }
 
+  void Announce(HttpRequest request) {
+    node->Reduce({now, CallerRequest{next_call++, std::move(request),
+                                     CallerKind::kAnnouncer}});
+  }
+
   SendServer SendNested(const std::string& context) {
     return *SentIn(Arrive(CallTo("deep", context)));
   }
@@ -82,4 +107,21 @@
   CHECK(second.timeout > std::chrono::milliseconds(4500));
 }
 
+// Calls reach a server that has left and is about to end: the caller sees a
+// 502. The node was started again between the server's last announcement and
+// its leave, and an announcement that says "ready" was held up until after it.
+TEST(DeploymentRulesGroup, ALateAnnouncementDoesNotBringBackAServerThatLeft) {
+  Announce(Leave("gone"));
+  now += std::chrono::seconds(1);
+  Announce(ReadyAnnouncement("gone", 77, 12));
+  CHECK_FALSE(SentIn(Arrive(CallTo("gone", ""))).has_value());
+}
+
+TEST(DeploymentRulesGroup, ASuccessorOfAServerThatLeftIsUsed) {
+  Announce(Leave("gone"));
+  now += std::chrono::seconds(1);
+  Announce(ReadyAnnouncement("gone", 99, 1));
+  CHECK_TRUE(SentIn(Arrive(CallTo("gone", ""))).has_value());
+}
+
 }  // namespace amaranth::pvt
--- a/src/libnode/serving_role.h
+++ b/src/libnode/serving_role.h
@@ -7,7 +7,6 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -18,6 +17,7 @@
 #include "libnode/context.h"
 #include "libnode/deadline_set.h"
 #include "libnode/hop.h"
+#include "libnode/left_servers.h"
 #include "libnode/local_server.h"
 #include "libnode/membership.h"
 #include "libnode/outbox.h"
@@ -99,7 +99,6 @@
   bool IsOutdated(const ServerRecord& record, const ServerStart& start) const;
   void RemoveReplaced(const ServerRecord& record, const ServerStart& start,
                       Context& context);
-  void RememberLeft(const std::string& name, uint64_t started_ms);
   static void BeginDrain(LocalServer& server, Context& context);
   // Hops of `server` that are not dispatched yet.
   std::vector<uint64_t> WaitingAt(const std::string& server) const;
@@ -122,8 +121,7 @@
   // at a time on every host, and at a second crash be quarantined.
   RecentSet answered_;
   std::map<std::string, LocalServer> servers_;
-  // Servers that said they leave, by name and start.
-  std::set<std::pair<std::string, uint64_t>> left_;
+  LeftServers left_;
   std::map<uint64_t, Hop> hops_;
   std::unordered_map<AttemptKey, uint64_t, AttemptKeyHash> by_attempt_;
   DeadlineSet queue_deadlines_;
--- a/src/libnode/serving_servers.cc
+++ b/src/libnode/serving_servers.cc
@@ -13,7 +13,6 @@
 
 constexpr Duration kCheckPeriod = std::chrono::milliseconds(100);
 constexpr size_t kMaxLocalServers = 64;
-constexpr size_t kMaxLeftServers = 256;
 constexpr size_t kMaxNameLength = 100;
 
 std::optional<Endpoint> ParseEndpoint(const std::string& text) {
@@ -102,7 +101,7 @@
     return;
   }
   RemoveReplaced(record, start, context);
-  if (left_.count({record.server, start.started_ms}) > 0) {
+  if (left_.Contains(record.server, start, context.now)) {
     record.draining = true;
   }
   const EffectiveSettings& settings = settings_.Of(record.service, "");
@@ -174,14 +173,6 @@
   for (const std::string& name : replaced) RemoveServer(name, context);
 }
 
-// Announcements that say "ready" may still be on their way when a server has
-// left; they must not bring it back. The bound is far over what a host sees in
-// the seconds in which such an announcement may come.
-void ServingRole::RememberLeft(const std::string& name, uint64_t started_ms) {
-  left_.emplace(name, started_ms);
-  if (left_.size() > kMaxLeftServers) left_.erase(left_.begin());
-}
-
 void ServingRole::BeginDrain(LocalServer& server, Context& context) {
   if (server.draining) return;
   server.draining = true;
@@ -221,13 +212,13 @@
   const auto found = servers_.find(name);
   if (found == servers_.end()) {
     const bool remembers = context.identity.rules.announce_port && IsName(name);
-    if (remembers) RememberLeft(name, 0);
+    if (remembers) left_.Add(name, std::nullopt, context.now);
     context.Emit(AnswerCaller{
         call, remembers ? JsonResponse(200, "{}")
                         : BadAnnouncement("no such server", context)});
     return;
   }
-  RememberLeft(name, found->second.start.started_ms);
+  left_.Add(name, found->second.start.started_ms, context.now);
   // From now on stragglers are refused as not run; what is in flight or queued
   // still runs, since the server promised to finish it.
   BeginDrain(found->second, context);
