SIGHUP ends no node; a full log pipe stops none

Cause: SIGHUP was not handled, and its default action ends a process. A log collector that ends (SIGPIPE) or stops reading (a write that blocks the only thread) had the same reach: lines now go by a sink that never waits and counts what it leaves out (AFullPipeLosesLinesAndStopsNobody).

Ruled out: spdlog's asynchronous logger, which needs a second thread and its wake-ups for the same effect.

--- a/src/amaranthd/main.cc
+++ b/src/amaranthd/main.cc
@@ -8,6 +8,7 @@
 
 #include <asio/io_context.hpp>
 #include <chrono>
+#include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
@@ -215,4 +216,8 @@
 }  // namespace
 }  // namespace amaranth::pvt
 
-int main(int argc, char** argv) { return amaranth::pvt::Main(argc, argv); }
+int main(int argc, char** argv) {
+  // A log collector that ends would end the node with its next line.
+  std::signal(SIGPIPE, SIG_IGN);
+  return amaranth::pvt::Main(argc, argv);
+}
--- a/src/libhost/host.cc
+++ b/src/libhost/host.cc
@@ -118,6 +118,7 @@
   void HandleSignals() {
     signals_.add(SIGTERM);
     signals_.add(SIGINT);
+    signals_.add(SIGHUP);
     AwaitSignal();
   }
 
@@ -291,14 +292,23 @@
 
   void AwaitSignal() {
     signals_.async_wait(
-        [weak = weak_from_this()](const asio::error_code& error, int) {
+        [weak = weak_from_this()](const asio::error_code& error, int signal) {
           const std::shared_ptr<Impl> self = weak.lock();
           if (error || !self) return;
           self->AwaitSignal();
+          if (signal == SIGHUP) return self->RequestReload();
           self->RequestStop();
         });
   }
 
+  // Operators send SIGHUP when a settings file has changed. Unhandled it would
+  // end the process, and callers would see their connections cut.
+  void RequestReload() {
+    log_.Write(Now(), {LogLevel::kInfo, "host",
+                       "Reload asked for by SIGHUP; flags hold for as long as "
+                       "the process runs, settings are watched already."});
+  }
+
   bool Flushed() const {
     const size_t announced = announcers_ ? announcers_->unwritten_answers() : 0;
     return callers_->unwritten_answers() + operators_->unwritten_answers() +
--- a/src/libhost/host.h
+++ b/src/libhost/host.h
@@ -81,7 +81,8 @@
   void Start();
 
   // The first call asks the reducer to stop gracefully, the second stops the
-  // loop at once. Called on SIGTERM and SIGINT by HandleSignals.
+  // loop at once. Called on SIGTERM and SIGINT by HandleSignals, which answers
+  // SIGHUP with a line in the log.
   void RequestStop();
   void HandleSignals();
 
--- a/src/libhost/host_test.cc
+++ b/src/libhost/host_test.cc
@@ -2,6 +2,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <csignal>
+
 #include "libhost/test_io.h"
 
 namespace amaranth::pvt {
@@ -209,4 +211,16 @@
   CHECK(message.find("callers on 127.0.0.1:") != std::string::npos);
 }
 
+// An operator tells all nodes that a settings file has changed: callers see
+// their connections cut, since SIGHUP by itself ends a process.
+TEST(Host, HangupIsLoggedAndEndsNothing) {
+  const std::unique_ptr<Host> host = Make();
+  host->HandleSignals();
+  host->Start();
+  std::raise(SIGHUP);
+  std::raise(SIGTERM);
+  CHECK(Until([this] { return !All<StopRequested>().empty(); }));
+  CHECK_EQUAL(1u, All<StopRequested>().size());
+}
+
 }  // namespace amaranth::pvt
--- a/src/libhost/log_sink.cc
+++ b/src/libhost/log_sink.cc
@@ -1,13 +1,15 @@
 #include "libhost/log_sink.h"
 
-#include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <array>
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "libhost/unblocking_sink.h"
+
 namespace amaranth::pvt {
 namespace {
 
@@ -30,9 +32,8 @@
 
 std::shared_ptr<spdlog::logger> StdoutLogger(LogFormat format) {
   auto logger = std::make_shared<spdlog::logger>(
-      "amaranthd", std::make_shared<spdlog::sinks::stdout_sink_st>());
+      "amaranthd", std::make_shared<UnblockingSink>(STDOUT_FILENO));
   logger->set_level(spdlog::level::debug);
-  logger->flush_on(spdlog::level::warn);
   logger->set_pattern(format == LogFormat::kJson
                           ? R"({"time":"%Y-%m-%dT%H:%M:%S.%f%z",%v})"
                           : "%Y-%m-%dT%H:%M:%S.%f%z %l %v");
