A node whose clock went back starts again instead of ending in a loop

Cause (by reading, for clocks that step): incarnations are the wall clock at the start. Started again after its clock was set back, a node had a lower one than its predecessor; its peers took it for the outdated one, and it retired itself, again and again until the clock had caught up. Its host was served by nobody. Tests first: AProcessThatOnlySeemsEarlierStartsAgainAboveTheOther, AProcessStartedAfterItsClockWentBackLearnsOfIt (killed and left before). A later process at another address still retires this one, as before.

Ruled out: the monotonic clock (starts anew with the machine); a file (no disk); reading the own row first (the store may be away).

--- a/src/amaranthd/main.cc
+++ b/src/amaranthd/main.cc
@@ -41,7 +41,8 @@
 constexpr double kDrainPartOfGrace = 0.85;
 
 // Later starts on one host get higher numbers as long as its wall clock does
-// not go back by more than the time between two starts.
+// not go back by more than the time between two starts; if it does, the node
+// learns of it from its peers and starts again (Host::restart_above).
 uint64_t NewIncarnation() {
   return static_cast<uint64_t>(
       std::chrono::duration_cast<std::chrono::microseconds>(
@@ -161,7 +162,12 @@
       });
 }
 
-int Run(const DaemonOptions& options) {
+struct RunResult {
+  int exit_code = kExitFailed;
+  uint64_t restart_above = 0;  // as Host::restart_above
+};
+
+RunResult RunOnce(const DaemonOptions& options) {
   asio::io_context io(1);
   HostHooks hooks;
   const std::shared_ptr<platform::RowStore> rows = MakeRowStore(io, options);
@@ -185,7 +191,16 @@
   host.HandleSignals();
   host.Start();
   io.run();
-  return host.exited() ? kExitDone : kExitFailed;
+  return {host.exited() ? kExitDone : kExitFailed, host.restart_above()};
+}
+
+int Run(DaemonOptions options) {
+  RunResult result = RunOnce(options);
+  while (result.restart_above != 0) {
+    options.identity.node.incarnation = result.restart_above + 1;
+    result = RunOnce(options);
+  }
+  return result.exit_code;
 }
 
 int Main(int argc, const char* const* argv) {
--- a/src/include/amaranthroute/effect.h
+++ b/src/include/amaranthroute/effect.h
@@ -80,7 +80,11 @@
 };
 
 /// Drained: the process may end.
-struct ExitProcess {};
+struct ExitProcess {
+  /// Not 0: the node is to start again at once in this process, with a higher
+  /// incarnation than this, which an earlier process of this host has used.
+  uint64_t restart_above = 0;
+};
 
 using Effect = std::variant<AnswerCaller, SendPeer, ClosePeer, SendGossip,
                             SendServer, CancelServer, DropIdleConnections,
--- a/src/libhost/host.cc
+++ b/src/libhost/host.cc
@@ -97,6 +97,9 @@
 
   const HostPorts& ports() const { return ports_; }
   bool exited() const { return exited_; }
+  uint64_t restart_above() const {
+    return stop_requested_ ? 0 : restart_above_;
+  }
 
   void Start() {
     reducer_ = hooks_.make_reducer(ports_);
@@ -194,7 +197,8 @@
 
   void Do(WriteLog& effect) { log_.Write(Now(), effect); }
 
-  void Do(ExitProcess&) {
+  void Do(ExitProcess& effect) {
+    restart_above_ = effect.restart_above;
     callers_->StopAccepting();
     operators_->StopAccepting();
     if (announcers_) announcers_->StopAccepting();
@@ -343,6 +347,7 @@
   bool stop_requested_ = false;
   bool stopped_ = false;
   bool exited_ = false;
+  uint64_t restart_above_ = 0;
 
   asio::steady_timer wake_timer_;
   TimePoint wake_at_ = kNever;   // as the reducer asked
@@ -378,4 +383,6 @@
 
 bool Host::exited() const { return impl_->exited(); }
 
+uint64_t Host::restart_above() const { return impl_->restart_above(); }
+
 }  // namespace amaranth::pvt
--- a/src/libhost/host.h
+++ b/src/libhost/host.h
@@ -89,6 +89,10 @@
   // True once the reducer ended the process and all answers are written.
   bool exited() const;
 
+  // Once it has exited: not 0 if the node is to start again in this process,
+  // with a higher incarnation than this. 0 if it was also asked to stop.
+  uint64_t restart_above() const;
+
  private:
   class Impl;
   std::shared_ptr<Impl> impl_;
--- a/src/libnode/calls_test.cc
+++ b/src/libnode/calls_test.cc
@@ -3,6 +3,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <optional>
 
 #include "fake_fleet.h"
 
@@ -30,6 +31,14 @@
   return options;
 }
 
+std::optional<ExitProcess> ExitIn(const Effects& effects) {
+  for (const Effect& effect : effects) {
+    const ExitProcess* exit = std::get_if<ExitProcess>(&effect);
+    if (exit != nullptr) return *exit;
+  }
+  return std::nullopt;
+}
+
 }  // namespace
 
 TEST_GROUP(Calls) {
@@ -455,16 +464,35 @@
   news.from = {"a2", 1};
   MemberRecord successor;
   successor.node = {"a1", 2};
+  successor.peer_address = {"10.0.0.9", 7620};
   successor.version = 1;
   news.updates = {successor};
   node.Reduce({FromMicros(1000), GossipReceived{{"a2", 2}, news}});
   CHECK_FALSE(node.ready());
   const Effects effects = node.Reduce({FromMicros(10'000'000), Tick{}});
-  const bool exits =
-      std::any_of(effects.begin(), effects.end(), [](const Effect& effect) {
-        return std::holds_alternative<ExitProcess>(effect);
-      });
-  CHECK(exits);
+  CHECK(ExitIn(effects) == ExitProcess{0});
+}
+
+// The same, but it is the one that was started later: the host's clock went
+// back. It must not end, since nobody else serves the host; it starts again
+// with an incarnation that its peers take for the latest.
+TEST(Calls, AProcessThatOnlySeemsEarlierStartsAgainAboveTheOther) {
+  NodeIdentity identity;
+  identity.node = {"a1", 50};
+  identity.peer_address = {"10.0.0.1", 7620};
+  identity.use_platform = false;
+  Node node(identity);
+  node.Start(FromMicros(0));
+  GossipMessage news;
+  news.from = {"a2", 1};
+  MemberRecord predecessor;
+  predecessor.node = {"a1", 100};
+  predecessor.peer_address = identity.peer_address;
+  predecessor.state = MemberState::kDead;
+  news.updates = {predecessor};
+  node.Reduce({FromMicros(1000), GossipReceived{{"a2", 2}, news}});
+  const Effects effects = node.Reduce({FromMicros(10'000'000), Tick{}});
+  CHECK(ExitIn(effects) == ExitProcess{100});
 }
 
 }  // namespace amaranth::pvt
--- a/src/libnode/membership.cc
+++ b/src/libnode/membership.cc
@@ -305,8 +305,15 @@
   if (record.node.incarnation > identity_.node.incarnation) {
     if (superseded_) return;
     superseded_ = true;
+    if (record.peer_address == identity_.peer_address) {
+      superseded_here_by_ = record.node.incarnation;
+    }
     context.Log(LogLevel::kError, kMembershipPart,
-                "a later process uses this node's name; this one is retired");
+                superseded_here_by_ != 0
+                    ? "an earlier process here had a higher incarnation: the "
+                      "clock went back; starting again above it"
+                    : "a later process uses this node's name; this one is "
+                      "retired");
     return;
   }
   if (!Supersedes(record, Self())) return;
--- a/src/libnode/membership.h
+++ b/src/libnode/membership.h
@@ -91,6 +91,10 @@
   bool view_verified() const { return verified_; }
   // True if a later incarnation of this node's name runs elsewhere.
   bool superseded() const { return superseded_; }
+  // The incarnation of that process if it ran at this one's address; else 0.
+  // Two processes cannot have one address: it is gone, and its host's clock was
+  // set back before this one was started.
+  uint64_t superseded_here_by() const { return superseded_here_by_; }
 
  private:
   struct Probe {
@@ -176,6 +180,7 @@
   uint64_t settings_version_ = 0;
   bool verified_ = true;
   bool superseded_ = false;
+  uint64_t superseded_here_by_ = 0;
   std::optional<TimePoint> started_;
   TimePoint last_now_{};
 
--- a/src/libnode/membership_fleet.h
+++ b/src/libnode/membership_fleet.h
@@ -68,8 +68,12 @@
   void Kill(const std::string& name) { hosts_[name].running = false; }
 
   void Restart(const std::string& name) {
+    RestartAs(name, hosts_[name].identity.node.incarnation + 1);
+  }
+
+  void RestartAs(const std::string& name, uint64_t incarnation) {
     Host& host = hosts_[name];
-    ++host.identity.node.incarnation;
+    host.identity.node.incarnation = incarnation;
     host.running = true;
     host.paused = false;
     host.held.clear();
--- a/src/libnode/membership_test.cc
+++ b/src/libnode/membership_test.cc
@@ -197,15 +197,42 @@
   fleet.Run(seconds(5));
   MemberRecord later = *fleet.at("derby-1").Find("derby-1");
   later.node.incarnation = 2;
+  later.peer_address.ip = "10.0.0.9";
   fleet.Do("derby-1", [&](Membership& m, Context& context) {
     MemberSync sync;
     sync.members.push_back(later);
     m.OnSync({"derby-0", 1}, sync, context);
   });
   CHECK(fleet.at("derby-1").superseded());
+  CHECK_EQUAL(0u, fleet.at("derby-1").superseded_here_by());
   CHECK_EQUAL(1u, fleet.at("derby-1").Find("derby-1")->node.incarnation);
 }
 
+// Callers' requests to a service find no server: its node was started again and
+// nobody lists it. The host's clock had been set back in between, so the new
+// process has the lower incarnation, and its records look outdated to all.
+TEST(Membership, AProcessStartedAfterItsClockWentBackLearnsOfIt) {
+  for (const bool left : {false, true}) {
+    MembershipFleet fleet(14);
+    Grow(fleet, {"derby"}, 4);
+    fleet.Run(seconds(5));
+    fleet.Kill("derby-1");
+    fleet.RestartAs("derby-1", 100);
+    CHECK(fleet.RunUntil([&] { return fleet.AgreesWithTruth(); }, seconds(15)));
+    if (left) {
+      fleet.Do("derby-1",
+               [](Membership& m, Context& context) { m.Leave(context); });
+      fleet.Run(seconds(2));
+    }
+    fleet.Kill("derby-1");
+    fleet.Run(milliseconds(500));
+    fleet.RestartAs("derby-1", 50);
+    CHECK(fleet.RunUntil([&] { return fleet.at("derby-1").superseded(); },
+                         seconds(3)));
+    CHECK_EQUAL(100u, fleet.at("derby-1").superseded_here_by());
+  }
+}
+
 // A node is told to stop while callers everywhere still send it work. Within
 // 2 s no node of any data centre may offer its servers, with loss and all, or
 // its drain takes longer than its callers' patience.
--- a/src/libnode/node_state.cc
+++ b/src/libnode/node_state.cc
@@ -268,7 +268,7 @@
   stop.exited = true;
   context.Log(LogLevel::kInfo, "node",
               idle ? "Drained; exiting." : "Drain timed out; exiting.");
-  context.Emit(ExitProcess{});
+  context.Emit(ExitProcess{membership.superseded_here_by()});
 }
 
 void NodeState::AskForWake(Context& context) {
--- a/src/libutil/fields.h
+++ b/src/libutil/fields.h
@@ -189,7 +189,7 @@
   return std::tie(v.level, v.part, v.text);
 }
 
-inline std::tuple<> Fields(const ExitProcess&) { return {}; }
+inline auto Fields(const ExitProcess& v) { return std::tie(v.restart_above); }
 
 inline const char* TypeName(const CallContext&) { return "CallContext"; }
 inline const char* TypeName(const LoadReport&) { return "LoadReport"; }
