--- a/src/amaranthd/options.cc
+++ b/src/amaranthd/options.cc
@@ -15,6 +15,11 @@
 
 constexpr const char* kVersionText = "amaranthd 0.1.0\n";
 
+// A body is held once as it came and once more in the frame or the request that
+// passes it on. Twice this share leaves a tenth of the limit for all else: 16 MB
+// on a host of 160, where a node under load takes 15 to 20 (docs/PERFORMANCE.md).
+constexpr double kMemoryForBodies = 0.45;
+
 struct Flag {
   const char* group;
   const char* name;
@@ -23,7 +28,7 @@
   const char* help;
 };
 
-constexpr std::array<Flag, 34> kFlags = {{
+constexpr std::array<Flag, 35> kFlags = {{
     {"Identity", "node-name", "", "NAME",
      "name of this node, unique in the fleet"},
     {"Identity", "fleet", "default", "NAME",
@@ -71,6 +76,9 @@
      "largest body of a request or answer"},
     {"Limits", "max-buffered-bytes", "67108864", "N",
      "all bodies held at one time"},
+    {"Limits", "memory-limit-mb", "0", "N",
+     "memory of this process; bodies held at one time stay under 45 in 100 of "
+     "it, but may be as large as the largest body; 0 for no bound"},
     {"Operation", "operator-token", "", "TOKEN",
      "asked of operators for changes"},
     {"Operation", "log-level", "info", "LEVEL",
@@ -277,6 +285,13 @@
   if (identity.max_buffered_bytes < identity.max_body_bytes) {
     reader.Fail("max-buffered-bytes", "must not be under --max-body-bytes");
   }
+  const uint64_t memory = reader.Number("memory-limit-mb") << 20;
+  if (memory == 0) return;
+  const uint64_t for_bodies =
+      static_cast<uint64_t>(static_cast<double>(memory) * kMemoryForBodies);
+  identity.max_buffered_bytes =
+      std::min(identity.max_buffered_bytes,
+               std::max(for_bodies, identity.max_body_bytes));
 }
 
 void ReadNetwork(Reader& reader, DaemonOptions& options) {
--- a/src/amaranthd/options_test.cc
+++ b/src/amaranthd/options_test.cc
@@ -45,6 +45,21 @@
   CHECK(parsed.options.log_format == LogFormat::kJson);
 }
 
+// The node is killed for its memory while callers send large bodies: what it
+// may hold of them was set for hosts with more memory.
+TEST(Options, BodiesHeldStayWithinTheMemoryOfTheProcess) {
+  const auto held = [this](const char* limit) {
+    return Parse({"--node-name", "n1", "--data-centre", "d", "--max-body-bytes",
+                  "1000000", "--max-buffered-bytes", "100000000",
+                  "--memory-limit-mb", limit})
+        .options.identity.max_buffered_bytes;
+  };
+  CHECK_EQUAL(100'000'000u, held("0"));
+  CHECK_EQUAL(100'000'000u, held("500"));
+  CHECK_EQUAL(75'497'472u, held("160"));
+  CHECK_EQUAL(1'000'000u, held("1"));
+}
+
 TEST(Options, EveryErrorIsNamedAtOnce) {
   const ParsedOptions parsed =
       Parse({"--node-name", "bad name", "--ip", "localhost", "--caller-port",
