--- a/testsuite/lib/users_platform.py
+++ b/testsuite/lib/users_platform.py
@@ -18,6 +18,10 @@
 
 class _Server(http.server.ThreadingHTTPServer):
     daemon_threads = True
+    request_queue_size = 100
+
+    def handle_error(self, request, client_address):
+        """A caller that breaks off is no error of the stand-in."""
 
     def __init__(self, handler):
         super().__init__(("127.0.0.1", 0), handler)
@@ -143,6 +147,7 @@
 
             do_POST = do_GET
 
+        self._may_announce = threading.Event()
         self.server = _Server(Handler)
         threading.Thread(target=self._announce, daemon=True).start()
 
