The queue of a large server holds the wait that steers admission

Cause: 256 places are 300 ms of work with 15 slots of 17 ms, for which the steering was measured, but 56 ms with 110 slots of 24 ms. Test first: AQueueShorterThanTheWaitRefusesWhatWasLetIn (a queue by count refuses more than a second's offer in ten, one by time under a tenth).

--- a/src/include/amaranthroute/policy/admission_queue.h
+++ b/src/include/amaranthroute/policy/admission_queue.h
@@ -98,6 +98,18 @@
  public:
   explicit AdmissionQueue(AdmissionQueueOptions options = {});
 
+  /// Places for `max_wait` of work of a server with `slots` that takes
+  /// `service` for a call, but no fewer than `least`. A number of places that
+  /// suits 15 slots is a wait of 56 ms with 110 slots of 24 ms: where the wait
+  /// steers what is let in (ShedderOptions::steer_by_wait) the queue must hold
+  /// what that takes, or it refuses calls of requests that were let in to be
+  /// ended.
+  static size_t CapacityForWait(size_t least, int slots, Duration service,
+                                Duration max_wait = kSteeringWait);
+  /// Twice what cuts the lowest group whole; the 256 places of a server with 15
+  /// slots of 17 ms, for which the steering was measured.
+  static constexpr Duration kSteeringWait = std::chrono::milliseconds(300);
+
   /// Changes the bounds; calls that wait stay, also beyond a lower capacity.
   void Configure(const AdmissionQueueOptions& options);
 
--- a/src/libnode/local_server.cc
+++ b/src/libnode/local_server.cc
@@ -65,7 +65,12 @@
   limit_.SetCeiling(SlotsOf(record, settings));
   limit_.SetAdaptive(settings.concurrency == ConcurrencyMode::kAdaptive);
   long_work_ = LongWorkShare(settings.long_work_share);
-  queue_.Configure(QueueOptions(settings, in_order_));
+  AdmissionQueueOptions queue = QueueOptions(settings, in_order_);
+  if (in_order_) {
+    queue.capacity = AdmissionQueue::CapacityForWait(
+        queue.capacity, SlotsOf(record, settings), expected_service_);
+  }
+  queue_.Configure(queue);
   shedder_.SetTargetDelay(settings.queue_target * kShedderTargets);
 }
 
--- a/src/libpolicy/admission_queue.cc
+++ b/src/libpolicy/admission_queue.cc
@@ -17,6 +17,15 @@
 AdmissionQueue::AdmissionQueue(AdmissionQueueOptions options)
     : options_(options), patience_(options.patience) {}
 
+size_t AdmissionQueue::CapacityForWait(size_t least, int slots,
+                                       Duration service, Duration max_wait) {
+  if (service <= Duration::zero() || slots <= 0) return least;
+  const double started = static_cast<double>(slots) *
+                         static_cast<double>(max_wait.count()) /
+                         static_cast<double>(service.count());
+  return std::max(least, static_cast<size_t>(started));
+}
+
 void AdmissionQueue::Configure(const AdmissionQueueOptions& options) {
   options_ = options;
 }
--- a/src/libpolicy/shedder_test.cc
+++ b/src/libpolicy/shedder_test.cc
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "amaranthroute/policy/admission_queue.h"
 #include "libpolicy/fake_node.h"
 
 namespace amaranth {
@@ -222,7 +223,15 @@
 // where they enter by the server's threshold of 200 ms ago.
 class ChainLoad {
  public:
-  explicit ChainLoad(const ShedderOptions& options) : shedder_(options) {}
+  explicit ChainLoad(const ShedderOptions& options, size_t slots = 15,
+                     int service_ms = 15, size_t queue = 100'000)
+      : slots_(slots),
+        service_ms_(service_ms),
+        queue_(queue),
+        shedder_(options) {}
+
+  // Requests that failed as a call of theirs found the queue full.
+  int refused() const { return refused_; }
 
   // Offers `per_second` requests for `seconds`; returns the mean time of those
   // that ended in the last half of it, in milliseconds, and their number.
@@ -253,8 +262,6 @@
 
  private:
   static constexpr int kCalls = 4;
-  static constexpr int kSlots = 15;
-  static constexpr int kServiceMs = 15;
   struct Ended {
     uint32_t level;
     int began;
@@ -264,6 +271,10 @@
 
   void Call(uint32_t level, int began, int calls, TimePoint now) {
     shedder_.OnArrival(level, now);
+    if (waiting_.size() >= queue_) {
+      ++refused_;
+      return;
+    }
     waiting_.push_back(
         {level, began, calls, static_cast<int>(ToMicros(now) / 1000)});
   }
@@ -278,17 +289,21 @@
       ended.push_back(running_[i]);
       running_.erase(running_.begin() + static_cast<ptrdiff_t>(i));
     }
-    while (running_.size() < kSlots && !waiting_.empty()) {
+    while (running_.size() < slots_ && !waiting_.empty()) {
       const std::chrono::milliseconds oldest(ms - waiting_.front().at);
       shedder_.OnQueueDelay(oldest, now);
       running_.push_back(waiting_.front());
-      running_.back().at = ms + kServiceMs;
+      running_.back().at = ms + service_ms_;
       waiting_.pop_front();
     }
-    if (running_.size() < kSlots) shedder_.OnIdle(now);
+    if (running_.size() < slots_) shedder_.OnIdle(now);
     return ended;
   }
 
+  size_t slots_;
+  int service_ms_;
+  size_t queue_;
+  int refused_ = 0;
   Shedder shedder_;
   std::deque<Ended> waiting_;
   std::vector<Ended> running_;
@@ -316,6 +331,28 @@
   CHECK(counted_ended > 0);
 }
 
+// Callers get 500 for half of what was let in: with 110 slots the 256 places of
+// the queue are 56 ms of work, so the wait never reaches what cuts the lowest
+// group, and calls are turned away in mid-chain. A queue that is measured by
+// time lets the wait speak.
+TEST(ShedderTest, AQueueShorterThanTheWaitRefusesWhatWasLetIn) {
+  constexpr int kSlots = 110;
+  constexpr int kServiceMs = 24;
+  constexpr int kOffered = 2 * kSlots * 1000 / kServiceMs / 4;
+  ShedderOptions by_wait;
+  by_wait.steer_by_wait = true;
+  ChainLoad by_count(by_wait, kSlots, kServiceMs, 256);
+  by_count.Run(kOffered, 10);
+  const size_t capacity = AdmissionQueue::CapacityForWait(
+      256, kSlots, std::chrono::milliseconds(kServiceMs));
+  ChainLoad by_time(by_wait, kSlots, kServiceMs, capacity);
+  const auto [millis, ended] = by_time.Run(kOffered, 10);
+  CHECK(by_count.refused() > kOffered);
+  CHECK(by_time.refused() < kOffered / 10);
+  CHECK(millis < 900);
+  CHECK(ended > 0.85 * 5 * kOffered / 2);
+}
+
 TEST(ShedderTest, RequestsThatCostMoreGoFirstWithinTheirTier) {
   for (uint32_t level = 129; level <= 256; ++level) {
     CHECK(LevelByCost(level, true) <= 192);
