The reducer's parts have rooms of their own, with arrows one way

src/libnode was one flat folder of over 10,000 lines. Now shared, membership, settings, serving, entry, fakes; src/cmake/check_rooms.sh, part of the checks, refuses an include against that order.

--- a/src/bench/policy_run.h
+++ b/src/bench/policy_run.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "amaranthroute/messages.h"
-#include "libnode/fake_fleet.h"
+#include "libnode/fakes/fake_fleet.h"
 
 namespace amaranth::bench {
 
--- a/src/cmake/check.sh
+++ b/src/cmake/check.sh
@@ -9,6 +9,8 @@
 echo "== format"
 clang-format --dry-run --Werror "${sources[@]}"
 
+bash src/cmake/check_rooms.sh
+
 echo "== build"
 cmake --preset release >/dev/null
 cmake --build --preset release
--- a/src/fuzz/fuzz_caller_headers.cc
+++ b/src/fuzz/fuzz_caller_headers.cc
@@ -5,7 +5,7 @@
 
 #include "fuzz/require.h"
 #include "libhost/framing.h"
-#include "libnode/caller_headers.h"
+#include "libnode/shared/caller_headers.h"
 
 namespace {
 
--- a/src/libnode/calls_test.cc
+++ b/src/libnode/calls_test.cc
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <optional>
 
-#include "fake_fleet.h"
+#include "libnode/fakes/fake_fleet.h"
 
 namespace amaranth::pvt {
 
--- a/src/libnode/deployment_rules_test.cc
+++ b/src/libnode/deployment_rules_test.cc
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "amaranthroute/reducer.h"
-#include "libnode/caller_headers.h"
+#include "libnode/shared/caller_headers.h"
 
 namespace amaranth::pvt {
 namespace {
--- a/src/libnode/call.h
+++ b/src/libnode/entry/call.h
@@ -1,5 +1,5 @@
-#ifndef AMARANTHROUTE_LIBNODE_CALL_H_
-#define AMARANTHROUTE_LIBNODE_CALL_H_
+#ifndef AMARANTHROUTE_LIBNODE_ENTRY_CALL_H_
+#define AMARANTHROUTE_LIBNODE_ENTRY_CALL_H_
 
 // One call at its entry node: a caller's request, or a backend server's nested
 // call, until its answer.
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "amaranthroute/messages.h"
-#include "libnode/credit_ledger.h"
+#include "libnode/shared/credit_ledger.h"
 
 namespace amaranth::pvt {
 
@@ -70,4 +70,4 @@
 
 }  // namespace amaranth::pvt
 
-#endif  // AMARANTHROUTE_LIBNODE_CALL_H_
+#endif  // AMARANTHROUTE_LIBNODE_ENTRY_CALL_H_
--- a/src/libnode/claim_desk.cc
+++ b/src/libnode/entry/claim_desk.cc
@@ -1,4 +1,4 @@
-#include "claim_desk.h"
+#include "libnode/entry/claim_desk.h"
 
 #include <algorithm>
 #include <charconv>
--- a/src/libnode/claim_desk.h
+++ b/src/libnode/entry/claim_desk.h
@@ -1,5 +1,5 @@
-#ifndef AMARANTHROUTE_LIBNODE_CLAIM_DESK_H_
-#define AMARANTHROUTE_LIBNODE_CLAIM_DESK_H_
+#ifndef AMARANTHROUTE_LIBNODE_ENTRY_CLAIM_DESK_H_
+#define AMARANTHROUTE_LIBNODE_ENTRY_CLAIM_DESK_H_
 
 // Claims of idempotency keys in the platform's table: asked for by this node's
 // own calls, and batched for its data centre where it is the delegate.
@@ -19,11 +19,11 @@
 #include <vector>
 
 #include "amaranthroute/event.h"
-#include "libnode/context.h"
-#include "libnode/deadline_set.h"
-#include "libnode/membership.h"
-#include "libnode/outbox.h"
-#include "libnode/stats.h"
+#include "libnode/membership/membership.h"
+#include "libnode/shared/context.h"
+#include "libnode/shared/deadline_set.h"
+#include "libnode/shared/outbox.h"
+#include "libnode/shared/stats.h"
 
 namespace amaranth::pvt {
 
@@ -91,4 +91,4 @@
 
 }  // namespace amaranth::pvt
 
-#endif  // AMARANTHROUTE_LIBNODE_CLAIM_DESK_H_
+#endif  // AMARANTHROUTE_LIBNODE_ENTRY_CLAIM_DESK_H_
--- a/src/libnode/entry_attempts.cc
+++ b/src/libnode/entry/entry_attempts.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 #include "amaranthroute/policy/retry_after.h"
-#include "libnode/entry_role.h"
+#include "libnode/entry/entry_role.h"
 
 namespace amaranth::pvt {
 namespace {
--- a/src/libnode/entry_begin.cc
+++ b/src/libnode/entry/entry_begin.cc
@@ -4,8 +4,8 @@
 
 #include "amaranthroute/hash.h"
 #include "amaranthroute/policy/retry_after.h"
-#include "libnode/answers.h"
-#include "libnode/entry_role.h"
+#include "libnode/entry/entry_role.h"
+#include "libnode/shared/answers.h"
 
 namespace amaranth::pvt {
 namespace {
--- a/src/libnode/entry_finish.cc
+++ b/src/libnode/entry/entry_finish.cc
@@ -3,8 +3,8 @@
 #include <algorithm>
 
 #include "amaranthroute/policy/retry_after.h"
-#include "libnode/answers.h"
-#include "libnode/entry_role.h"
+#include "libnode/entry/entry_role.h"
+#include "libnode/shared/answers.h"
 
 namespace amaranth::pvt {
 namespace {
--- a/src/libnode/entry_keys.cc
+++ b/src/libnode/entry/entry_keys.cc
@@ -1,7 +1,7 @@
 // At most once: requests whose key has one dispatcher for good.
 
 #include "amaranthroute/policy/retry_after.h"
-#include "libnode/entry_role.h"
+#include "libnode/entry/entry_role.h"
 
 namespace amaranth::pvt {
 namespace {
--- a/src/libnode/entry_role.h
+++ b/src/libnode/entry/entry_role.h
@@ -1,5 +1,5 @@
-#ifndef AMARANTHROUTE_LIBNODE_ENTRY_ROLE_H_
-#define AMARANTHROUTE_LIBNODE_ENTRY_ROLE_H_
+#ifndef AMARANTHROUTE_LIBNODE_ENTRY_ENTRY_ROLE_H_
+#define AMARANTHROUTE_LIBNODE_ENTRY_ENTRY_ROLE_H_
 
 // The node as entry of calls: a caller's request, a nested call of a backend
 // server of this host, or a request whose key has its home here. Admits, picks
@@ -16,20 +16,20 @@
 #include "amaranthroute/policy/fleet_retry_share.h"
 #include "amaranthroute/policy/retry_budget.h"
 #include "amaranthroute/policy/shedder.h"
-#include "libnode/call.h"
-#include "libnode/caller_headers.h"
-#include "libnode/claim_desk.h"
-#include "libnode/context.h"
-#include "libnode/deadline_set.h"
-#include "libnode/key_registry.h"
-#include "libnode/membership.h"
-#include "libnode/outbox.h"
-#include "libnode/recent_set.h"
-#include "libnode/records.h"
-#include "libnode/server_choice.h"
-#include "libnode/serving_role.h"
-#include "libnode/settings_cache.h"
-#include "libnode/stats.h"
+#include "libnode/entry/call.h"
+#include "libnode/entry/claim_desk.h"
+#include "libnode/entry/key_registry.h"
+#include "libnode/entry/server_choice.h"
+#include "libnode/membership/membership.h"
+#include "libnode/serving/serving_role.h"
+#include "libnode/settings/settings_cache.h"
+#include "libnode/shared/caller_headers.h"
+#include "libnode/shared/context.h"
+#include "libnode/shared/deadline_set.h"
+#include "libnode/shared/outbox.h"
+#include "libnode/shared/recent_set.h"
+#include "libnode/shared/records.h"
+#include "libnode/shared/stats.h"
 
 namespace amaranth::pvt {
 
@@ -179,4 +179,4 @@
 
 }  // namespace amaranth::pvt
 
-#endif  // AMARANTHROUTE_LIBNODE_ENTRY_ROLE_H_
+#endif  // AMARANTHROUTE_LIBNODE_ENTRY_ENTRY_ROLE_H_
--- a/src/libnode/key_registry.cc
+++ b/src/libnode/entry/key_registry.cc
@@ -1,4 +1,4 @@
-#include "key_registry.h"
+#include "libnode/entry/key_registry.h"
 
 #include <algorithm>
 
--- a/src/libnode/key_registry.h
+++ b/src/libnode/entry/key_registry.h
@@ -1,5 +1,5 @@
-#ifndef AMARANTHROUTE_LIBNODE_KEY_REGISTRY_H_
-#define AMARANTHROUTE_LIBNODE_KEY_REGISTRY_H_
+#ifndef AMARANTHROUTE_LIBNODE_ENTRY_KEY_REGISTRY_H_
+#define AMARANTHROUTE_LIBNODE_ENTRY_KEY_REGISTRY_H_
 
 // The idempotency keys that this node alone may dispatch: by a ticket that
 // names it as home, or by a claim in the platform's table.
@@ -20,8 +20,8 @@
 #include "amaranthroute/http.h"
 #include "amaranthroute/time.h"
 #include "amaranthroute/verdict.h"
-#include "libnode/caller_headers.h"
-#include "libnode/context.h"
+#include "libnode/shared/caller_headers.h"
+#include "libnode/shared/context.h"
 
 namespace amaranth::pvt {
 
@@ -85,4 +85,4 @@
 
 }  // namespace amaranth::pvt
 
-#endif  // AMARANTHROUTE_LIBNODE_KEY_REGISTRY_H_
+#endif  // AMARANTHROUTE_LIBNODE_ENTRY_KEY_REGISTRY_H_
--- a/src/libnode/server_choice.cc
+++ b/src/libnode/entry/server_choice.cc
@@ -1,4 +1,4 @@
-#include "server_choice.h"
+#include "libnode/entry/server_choice.h"
 
 #include <algorithm>
 #include <iterator>
--- a/src/libnode/server_choice.h
+++ b/src/libnode/entry/server_choice.h
@@ -1,5 +1,5 @@
-#ifndef AMARANTHROUTE_LIBNODE_SERVER_CHOICE_H_
-#define AMARANTHROUTE_LIBNODE_SERVER_CHOICE_H_
+#ifndef AMARANTHROUTE_LIBNODE_ENTRY_SERVER_CHOICE_H_
+#define AMARANTHROUTE_LIBNODE_ENTRY_SERVER_CHOICE_H_
 
 // What this entry node knows of other hosts' backend servers from its own
 // calls, and the choice among them. Health and load endpoints play no part:
@@ -17,7 +17,7 @@
 #include "amaranthroute/policy/outlier.h"
 #include "amaranthroute/policy/server_picker.h"
 #include "amaranthroute/settings.h"
-#include "libnode/membership.h"
+#include "libnode/membership/membership.h"
 
 namespace amaranth::pvt {
 
@@ -91,4 +91,4 @@
 
 }  // namespace amaranth::pvt
 
-#endif  // AMARANTHROUTE_LIBNODE_SERVER_CHOICE_H_
+#endif  // AMARANTHROUTE_LIBNODE_ENTRY_SERVER_CHOICE_H_
--- a/src/libnode/server_choice_test.cc
+++ b/src/libnode/entry/server_choice_test.cc
@@ -1,4 +1,4 @@
-#include "libnode/server_choice.h"
+#include "libnode/entry/server_choice.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/src/libnode/fake_fleet.cc
+++ b/src/libnode/fakes/fake_fleet.cc
@@ -1,9 +1,9 @@
-#include "fake_fleet.h"
+#include "libnode/fakes/fake_fleet.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
-#include "libnode/fake_fleet_server.h"
+#include "libnode/fakes/fake_fleet_server.h"
 
 namespace amaranth::pvt {
 namespace {
--- a/src/libnode/fake_fleet.h
+++ b/src/libnode/fakes/fake_fleet.h
@@ -1,5 +1,5 @@
-#ifndef AMARANTHROUTE_LIBNODE_FAKE_FLEET_H_
-#define AMARANTHROUTE_LIBNODE_FAKE_FLEET_H_
+#ifndef AMARANTHROUTE_LIBNODE_FAKES_FAKE_FLEET_H_
+#define AMARANTHROUTE_LIBNODE_FAKES_FAKE_FLEET_H_
 
 // Several reducers joined by a tiny scheduler in virtual time, with fake
 // backend servers and a fake platform: for tests and the policy bench. It
@@ -217,4 +217,4 @@
 
 }  // namespace amaranth::pvt
 
-#endif  // AMARANTHROUTE_LIBNODE_FAKE_FLEET_H_
+#endif  // AMARANTHROUTE_LIBNODE_FAKES_FAKE_FLEET_H_
--- a/src/libnode/fake_fleet_server.h
+++ b/src/libnode/fakes/fake_fleet_server.h
@@ -1,5 +1,5 @@
-#ifndef AMARANTHROUTE_LIBNODE_FAKE_FLEET_SERVER_H_
-#define AMARANTHROUTE_LIBNODE_FAKE_FLEET_SERVER_H_
+#ifndef AMARANTHROUTE_LIBNODE_FAKES_FAKE_FLEET_SERVER_H_
+#define AMARANTHROUTE_LIBNODE_FAKES_FAKE_FLEET_SERVER_H_
 
 // State of the fake fleet's backend servers.
 
@@ -7,7 +7,7 @@
 #include <memory>
 #include <vector>
 
-#include "libnode/fake_fleet.h"
+#include "libnode/fakes/fake_fleet.h"
 
 namespace amaranth::pvt {
 
@@ -35,4 +35,4 @@
 
 }  // namespace amaranth::pvt
 
-#endif  // AMARANTHROUTE_LIBNODE_FAKE_FLEET_SERVER_H_
+#endif  // AMARANTHROUTE_LIBNODE_FAKES_FAKE_FLEET_SERVER_H_
--- a/src/libnode/fake_servers.cc
+++ b/src/libnode/fakes/fake_servers.cc
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 
-#include "libnode/fake_fleet.h"
-#include "libnode/fake_fleet_server.h"
+#include "libnode/fakes/fake_fleet.h"
+#include "libnode/fakes/fake_fleet_server.h"
 
 namespace amaranth::pvt {
 namespace {
--- a/src/libnode/membership_fleet.h
+++ b/src/libnode/fakes/membership_fleet.h
@@ -1,5 +1,5 @@
-#ifndef AMARANTHROUTE_LIBNODE_MEMBERSHIP_FLEET_H_
-#define AMARANTHROUTE_LIBNODE_MEMBERSHIP_FLEET_H_
+#ifndef AMARANTHROUTE_LIBNODE_FAKES_MEMBERSHIP_FLEET_H_
+#define AMARANTHROUTE_LIBNODE_FAKES_MEMBERSHIP_FLEET_H_
 
 // For tests: several Membership objects joined by a scheduler in virtual time
 // that loses, duplicates, delays and reorders datagrams, cuts nodes off from
@@ -16,7 +16,7 @@
 #include <variant>
 #include <vector>
 
-#include "libnode/membership.h"
+#include "libnode/membership/membership.h"
 
 namespace amaranth::pvt {
 
@@ -306,4 +306,4 @@
 
 }  // namespace amaranth::pvt
 
-#endif  // AMARANTHROUTE_LIBNODE_MEMBERSHIP_FLEET_H_
+#endif  // AMARANTHROUTE_LIBNODE_FAKES_MEMBERSHIP_FLEET_H_
--- a/src/libnode/settings_fleet.h
+++ b/src/libnode/fakes/settings_fleet.h
@@ -1,5 +1,5 @@
-#ifndef AMARANTHROUTE_LIBNODE_SETTINGS_FLEET_H_
-#define AMARANTHROUTE_LIBNODE_SETTINGS_FLEET_H_
+#ifndef AMARANTHROUTE_LIBNODE_FAKES_SETTINGS_FLEET_H_
+#define AMARANTHROUTE_LIBNODE_FAKES_SETTINGS_FLEET_H_
 
 // For tests: several SettingsStore objects, the platform kept in memory and
 // the links between nodes, all in virtual time. The platform can be down, lose
@@ -16,7 +16,7 @@
 #include <utility>
 #include <vector>
 
-#include "libnode/settings_store.h"
+#include "libnode/settings/settings_store.h"
 
 namespace amaranth::pvt {
 
@@ -300,4 +300,4 @@
 
 }  // namespace amaranth::pvt
 
-#endif  // AMARANTHROUTE_LIBNODE_SETTINGS_FLEET_H_
+#endif  // AMARANTHROUTE_LIBNODE_FAKES_SETTINGS_FLEET_H_
--- a/src/libnode/membership.cc
+++ b/src/libnode/membership/membership.cc
@@ -1,9 +1,9 @@
-#include "libnode/membership.h"
+#include "libnode/membership/membership.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "libnode/membership_limits.h"
+#include "libnode/membership/membership_limits.h"
 
 namespace amaranth::pvt {
 
--- a/src/libnode/membership.h
+++ b/src/libnode/membership/membership.h
@@ -1,5 +1,5 @@
-#ifndef AMARANTHROUTE_LIBNODE_MEMBERSHIP_H_
-#define AMARANTHROUTE_LIBNODE_MEMBERSHIP_H_
+#ifndef AMARANTHROUTE_LIBNODE_MEMBERSHIP_MEMBERSHIP_H_
+#define AMARANTHROUTE_LIBNODE_MEMBERSHIP_MEMBERSHIP_H_
 
 // Who is in the fleet and which backend servers they have, without any list
 // kept elsewhere: SWIM inside a data centre, anti-entropy between data centres.
@@ -14,9 +14,9 @@
 #include <vector>
 
 #include "amaranthroute/messages.h"
-#include "libnode/context.h"
-#include "libnode/membership_table.h"
-#include "libnode/membership_updates.h"
+#include "libnode/membership/membership_table.h"
+#include "libnode/membership/membership_updates.h"
+#include "libnode/shared/context.h"
 
 namespace amaranth::pvt {
 
@@ -226,4 +226,4 @@
 
 }  // namespace amaranth::pvt
 
-#endif  // AMARANTHROUTE_LIBNODE_MEMBERSHIP_H_
+#endif  // AMARANTHROUTE_LIBNODE_MEMBERSHIP_MEMBERSHIP_H_
--- a/src/libnode/membership_limits.h
+++ b/src/libnode/membership/membership_limits.h
@@ -1,5 +1,5 @@
-#ifndef AMARANTHROUTE_LIBNODE_MEMBERSHIP_LIMITS_H_
-#define AMARANTHROUTE_LIBNODE_MEMBERSHIP_LIMITS_H_
+#ifndef AMARANTHROUTE_LIBNODE_MEMBERSHIP_MEMBERSHIP_LIMITS_H_
+#define AMARANTHROUTE_LIBNODE_MEMBERSHIP_MEMBERSHIP_LIMITS_H_
 
 // Times and counts of the membership protocol; docs/design/membership.md says
 // how they were weighed.
@@ -80,4 +80,4 @@
 
 }  // namespace amaranth::pvt
 
-#endif  // AMARANTHROUTE_LIBNODE_MEMBERSHIP_LIMITS_H_
+#endif  // AMARANTHROUTE_LIBNODE_MEMBERSHIP_MEMBERSHIP_LIMITS_H_
--- a/src/libnode/membership_probe.cc
+++ b/src/libnode/membership/membership_probe.cc
@@ -6,8 +6,8 @@
 #include <random>
 #include <utility>
 
-#include "libnode/membership.h"
-#include "libnode/membership_limits.h"
+#include "libnode/membership/membership.h"
+#include "libnode/membership/membership_limits.h"
 
 namespace amaranth::pvt {
 
--- a/src/libnode/membership_property_test.cc
+++ b/src/libnode/membership/membership_property_test.cc
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "libnode/membership_fleet.h"
+#include "libnode/fakes/membership_fleet.h"
 
 namespace amaranth::pvt {
 
--- a/src/libnode/membership_table.cc
+++ b/src/libnode/membership/membership_table.cc
@@ -1,4 +1,4 @@
-#include "libnode/membership_table.h"
+#include "libnode/membership/membership_table.h"
 
 #include <algorithm>
 #include <tuple>
--- a/src/libnode/membership_table.h
+++ b/src/libnode/membership/membership_table.h
@@ -1,5 +1,5 @@
-#ifndef AMARANTHROUTE_LIBNODE_MEMBERSHIP_TABLE_H_
-#define AMARANTHROUTE_LIBNODE_MEMBERSHIP_TABLE_H_
+#ifndef AMARANTHROUTE_LIBNODE_MEMBERSHIP_MEMBERSHIP_TABLE_H_
+#define AMARANTHROUTE_LIBNODE_MEMBERSHIP_MEMBERSHIP_TABLE_H_
 
 // The records of all nodes of the fleet, the order in which one record
 // supersedes another, and the index of backend servers by service.
@@ -92,4 +92,4 @@
 
 }  // namespace amaranth::pvt
 
-#endif  // AMARANTHROUTE_LIBNODE_MEMBERSHIP_TABLE_H_
+#endif  // AMARANTHROUTE_LIBNODE_MEMBERSHIP_MEMBERSHIP_TABLE_H_
--- a/src/libnode/membership_test.cc
+++ b/src/libnode/membership/membership_test.cc
@@ -1,11 +1,11 @@
-#include "libnode/membership.h"
+#include "libnode/membership/membership.h"
 
 #include <CppUTest/TestHarness.h>
 
 #include <string>
 #include <vector>
 
-#include "libnode/membership_fleet.h"
+#include "libnode/fakes/membership_fleet.h"
 
 namespace amaranth::pvt {
 
--- a/src/libnode/membership_updates.cc
+++ b/src/libnode/membership/membership_updates.cc
@@ -1,4 +1,4 @@
-#include "libnode/membership_updates.h"
+#include "libnode/membership/membership_updates.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/libnode/membership_updates.h
+++ b/src/libnode/membership/membership_updates.h
@@ -1,5 +1,5 @@
-#ifndef AMARANTHROUTE_LIBNODE_MEMBERSHIP_UPDATES_H_
-#define AMARANTHROUTE_LIBNODE_MEMBERSHIP_UPDATES_H_
+#ifndef AMARANTHROUTE_LIBNODE_MEMBERSHIP_MEMBERSHIP_UPDATES_H_
+#define AMARANTHROUTE_LIBNODE_MEMBERSHIP_MEMBERSHIP_UPDATES_H_
 
 // What rides on gossip datagrams: fresh records for a limited number of
 // transmissions, and the fleet's quarantined fingerprints.
@@ -95,4 +95,4 @@
 
 }  // namespace amaranth::pvt
 
-#endif  // AMARANTHROUTE_LIBNODE_MEMBERSHIP_UPDATES_H_
+#endif  // AMARANTHROUTE_LIBNODE_MEMBERSHIP_MEMBERSHIP_UPDATES_H_
--- a/src/libnode/quarantine_list_test.cc
+++ b/src/libnode/membership/quarantine_list_test.cc
@@ -1,6 +1,6 @@
 #include <CppUTest/TestHarness.h>
 
-#include "membership_updates.h"
+#include "libnode/membership/membership_updates.h"
 
 namespace amaranth::pvt {
 
--- a/src/libnode/membership_settings.cmake
+++ b/src/libnode/membership_settings.cmake
@@ -1,29 +1,29 @@
 # Sources of the membership and settings modules; included by CMakeLists.txt.
 set(AMARANTH_MEMBERSHIP_SETTINGS_SOURCES
-    membership.cc
-    membership_probe.cc
-    membership_spread.cc
-    membership_sync.cc
-    membership_table.cc
-    membership_updates.cc
-    settings_change.cc
-    settings_definitions.cc
-    settings_document.cc
-    settings_store.cc
-    settings_tree.cc)
+    membership/membership.cc
+    membership/membership_probe.cc
+    membership/membership_spread.cc
+    membership/membership_sync.cc
+    membership/membership_table.cc
+    membership/membership_updates.cc
+    settings/settings_change.cc
+    settings/settings_definitions.cc
+    settings/settings_document.cc
+    settings/settings_store.cc
+    settings/settings_tree.cc)
 set(AMARANTH_MEMBERSHIP_SETTINGS_TESTS
-    membership_property_test.cc
-    membership_test.cc
-    settings_store_test.cc
-    settings_tree_test.cc)
+    membership/membership_property_test.cc
+    membership/membership_test.cc
+    settings/settings_store_test.cc
+    settings/settings_tree_test.cc)
 
 set_source_files_properties(
-  settings_tree_test.cc
+  settings/settings_tree_test.cc
   PROPERTIES COMPILE_DEFINITIONS "AMARANTH_SOURCE_DIR=\"${CMAKE_SOURCE_DIR}\"")
 
 # `cmake --build build --target settings_reference_page` rewrites the page
 # after the table has changed.
-amaranth_program(settings_reference SOURCES settings_reference.cc LIBS
+amaranth_program(settings_reference SOURCES settings/settings_reference.cc LIBS
                  amaranth_node)
 add_custom_target(
   settings_reference_page
--- a/src/libnode/node_state.cc
+++ b/src/libnode/node_state.cc
@@ -1,10 +1,10 @@
-#include "node_state.h"
+#include "libnode/node_state.h"
 
 #include <algorithm>
 
 #include "amaranthroute/policy/retry_after.h"
-#include "libnode/answers.h"
 #include "libnode/operator_api.h"
+#include "libnode/shared/answers.h"
 
 namespace amaranth::pvt {
 namespace {
--- a/src/libnode/node_state.h
+++ b/src/libnode/node_state.h
@@ -6,17 +6,17 @@
 #include <random>
 
 #include "amaranthroute/reducer.h"
-#include "libnode/claim_desk.h"
-#include "libnode/context.h"
-#include "libnode/entry_role.h"
-#include "libnode/membership.h"
-#include "libnode/outbox.h"
+#include "libnode/entry/claim_desk.h"
+#include "libnode/entry/entry_role.h"
+#include "libnode/membership/membership.h"
 #include "libnode/peer_links.h"
-#include "libnode/records.h"
-#include "libnode/serving_role.h"
-#include "libnode/settings_cache.h"
-#include "libnode/settings_store.h"
-#include "libnode/stats.h"
+#include "libnode/serving/serving_role.h"
+#include "libnode/settings/settings_cache.h"
+#include "libnode/settings/settings_store.h"
+#include "libnode/shared/context.h"
+#include "libnode/shared/outbox.h"
+#include "libnode/shared/records.h"
+#include "libnode/shared/stats.h"
 
 namespace amaranth::pvt {
 
--- a/src/libnode/operator_api.cc
+++ b/src/libnode/operator_api.cc
@@ -1,4 +1,4 @@
-#include "operator_api.h"
+#include "libnode/operator_api.h"
 
 #include <charconv>
 #include <nlohmann/json.hpp>
@@ -6,8 +6,8 @@
 #include <string>
 #include <utility>
 
-#include "libnode/answers.h"
-#include "libnode/request_target.h"
+#include "libnode/shared/answers.h"
+#include "libnode/shared/request_target.h"
 #include "libutil/shallow_json.h"
 
 namespace amaranth::pvt {
--- a/src/libnode/overload_test.cc
+++ b/src/libnode/overload_test.cc
@@ -8,7 +8,7 @@
 #include <random>
 #include <string>
 
-#include "fake_fleet.h"
+#include "libnode/fakes/fake_fleet.h"
 
 namespace amaranth::pvt {
 
--- a/src/libnode/peer_links.cc
+++ b/src/libnode/peer_links.cc
@@ -1,4 +1,4 @@
-#include "peer_links.h"
+#include "libnode/peer_links.h"
 
 #include <vector>
 
--- a/src/libnode/peer_links.h
+++ b/src/libnode/peer_links.h
@@ -14,7 +14,7 @@
 #include <string>
 
 #include "amaranthroute/policy/progress_watch.h"
-#include "libnode/context.h"
+#include "libnode/shared/context.h"
 
 namespace amaranth::pvt {
 
--- a/src/libnode/promises_property_test.cc
+++ b/src/libnode/promises_property_test.cc
@@ -9,7 +9,7 @@
 #include <map>
 #include <set>
 
-#include "fake_fleet.h"
+#include "libnode/fakes/fake_fleet.h"
 
 namespace amaranth::pvt {
 namespace {
--- a/src/libnode/crash_window.h
+++ b/src/libnode/serving/crash_window.h
@@ -1,5 +1,5 @@
-#ifndef AMARANTHROUTE_LIBNODE_CRASH_WINDOW_H_
-#define AMARANTHROUTE_LIBNODE_CRASH_WINDOW_H_
+#ifndef AMARANTHROUTE_LIBNODE_SERVING_CRASH_WINDOW_H_
+#define AMARANTHROUTE_LIBNODE_SERVING_CRASH_WINDOW_H_
 
 // Tells a crash of a backend server from one broken connection.
 //
@@ -90,4 +90,4 @@
 
 }  // namespace amaranth::pvt
 
-#endif  // AMARANTHROUTE_LIBNODE_CRASH_WINDOW_H_
+#endif  // AMARANTHROUTE_LIBNODE_SERVING_CRASH_WINDOW_H_
--- a/src/libnode/crash_window_test.cc
+++ b/src/libnode/serving/crash_window_test.cc
@@ -1,4 +1,4 @@
-#include "crash_window.h"
+#include "libnode/serving/crash_window.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/src/libnode/hop.h
+++ b/src/libnode/serving/hop.h
@@ -1,5 +1,5 @@
-#ifndef AMARANTHROUTE_LIBNODE_HOP_H_
-#define AMARANTHROUTE_LIBNODE_HOP_H_
+#ifndef AMARANTHROUTE_LIBNODE_SERVING_HOP_H_
+#define AMARANTHROUTE_LIBNODE_SERVING_HOP_H_
 
 // One call at its serving node, from arrival to answer.
 
@@ -8,7 +8,7 @@
 #include <string>
 
 #include "amaranthroute/messages.h"
-#include "libnode/credit_ledger.h"
+#include "libnode/shared/credit_ledger.h"
 
 namespace amaranth::pvt {
 
@@ -66,4 +66,4 @@
 
 }  // namespace amaranth::pvt
 
-#endif  // AMARANTHROUTE_LIBNODE_HOP_H_
+#endif  // AMARANTHROUTE_LIBNODE_SERVING_HOP_H_
--- a/src/libnode/left_servers.cc
+++ b/src/libnode/serving/left_servers.cc
@@ -1,4 +1,4 @@
-#include "libnode/left_servers.h"
+#include "libnode/serving/left_servers.h"
 
 namespace amaranth::pvt {
 namespace {
--- a/src/libnode/left_servers.h
+++ b/src/libnode/serving/left_servers.h
@@ -1,5 +1,5 @@
-#ifndef AMARANTHROUTE_LIBNODE_LEFT_SERVERS_H_
-#define AMARANTHROUTE_LIBNODE_LEFT_SERVERS_H_
+#ifndef AMARANTHROUTE_LIBNODE_SERVING_LEFT_SERVERS_H_
+#define AMARANTHROUTE_LIBNODE_SERVING_LEFT_SERVERS_H_
 
 // Backend servers that have said they leave. Announcements that say "ready" may
 // still be on their way then; believed, they would bring the server back and
@@ -12,7 +12,7 @@
 #include <string>
 
 #include "amaranthroute/time.h"
-#include "libnode/local_server.h"
+#include "libnode/serving/local_server.h"
 
 namespace amaranth::pvt {
 
@@ -47,4 +47,4 @@
 
 }  // namespace amaranth::pvt
 
-#endif  // AMARANTHROUTE_LIBNODE_LEFT_SERVERS_H_
+#endif  // AMARANTHROUTE_LIBNODE_SERVING_LEFT_SERVERS_H_
--- a/src/libnode/local_server.cc
+++ b/src/libnode/serving/local_server.cc
@@ -1,4 +1,4 @@
-#include "local_server.h"
+#include "libnode/serving/local_server.h"
 
 #include <algorithm>
 #include <limits>
--- a/src/libnode/local_server.h
+++ b/src/libnode/serving/local_server.h
@@ -1,5 +1,5 @@
-#ifndef AMARANTHROUTE_LIBNODE_LOCAL_SERVER_H_
-#define AMARANTHROUTE_LIBNODE_LOCAL_SERVER_H_
+#ifndef AMARANTHROUTE_LIBNODE_SERVING_LOCAL_SERVER_H_
+#define AMARANTHROUTE_LIBNODE_SERVING_LOCAL_SERVER_H_
 
 // A backend server of this host, with the decisions that guard its slots.
 
@@ -15,7 +15,7 @@
 #include "amaranthroute/policy/retry_after.h"
 #include "amaranthroute/policy/shedder.h"
 #include "amaranthroute/settings.h"
-#include "libnode/crash_window.h"
+#include "libnode/serving/crash_window.h"
 
 namespace amaranth::pvt {
 
@@ -97,4 +97,4 @@
 
 }  // namespace amaranth::pvt
 
-#endif  // AMARANTHROUTE_LIBNODE_LOCAL_SERVER_H_
+#endif  // AMARANTHROUTE_LIBNODE_SERVING_LOCAL_SERVER_H_
--- a/src/libnode/serving_role.cc
+++ b/src/libnode/serving/serving_role.cc
@@ -1,10 +1,10 @@
-#include "serving_role.h"
+#include "libnode/serving/serving_role.h"
 
 #include <algorithm>
 #include <utility>
 
 #include "amaranthroute/policy/progress_watch.h"
-#include "libnode/answers.h"
+#include "libnode/shared/answers.h"
 
 namespace amaranth::pvt {
 namespace {
--- a/src/libnode/serving_role.h
+++ b/src/libnode/serving/serving_role.h
@@ -1,5 +1,5 @@
-#ifndef AMARANTHROUTE_LIBNODE_SERVING_ROLE_H_
-#define AMARANTHROUTE_LIBNODE_SERVING_ROLE_H_
+#ifndef AMARANTHROUTE_LIBNODE_SERVING_SERVING_ROLE_H_
+#define AMARANTHROUTE_LIBNODE_SERVING_SERVING_ROLE_H_
 
 // The node as guard of its host's backend servers: lets calls in, queues,
 // sheds, dispatches and answers them, and keeps the ledger of each hop.
@@ -13,18 +13,18 @@
 
 #include "amaranthroute/event.h"
 #include "amaranthroute/policy/crash_guard.h"
-#include "libnode/caller_headers.h"
-#include "libnode/context.h"
-#include "libnode/deadline_set.h"
-#include "libnode/hop.h"
-#include "libnode/left_servers.h"
-#include "libnode/local_server.h"
-#include "libnode/membership.h"
-#include "libnode/outbox.h"
-#include "libnode/recent_set.h"
-#include "libnode/records.h"
-#include "libnode/settings_cache.h"
-#include "libnode/stats.h"
+#include "libnode/membership/membership.h"
+#include "libnode/serving/hop.h"
+#include "libnode/serving/left_servers.h"
+#include "libnode/serving/local_server.h"
+#include "libnode/settings/settings_cache.h"
+#include "libnode/shared/caller_headers.h"
+#include "libnode/shared/context.h"
+#include "libnode/shared/deadline_set.h"
+#include "libnode/shared/outbox.h"
+#include "libnode/shared/recent_set.h"
+#include "libnode/shared/records.h"
+#include "libnode/shared/stats.h"
 
 namespace amaranth::pvt {
 
@@ -130,4 +130,4 @@
 
 }  // namespace amaranth::pvt
 
-#endif  // AMARANTHROUTE_LIBNODE_SERVING_ROLE_H_
+#endif  // AMARANTHROUTE_LIBNODE_SERVING_SERVING_ROLE_H_
--- a/src/libnode/serving_servers.cc
+++ b/src/libnode/serving/serving_servers.cc
@@ -2,8 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
-#include "libnode/answers.h"
-#include "libnode/serving_role.h"
+#include "libnode/serving/serving_role.h"
+#include "libnode/shared/answers.h"
 #include "libutil/shallow_json.h"
 
 namespace amaranth::pvt {
--- a/src/libnode/settings_cache.h
+++ b/src/libnode/settings/settings_cache.h
@@ -1,5 +1,5 @@
-#ifndef AMARANTHROUTE_LIBNODE_SETTINGS_CACHE_H_
-#define AMARANTHROUTE_LIBNODE_SETTINGS_CACHE_H_
+#ifndef AMARANTHROUTE_LIBNODE_SETTINGS_SETTINGS_CACHE_H_
+#define AMARANTHROUTE_LIBNODE_SETTINGS_SETTINGS_CACHE_H_
 
 // Resolved settings by service and class, kept until the version changes:
 // walking the tree for each call would cost more than the call's own decisions.
@@ -9,7 +9,7 @@
 #include <utility>
 
 #include "amaranthroute/settings.h"
-#include "libnode/settings_store.h"
+#include "libnode/settings/settings_store.h"
 
 namespace amaranth::pvt {
 
@@ -47,4 +47,4 @@
 
 }  // namespace amaranth::pvt
 
-#endif  // AMARANTHROUTE_LIBNODE_SETTINGS_CACHE_H_
+#endif  // AMARANTHROUTE_LIBNODE_SETTINGS_SETTINGS_CACHE_H_
--- a/src/libnode/settings_change.cc
+++ b/src/libnode/settings/settings_change.cc
@@ -1,4 +1,4 @@
-#include "libnode/settings_change.h"
+#include "libnode/settings/settings_change.h"
 
 #include <algorithm>
 #include <cinttypes>
--- a/src/libnode/settings_change.h
+++ b/src/libnode/settings/settings_change.h
@@ -1,5 +1,5 @@
-#ifndef AMARANTHROUTE_LIBNODE_SETTINGS_CHANGE_H_
-#define AMARANTHROUTE_LIBNODE_SETTINGS_CHANGE_H_
+#ifndef AMARANTHROUTE_LIBNODE_SETTINGS_SETTINGS_CHANGE_H_
+#define AMARANTHROUTE_LIBNODE_SETTINGS_SETTINGS_CHANGE_H_
 
 // One operator's change on its way through the platform.
 //
@@ -17,8 +17,8 @@
 #include <vector>
 
 #include "amaranthroute/settings.h"
-#include "libnode/context.h"
-#include "libnode/settings_document.h"
+#include "libnode/settings/settings_document.h"
+#include "libnode/shared/context.h"
 
 namespace amaranth::pvt {
 
@@ -94,4 +94,4 @@
 
 }  // namespace amaranth::pvt
 
-#endif  // AMARANTHROUTE_LIBNODE_SETTINGS_CHANGE_H_
+#endif  // AMARANTHROUTE_LIBNODE_SETTINGS_SETTINGS_CHANGE_H_
--- a/src/libnode/settings_definitions.cc
+++ b/src/libnode/settings/settings_definitions.cc
@@ -331,7 +331,8 @@
 std::string SettingsReference() {
   std::ostringstream out;
   out << "# Settings reference\n\n"
-         "Written from the table in src/libnode/settings_definitions.cc; a "
+         "Written from the table in "
+         "src/libnode/settings/settings_definitions.cc; a "
          "test fails when the\ntwo differ. Change the table, not this page.\n\n"
          "A value applies to everything below the level that sets it, unless "
          "a lower level\nsets it too. Levels, from weakest to strongest for "
--- a/src/libnode/settings_document.cc
+++ b/src/libnode/settings/settings_document.cc
@@ -1,4 +1,4 @@
-#include "libnode/settings_document.h"
+#include "libnode/settings/settings_document.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
--- a/src/libnode/settings_document.h
+++ b/src/libnode/settings/settings_document.h
@@ -1,5 +1,5 @@
-#ifndef AMARANTHROUTE_LIBNODE_SETTINGS_DOCUMENT_H_
-#define AMARANTHROUTE_LIBNODE_SETTINGS_DOCUMENT_H_
+#ifndef AMARANTHROUTE_LIBNODE_SETTINGS_SETTINGS_DOCUMENT_H_
+#define AMARANTHROUTE_LIBNODE_SETTINGS_SETTINGS_DOCUMENT_H_
 
 // A settings snapshot as it is stored and passed between peers: the tree and
 // the last changes that led to it.
@@ -70,4 +70,4 @@
 
 }  // namespace amaranth::pvt
 
-#endif  // AMARANTHROUTE_LIBNODE_SETTINGS_DOCUMENT_H_
+#endif  // AMARANTHROUTE_LIBNODE_SETTINGS_SETTINGS_DOCUMENT_H_
--- a/src/libnode/settings_store.cc
+++ b/src/libnode/settings/settings_store.cc
@@ -1,4 +1,4 @@
-#include "libnode/settings_store.h"
+#include "libnode/settings/settings_store.h"
 
 #include <algorithm>
 #include <random>
--- a/src/libnode/settings_store.h
+++ b/src/libnode/settings/settings_store.h
@@ -1,5 +1,5 @@
-#ifndef AMARANTHROUTE_LIBNODE_SETTINGS_STORE_H_
-#define AMARANTHROUTE_LIBNODE_SETTINGS_STORE_H_
+#ifndef AMARANTHROUTE_LIBNODE_SETTINGS_SETTINGS_STORE_H_
+#define AMARANTHROUTE_LIBNODE_SETTINGS_SETTINGS_STORE_H_
 
 // The settings in force at this node: how they are changed through the
 // platform, found again after a start, and passed on between peers.
@@ -16,9 +16,9 @@
 #include <vector>
 
 #include "amaranthroute/settings.h"
-#include "libnode/context.h"
-#include "libnode/settings_change.h"
-#include "libnode/settings_document.h"
+#include "libnode/settings/settings_change.h"
+#include "libnode/settings/settings_document.h"
+#include "libnode/shared/context.h"
 
 namespace amaranth::pvt {
 
@@ -116,4 +116,4 @@
 
 }  // namespace amaranth::pvt
 
-#endif  // AMARANTHROUTE_LIBNODE_SETTINGS_STORE_H_
+#endif  // AMARANTHROUTE_LIBNODE_SETTINGS_SETTINGS_STORE_H_
--- a/src/libnode/settings_store_test.cc
+++ b/src/libnode/settings/settings_store_test.cc
@@ -1,4 +1,4 @@
-#include "libnode/settings_store.h"
+#include "libnode/settings/settings_store.h"
 
 #include <CppUTest/TestHarness.h>
 #include <rapidcheck.h>
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "libnode/settings_fleet.h"
+#include "libnode/fakes/settings_fleet.h"
 
 namespace amaranth::pvt {
 
--- a/src/libnode/answers.cc
+++ b/src/libnode/shared/answers.cc
@@ -1,8 +1,8 @@
-#include "answers.h"
+#include "libnode/shared/answers.h"
 
 #include <nlohmann/json.hpp>
 
-#include "caller_headers.h"
+#include "libnode/shared/caller_headers.h"
 
 namespace amaranth::pvt {
 namespace {
--- a/src/libnode/answers.h
+++ b/src/libnode/shared/answers.h
@@ -1,5 +1,5 @@
-#ifndef AMARANTHROUTE_LIBNODE_ANSWERS_H_
-#define AMARANTHROUTE_LIBNODE_ANSWERS_H_
+#ifndef AMARANTHROUTE_LIBNODE_SHARED_ANSWERS_H_
+#define AMARANTHROUTE_LIBNODE_SHARED_ANSWERS_H_
 
 // HTTP answers that the node itself gives.
 
@@ -21,4 +21,4 @@
 
 }  // namespace amaranth::pvt
 
-#endif  // AMARANTHROUTE_LIBNODE_ANSWERS_H_
+#endif  // AMARANTHROUTE_LIBNODE_SHARED_ANSWERS_H_
--- a/src/libnode/caller_headers.cc
+++ b/src/libnode/shared/caller_headers.cc
@@ -1,4 +1,4 @@
-#include "caller_headers.h"
+#include "libnode/shared/caller_headers.h"
 
 #include <algorithm>
 #include <charconv>
--- a/src/libnode/caller_headers.h
+++ b/src/libnode/shared/caller_headers.h
@@ -1,5 +1,5 @@
-#ifndef AMARANTHROUTE_LIBNODE_CALLER_HEADERS_H_
-#define AMARANTHROUTE_LIBNODE_CALLER_HEADERS_H_
+#ifndef AMARANTHROUTE_LIBNODE_SHARED_CALLER_HEADERS_H_
+#define AMARANTHROUTE_LIBNODE_SHARED_CALLER_HEADERS_H_
 
 // The callers' HTTP interface: header names, checked parsing, and the context
 // that a backend server hands back with its nested calls.
@@ -81,4 +81,4 @@
 
 }  // namespace amaranth::pvt
 
-#endif  // AMARANTHROUTE_LIBNODE_CALLER_HEADERS_H_
+#endif  // AMARANTHROUTE_LIBNODE_SHARED_CALLER_HEADERS_H_
--- a/src/libnode/context.h
+++ b/src/libnode/shared/context.h
@@ -1,5 +1,5 @@
-#ifndef AMARANTHROUTE_LIBNODE_CONTEXT_H_
-#define AMARANTHROUTE_LIBNODE_CONTEXT_H_
+#ifndef AMARANTHROUTE_LIBNODE_SHARED_CONTEXT_H_
+#define AMARANTHROUTE_LIBNODE_SHARED_CONTEXT_H_
 
 // What every module of the reducer is handed with an event.
 
@@ -37,4 +37,4 @@
 
 }  // namespace amaranth::pvt
 
-#endif  // AMARANTHROUTE_LIBNODE_CONTEXT_H_
+#endif  // AMARANTHROUTE_LIBNODE_SHARED_CONTEXT_H_
--- a/src/libnode/credit_ledger_test.cc
+++ b/src/libnode/shared/credit_ledger_test.cc
@@ -1,4 +1,4 @@
-#include "credit_ledger.h"
+#include "libnode/shared/credit_ledger.h"
 
 #include <CppUTest/TestHarness.h>
 #include <rapidcheck.h>
--- a/src/libnode/deadline_set.h
+++ b/src/libnode/shared/deadline_set.h
@@ -1,5 +1,5 @@
-#ifndef AMARANTHROUTE_LIBNODE_DEADLINE_SET_H_
-#define AMARANTHROUTE_LIBNODE_DEADLINE_SET_H_
+#ifndef AMARANTHROUTE_LIBNODE_SHARED_DEADLINE_SET_H_
+#define AMARANTHROUTE_LIBNODE_SHARED_DEADLINE_SET_H_
 
 // Deadlines of many items, earliest first.
 
@@ -36,4 +36,4 @@
 
 }  // namespace amaranth::pvt
 
-#endif  // AMARANTHROUTE_LIBNODE_DEADLINE_SET_H_
+#endif  // AMARANTHROUTE_LIBNODE_SHARED_DEADLINE_SET_H_
--- a/src/libnode/outbox.h
+++ b/src/libnode/shared/outbox.h
@@ -1,5 +1,5 @@
-#ifndef AMARANTHROUTE_LIBNODE_OUTBOX_H_
-#define AMARANTHROUTE_LIBNODE_OUTBOX_H_
+#ifndef AMARANTHROUTE_LIBNODE_SHARED_OUTBOX_H_
+#define AMARANTHROUTE_LIBNODE_SHARED_OUTBOX_H_
 
 // Messages to nodes, this one included. A message of the node to itself takes
 // no link: it is queued here and the reducer delivers it before the event
@@ -10,7 +10,7 @@
 #include <string>
 #include <utility>
 
-#include "libnode/context.h"
+#include "libnode/shared/context.h"
 
 namespace amaranth::pvt {
 
@@ -46,4 +46,4 @@
 
 }  // namespace amaranth::pvt
 
-#endif  // AMARANTHROUTE_LIBNODE_OUTBOX_H_
+#endif  // AMARANTHROUTE_LIBNODE_SHARED_OUTBOX_H_
--- a/src/libnode/recent_set.h
+++ b/src/libnode/shared/recent_set.h
@@ -1,5 +1,5 @@
-#ifndef AMARANTHROUTE_LIBNODE_RECENT_SET_H_
-#define AMARANTHROUTE_LIBNODE_RECENT_SET_H_
+#ifndef AMARANTHROUTE_LIBNODE_SHARED_RECENT_SET_H_
+#define AMARANTHROUTE_LIBNODE_SHARED_RECENT_SET_H_
 
 // Fingerprints seen within the last half minute or so, in bounded memory: two
 // generations, of which the older is dropped when the newer is old or full.
@@ -43,4 +43,4 @@
 
 }  // namespace amaranth::pvt
 
-#endif  // AMARANTHROUTE_LIBNODE_RECENT_SET_H_
+#endif  // AMARANTHROUTE_LIBNODE_SHARED_RECENT_SET_H_
--- a/src/libnode/records.h
+++ b/src/libnode/shared/records.h
@@ -1,5 +1,5 @@
-#ifndef AMARANTHROUTE_LIBNODE_RECORDS_H_
-#define AMARANTHROUTE_LIBNODE_RECORDS_H_
+#ifndef AMARANTHROUTE_LIBNODE_SHARED_RECORDS_H_
+#define AMARANTHROUTE_LIBNODE_SHARED_RECORDS_H_
 
 // What the node did and why, for `amaranthctl explain` and `events`: a bounded
 // ring, so that an overload cannot fill the memory with its own story.
@@ -55,4 +55,4 @@
 
 }  // namespace amaranth::pvt
 
-#endif  // AMARANTHROUTE_LIBNODE_RECORDS_H_
+#endif  // AMARANTHROUTE_LIBNODE_SHARED_RECORDS_H_
--- a/src/libnode/request_target.cc
+++ b/src/libnode/shared/request_target.cc
@@ -1,4 +1,4 @@
-#include "libnode/request_target.h"
+#include "libnode/shared/request_target.h"
 
 #include <charconv>
 
--- a/src/libnode/request_target.h
+++ b/src/libnode/shared/request_target.h
@@ -1,5 +1,5 @@
-#ifndef AMARANTHROUTE_LIBNODE_REQUEST_TARGET_H_
-#define AMARANTHROUTE_LIBNODE_REQUEST_TARGET_H_
+#ifndef AMARANTHROUTE_LIBNODE_SHARED_REQUEST_TARGET_H_
+#define AMARANTHROUTE_LIBNODE_SHARED_REQUEST_TARGET_H_
 
 // The parts of a request's target: path and query.
 
@@ -16,4 +16,4 @@
 
 }  // namespace amaranth::pvt
 
-#endif  // AMARANTHROUTE_LIBNODE_REQUEST_TARGET_H_
+#endif  // AMARANTHROUTE_LIBNODE_SHARED_REQUEST_TARGET_H_
--- a/src/libnode/stats.cc
+++ b/src/libnode/shared/stats.cc
@@ -1,4 +1,4 @@
-#include "stats.h"
+#include "libnode/shared/stats.h"
 
 #include <boost/histogram.hpp>
 #include <sstream>
--- a/src/libnode/stats.h
+++ b/src/libnode/shared/stats.h
@@ -1,5 +1,5 @@
-#ifndef AMARANTHROUTE_LIBNODE_STATS_H_
-#define AMARANTHROUTE_LIBNODE_STATS_H_
+#ifndef AMARANTHROUTE_LIBNODE_SHARED_STATS_H_
+#define AMARANTHROUTE_LIBNODE_SHARED_STATS_H_
 
 // Counters, and latency histograms per tenant and class.
 
@@ -73,4 +73,4 @@
 
 }  // namespace amaranth::pvt
 
-#endif  // AMARANTHROUTE_LIBNODE_STATS_H_
+#endif  // AMARANTHROUTE_LIBNODE_SHARED_STATS_H_
