A socket that never connected is forgotten with its number

Ruled out: time limits of the frontend (trace: end of file from the other side, state CLOSE_WAIT), parse errors (none logged), memory, large configurations. Test first: ASocketThatNeverConnectedIsForgottenWithItsNumber (send on a stranger's socket failed, and the client closed strangers' numbers at its end). A socket for which libcurl waits no longer before an answer was ever awaited on it is released at once; a number that comes again replaces its predecessor.

--- a/src/libhost/http_client.cc
+++ b/src/libhost/http_client.cc
@@ -141,7 +141,8 @@
     asio::posix::stream_descriptor descriptor;
     Endpoint endpoint;
     int wants = CURL_POLL_REMOVE;
-    bool reading = false;  // an async_wait is pending
+    bool connected = false;  // an answer has been waited for on it
+    bool reading = false;    // an async_wait is pending
     bool writing = false;
   };
   using WatchPtr = std::shared_ptr<Watch>;
@@ -189,6 +190,13 @@
     const int fd = ::socket(to.family, to.socktype | SOCK_CLOEXEC, to.protocol);
     if (fd < 0) return CURL_SOCKET_BAD;
     WatchPtr watch = std::make_shared<Watch>(io_);
+    // libcurl may close one attempt and begin the next under the same number in
+    // one go; it then tells nothing, as it waits for the same as before.
+    const auto stale = watches_.find(fd);
+    if (stale != watches_.end()) {
+      watch->wants = stale->second->wants;
+      Forget(stale);
+    }
     asio::ip::tcp::endpoint remote;
     if (to.addrlen <= remote.capacity()) {
       remote.resize(to.addrlen);
@@ -211,10 +219,23 @@
       ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
     }
     ++connections_opened_;
-    watches_.emplace(fd, std::move(watch));
+    watches_.emplace(fd, watch);
+    Arm(fd, watch);
     return fd;
   }
 
+  // libcurl closes a socket that never connected by itself, without the call to
+  // OnClose. Kept, its watch would stand for whatever gets the number next: a
+  // caller's connection, which was then shut down without an answer. What never
+  // connected cannot be idle, so that libcurl waits for it no longer means that
+  // it is closed, or about to be.
+  void Forget(std::unordered_map<curl_socket_t, WatchPtr>::iterator found) {
+    const WatchPtr watch = std::move(found->second);
+    watches_.erase(found);
+    watch->wants = CURL_POLL_REMOVE;
+    watch->descriptor.release();
+  }
+
   static int OnClose(void* self, curl_socket_t fd) {
     return static_cast<Impl*>(self)->Close(fd);
   }
@@ -234,7 +255,13 @@
     Impl& impl = *static_cast<Impl*>(self);
     const auto found = impl.watches_.find(fd);
     if (found == impl.watches_.end()) return 0;
-    found->second->wants = what;
+    Watch& watch = *found->second;
+    if (what == CURL_POLL_REMOVE && !watch.connected) {
+      impl.Forget(found);
+      return 0;
+    }
+    watch.connected |= what == CURL_POLL_IN || what == CURL_POLL_INOUT;
+    watch.wants = what;
     impl.Arm(fd, found->second);
     return 0;
   }
--- a/src/libhost/http_client_test.cc
+++ b/src/libhost/http_client_test.cc
@@ -1,6 +1,11 @@
 #include "libhost/http_client.h"
 
 #include <CppUTest/TestHarness.h>
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
 
 #include "libhost/test_io.h"
 
@@ -18,6 +23,39 @@
   return peer.received.size() >= end + 4 + size;
 }
 
+// Listens, but has no room for another connection: connecting to it hangs.
+class FullListener {
+ public:
+  FullListener() : listener_(::socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    sockaddr* generic = reinterpret_cast<sockaddr*>(&address);
+    socklen_t length = sizeof address;
+    ::bind(listener_, generic, length);
+    ::listen(listener_, 0);
+    ::getsockname(listener_, generic, &length);
+    port_ = ntohs(address.sin_port);
+    for (int& fd : waiting_) {
+      fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+      ::connect(fd, generic, length);
+    }
+  }
+  ~FullListener() {
+    ::close(listener_);
+    for (const int fd : waiting_) ::close(fd);
+  }
+  FullListener(const FullListener&) = delete;
+  FullListener& operator=(const FullListener&) = delete;
+
+  uint16_t port() const { return port_; }
+
+ private:
+  int listener_;
+  uint16_t port_ = 0;
+  std::array<int, 4> waiting_{};
+};
+
 std::string Ok(const std::string& body) {
   return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
          "\r\nX-Server: s\r\n\r\n" + body;
@@ -248,6 +286,35 @@
   CHECK(result.verdict == Verdict::kMayHaveRun);
 }
 
+// A caller's connection is closed without an answer. An attempt to connect to a
+// backend server was given up; libcurl closes such a socket by itself, without
+// telling. Its number goes to the next caller's connection, and the client,
+// which took it for its own idle one, shut that down with the server's others.
+TEST(HttpClient, ASocketThatNeverConnectedIsForgottenWithItsNumber) {
+  FullListener full;
+  std::vector<std::array<int, 2>> others(20);
+  {
+    HttpClient client(io, {});
+    const Endpoint to{"127.0.0.1", full.port()};
+    const uint64_t id = client.Send(to, Post("p"), kPatience, Keep());
+    CHECK(Until([&] { return client.connections_opened() == 1; }));
+    for (int i = 0; i < 20; ++i) io.poll();
+    client.Cancel(id);
+    CHECK(Until([&] { return results.size() == 1; }));
+    for (std::array<int, 2>& pair : others) {
+      CHECK_EQUAL(0, ::socketpair(AF_UNIX, SOCK_STREAM, 0, pair.data()));
+    }
+    client.DropIdle(to);
+    for (const std::array<int, 2>& pair : others) {
+      CHECK_EQUAL(1, ::send(pair[0], "x", 1, MSG_NOSIGNAL));
+      CHECK_EQUAL(1, ::send(pair[1], "x", 1, MSG_NOSIGNAL));
+    }
+  }
+  for (const std::array<int, 2>& pair : others) {
+    for (const int fd : pair) CHECK_EQUAL(0, ::close(fd));
+  }
+}
+
 TEST(HttpClient, CancelEndsOnceAndTheLateAnswerReachesNobody) {
   // A request is cancelled while the server works on it; the server then
   // answers. That answer must not be taken for the next request's.
