A node that starts again alone is found by its peers

Test first: ANodeThatStartsAgainAloneIsFoundByItsPeers. A few members ask each period, for half a minute, at the address of each that is gone. Ruled out: rows written by peers (the store is away), addresses kept by the node (no disk).

--- a/src/libnode/membership/membership.h
+++ b/src/libnode/membership/membership.h
@@ -141,6 +141,7 @@
   void OnPingRequest(const GossipReceived& received, Context& context);
 
   // membership_spread.cc: telling others.
+  void LookForReturned(Context& context);
   void FindPeers(Context& context);
   void Reconnect(Context& context);
   void ContactDataCentres(Context& context);
--- a/src/libnode/membership/membership_limits.h
+++ b/src/libnode/membership/membership_limits.h
@@ -37,6 +37,10 @@
 // dead again by probes.
 inline constexpr Duration kTombstoneTime = std::chrono::minutes(10);
 
+// A member that is gone is asked for each period for this long: a planned
+// restart takes seconds, with a drain before it ten or so.
+inline constexpr Duration kReturnTime = std::chrono::seconds(30);
+
 // News that stops new work is pushed on by each who learns it.
 inline constexpr Duration kPushInterval = std::chrono::milliseconds(100);
 inline constexpr size_t kPushFanout = 3;
--- a/src/libnode/membership/membership_probe.cc
+++ b/src/libnode/membership/membership_probe.cc
@@ -30,6 +30,7 @@
   ProbeSuspects(context);
   if (period_ % kContactPeriods == 0) ContactDataCentres(context);
   if (period_ % kReconnectPeriods == 0) Reconnect(context);
+  LookForReturned(context);
   const int64_t tenth = kPeriod.count() / 10;
   const int64_t jitter =
       std::uniform_int_distribution<int64_t>(-tenth, tenth)(context.random);
--- a/src/libnode/membership/membership_spread.cc
+++ b/src/libnode/membership/membership_spread.cc
@@ -251,6 +251,20 @@
   }
 }
 
+// A node that left as planned is often started again at once, at the same
+// addresses. While the platform is away it can find nobody by itself, and a
+// node that has left is probed no more: its server would be missing for as long
+// as the platform is.
+void Membership::LookForReturned(Context& context) {
+  const size_t size = UpPeers().size() + 1;
+  for (const auto& [name, until] : tombstones_) {
+    if (context.now >= until - kTombstoneTime + kReturnTime) continue;
+    const size_t ticket =
+        std::uniform_int_distribution<size_t>(0, size - 1)(context.random);
+    if (ticket < kReconnectors) Ping(name, context.NextId(), context);
+  }
+}
+
 void Membership::FindPeers(Context& context) {
   Reconnect(context);
   next_platform_ = kNever;
--- a/src/libnode/membership/membership_test.cc
+++ b/src/libnode/membership/membership_test.cc
@@ -208,6 +208,25 @@
   CHECK_EQUAL(1u, fleet.at("derby-1").Find("derby-1")->node.incarnation);
 }
 
+// A node is stopped as planned and started again at its addresses while the
+// store is away. It knows nobody, and nobody looks for one that has left: its
+// server is missing and its callers get 503 until the store comes back.
+TEST(Membership, ANodeThatStartsAgainAloneIsFoundByItsPeers) {
+  MembershipFleet fleet(15);
+  Grow(fleet, {"derby", "telford"}, 6);
+  fleet.Run(seconds(15));
+  fleet.Do("derby-3",
+           [](Membership& m, Context& context) { m.Leave(context); });
+  fleet.Run(seconds(2));
+  fleet.Kill("derby-3");
+  fleet.Run(milliseconds(700));
+  fleet.host("derby-3").identity.seeds.clear();
+  fleet.Restart("derby-3");
+  CHECK(fleet.RunUntil(
+      [&] { return fleet.at("derby-3").members().size() == 12; }, seconds(2)));
+  CHECK(fleet.RunUntil([&] { return fleet.AgreesWithTruth(); }, seconds(5)));
+}
+
 // Callers' requests to a service find no server: its node was started again and
 // nobody lists it. The host's clock had been set back in between, so the new
 // process has the lower incarnation, and its records look outdated to all.
