--- a/src/include/amaranthroute/policy/shedder.h
+++ b/src/include/amaranthroute/policy/shedder.h
@@ -102,20 +102,6 @@
   /// and requests under way have ended. Without it the threshold swings between
   /// nothing and everything every three seconds.
   Duration wait_lead = std::chrono::milliseconds(300);
-  /// What is cut is remembered: in each `hold_time` it grows by what the wait
-  /// over `steady_wait` would cut, and shrinks below that. By the wait alone,
-  /// three times the capacity stands at 170 ms a call for as long as it lasts,
-  /// and requests that may take 600 ms lose their last call to their deadline.
-  /// Model of 110 slots of 24 ms, four calls a request, three times the
-  /// capacity: 0.82 of it ended in 277 ms, by the wait alone 0.34 in 409 ms.
-  Duration hold_time = std::chrono::milliseconds(1000);
-  Duration steady_wait = std::chrono::milliseconds(40);
-  /// Half of it goes in this time while free slots are seen; shorter, the
-  /// threshold swings, at 200 ms 0.60 of the capacity was left. Once they have
-  /// been seen for `hold_calm` the trigger is over, and it goes four times as
-  /// fast, to be gone within two seconds.
-  Duration hold_half_life = std::chrono::milliseconds(1000);
-  Duration hold_calm = std::chrono::milliseconds(500);
   /// Weight of a new window in the moving averages; a window that differs from
   /// them by more than chance allows replaces them.
   double gain = 0.3;
@@ -159,7 +145,6 @@
   bool WindowIsOver(TimePoint now) const;
   void CloseWindow(TimePoint now);
   void SteerByWait(double delay, double seconds, TimePoint now);
-  void Hold(double coming, double seconds);
   uint32_t LowestLevelInUse(TimePoint now) const;
   void LearnDemand(double seconds);
   void LearnCapacity(double seconds, bool over);
@@ -177,8 +162,6 @@
   int idle_windows_ = 0;    // in a row
   uint32_t threshold_ = 0;
   double wait_ = 0;  // with steer_by_wait: smoothed, microseconds
-  double held_ = 0;  // with steer_by_wait: groups cut whatever the wait is
-  double calm_ = 0;  // seconds for which free slots have been seen
   std::array<TimePoint, kLevelGroups> group_seen_{};  // last arrival
   bool started_ = false;
 };
--- a/src/libpolicy/shedder.cc
+++ b/src/libpolicy/shedder.cc
@@ -22,13 +22,6 @@
 // Weight of a new window in the wait: two windows follow a surge, one spike
 // does not cut everything.
 constexpr double kWaitGain = 0.5;
-// Under two levels what is held is nothing.
-constexpr double kHeldNothing = 2.0 / kLevelsPerGroup;
-// Of giving back what is held once the trigger is over.
-constexpr double kCalmSpeed = 4.0;
-// The lowest group and a part of the next: more is cut only while the wait is
-// long, so that a stuck server does not cut everything for seconds after.
-constexpr double kMostHeld = 1.5;
 // A group without arrivals for this long is not in use. Longer than the few
 // seconds for which it may be cut whole.
 constexpr Duration kGroupMemory = std::chrono::seconds(10);
@@ -143,14 +136,11 @@
       std::chrono::duration<double>(options_.wait_lead).count() / seconds;
   const double coming = wait_ + lead * (wait_ - before);
   const double over = coming - static_cast<double>(options_.calm_wait.count());
-  Hold(coming, seconds);
-  const double groups =
-      std::max(0.0, over) / static_cast<double>(options_.group_wait.count()) +
-      held_;
-  if (groups <= 0) {
+  if (over <= 0) {
     threshold_ = 0;
     return;
   }
+  const double groups = over / static_cast<double>(options_.group_wait.count());
   const double cut =
       groups <= 1 ? groups : 1 + (groups - 1) / options_.next_groups;
   const double levels = cut * kLevelsPerGroup;
@@ -159,25 +149,6 @@
       static_cast<uint32_t>(std::min<double>(threshold, kMaxSheddingLevel));
 }
 
-void Shedder::Hold(double coming, double seconds) {
-  calm_ = window_.idle ? calm_ + seconds : 0;
-  if (window_.idle) {
-    const double calm =
-        std::chrono::duration<double>(options_.hold_calm).count();
-    const double half_lives =
-        seconds /
-        std::chrono::duration<double>(options_.hold_half_life).count();
-    held_ *= std::exp2(calm_ > calm ? -kCalmSpeed * half_lives : -half_lives);
-    if (held_ < kHeldNothing) held_ = 0;
-    return;
-  }
-  const double steady = static_cast<double>(options_.steady_wait.count());
-  const double group = static_cast<double>(options_.group_wait.count());
-  const double times =
-      seconds / std::chrono::duration<double>(options_.hold_time).count();
-  held_ = std::clamp(held_ + times * (coming - steady) / group, 0.0, kMostHeld);
-}
-
 uint32_t Shedder::LowestLevelInUse(TimePoint now) const {
   for (uint32_t group = 0; group < kLevelGroups; ++group) {
     const TimePoint seen = group_seen_[group];
