--- a/src/amaranthd/options.cc
+++ b/src/amaranthd/options.cc
@@ -16,8 +16,9 @@
 constexpr const char* kVersionText = "amaranthd 0.1.0\n";
 
 // A body is held once as it came and once more in the frame or the request that
-// passes it on. Twice this share leaves a tenth of the limit for all else: 16 MB
-// on a host of 160, where a node under load takes 15 to 20 (docs/PERFORMANCE.md).
+// passes it on. Twice this share leaves a tenth of the limit for all else: 16
+// MB on a host of 160, where a node under load takes 15 to 20
+// (docs/PERFORMANCE.md).
 constexpr double kMemoryForBodies = 0.45;
 
 struct Flag {
