--- a/testsuite/lib/users_platform.py
+++ b/testsuite/lib/users_platform.py
@@ -220,15 +220,26 @@
             "attempts": 2}
 
 
-def start_node(run, name, store, service, zone="z"):
-    """A node whose callers speak the users' platform; ready once it has read
-    the store's configuration."""
-    return fleet.Process(run, name, "src/amaranthd/amaranthd", [
+RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW_SECONDS = 0.2, 47, 10
+
+
+def node_flags(name, store_address, service, zone="z",
+               retry_slack=RETRY_SLACK):
+    """Flags of a node whose callers speak the users' platform."""
+    return [
         "--node-name", name, "--mesh", "mesh", "--data-centre", zone,
-        "--ip", "127.0.0.1", "--announce-port", "0", "--rows", store.address,
+        "--ip", "127.0.0.1", "--announce-port", "0", "--rows", store_address,
         "--server-service", service, "--announce-period", "500ms",
-        "--drain", "2s", "--stop-grace", "6s", "--retry-ratio", "0.2",
-        "--retry-slack", "47", "--log-format", "json"])
+        "--drain", "2s", "--stop-grace", "6s",
+        "--retry-ratio", str(RETRY_RATIO), "--retry-slack", str(retry_slack),
+        "--retry-window", f"{RETRY_WINDOW_SECONDS}s", "--log-format", "json"]
+
+
+def start_node(run, name, store, service, extra_flags=()):
+    """Such a node; ready once it has read the store's configuration."""
+    return fleet.Process(run, name, "src/amaranthd/amaranthd",
+                         [*node_flags(name, store.address, service),
+                          *extra_flags])
 
 
 def wait_ready(nodes):
--- a/testsuite/soak/run.py
+++ b/testsuite/soak/run.py
@@ -71,13 +71,12 @@
         stop.set()
         for thread in threads:
             thread.join(callers.TIMEOUT_SECONDS + 5)
-        record.check_end(seconds, systems.RETRY_RATIO, systems.RETRY_SLACK,
-                         systems.RETRY_WINDOW, planned_only)
+        record.check_end(seconds, platform.RETRY_RATIO, systems.RETRY_SLACK,
+                         platform.RETRY_WINDOW_SECONDS, planned_only)
         for place in system.places:
             place.worker.state = "dead"
             place.node.kill()
         if record.violations:
-            run.keep = True
             keep_logs(run, seed)
     return record
 
--- a/testsuite/soak/system.py
+++ b/testsuite/soak/system.py
@@ -15,7 +15,8 @@
 
 HOST = "shop.example"
 SLOW_SECONDS = 3.0
-RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW = 0.2, 10, 10.0
+# Small, so that a few seconds of repeats show.
+RETRY_SLACK = 10
 # Node, service of its server, service that this one calls.
 PLACES = [("a", "front", "/deep/n"), ("b", "pay", None), ("c", "pay", None),
           ("d", "deep", None), ("e", "deep", None)]
@@ -102,7 +103,6 @@
         self._record = record
         self.start = 0  # counts up with each start of the node
         self._servers = 0
-        self.paused_since_change = False
         self.node = None
         self.ports = {}
         self.start_node()
@@ -110,16 +110,11 @@
         self.start_worker()
 
     def start_node(self):
-        flags = ["--node-name", self.name, "--mesh", "mesh",
-                 "--data-centre", "z", "--ip", "127.0.0.1",
-                 "--rows", self._store_link.address,
-                 "--server-service", self.service,
-                 "--announce-period", "500ms", "--drain", "2s",
-                 "--stop-grace", "6s", "--retry-ratio", str(RETRY_RATIO),
-                 "--retry-slack", str(RETRY_SLACK),
-                 "--retry-window", f"{RETRY_WINDOW:.0f}s",
-                 "--log-format", "json"]
-        for flag in ("caller", "operator", "announce", "peer", "gossip"):
+        flags = platform.node_flags(self.name, self._store_link.address,
+                                    self.service, retry_slack=RETRY_SLACK)
+        flags[flags.index("--announce-port") + 1] = str(
+            self.ports.get("announce", 0))
+        for flag in ("caller", "operator", "peer", "gossip"):
             flags += [f"--{flag}-port", str(self.ports.get(flag, 0))]
         self.start += 1
         self.node = _STARTER.submit(fleet.Process, self._run, self.name,
--- a/testsuite/users-platform-faults/run.py
+++ b/testsuite/users-platform-faults/run.py
@@ -44,7 +44,7 @@
     store.go_away()
     platform.wait_served(b, HOST, "/front/3")
     b.kill()
-    b = fleet_restart(run, store, a)
+    b = restart_alone(run, store, a)
     platform.wait_ready([b])
     platform.wait_served(b, HOST, "/front/4")
     store.come_back()
@@ -71,14 +71,11 @@
     fleet.check(a.wait_exit() == 0, "it ends by itself")
 
 
-def fleet_restart(run, store, peer):
+def restart_alone(run, store, peer):
     """The node's successor finds its peer by a seed, as the store is away."""
-    return fleet.Process(run, "b", "src/amaranthd/amaranthd", [
-        "--node-name", "b", "--mesh", "mesh", "--data-centre", "z",
-        "--ip", "127.0.0.1", "--announce-port", "0", "--rows", store.address,
-        "--server-service", "other", "--stop-grace", "6s",
-        "--retry-slack", "47", "--log-format", "json",
-        "--seeds", f"127.0.0.1:{peer.ports['gossip']}"])
+    return platform.start_node(
+        run, "b", store, "other",
+        ["--seeds", f"127.0.0.1:{peer.ports['gossip']}"])
 
 
 if __name__ == "__main__":
