--- a/src/amaranthctl/options.cc
+++ b/src/amaranthctl/options.cc
@@ -4,12 +4,12 @@
 #include <array>
 #include <asio/ip/address.hpp>
 #include <cctype>
-#include <charconv>
 #include <cxxopts.hpp>
 #include <limits>
 #include <string_view>
 
 #include "amaranthctl/replay.h"
+#include "libutil/parse_number.h"
 
 namespace amaranth::pvt {
 namespace {
@@ -118,17 +118,6 @@
          kCommands;
 }
 
-template <typename Number>
-std::optional<Number> ToNumber(std::string_view text) {
-  Number number = 0;
-  const std::from_chars_result result =
-      std::from_chars(text.data(), text.data() + text.size(), number);
-  if (result.ec != std::errc() || result.ptr != text.data() + text.size()) {
-    return std::nullopt;
-  }
-  return number;
-}
-
 // Reads one flag after the other and gathers what is wrong with any.
 class Reader {
  public:
@@ -164,7 +153,7 @@
 
   uint64_t Number(const std::string& flag, uint64_t least, uint64_t most) {
     const std::string text = Text(flag);
-    const std::optional<uint64_t> number = ToNumber<uint64_t>(text);
+    const std::optional<uint64_t> number = ParseNumber<uint64_t>(text);
     if (!number || *number < least || *number > most) {
       Fail(flag, "takes a number from " + std::to_string(least) + " to " +
                      std::to_string(most) + ", not '" + text + "'");
@@ -179,7 +168,7 @@
     const std::string ip = text.substr(0, colon);
     const uint16_t port =
         colon < text.size()
-            ? ToNumber<uint16_t>(text.substr(colon + 1)).value_or(0)
+            ? ParseNumber<uint16_t>(text.substr(colon + 1)).value_or(0)
             : 0;
     asio::error_code error;
     asio::ip::make_address(ip, error);
--- a/src/amaranthd/main.cc
+++ b/src/amaranthd/main.cc
@@ -162,6 +162,16 @@
       });
 }
 
+// The shell's calls to the platform go to `store`, if there is one.
+template <typename Store>
+void UseStore(const std::shared_ptr<Store>& store, HostHooks& hooks) {
+  if (!store) return;
+  hooks.platform = [store](const PlatformRequest& request,
+                           std::function<void(PlatformReply)> done) {
+    store->Call(request, std::move(done));
+  };
+}
+
 struct RunResult {
   int exit_code = kExitFailed;
   uint64_t restart_above = 0;  // as Host::restart_above
@@ -170,20 +180,8 @@
 RunResult RunOnce(const DaemonOptions& options) {
   asio::io_context io(1);
   HostHooks hooks;
-  const std::shared_ptr<platform::RowStore> rows = MakeRowStore(io, options);
-  if (rows) {
-    hooks.platform = [rows](const PlatformRequest& request,
-                            std::function<void(PlatformReply)> done) {
-      rows->Call(request, std::move(done));
-    };
-  }
-  const std::shared_ptr<PlatformBridge> platform = MakePlatform(io, options);
-  if (platform) {
-    hooks.platform = [platform](const PlatformRequest& request,
-                                std::function<void(PlatformReply)> done) {
-      platform->Call(request, std::move(done));
-    };
-  }
+  UseStore(MakeRowStore(io, options), hooks);
+  UseStore(MakePlatform(io, options), hooks);
   hooks.make_reducer = [&options](const HostPorts& ports) {
     return MakeReducer(options, ports);
   };
--- a/src/amaranthd/options.cc
+++ b/src/amaranthd/options.cc
@@ -4,11 +4,11 @@
 #include <array>
 #include <asio/ip/address.hpp>
 #include <cctype>
-#include <charconv>
 #include <cxxopts.hpp>
 #include <string_view>
 
 #include "libutil/duration_text.h"
+#include "libutil/parse_number.h"
 
 namespace amaranth::pvt {
 namespace {
@@ -136,17 +136,6 @@
   return !error;
 }
 
-template <typename Number>
-std::optional<Number> ToNumber(std::string_view text) {
-  Number number = 0;
-  const auto [end, error] =
-      std::from_chars(text.data(), text.data() + text.size(), number);
-  if (error != std::errc() || end != text.data() + text.size()) {
-    return std::nullopt;
-  }
-  return number;
-}
-
 // Reads one flag after the other and gathers what is wrong with any.
 class Reader {
  public:
@@ -189,8 +178,8 @@
   // "PORT", or "IP:PORT" as deployments name the addresses of a host.
   uint16_t Port(const std::string& flag) {
     const std::string text = Text(flag);
-    const std::optional<uint16_t> port =
-        ToNumber<uint16_t>(std::string_view(text).substr(text.rfind(':') + 1));
+    const std::optional<uint16_t> port = ParseNumber<uint16_t>(
+        std::string_view(text).substr(text.rfind(':') + 1));
     if (!port) {
       Fail(flag, "takes a port (0 to 65535), not '" + text + "'");
     }
@@ -206,7 +195,7 @@
 
   double Share(const std::string& flag) {
     const std::string text = Text(flag);
-    const std::optional<double> share = ToNumber<double>(text);
+    const std::optional<double> share = ParseNumber<double>(text);
     if (!share || !(*share >= 0 && *share <= 1)) {
       Fail(flag, "takes a share from 0 to 1, not '" + text + "'");
     }
@@ -247,7 +236,7 @@
   template <typename T>
   T ReadNumber(const std::string& flag, const char* what) {
     const std::string text = Text(flag);
-    const std::optional<T> number = ToNumber<T>(text);
+    const std::optional<T> number = ParseNumber<T>(text);
     if (!number)
       Fail(flag, std::string("takes ") + what + ", not '" + text + "'");
     return number.value_or(0);
@@ -259,7 +248,7 @@
     const std::optional<uint16_t> port =
         colon == std::string::npos
             ? std::nullopt
-            : ToNumber<uint16_t>(std::string_view(text).substr(colon + 1));
+            : ParseNumber<uint16_t>(std::string_view(text).substr(colon + 1));
     if (!IsIp(ip) || port.value_or(0) == 0) {
       Fail(flag, "takes IP:PORT, not '" + text + "'");
       return {};
--- a/src/include/amaranthroute/policy/shedder.h
+++ b/src/include/amaranthroute/policy/shedder.h
@@ -144,6 +144,7 @@
   void Roll(TimePoint now);
   bool WindowIsOver(TimePoint now) const;
   void CloseWindow(TimePoint now);
+  void SteerByCounts(double delay, double seconds);
   void SteerByWait(double delay, double seconds, TimePoint now);
   uint32_t LowestLevelInUse(TimePoint now) const;
   void LearnDemand(double seconds);
--- a/src/libhost/http_client.cc
+++ b/src/libhost/http_client.cc
@@ -87,8 +87,7 @@
       return id;
     }
     std::unique_ptr<HttpTransfer> transfer = TakeTransfer();
-    if (!transfer->Prepare(base, std::move(request), timeout, options_,
-                           signer)) {
+    if (!transfer->Prepare(base, std::move(request), timeout, signer)) {
       Spare(std::move(transfer));
       FailLater(std::move(done), Reason::kBadRequest);
       return id;
@@ -155,7 +154,8 @@
 
   std::unique_ptr<HttpTransfer> TakeTransfer() {
     if (spare_.empty()) {
-      std::unique_ptr<HttpTransfer> transfer = std::make_unique<HttpTransfer>();
+      std::unique_ptr<HttpTransfer> transfer =
+          std::make_unique<HttpTransfer>(options_);
       CURL* easy = transfer->easy();
       curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &Impl::OnOpen);
       curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, this);
--- a/src/libhost/http_transfer.cc
+++ b/src/libhost/http_transfer.cc
@@ -29,7 +29,8 @@
 
 }  // namespace
 
-HttpTransfer::HttpTransfer() : easy_(curl_easy_init()) {
+HttpTransfer::HttpTransfer(const HttpClientOptions& options)
+    : options_(options), easy_(curl_easy_init()) {
   if (easy_ == nullptr) throw std::runtime_error("libcurl: no handle");
   SetFixedOptions();
 }
@@ -53,17 +54,17 @@
   curl_easy_setopt(easy_, CURLOPT_WRITEDATA, this);
   curl_easy_setopt(easy_, CURLOPT_PREREQFUNCTION, &HttpTransfer::OnSending);
   curl_easy_setopt(easy_, CURLOPT_PREREQDATA, this);
+  curl_easy_setopt(easy_, CURLOPT_CONNECTTIMEOUT_MS,
+                   static_cast<long>(options_.connect_timeout.count()));
+  curl_easy_setopt(easy_, CURLOPT_MAXAGE_CONN,
+                   static_cast<long>(options_.max_idle_age.count()));
+  if (options_.silence_limit.count() > 0) SetProbes(options_.silence_limit);
 }
 
 bool HttpTransfer::Prepare(const std::string& base_url, HttpRequest request,
-                           Duration timeout, const HttpClientOptions& options,
+                           Duration timeout,
                            const PlatformCredentials* signer) {
   request_ = std::move(request);
-  max_body_bytes_ = options.max_response_bytes;
-  max_header_bytes_ = options.max_response_header_bytes;
-  body_may_end_with_connection_ = options.body_may_end_with_connection;
-  echoed_field_ = options.echoed_field;
-  if (options.silence_limit.count() > 0) SetProbes(options.silence_limit);
   if (!IsWritableTarget(request_.target) ||
       !IsWritableTarget(request_.method)) {
     return false;
@@ -76,10 +77,6 @@
                    is_signed ? nullptr : request_.target.c_str());
   const int64_t millis = std::max<int64_t>(1, ToMillis(timeout));
   curl_easy_setopt(easy_, CURLOPT_TIMEOUT_MS, static_cast<long>(millis));
-  curl_easy_setopt(easy_, CURLOPT_CONNECTTIMEOUT_MS,
-                   static_cast<long>(options.connect_timeout.count()));
-  curl_easy_setopt(easy_, CURLOPT_MAXAGE_CONN,
-                   static_cast<long>(options.max_idle_age.count()));
   SetMethod();
   if (!SetHeaders()) return false;
   if (is_signed) SetSigning(*signer);
@@ -195,7 +192,7 @@
 size_t HttpTransfer::TakeHeader(std::string_view line) {
   responding_ = true;
   header_bytes_ += line.size();
-  if (header_bytes_ > max_header_bytes_) {
+  if (header_bytes_ > options_.max_response_header_bytes) {
     too_large_ = true;
     return 0;
   }
@@ -219,9 +216,11 @@
 // A server may send a second answer to an earlier request just where the answer
 // to this one is due. Its caller would get somebody else's answer.
 bool HttpTransfer::EchoesRequest() const {
-  if (echoed_field_.empty()) return true;
-  const std::string_view sent = FindHeader(request_.headers, echoed_field_);
-  const std::string_view echoed = FindHeader(response_.headers, echoed_field_);
+  if (options_.echoed_field.empty()) return true;
+  const std::string_view sent =
+      FindHeader(request_.headers, options_.echoed_field);
+  const std::string_view echoed =
+      FindHeader(response_.headers, options_.echoed_field);
   return sent.empty() || echoed.empty() || sent == echoed;
 }
 
@@ -235,11 +234,12 @@
     framed_ = true;
     curl_off_t length = -1;
     curl_easy_getinfo(easy_, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &length);
-    if (length > 0 && static_cast<uint64_t>(length) <= max_body_bytes_) {
+    if (length > 0 &&
+        static_cast<uint64_t>(length) <= options_.max_response_bytes) {
       body_.reserve(static_cast<size_t>(length));
     }
   }
-  if (body_.size() + bytes.size() > max_body_bytes_) {
+  if (body_.size() + bytes.size() > options_.max_response_bytes) {
     too_large_ = true;
     return 0;
   }
@@ -263,7 +263,7 @@
   long status = 0;
   curl_easy_getinfo(easy_, CURLINFO_RESPONSE_CODE, &status);
   response_.status = static_cast<int>(status);
-  const bool whole = HasKnownLength() || body_may_end_with_connection_;
+  const bool whole = HasKnownLength() || options_.body_may_end_with_connection;
   if (status < 200 || status > 999 || !whole) {
     return GiveUp(Reason::kServerError);
   }
--- a/src/libhost/http_transfer.h
+++ b/src/libhost/http_transfer.h
@@ -18,7 +18,8 @@
 // Reusable: libcurl's set-up of a handle costs more than a request on it.
 class HttpTransfer {
  public:
-  HttpTransfer();
+  // `options` are the client's and outlive the transfer.
+  explicit HttpTransfer(const HttpClientOptions& options);
   ~HttpTransfer();
   HttpTransfer(const HttpTransfer&) = delete;
   HttpTransfer& operator=(const HttpTransfer&) = delete;
@@ -27,8 +28,7 @@
 
   // False if the request cannot be written as HTTP.
   bool Prepare(const std::string& base_url, HttpRequest request,
-               Duration timeout, const HttpClientOptions& options,
-               const PlatformCredentials* signer);
+               Duration timeout, const PlatformCredentials* signer);
 
   // What is known after libcurl ended the transfer with `code`.
   HttpClientResult Finish(CURLcode code);
@@ -46,6 +46,7 @@
   static int OnSending(void* self, char*, char*, int, int);
 
   void SetFixedOptions();
+  void SetProbes(std::chrono::milliseconds limit);
   void SetUrl(const std::string& url);
   void SetMethod();
   void SetVerb(const char* verb);
@@ -60,8 +61,8 @@
   // whole and cut short, so it never counts as whole.
   bool HasKnownLength() const;
   bool EchoesRequest() const;
-  void SetProbes(std::chrono::milliseconds limit);
 
+  const HttpClientOptions& options_;
   CURL* easy_;
   // libcurl reads the list and leaves it to its maker, so the nodes and lines
   // are ours and are used again: two allocations less for each field.
@@ -76,10 +77,6 @@
   HttpResponse response_;
   std::string body_;
   size_t header_bytes_ = 0;
-  uint64_t max_body_bytes_ = 0;
-  size_t max_header_bytes_ = 0;
-  std::string echoed_field_;
-  bool body_may_end_with_connection_ = false;
   int times_sent_ = 0;
   bool responding_ = false;
   bool too_large_ = false;
--- a/src/libhost/unblocking_sink.cc
+++ b/src/libhost/unblocking_sink.cc
@@ -3,7 +3,6 @@
 #include <poll.h>
 #include <unistd.h>
 
-#include <algorithm>
 #include <climits>
 
 namespace amaranth::pvt {
--- a/src/libnode/entry/call.h
+++ b/src/libnode/entry/call.h
@@ -29,6 +29,12 @@
   kForwarded,  // its key's home runs it
 };
 
+// Turned away for want of room, here or further down.
+inline bool IsOverload(Reason reason) {
+  return reason == Reason::kShedAtEntry || reason == Reason::kShedAtServer ||
+         reason == Reason::kQueueFull || reason == Reason::kServerRefused;
+}
+
 // The try in flight.
 struct Attempt {
   AttemptId id = 0;
--- a/src/libnode/entry/claim_desk.cc
+++ b/src/libnode/entry/claim_desk.cc
@@ -1,11 +1,11 @@
 #include "libnode/entry/claim_desk.h"
 
 #include <algorithm>
-#include <charconv>
 #include <optional>
 #include <utility>
 
 #include "amaranthroute/hash.h"
+#include "libutil/parse_number.h"
 
 namespace amaranth::pvt {
 namespace {
@@ -32,17 +32,6 @@
          std::to_string(claim_id);
 }
 
-std::optional<uint64_t> ParseNumber(std::string_view text) {
-  uint64_t value = 0;
-  const char* end = text.data() + text.size();
-  const std::from_chars_result result =
-      std::from_chars(text.data(), end, value);
-  if (text.empty() || result.ec != std::errc() || result.ptr != end) {
-    return std::nullopt;
-  }
-  return value;
-}
-
 std::optional<ClaimOutcome> ParseHolder(const std::string& text) {
   const size_t second = text.rfind('#');
   if (second == std::string::npos || second == 0) return std::nullopt;
@@ -50,8 +39,9 @@
   if (first == std::string::npos) return std::nullopt;
   const std::string_view view(text);
   const std::optional<uint64_t> incarnation =
-      ParseNumber(view.substr(first + 1, second - first - 1));
-  const std::optional<uint64_t> claim = ParseNumber(view.substr(second + 1));
+      ParseNumber<uint64_t>(view.substr(first + 1, second - first - 1));
+  const std::optional<uint64_t> claim =
+      ParseNumber<uint64_t>(view.substr(second + 1));
   if (!incarnation || !claim) return std::nullopt;
   ClaimOutcome outcome;
   outcome.holder = NodeRef{text.substr(0, first), *incarnation};
--- a/src/libnode/entry/entry_attempts.cc
+++ b/src/libnode/entry/entry_attempts.cc
@@ -37,11 +37,6 @@
          reason == Reason::kConnectionLost || reason == Reason::kDeadline;
 }
 
-bool IsShed(Reason reason) {
-  return reason == Reason::kShedAtServer || reason == Reason::kShedAtEntry ||
-         reason == Reason::kQueueFull || reason == Reason::kServerRefused;
-}
-
 // Whether a failed try came as far as a backend server.
 bool ReachedServer(const Failure& failure) {
   return failure.verdict != Verdict::kNotRun ||
@@ -66,7 +61,7 @@
   if (!PassesInside(call, context)) level = call.context.level;
   std::optional<ServerPlace> place = choice_.Choose(
       places, settings, call.tried, level, context.now, context.random);
-  if (!place && last && !IsShed(*last)) {
+  if (!place && last && !IsOverload(*last)) {
     // Every server was tried once. After a lost connection the same server on
     // a fresh connection is worth the credit.
     call.tried.clear();
@@ -184,23 +179,24 @@
     thresholds_.Learn(ThresholdKey(call), load.downstream_threshold,
                       context.now);
   }
-  TellParent(call, context.now);
+  TellParent(call, context);
 }
 
 std::string EntryRole::ThresholdKey(const Call& call) {
   return call.context.service + "/" + call.context.request_class;
 }
 
-void EntryRole::TellParent(const Call& call, TimePoint now) {
+void EntryRole::TellParent(const Call& call, const Context& context) {
   if (call.is_root) return;
   Hop* hop = parts_.serving.FindHop(call.parent_hop);
   if (hop == nullptr) return;
   const std::vector<ServerPlace>& places =
       parts_.membership.ServersOf(call.context.service);
-  const uint32_t here = admit_at_edge_ ? choice_.MeanThreshold(places, now)
-                                       : choice_.Threshold(places, now);
+  const uint32_t here = context.identity.rules.admit_at_edge
+                            ? choice_.MeanThreshold(places, context.now)
+                            : choice_.Threshold(places, context.now);
   const uint32_t threshold =
-      std::max(here, thresholds_.ThresholdFor(ThresholdKey(call), now));
+      std::max(here, thresholds_.ThresholdFor(ThresholdKey(call), context.now));
   hop->downstream_threshold = std::max(hop->downstream_threshold, threshold);
 }
 
--- a/src/libnode/entry/entry_begin.cc
+++ b/src/libnode/entry/entry_begin.cc
@@ -53,7 +53,7 @@
     case IdempotentMode::kAuto:
       break;
   }
-  return method == "GET" || method == "HEAD" || method == "OPTIONS";
+  return IsReadMethod(method);
 }
 
 uint64_t FingerprintOf(const std::string& service, const HttpRequest& request) {
@@ -62,12 +62,21 @@
   return Hash64(request.body.view(), head);
 }
 
+// What the call's own class says of it, whatever request it serves.
+void TakeClass(Call& call, const EffectiveSettings& settings,
+               const CallerHeaders& headers, bool routed) {
+  CallContext& about = call.context;
+  about.long_work = settings.long_work;
+  about.idempotent = IsIdempotent(settings, call.request.method);
+  about.fingerprint = FingerprintOf(about.service, call.request);
+  call.own_class = headers.request_class;
+  if (routed) call.most_tries = 1 + static_cast<int>(settings.retry_credits);
+}
+
 }  // namespace
 
 EntryRole::EntryRole(const Parts& parts)
-    : parts_(parts),
-      admit_at_edge_(parts.admit_at_edge),
-      choice_(parts.data_centre) {}
+    : parts_(parts), choice_(parts.data_centre) {}
 
 void EntryRole::OnCallerRequest(const CallerRequest& event, Context& context) {
   Waiter waiter;
@@ -168,16 +177,12 @@
   const EffectiveSettings& settings =
       parts_.settings.Of(about.service, about.request_class);
   about.tier = settings.tier;
-  about.long_work = settings.long_work;
-  about.idempotent = IsIdempotent(settings, request.method);
-  about.fingerprint = FingerprintOf(about.service, call.request);
+  TakeClass(call, settings, headers, routed);
   Duration limit = headers.deadline.value_or(settings.deadline);
   // A route's time limit is the operators' own: a caller may ask for less only.
   if (routed) limit = std::min(limit, settings.deadline);
   if (remaining) limit = std::min(limit, *remaining);
   call.deadline = context.now + limit;
-  call.own_class = headers.request_class;
-  if (routed) call.most_tries = 1 + static_cast<int>(settings.retry_credits);
   call.ledger = CreditLedger(static_cast<uint16_t>(settings.retry_credits));
   return call;
 }
@@ -209,16 +214,12 @@
   // may wait, whatever request they serve.
   const EffectiveSettings& settings = parts_.settings.Of(
       about.service, routed ? headers.request_class : about.request_class);
-  about.long_work = settings.long_work;
-  about.idempotent = IsIdempotent(settings, call.request.method);
-  about.fingerprint = FingerprintOf(about.service, call.request);
+  TakeClass(call, settings, headers, routed);
   call.is_root = false;
   call.parent_hop = hop->id;
   call.deadline = hop->deadline;
-  call.own_class = headers.request_class;
   if (routed) {
     call.deadline = std::min(call.deadline, context.now + settings.deadline);
-    call.most_tries = 1 + static_cast<int>(settings.retry_credits);
   }
   if (headers.deadline) {
     call.deadline = std::min(call.deadline, context.now + *headers.deadline);
@@ -359,7 +360,7 @@
     return FinishWithFailure(call, std::move(failure), context);
   }
   if (!PassesInside(call, context) && ShedAtEntry(call, context)) {
-    TellParent(call, context.now);
+    TellParent(call, context);
     Failure failure;
     failure.verdict = Verdict::kNotRun;
     failure.reason = Reason::kShedAtEntry;
@@ -373,7 +374,7 @@
         .OnRequest(context.now);
   }
   if (TryNext(call, std::nullopt, context)) return;
-  TellParent(call, context.now);
+  TellParent(call, context);
   Failure failure;
   failure.verdict = Verdict::kNotRun;
   const bool any = !parts_.membership.ServersOf(call.context.service).empty();
--- a/src/libnode/entry/entry_finish.cc
+++ b/src/libnode/entry/entry_finish.cc
@@ -20,11 +20,6 @@
          reason != Reason::kTooLarge;
 }
 
-bool IsOverload(Reason reason) {
-  return reason == Reason::kShedAtEntry || reason == Reason::kShedAtServer ||
-         reason == Reason::kQueueFull || reason == Reason::kServerRefused;
-}
-
 }  // namespace
 
 void EntryRole::FinishWithResponse(Call& call, const HttpResponse& response,
--- a/src/libnode/entry/entry_role.h
+++ b/src/libnode/entry/entry_role.h
@@ -44,7 +44,6 @@
     Stats& stats;
     Records& records;
     std::string data_centre;  // of this node
-    bool admit_at_edge = false;
   };
 
   explicit EntryRole(const Parts& parts);
@@ -128,7 +127,7 @@
   // Name under which thresholds of the services below a call are learned.
   static std::string ThresholdKey(const Call& call);
   // What a nested call's service turns away is passed up its chain.
-  void TellParent(const Call& call, TimePoint now);
+  void TellParent(const Call& call, const Context& context);
   void SetAttempt(Call& call, const Attempt& attempt);
   void EndAttempt(Call& call, std::optional<Duration> latency, bool failed,
                   TimePoint now);
@@ -154,7 +153,6 @@
   void RemoveWaiter(Call& call, CallId http_call, Context& context);
 
   Parts parts_;
-  bool admit_at_edge_;
   ServerChoice choice_;
   RecentSet answered_;  // fingerprints that were answered lately
   KeyRegistry keys_;
--- a/src/libnode/entry/route_table.cc
+++ b/src/libnode/entry/route_table.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "amaranthroute/routes.h"
+#include "libnode/shared/request_target.h"
 
 namespace amaranth {
 namespace {
@@ -50,7 +51,7 @@
                               std::string_view target) const {
   const auto found = by_host_->find(HostKey(host));
   if (found == by_host_->end()) return nullptr;
-  const std::string_view path = target.substr(0, target.find('?'));
+  const std::string_view path = pvt::PathOf(target);
   for (const size_t place : found->second) {
     const Route& route = (*routes_)[place];
     if (Begins(path, route.prefix)) return &route;
--- a/src/libnode/membership/membership.h
+++ b/src/libnode/membership/membership.h
@@ -141,6 +141,7 @@
   void OnPingRequest(const GossipReceived& received, Context& context);
 
   // membership_spread.cc: telling others.
+  static bool IsDrawn(size_t peers, Context& context);
   void LookForReturned(Context& context);
   void FindPeers(Context& context);
   void Reconnect(Context& context);
--- a/src/libnode/membership/membership_spread.cc
+++ b/src/libnode/membership/membership_spread.cc
@@ -220,16 +220,20 @@
   }
 }
 
+// Of the node and its `peers`, kReconnectors are drawn in the mean.
+bool Membership::IsDrawn(size_t peers, Context& context) {
+  return std::uniform_int_distribution<size_t>(0, peers)(context.random) <
+         kReconnectors;
+}
+
 // After a cut inside a data centre each half holds the other for dead and
 // probes it no more; somebody has to ask again or they stay apart for ever.
 // A few of many nodes do it each time: if all did, the seeds would answer each
 // node of the fleet every two seconds.
 void Membership::Reconnect(Context& context) {
-  const bool alone = UpPeers().empty();
-  const size_t size = UpPeers().size() + 1;
-  const size_t ticket =
-      std::uniform_int_distribution<size_t>(0, size - 1)(context.random);
-  if (!alone && ticket >= kReconnectors) return;
+  const size_t peers = UpPeers().size();
+  const bool alone = peers == 0;
+  if (!IsDrawn(peers, context) && !alone) return;
   std::vector<std::string> dead;
   for (const auto& [name, until] : tombstones_) {
     const MemberRecord* record = Find(name);
@@ -256,12 +260,11 @@
 // node that has left is probed no more: its server would be missing for as long
 // as the platform is.
 void Membership::LookForReturned(Context& context) {
-  const size_t size = UpPeers().size() + 1;
+  if (tombstones_.empty()) return;
+  const size_t peers = UpPeers().size();
   for (const auto& [name, until] : tombstones_) {
     if (context.now >= until - kTombstoneTime + kReturnTime) continue;
-    const size_t ticket =
-        std::uniform_int_distribution<size_t>(0, size - 1)(context.random);
-    if (ticket < kReconnectors) Ping(name, context.NextId(), context);
+    if (IsDrawn(peers, context)) Ping(name, context.NextId(), context);
   }
 }
 
--- a/src/libnode/node_state.cc
+++ b/src/libnode/node_state.cc
@@ -9,18 +9,14 @@
 namespace amaranth::pvt {
 namespace {
 
-constexpr std::string_view kAnnouncePath = "/amaranth/v1/announce";
-constexpr std::string_view kLeavePath = "/amaranth/v1/leave";
 constexpr std::string_view kTicketPath = "/amaranth/v1/ticket";
 
 // Without settings the class is unknown; the method alone must do.
 bool IsKeyed(const HttpRequest& request) {
-  const bool reads = request.method == "GET" || request.method == "HEAD" ||
-                     request.method == "OPTIONS";
   const bool named =
       !FindHeader(request.headers, kIdempotencyKeyHeader).empty() ||
       !FindHeader(request.headers, kRequestIdHeader).empty();
-  return !reads && named;
+  return !IsReadMethod(request.method) && named;
 }
 
 }  // namespace
@@ -34,7 +30,7 @@
       serving(membership, settings_cache, outbox, stats, records),
       claims(membership, outbox, stats),
       entry({membership, settings_cache, serving, claims, outbox, stats,
-             records, identity.data_centre, identity.rules.admit_at_edge}) {
+             records, identity.data_centre}) {
   JoinModules();
 }
 
--- a/src/libnode/operator_api.cc
+++ b/src/libnode/operator_api.cc
@@ -206,7 +206,7 @@
 HttpResponse Read(const OperatorRequest& request, NodeState& state,
                   TimePoint now) {
   const std::string& target = request.request.target;
-  const std::string path = PathOf(target);
+  const std::string_view path = PathOf(target);
   if (path == "/live") return TextResponse(200, "live\n");
   if (path == "/ready") {
     return state.ready() ? TextResponse(200, "ready\n")
@@ -261,7 +261,7 @@
         request.call, ErrorResponse(401, "the operators' token is missing")});
     return;
   }
-  const std::string path = PathOf(http.target);
+  const std::string_view path = PathOf(http.target);
   if (http.method == "POST" && path == "/settings") {
     ChangeSettings(request, state, context);
     return;
--- a/src/libnode/settings/settings_tree.cc
+++ b/src/libnode/settings/settings_tree.cc
@@ -1,12 +1,13 @@
 #include <algorithm>
-#include <charconv>
 #include <cmath>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <set>
 #include <tuple>
 #include <utility>
 
 #include "amaranthroute/settings.h"
+#include "libutil/parse_number.h"
 #include "libutil/shallow_json.h"
 
 namespace amaranth {
@@ -60,13 +61,6 @@
   return "";
 }
 
-template <typename Number>
-bool ParseNumber(const std::string& text, Number& number) {
-  const char* end = text.data() + text.size();
-  const auto [last, error] = std::from_chars(text.data(), end, number);
-  return error == std::errc() && last == end;
-}
-
 bool InRange(const SettingDefinition& row, double number) {
   return std::isfinite(number) && number >= row.minimum &&
          number <= row.maximum;
@@ -80,13 +74,12 @@
     case SettingType::kFlag:
       return value == "true" || value == "false";
     case SettingType::kInteger: {
-      int64_t number = 0;
-      return ParseNumber(value, number) &&
-             InRange(row, static_cast<double>(number));
+      const std::optional<int64_t> number = pvt::ParseNumber<int64_t>(value);
+      return number && InRange(row, static_cast<double>(*number));
     }
     case SettingType::kRatio: {
-      double number = 0;
-      return ParseNumber(value, number) && InRange(row, number);
+      const std::optional<double> number = pvt::ParseNumber<double>(value);
+      return number && InRange(row, *number);
     }
   }
   return false;
@@ -97,13 +90,13 @@
   const SettingDefinition* row = FindSetting(name);
   if (row == nullptr) return value;
   if (row->type == SettingType::kInteger) {
-    int64_t number = 0;
-    return ParseNumber(value, number) ? std::to_string(number) : value;
+    const std::optional<int64_t> number = pvt::ParseNumber<int64_t>(value);
+    return number ? std::to_string(*number) : value;
   }
   if (row->type == SettingType::kRatio) {
-    double number = 0;
-    if (!ParseNumber(value, number) || !std::isfinite(number)) return value;
-    return Json(number == 0 ? 0.0 : number).dump();
+    const std::optional<double> number = pvt::ParseNumber<double>(value);
+    if (!number || !std::isfinite(*number)) return value;
+    return Json(*number == 0 ? 0.0 : *number).dump();
   }
   return value;
 }
--- a/src/libnode/shared/caller_headers.cc
+++ b/src/libnode/shared/caller_headers.cc
@@ -4,6 +4,8 @@
 #include <charconv>
 #include <vector>
 
+#include "libutil/parse_number.h"
+
 namespace amaranth::pvt {
 namespace {
 
@@ -36,17 +38,6 @@
   return text;
 }
 
-std::optional<uint64_t> ParseNumber(std::string_view text, int base) {
-  uint64_t value = 0;
-  const char* end = text.data() + text.size();
-  const std::from_chars_result result =
-      std::from_chars(text.data(), end, value, base);
-  if (text.empty() || result.ec != std::errc() || result.ptr != end) {
-    return std::nullopt;
-  }
-  return value;
-}
-
 std::string ToHex(uint64_t value) {
   char buffer[17];
   const std::to_chars_result result =
@@ -67,7 +58,7 @@
 Outcome<std::optional<Duration>> ReadDeadline(const HttpRequest& request) {
   const std::string_view text = FindHeader(request.headers, kDeadlineHeader);
   if (text.empty()) return std::optional<Duration>();
-  const std::optional<uint64_t> millis = ParseNumber(text, 10);
+  const std::optional<uint64_t> millis = ParseNumber<uint64_t>(text);
   if (!millis || *millis == 0 || *millis > kMaxDeadlineMs) {
     return Error{ErrorCode::kInvalid,
                  std::string(kDeadlineHeader) + " must be 1 to 3600000"};
@@ -77,6 +68,10 @@
 
 }  // namespace
 
+bool IsReadMethod(std::string_view method) {
+  return method == "GET" || method == "HEAD" || method == "OPTIONS";
+}
+
 bool IsCleanText(std::string_view text) {
   return std::all_of(text.begin(), text.end(), [](char c) {
     return c > ' ' && c < '\x7f' && c != '"' && c != '\\';
@@ -128,8 +123,8 @@
 std::optional<ContextToken> ParseContextToken(std::string_view text) {
   const std::vector<std::string_view> parts = Split(text, '.');
   if (parts.size() != 3 || parts[0] != kTokenPrefix) return std::nullopt;
-  const std::optional<uint64_t> hop = ParseNumber(parts[1], 16);
-  const std::optional<uint64_t> nonce = ParseNumber(parts[2], 16);
+  const std::optional<uint64_t> hop = ParseNumber<uint64_t>(parts[1], 16);
+  const std::optional<uint64_t> nonce = ParseNumber<uint64_t>(parts[2], 16);
   if (!hop || !nonce) return std::nullopt;
   return ContextToken{*hop, *nonce};
 }
@@ -142,8 +137,9 @@
 std::optional<Ticket> ParseTicket(std::string_view text) {
   const std::vector<std::string_view> parts = Split(text, '~');
   if (parts.size() != 4 || parts[0] != kTicketPrefix) return std::nullopt;
-  const std::optional<uint64_t> incarnation = ParseNumber(parts[2], 16);
-  const std::optional<uint64_t> sequence = ParseNumber(parts[3], 16);
+  const std::optional<uint64_t> incarnation =
+      ParseNumber<uint64_t>(parts[2], 16);
+  const std::optional<uint64_t> sequence = ParseNumber<uint64_t>(parts[3], 16);
   if (!incarnation || !sequence || parts[1].empty()) return std::nullopt;
   return Ticket{std::string(parts[1]), *incarnation, *sequence};
 }
--- a/src/libnode/shared/caller_headers.h
+++ b/src/libnode/shared/caller_headers.h
@@ -30,6 +30,10 @@
 inline constexpr std::string_view kRefusedHeader = "X-Amaranth-Refused";
 inline constexpr std::string_view kIdempotencyKeyHeader = "Idempotency-Key";
 
+// Backend servers' announcements.
+inline constexpr std::string_view kAnnouncePath = "/amaranth/v1/announce";
+inline constexpr std::string_view kLeavePath = "/amaranth/v1/leave";
+
 // Longest accepted value of any of these headers, in bytes. Names and keys end
 // up in tables and logs of every node, so they are kept short.
 inline constexpr size_t kMaxHeaderValue = 200;
@@ -45,6 +49,9 @@
   std::optional<Duration> deadline;
 };
 
+// Whether the method alone says that a request changes nothing.
+bool IsReadMethod(std::string_view method);
+
 // Printable ASCII without spaces and quotes: safe in logs, JSON and labels.
 bool IsCleanText(std::string_view text);
 
--- a/src/libnode/shared/request_target.cc
+++ b/src/libnode/shared/request_target.cc
@@ -25,8 +25,8 @@
 
 }  // namespace
 
-std::string PathOf(std::string_view target) {
-  return std::string(target.substr(0, target.find('?')));
+std::string_view PathOf(std::string_view target) {
+  return target.substr(0, target.find('?'));
 }
 
 std::string QueryValue(std::string_view target, std::string_view name) {
--- a/src/libnode/shared/request_target.h
+++ b/src/libnode/shared/request_target.h
@@ -9,7 +9,7 @@
 namespace amaranth::pvt {
 
 // The part before '?'.
-std::string PathOf(std::string_view target);
+std::string_view PathOf(std::string_view target);
 
 // The decoded value of `name` in the query, or an empty text.
 std::string QueryValue(std::string_view target, std::string_view name);
--- a/src/libpolicy/shedder.cc
+++ b/src/libpolicy/shedder.cc
@@ -98,20 +98,24 @@
 void Shedder::CloseWindow(TimePoint now) {
   const double seconds =
       std::chrono::duration<double>(now - window_.start).count();
+  const double delay = window_.starts == 0 ? 0 : window_.delay / window_.starts;
+  if (options_.steer_by_wait) {
+    SteerByWait(delay, seconds, now);
+  } else {
+    SteerByCounts(delay, seconds);
+  }
+  window_ = Window{};
+  window_.start = now;
+}
+
+void Shedder::SteerByCounts(double delay, double seconds) {
   const double target =
       std::max<double>(static_cast<double>(options_.target_delay.count()),
                        service_ * options_.service_targets);
-  const double delay = window_.starts == 0 ? 0 : window_.delay / window_.starts;
   const bool over = delay > target;
   const bool far_over = delay > kFarOver * target;
   LearnDemand(seconds);
   LearnCapacity(seconds, over);
-  if (options_.steer_by_wait) {
-    SteerByWait(delay, seconds, now);
-    window_ = Window{};
-    window_.start = now;
-    return;
-  }
   // One window over the target is a burst, which the queue is there for.
   if (threshold_ > 0 || far_over || (over && was_over_)) {
     double factor = options_.raise;
@@ -122,8 +126,6 @@
         LevelForShare(demand_rate_ <= allowed ? 1 : allowed / demand_rate_);
   }
   was_over_ = over;
-  window_ = Window{};
-  window_.start = now;
 }
 
 void Shedder::SteerByWait(double delay, double seconds, TimePoint now) {
--- a/testsuite/lib/users_platform.py
+++ b/testsuite/lib/users_platform.py
@@ -242,12 +242,14 @@
                           *extra_flags])
 
 
+def is_ready(node, timeout=10):
+    return request(node.ports["operator"], "GET", "/-/readyz",
+                   timeout=timeout).status == 200
+
+
 def wait_ready(nodes):
     for node in nodes:
-        fleet.wait_until(
-            lambda: request(node.ports["operator"], "GET",
-                            "/-/readyz").status == 200,
-            f"{node.name} is ready")
+        fleet.wait_until(lambda: is_ready(node), f"{node.name} is ready")
 
 
 def wait_served(node, host, path):
--- a/testsuite/silent-connection/run.py
+++ b/testsuite/silent-connection/run.py
@@ -13,7 +13,7 @@
 import calls
 import effects
 import fleet
-import silent_proxy
+import faulty_proxy
 
 WARM_UP = 16
 
@@ -42,10 +42,10 @@
     probe = run.start_backend("probe", "unused", node)
     port = probe.port
     probe.kill()
-    proxy = silent_proxy.SilentProxy(port)
+    proxy = faulty_proxy.FaultyProxy(f"127.0.0.1:{port}")
     server = run.start_backend(
         "catalogue-1", "catalogue", node, port=port, service_ms=20,
-        announce_address=f"127.0.0.1:{proxy.port}")
+        announce_address=proxy.address)
     return proxy, server
 
 
--- a/testsuite/soak/faults.py
+++ b/testsuite/soak/faults.py
@@ -69,10 +69,8 @@
         proxy.silent_to = {"near", "far"} if how == "both" else {how}
     yield rng.uniform(0.2, 2.5)
     proxy.delay = 0.0
-    # Connections that have lost bytes do not come right again.
     if proxy.silent_to:
-        proxy.silent_to = set()
-        proxy.reset_all()
+        proxy.heal()
 
 
 def harm_store_link(system, place, rng):
@@ -82,9 +80,7 @@
     else:
         link.delay = rng.uniform(0.1, 0.8)
     yield rng.uniform(0.5, 4.0)
-    link.delay = 0.0
-    link.silent_to = set()
-    link.reset_all()
+    link.heal()
 
 
 def store_away(system, place, rng):
--- a/testsuite/soak/system.py
+++ b/testsuite/soak/system.py
@@ -128,8 +128,7 @@
 
     def ready(self):
         try:
-            return platform.request(self.ports["operator"], "GET",
-                                    "/-/readyz", timeout=2).status == 200
+            return platform.is_ready(self.node, timeout=2)
         except (OSError, http.client.HTTPException):
             return False
 
@@ -164,15 +163,11 @@
     def heal(self):
         """Ends what faults left behind, for the check of the recovery."""
         self.store.come_back()
-        self.store_link.delay = 0.0
-        self.store_link.silent_to = set()
-        self.store_link.reset_all()
+        self.store_link.heal()
         for place in self.places:
             place.node.signal(signal.SIGCONT)
             if not place.node.running:
                 place.start_node()
             if place.worker.state != "ready":
                 place.start_worker()
-            place.worker.proxy.delay = 0.0
-            place.worker.proxy.silent_to = set()
-            place.worker.proxy.reset_all()
+            place.worker.proxy.heal()
