A waiting call is hopeless by its own kind's time, not by its server's mean

A server that refuses at once looks idle and draws the rest.

Ruled out: a queue too short (it was empty), the deadlines told by callers (925 ms were left). Test AShortCallIsNotHopelessBesideLongOnes; the former interface had no time for a kind, so it could not be written against the old code.

--- a/src/include/amaranthroute/policy/admission_queue.h
+++ b/src/include/amaranthroute/policy/admission_queue.h
@@ -52,11 +52,18 @@
   bool long_work = false;
   TimePoint enqueued{};
   TimePoint deadline = kNever;
+  /// Usual time of calls of its kind in the server, 0 if none was seen. With
+  /// less than that left it is hopeless. Not the server's mean over all kinds:
+  /// beside calls of a second, each call that may take half of one would be
+  /// refused as it arrives, and as refusing is quick, its server looks idle and
+  /// draws the calls of all others.
+  Duration expected{0};
 
   friend bool operator==(const QueuedCall& a, const QueuedCall& b) {
     return a.id == b.id && a.tier == b.tier && a.level == b.level &&
            a.caller_key == b.caller_key && a.long_work == b.long_work &&
-           a.enqueued == b.enqueued && a.deadline == b.deadline;
+           a.enqueued == b.enqueued && a.deadline == b.deadline &&
+           a.expected == b.expected;
   }
   friend bool operator!=(const QueuedCall& a, const QueuedCall& b) {
     return !(a == b);
@@ -169,7 +176,7 @@
                                     bool long_only) const;
   void UpdateOverload(Lane& lane, TimePoint now,
                       Duration expected_service) const;
-  void DropLate(TimePoint limit, std::vector<QueuedCall>& expired);
+  void DropLate(TimePoint now, std::vector<QueuedCall>& expired);
   void DropImpatient(const Lane& lane, TimePoint now,
                      std::vector<QueuedCall>& expired);
 
@@ -177,6 +184,8 @@
   std::array<TierLanes, kTierCount> tiers_;
   std::unordered_map<uint64_t, Place> places_;
   std::set<std::pair<TimePoint, uint64_t>> by_deadline_;
+  // By the last moment at which a call may start to end in time.
+  std::set<std::pair<TimePoint, uint64_t>> by_latest_start_;
   size_t long_waiting_ = 0;
   bool long_allowed_ = true;  // at the last Pop
   TimePoint next_hopeless_{};
--- /dev/null
+++ b/src/include/amaranthroute/policy/admission_window.h
@@ -0,0 +1,105 @@
+#ifndef AMARANTHROUTE_POLICY_ADMISSION_WINDOW_H_
+#define AMARANTHROUTE_POLICY_ADMISSION_WINDOW_H_
+
+/// How many requests of one class an entry node has under way.
+///
+/// Load pattern: requests that make several calls one after the other at a
+/// service that is short of capacity for many seconds. Each waits at every
+/// call, so a wait of 100 ms that is no overload for a single call makes a
+/// request with eight of them late. A threshold that is steered by the wait of
+/// a call needs a standing wait to turn anything away, and swings, as it is
+/// felt only when the requests under way have ended: what is let in is served
+/// late, fails half way, and has used the capacity for nothing.
+///
+/// A window clocks itself: a request is let in when another ends. It shrinks
+/// when requests end too late, or fail, *because they waited* (the waits are
+/// measured in the queues and come up with the answers), and grows while they
+/// end in time. A request that is slow at a slow server, or fails at a broken
+/// one, says nothing about how many there should be.
+///
+/// Each class has its own window, so one with little time or many calls gives
+/// way first, and what is more important is let in as long as it ends in time:
+/// its calls stand before the others' in every queue.
+
+#include <cstddef>
+#include <random>
+
+#include "amaranthroute/time.h"
+
+namespace amaranth {
+
+/// Targets and steps of an AdmissionWindow.
+struct AdmissionWindowOptions {
+  /// Part of its latency target by which a request should have ended. The rest
+  /// covers the spread of a call chain's time around its mean.
+  double goal = 0.8;
+  /// A request that ended after that is a sign of overload only if it waited
+  /// for at least this part of its target: work that is long by itself is not
+  /// made shorter by letting in less.
+  double least_wait = 0.2;
+  /// What one such request leaves of the window. TCP's half empties the slots
+  /// of the service that is short: its queue is under a tenth of what is under
+  /// way.
+  double shrink = 0.8;
+  /// Requests that end in time add this over one window of them: the window is
+  /// back at twice the size after four round trips. Once it has shrunk, it
+  /// grows so fast only up to the size at which it did (`probe` after).
+  double grow = 0.2;
+  /// ... and this many requests over one window beyond that size.
+  double probe = 0.5;
+  /// Never smaller: some requests must flow to tell of the recovery.
+  double smallest = 1.0;
+};
+
+/// What an entry node learned from a request that has ended.
+struct EndedRequest {
+  Duration latency{0};  ///< from its arrival here to its end
+  Duration waited{0};   ///< of that, in queues for a slot, its calls' too
+  bool served = false;  ///< false: failed, here or further down
+
+  friend bool operator==(const EndedRequest& a, const EndedRequest& b) {
+    return a.latency == b.latency && a.waited == b.waited &&
+           a.served == b.served;
+  }
+  friend bool operator!=(const EndedRequest& a, const EndedRequest& b) {
+    return !(a == b);
+  }
+};
+
+/// The window of one class at one entry node. Unlimited until a request ends
+/// late for waiting.
+class AdmissionWindow {
+ public:
+  explicit AdmissionWindow(AdmissionWindowOptions options = {});
+
+  /// Whether one more may be let in. A window of 2.4 lets in a third beside two
+  /// with a chance of 0.4: at 64 entry nodes whole numbers would be coarse.
+  bool HasRoom(std::mt19937_64& random) const;
+  /// A request was let in.
+  void OnBegin();
+  /// It has ended; `target` is its class's latency target (0: none is set, and
+  /// nothing is learned).
+  void OnEnd(const EndedRequest& ended, Duration target, TimePoint now);
+  /// It has ended and tells nothing: its caller left, or it never went out.
+  void OnAbandoned();
+
+  size_t under_way() const { return under_way_; }
+  /// The limit; 0 while there is none.
+  double limit() const { return limited_ ? limit_ : 0; }
+
+ private:
+  bool IsOverload(const EndedRequest& ended, Duration target) const;
+  void Shrink(double under_way, Duration latency, TimePoint now);
+  void Grow(double under_way);
+
+  AdmissionWindowOptions options_;
+  size_t under_way_ = 0;
+  bool limited_ = false;
+  double limit_ = 0;
+  double last_size_ = 0;     // the window before it last shrank
+  TimePoint next_shrink_{};  // one for all that were under way together
+};
+
+}  // namespace amaranth
+
+#endif  // AMARANTHROUTE_POLICY_ADMISSION_WINDOW_H_
--- a/src/libnode/serving/local_server.cc
+++ b/src/libnode/serving/local_server.cc
@@ -18,6 +18,17 @@
 // changes its order, acts first.
 constexpr int kShedderTargets = 4;
 
+// Callers choose class names: the table must not grow with them.
+constexpr size_t kMaxKinds = 256;
+
+Duration Averaged(Duration mean, Duration sample) {
+  if (mean == Duration::zero()) return sample;
+  const double before = static_cast<double>(mean.count());
+  const double newest = static_cast<double>(sample.count());
+  return Duration(
+      static_cast<int64_t>(before + kServiceWeight * (newest - before)));
+}
+
 int SlotsOf(const ServerRecord& record, const EffectiveSettings& settings) {
   if (settings.fixed_limit > 0) return static_cast<int>(settings.fixed_limit);
   if (record.slots > 0) return static_cast<int>(record.slots);
@@ -82,8 +93,9 @@
   limit_.SetLongInFlight(long_in_flight_);
 }
 
-void LocalServer::OnEnded(uint64_t dispatch, Duration latency,
-                          Duration own_time, bool failed, TimePoint now) {
+void LocalServer::OnEnded(uint64_t dispatch, const CallKind& kind,
+                          Duration latency, Duration own_time, bool failed,
+                          TimePoint now) {
   const auto found = dispatches_.find(dispatch);
   if (found == dispatches_.end()) return;
   const bool is_long = found->second.is_long;
@@ -98,15 +110,26 @@
   if (is_long) return;
   // A try that timed out counts as slow as it was: without it a server slower
   // than the timeout would never be seen to be slow.
-  if (failed && latency < expected_service_) return;
-  const double mean = static_cast<double>(expected_service_.count());
-  const double sample = static_cast<double>(latency.count());
-  expected_service_ = mean == 0 ? latency
-                                : Duration(static_cast<int64_t>(
-                                      mean + kServiceWeight * (sample - mean)));
+  if (!failed || latency >= expected_service_) {
+    expected_service_ = Averaged(expected_service_, latency);
+  }
+  const Duration of_kind = ExpectedService(kind);
+  if ((!failed || latency >= of_kind) && HasPlaceFor(kind)) {
+    expected_by_kind_[kind] = Averaged(of_kind, latency);
+  }
   shedder_.OnServiceTime(expected_service_);
 }
 
+bool LocalServer::HasPlaceFor(const CallKind& kind) const {
+  return expected_by_kind_.size() < kMaxKinds ||
+         expected_by_kind_.count(kind) > 0;
+}
+
+Duration LocalServer::ExpectedService(const CallKind& kind) const {
+  const auto found = expected_by_kind_.find(kind);
+  return found == expected_by_kind_.end() ? Duration::zero() : found->second;
+}
+
 std::vector<std::pair<uint64_t, uint64_t>> LocalServer::InFlight() const {
   std::vector<std::pair<uint64_t, uint64_t>> result;
   result.reserve(dispatches_.size());
--- a/src/libnode/serving/local_server.h
+++ b/src/libnode/serving/local_server.h
@@ -26,6 +26,10 @@
   uint64_t sequence = 0;    // counts up from its start
 };
 
+// Calls that take about as long: of one class of requests, so many calls below
+// where these entered.
+using CallKind = std::pair<std::string, uint8_t>;
+
 class LocalServer {
  public:
   LocalServer(ServerRecord record, const EffectiveSettings& settings,
@@ -42,12 +46,15 @@
   void OnDispatched(uint64_t dispatch, uint64_t fingerprint, bool is_long);
   // Ends a dispatch that was answered, or broke (`failed`). `own_time` is
   // `latency` without the waits for nested calls.
-  void OnEnded(uint64_t dispatch, Duration latency, Duration own_time,
-               bool failed, TimePoint now);
+  void OnEnded(uint64_t dispatch, const CallKind& kind, Duration latency,
+               Duration own_time, bool failed, TimePoint now);
 
   int in_flight() const { return static_cast<int>(dispatches_.size()); }
   std::vector<std::pair<uint64_t, uint64_t>> InFlight() const;
+  // Usual time of a call, its own calls included: over all kinds, and of one
+  // kind (0 if none was seen).
   Duration expected_service() const { return expected_service_; }
+  Duration ExpectedService(const CallKind& kind) const;
   LoadReport Report(TimePoint now);
 
   const ServerRecord& record() const { return record_; }
@@ -81,6 +88,8 @@
     bool is_long = false;
   };
 
+  bool HasPlaceFor(const CallKind& kind) const;
+
   ServerRecord record_;
   ConcurrencyLimit limit_;
   // Where requests are let in at the edge all that wait here will be served.
@@ -93,6 +102,7 @@
   std::map<uint64_t, Dispatch> dispatches_;
   int long_in_flight_ = 0;
   Duration expected_service_{0};
+  std::map<CallKind, Duration> expected_by_kind_;
 };
 
 }  // namespace amaranth::pvt
--- a/src/libnode/serving/serving_role.cc
+++ b/src/libnode/serving/serving_role.cc
@@ -30,6 +30,10 @@
   return hop.timeout_at != kNever && now >= hop.timeout_at;
 }
 
+CallKind KindOf(const Hop& hop) {
+  return {hop.context.request_class, hop.context.depth};
+}
+
 }  // namespace
 
 ServingRole::ServingRole(Membership& membership, SettingsCache& settings,
@@ -152,6 +156,7 @@
   queued.long_work = hop.context.long_work;
   queued.enqueued = context.now;
   queued.deadline = hop.deadline;
+  queued.expected = server.ExpectedService(KindOf(hop));
   std::vector<QueuedCall> evicted;
   const PushResult pushed =
       server.queue().Push(std::move(queued), context.now, evicted);
@@ -273,8 +278,8 @@
   const auto found = servers_.find(hop.server);
   if (found == servers_.end()) return hop;
   LocalServer& server = found->second;
-  server.OnEnded(id, context.now - hop.dispatched, hop.OwnTime(context.now),
-                 failed, context.now);
+  server.OnEnded(id, KindOf(hop), context.now - hop.dispatched,
+                 hop.OwnTime(context.now), failed, context.now);
   if (hop.is_suspect) EndPause(server, context.now);
   return hop;
 }
--- a/src/libpolicy/admission_queue.cc
+++ b/src/libpolicy/admission_queue.cc
@@ -12,6 +12,11 @@
 // Part of the places that long work may take.
 constexpr size_t kLongPlacesDivisor = 2;
 
+// No call leaves the far end of time: kNever has no room below it.
+TimePoint LatestStart(const QueuedCall& call) {
+  return call.deadline == kNever ? kNever : call.deadline - call.expected;
+}
+
 }  // namespace
 
 AdmissionQueue::AdmissionQueue(AdmissionQueueOptions options)
@@ -57,7 +62,7 @@
     QueuedCall call = TakeOut(id);
     // Long work that still waits now waits for its own share, as far as known.
     if (call.long_work) long_allowed_ = false;
-    if (call.deadline <= now + expected_service) {
+    if (LatestStart(call) <= now) {
       next_hopeless_ = now + options_.hopeless_period;
     }
     return call;
@@ -74,11 +79,7 @@
 void AdmissionQueue::DropExpired(TimePoint now, Duration expected_service,
                                  std::vector<QueuedCall>& expired) {
   patience_ = std::max(options_.patience, expected_service * kPatienceServices);
-  const bool all_hopeless =
-      !by_deadline_.empty() &&
-      by_deadline_.rbegin()->first <= now + expected_service;
-  const bool spare_them = all_hopeless && now >= next_hopeless_;
-  DropLate(spare_them ? now : now + expected_service, expired);
+  DropLate(now, expired);
   for (TierLanes& tier : tiers_) {
     UpdateOverload(tier.brief, now, expected_service);
     if (tier.brief.overloaded) DropImpatient(tier.brief, now, expired);
@@ -126,6 +127,7 @@
   if (is_new) lane.turns.push_back(call.caller_key);
   lane.by_age.emplace(call.enqueued, call.id);
   by_deadline_.emplace(call.deadline, call.id);
+  by_latest_start_.emplace(LatestStart(call), call.id);
   if (call.long_work) ++long_waiting_;
   Calls& calls = caller->second;
   calls.push_back(std::move(call));
@@ -141,6 +143,7 @@
   Lane& lane = LaneOf(call);
   lane.by_age.erase({call.enqueued, id});
   by_deadline_.erase({call.deadline, id});
+  by_latest_start_.erase({LatestStart(call), id});
   if (call.long_work) --long_waiting_;
   const auto caller = lane.callers.find(call.caller_key);
   caller->second.erase(at);
@@ -215,11 +218,16 @@
   if (now - lane.above_since >= options_.interval) lane.overloaded = true;
 }
 
-void AdmissionQueue::DropLate(TimePoint limit,
-                              std::vector<QueuedCall>& expired) {
-  while (!by_deadline_.empty() && by_deadline_.begin()->first <= limit) {
+void AdmissionQueue::DropLate(TimePoint now, std::vector<QueuedCall>& expired) {
+  while (!by_deadline_.empty() && by_deadline_.begin()->first <= now) {
     expired.push_back(TakeOut(by_deadline_.begin()->second));
   }
+  const bool all_hopeless =
+      !by_latest_start_.empty() && by_latest_start_.rbegin()->first <= now;
+  if (all_hopeless && now >= next_hopeless_) return;
+  while (!by_latest_start_.empty() && by_latest_start_.begin()->first <= now) {
+    expired.push_back(TakeOut(by_latest_start_.begin()->second));
+  }
 }
 
 void AdmissionQueue::DropImpatient(const Lane& lane, TimePoint now,
--- a/src/libpolicy/admission_queue_test.cc
+++ b/src/libpolicy/admission_queue_test.cc
@@ -109,6 +109,7 @@
                      static_cast<Tier>(*rc::gen::inRange(0, kTierCount)),
                      std::string(1, *rc::gen::element('a', 'b', 'c')), now,
                      now + *rc::gen::inRange(1, 2000));
+        call.expected = milliseconds(*rc::gen::inRange(0, 30));
         call.level = *rc::gen::inRange<uint32_t>(1, 9);
         call.long_work = *rc::gen::arbitrary<bool>();
         checked.Push(call, AtMillis(now));
@@ -148,14 +149,35 @@
   std::vector<QueuedCall> out;
   int ran = 0;
   for (int64_t now = 0; now < 5000; now += 10) {
-    queue.Push(MakeCall(static_cast<uint64_t>(now), Tier::kStandard, "a", now,
-                        now + 2000),
-               AtMillis(now), out);
+    QueuedCall call = MakeCall(static_cast<uint64_t>(now), Tier::kStandard, "a",
+                               now, now + 2000);
+    call.expected = std::chrono::seconds(3);
+    queue.Push(call, AtMillis(now), out);
     if (queue.Pop(AtMillis(now), std::chrono::seconds(3), true, out)) ++ran;
   }
   CHECK_EQUAL(5, ran);
 }
 
+// Callers of a short call are all refused at once while its server is fine.
+// Beside it run calls of a second, so the server's mean is longer than a short
+// call may take at all. What a call needs is the time of its own kind.
+TEST(AdmissionQueueTest, AShortCallIsNotHopelessBesideLongOnes) {
+  AdmissionQueue queue;
+  std::vector<QueuedCall> out;
+  QueuedCall brief = MakeCall(1, Tier::kStandard, "a", 0, 500);
+  brief.expected = milliseconds(100);
+  QueuedCall lengthy = MakeCall(2, Tier::kBrowse, "a", 0, 900);
+  lengthy.expected = milliseconds(1000);
+  queue.Push(brief, AtMillis(0), out);
+  queue.Push(lengthy, AtMillis(0), out);
+  const std::optional<QueuedCall> next =
+      queue.Pop(AtMillis(10), milliseconds(800), true, out);
+  CHECK(next.has_value());
+  CHECK_EQUAL(1u, next->id);
+  CHECK_EQUAL(1u, out.size());
+  CHECK_EQUAL(2u, out.front().id);
+}
+
 // Nine callers see most of their calls refused, because a tenth sends ten times
 // what all of them do; its calls fill the queue, and theirs find no place.
 TEST(AdmissionQueueTest, HotCallerDoesNotCrowdOutOthers) {
--- a/src/libpolicy/fake_node.cc
+++ b/src/libpolicy/fake_node.cc
@@ -84,9 +84,10 @@
   if (options_.shed && !shedder_.Admits(level, now)) return;
   calls_[number].let_in = true;
   std::vector<QueuedCall> evicted;
-  queue_.Push({number, from.tier, level, from.caller, from.long_work, now,
-               now + from.deadline},
-              now, evicted);
+  queue_.Push(
+      {number, from.tier, level, from.caller, from.long_work, now,
+       now + from.deadline, Duration(static_cast<int64_t>(service_micros_))},
+      now, evicted);
   FillSlots(now);
 }
 
