--- a/src/include/amaranthroute/messages.h
+++ b/src/include/amaranthroute/messages.h
@@ -80,6 +80,16 @@
   HttpRequest request;
 };
 
+/// How a serving node spent the time for which it held a call.
+struct CallTimes {
+  /// From its arrival to its answer, microseconds.
+  uint32_t held_us = 0;
+  /// Of that, what the call waited for a slot, and the calls that the backend
+  /// server made for it waited for theirs and on their way, microseconds. What
+  /// the sender measured beyond `held_us` was spent between the two nodes.
+  uint32_t waited_us = 0;
+};
+
 /// Serving node (or home node) to the sender of CallForward or HomeForward.
 /// Either a response, or a failure (then `failure.reason` is not kNone).
 struct CallAnswer {
@@ -92,6 +102,7 @@
   /// The backend server made calls of its own for this one: a repeat of it
   /// repeats those, too.
   bool made_calls = false;
+  CallTimes times;
 };
 
 /// The caller has gone or its deadline passed. Answered by a CallAnswer with a
@@ -237,6 +248,7 @@
 bool operator==(const LoadReport& a, const LoadReport& b);
 bool operator==(const Hello& a, const Hello& b);
 bool operator==(const CallForward& a, const CallForward& b);
+bool operator==(const CallTimes& a, const CallTimes& b);
 bool operator==(const CallAnswer& a, const CallAnswer& b);
 bool operator==(const CallCancel& a, const CallCancel& b);
 bool operator==(const HomeForward& a, const HomeForward& b);
--- a/src/include/amaranthroute/policy/admission_window.h
+++ b/src/include/amaranthroute/policy/admission_window.h
@@ -22,6 +22,7 @@
 /// its calls stand before the others' in every queue.
 
 #include <cstddef>
+#include <optional>
 #include <random>
 
 #include "amaranthroute/time.h"
@@ -54,7 +55,9 @@
 /// What an entry node learned from a request that has ended.
 struct EndedRequest {
   Duration latency{0};  ///< from its arrival here to its end
-  Duration waited{0};   ///< of that, in queues for a slot, its calls' too
+  /// Of that, in queues for a slot, its calls' too. Not known if a deadline cut
+  /// it off: then it is taken to have waited like those that ended before.
+  std::optional<Duration> waited = Duration(0);
   bool served = false;  ///< false: failed, here or further down
 
   friend bool operator==(const EndedRequest& a, const EndedRequest& b) {
@@ -88,12 +91,14 @@
   double limit() const { return limited_ ? limit_ : 0; }
 
  private:
-  bool IsOverload(const EndedRequest& ended, Duration target) const;
+  double WaitedMicros(const EndedRequest& ended);
+  bool IsOverload(const EndedRequest& ended, Duration target);
   void Shrink(double under_way, Duration latency, TimePoint now);
   void Grow(double under_way);
 
   AdmissionWindowOptions options_;
   size_t under_way_ = 0;
+  double wait_share_ = 0;  // of a request's latency, moving average
   bool limited_ = false;
   double limit_ = 0;
   double last_size_ = 0;     // the window before it last shrank
--- a/src/libhost/http_client.cc
+++ b/src/libhost/http_client.cc
@@ -96,7 +96,10 @@
     transfer->done = std::move(done);
     CURL* easy = transfer->easy();
     active_.emplace(id, std::move(transfer));
+    adding_ = true;
     curl_multi_add_handle(multi_, easy);
+    adding_ = false;
+    Start();
     return id;
   }
 
@@ -316,7 +319,7 @@
       return;
     }
     if (millis == 0) {
-      KickSoon();
+      if (!adding_) KickSoon();
       return;
     }
     timer_.expires_after(std::chrono::milliseconds(millis));
@@ -326,7 +329,15 @@
         });
   }
 
-  // A new request asks for a kick at once; several in one turn need only one.
+  // Sends what was just added. On a later turn it would cost the event loop a
+  // poll of its own for each request. What has ended already is told on a later
+  // turn, as promised.
+  void Start() {
+    int running = 0;
+    curl_multi_socket_action(multi_, CURL_SOCKET_TIMEOUT, 0, &running);
+    if (static_cast<size_t>(running) < active_.size()) KickSoon();
+  }
+
   void KickSoon() {
     if (kick_pending_) return;
     kick_pending_ = true;
@@ -372,6 +383,7 @@
   asio::steady_timer timer_;
   CURLM* multi_ = nullptr;
   bool kick_pending_ = false;
+  bool adding_ = false;  // a transfer, which is started right after
   uint64_t next_id_ = 1;
   uint64_t connections_opened_ = 0;
   std::unordered_map<uint64_t, std::unique_ptr<HttpTransfer>> active_;
--- a/src/libhost/peer_link.cc
+++ b/src/libhost/peer_link.cc
@@ -37,7 +37,7 @@
           link->Fail();
           return;
         }
-        link->WaitForBytes();
+        link->StartReading();
         link->Flush();
       });
 }
@@ -45,7 +45,7 @@
 void PeerLink::Greet(const Hello& self, std::chrono::milliseconds timeout) {
   StartTimer(timeout);
   SendGreeting(self);
-  WaitForBytes();
+  StartReading();
   FlushSoon();
 }
 
@@ -123,10 +123,16 @@
   on_end(*self);
 }
 
-void PeerLink::WaitForBytes() {
+// Once a connection: at each read they were two of a call's fourteen system
+// calls at the serving node (counted at 3,000 calls a second).
+void PeerLink::StartReading() {
   asio::error_code ignored;
   socket_.non_blocking(true, ignored);
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+  WaitForBytes();
+}
+
+void PeerLink::WaitForBytes() {
   socket_.async_wait(
       asio::ip::tcp::socket::wait_read,
       [link = shared_from_this()](const asio::error_code& error) {
--- a/src/libhost/peer_link.h
+++ b/src/libhost/peer_link.h
@@ -73,6 +73,7 @@
   void StartTimer(std::chrono::milliseconds timeout);
   void SendGreeting(const Hello& self);
   void Fail();
+  void StartReading();
   void WaitForBytes();
   void Read();
   void TakeFrames();
--- a/src/libnode/entry/call.h
+++ b/src/libnode/entry/call.h
@@ -72,6 +72,10 @@
   bool lingering = false;
   // An earlier try may have run: then nothing later can prove "not run".
   bool doubt = false;
+  // Counted in the window of its class, see Admission.
+  bool has_place = false;
+  // In queues for a slot and between nodes, by the answers to its tries.
+  Duration waited{0};
 };
 
 }  // namespace amaranth::pvt
--- a/src/libnode/entry/entry_attempts.cc
+++ b/src/libnode/entry/entry_attempts.cc
@@ -20,7 +20,6 @@
 // Tries of a call that no backend server has met: two further ones pass a dead
 // host and a full server, more would only keep its caller waiting.
 constexpr int kMostUnseenTries = 3;
-constexpr size_t kMaxCallMakers = 4096;
 
 bool IsRetryableStatus(int status) {
   return status == 502 || status == 503 || status == 504;
@@ -37,6 +36,14 @@
          reason == Reason::kConnectionLost || reason == Reason::kDeadline;
 }
 
+// What a try waited: in queues, as its serving node told, and between the two
+// nodes, where bytes wait for a node that is short of processor time.
+Duration WaitOf(const Attempt& attempt, const CallTimes& times, TimePoint now) {
+  const Duration held(times.held_us);
+  const Duration on_the_way = std::max(Duration(0), now - attempt.sent - held);
+  return on_the_way + Duration(times.waited_us);
+}
+
 // Whether a failed try came as far as a backend server.
 bool ReachedServer(const Failure& failure) {
   return failure.verdict != Verdict::kNotRun ||
@@ -132,9 +139,8 @@
   LearnLoad(call, answer, context);
   const bool answered = answer.failure.reason == Reason::kNone;
   if (answered) ++call.reached;
-  if (answer.made_calls && makes_calls_.size() < kMaxCallMakers) {
-    makes_calls_.emplace(call.context.service, call.own_class);
-  }
+  if (answer.made_calls) admission_.LearnMakesCalls(call);
+  call.waited += WaitOf(attempt, answer.times, context.now);
   const bool broke = !answered && answer.failure.verdict != Verdict::kNotRun;
   const bool final =
       answered && !FindHeader(answer.response.headers, kFinalHeader).empty();
@@ -176,16 +182,11 @@
                            answer.failure.reason == Reason::kNone ||
                            load.downstream_threshold > 0;
   if (asked_below) {
-    thresholds_.Learn(ThresholdKey(call), load.downstream_threshold,
-                      context.now);
+    admission_.LearnThreshold(call, load.downstream_threshold, context.now);
   }
   TellParent(call, context);
 }
 
-std::string EntryRole::ThresholdKey(const Call& call) {
-  return call.context.service + "/" + call.context.request_class;
-}
-
 void EntryRole::TellParent(const Call& call, const Context& context) {
   if (call.is_root) return;
   Hop* hop = parts_.serving.FindHop(call.parent_hop);
@@ -196,7 +197,7 @@
                             ? choice_.MeanThreshold(places, context.now)
                             : choice_.Threshold(places, context.now);
   const uint32_t threshold =
-      std::max(here, thresholds_.ThresholdFor(ThresholdKey(call), context.now));
+      std::max(here, admission_.ThresholdFor(call, context.now));
   hop->downstream_threshold = std::max(hop->downstream_threshold, threshold);
 }
 
@@ -281,9 +282,7 @@
   if (call.most_tries > 0 && call.reached >= call.most_tries) return false;
   // The repeat of a call that made others repeats those too, and so on down:
   // the budget of the deepest service would be gone after a few.
-  if (makes_calls_.count({call.context.service, call.own_class}) > 0) {
-    return false;
-  }
+  if (admission_.MakesCalls(call)) return false;
   if (call.ledger.available() == 0) return false;
   const DeploymentRules& rules = context.identity.rules;
   const size_t nodes = parts_.membership.NodesKnown();
--- a/src/libnode/entry/entry_begin.cc
+++ b/src/libnode/entry/entry_begin.cc
@@ -134,7 +134,8 @@
         "no backend server has announced this service", context);
   }
   if (call.is_root) {
-    TakeLevel(call, context.identity.rules.admit_at_edge, context.now);
+    admission_.TakeLevel(call, context.identity.rules.admit_at_edge,
+                         context.now);
   }
   parts_.stats.Count("amaranth_requests_total");
   call.joinable = call.is_root && !headers.request_id.empty() &&
@@ -295,19 +296,6 @@
   return true;
 }
 
-void EntryRole::TakeLevel(Call& call, bool by_cost, TimePoint now) {
-  CallContext& about = call.context;
-  CallerShares& shares = caller_shares_[{about.service, about.tier}];
-  shares.OnArrival(about.caller_key, now);
-  about.level = WeightedSheddingLevel(about.tier, about.request_id,
-                                      shares.Weight(about.caller_key));
-  if (by_cost) {
-    const bool makes_calls =
-        makes_calls_.count({about.service, call.own_class}) > 0;
-    about.level = LevelByCost(about.level, makes_calls);
-  }
-}
-
 void EntryRole::TakeKey(Call& call, const CallerHeaders& headers) {
   const bool keyed = call.is_root && !call.context.idempotent;
   if (keyed && !headers.idempotency_key.empty()) {
@@ -342,9 +330,19 @@
   return context.identity.rules.admit_at_edge && !call.is_root;
 }
 
-bool EntryRole::ShedAtEntry(const Call& call, Context& context) {
-  const uint32_t level = call.context.level;
-  return level < thresholds_.ThresholdFor(ThresholdKey(call), context.now);
+bool EntryRole::IsLetIn(Call& call, Failure& refusal, Context& context) {
+  refusal.verdict = Verdict::kNotRun;
+  refusal.reason = Reason::kShedAtEntry;
+  if (admission_.IsUnderThreshold(call, context.now)) {
+    refusal.detail = "a service of this call chain is overloaded";
+    return false;
+  }
+  if (!context.identity.rules.admit_at_edge) return true;
+  if (admission_.TakePlace(call, context.random)) return true;
+  parts_.stats.Count("amaranth_window_full_total",
+                     "class=\"" + call.own_class + "\"");
+  refusal.detail = "as many of its class are under way as end in time";
+  return false;
 }
 
 void EntryRole::StartRunning(Call& call, Context& context) {
@@ -359,14 +357,10 @@
     failure.detail = "requests like this one crash their backend servers";
     return FinishWithFailure(call, std::move(failure), context);
   }
-  if (!PassesInside(call, context) && ShedAtEntry(call, context)) {
+  Failure refusal;
+  if (!PassesInside(call, context) && !IsLetIn(call, refusal, context)) {
     TellParent(call, context);
-    Failure failure;
-    failure.verdict = Verdict::kNotRun;
-    failure.reason = Reason::kShedAtEntry;
-    failure.detail = "a service of this call chain is overloaded";
-    FinishWithFailure(call, std::move(failure), context);
-    return;
+    return FinishWithFailure(call, std::move(refusal), context);
   }
   retry_budgets_[call.context.service].OnFirstTry(context.now);
   if (call.is_root && context.identity.rules.fleet_retry_slack > 0) {
--- a/src/libnode/entry/entry_finish.cc
+++ b/src/libnode/entry/entry_finish.cc
@@ -32,6 +32,7 @@
     answered_.Insert(call.context.fingerprint, context.now);
   }
   SettleKey(call, &whole, Failure());
+  EndPlace(call, whole.status < 500, context.now);
   std::optional<Verdict> failed;
   if (whole.status >= 500) failed = Verdict::kRan;
   ReturnToParent(call, false, failed, context.now);
@@ -77,6 +78,7 @@
                               : RetryAfter(0, 0, context.random);
   }
   SettleKey(call, nullptr, failure);
+  EndPlace(call, false, context.now);
   ReturnToParent(call, failure.final, failure.verdict, context.now);
   const std::string reason(ToString(failure.reason));
   if (call.is_root) {
@@ -97,6 +99,15 @@
   }
 }
 
+// A route's time limit may be shorter than its target: then that is what its
+// requests have to end in.
+void EntryRole::EndPlace(Call& call, bool served, TimePoint now) {
+  const Duration target =
+      parts_.settings.Of(call.context.service, call.own_class).target_p99;
+  admission_.EndPlace(call, served,
+                      std::min(target, call.deadline - call.started), now);
+}
+
 // What an engineer needs who has only the id of a failed request: which call of
 // it failed, why, and on what grounds.
 void EntryRole::LogFailure(const Call& call, const Failure& failure,
@@ -111,8 +122,10 @@
   text += " tries=" + std::to_string(call.tries);
   text += " reached=" + std::to_string(call.reached);
   text += " level=" + std::to_string(about.level);
-  text += " threshold=" + std::to_string(thresholds_.ThresholdFor(
-                              ThresholdKey(call), context.now));
+  text += " threshold=" +
+          std::to_string(admission_.ThresholdFor(call, context.now));
+  text += " window=" + std::to_string(admission_.WindowOf(call));
+  text += " waited_ms=" + std::to_string(ToMillis(call.waited));
   text += " held_ms=" + std::to_string(ToMillis(context.now - call.started));
   text += " left_ms=" + std::to_string(ToMillis(call.deadline - context.now));
   if (!failure.detail.empty()) text += " detail=\"" + failure.detail + "\"";
@@ -126,6 +139,7 @@
   if (hop == nullptr) return;
   hop->EndNested(now);
   hop->ledger.Return(call.lent_by_parent, call.ledger.available());
+  hop->nested_waited += call.waited;
   if (!failed) return;
   hop->failed_nested[call.context.fingerprint] = *failed;
   if (gave_up) hop->nested_gave_up = true;
@@ -138,6 +152,7 @@
     by_http_call_.erase(waiter.http_call);
   }
   EndAttempt(call, std::nullopt, false, TimePoint());
+  admission_.AbandonPlace(call);
   if (call.joinable) {
     const auto joined =
         joinable_.find(call.context.tenant + "/" + call.context.request_id);
--- a/src/libnode/entry/entry_role.h
+++ b/src/libnode/entry/entry_role.h
@@ -8,14 +8,12 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 
 #include "amaranthroute/event.h"
-#include "amaranthroute/policy/caller_shares.h"
 #include "amaranthroute/policy/fleet_retry_share.h"
 #include "amaranthroute/policy/retry_budget.h"
-#include "amaranthroute/policy/shedder.h"
+#include "libnode/entry/admission.h"
 #include "libnode/entry/call.h"
 #include "libnode/entry/claim_desk.h"
 #include "libnode/entry/key_registry.h"
@@ -88,12 +86,12 @@
                      Context& context);
   bool RefuseNestedRepeat(Call& call, Context& context);
   void ReturnLoan(const Call& call);
-  void TakeLevel(Call& call, bool by_cost, TimePoint now);
   void TakeKey(Call& call, const CallerHeaders& headers);
   bool JoinInFlight(const Call& call, const Waiter& waiter);
   // Its request was let in where it entered.
   static bool PassesInside(const Call& call, const Context& context);
-  bool ShedAtEntry(const Call& call, Context& context);
+  // If not, `refusal` says why.
+  bool IsLetIn(Call& call, Failure& refusal, Context& context);
   uint64_t Register(Call call);
   void StartRunning(Call& call, Context& context);
 
@@ -124,8 +122,6 @@
                                 const DeploymentRules& rules);
   void CountCrash(Call& call, Failure& failure, Context& context);
   void LearnLoad(const Call& call, const CallAnswer& answer, Context& context);
-  // Name under which thresholds of the services below a call are learned.
-  static std::string ThresholdKey(const Call& call);
   // What a nested call's service turns away is passed up its chain.
   void TellParent(const Call& call, const Context& context);
   void SetAttempt(Call& call, const Attempt& attempt);
@@ -137,6 +133,8 @@
   void FinishWithResponse(Call& call, const HttpResponse& response,
                           Context& context);
   void FinishWithFailure(Call& call, Failure failure, Context& context);
+  // Tells the window of the request's class how it ended.
+  void EndPlace(Call& call, bool served, TimePoint now);
   void LogFailure(const Call& call, const Failure& failure, Context& context);
   void Remove(Call& call);
   void AnswerWaiter(const Waiter& waiter, const HttpResponse& response,
@@ -156,14 +154,10 @@
   ServerChoice choice_;
   RecentSet answered_;  // fingerprints that were answered lately
   KeyRegistry keys_;
-  DownstreamThresholds thresholds_;
-  // By service and tier; only known services get here, see Begin.
-  std::map<std::pair<std::string, Tier>, CallerShares> caller_shares_;
+  Admission admission_;
   std::map<std::string, RetryBudget> retry_budgets_;     // by service
   std::map<std::string, FleetRetryShare> fleet_shares_;  // by service
-  // Service and class of calls whose servers make calls of their own.
-  std::set<std::pair<std::string, std::string>> makes_calls_;
-  std::map<std::string, Duration> retry_after_;  // by service and class
+  std::map<std::string, Duration> retry_after_;          // by service and class
   std::map<uint64_t, Call> calls_;
   std::map<AttemptId, uint64_t> by_attempt_;
   std::map<std::string, size_t> awaited_;  // attempts in flight, by peer
--- a/src/libnode/serving/hop.h
+++ b/src/libnode/serving/hop.h
@@ -41,8 +41,9 @@
   bool nested_gave_up = false;
   int nested_calls = 0;
   int nested_in_flight = 0;
-  TimePoint nested_since{};  // while any is in flight
-  Duration nested_time{0};   // spent with any in flight
+  TimePoint nested_since{};   // while any is in flight
+  Duration nested_time{0};    // spent with any in flight
+  Duration nested_waited{0};  // sum of what they waited
   // Nested calls that failed, by fingerprint: a repeat by the backend server
   // is a retry and needs a credit.
   std::map<uint64_t, Verdict> failed_nested;
@@ -53,6 +54,13 @@
   void EndNested(TimePoint now) {
     if (--nested_in_flight == 0) nested_time += now - nested_since;
   }
+  // What the call waited for a slot, here and for its nested calls. Several
+  // nested calls at once wait together: no longer than they took.
+  Duration Waited(TimePoint now) const {
+    const bool started = dispatched != TimePoint{};
+    const Duration queued = (started ? dispatched : now) - arrived;
+    return queued + std::min(nested_waited, nested_time);
+  }
   // Time in the backend server itself. What it waited for services below says
   // nothing about its own slots: fed to the concurrency limit, the queue of an
   // overloaded service looks like congestion of every service above it, as
--- a/src/libnode/serving/serving_role.cc
+++ b/src/libnode/serving/serving_role.cc
@@ -1,6 +1,7 @@
 #include "libnode/serving/serving_role.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "amaranthroute/policy/progress_watch.h"
@@ -30,6 +31,11 @@
   return hop.timeout_at != kNever && now >= hop.timeout_at;
 }
 
+uint32_t ToWholeMicros(Duration time) {
+  return static_cast<uint32_t>(std::clamp<int64_t>(
+      time.count(), 0, std::numeric_limits<uint32_t>::max()));
+}
+
 CallKind KindOf(const Hop& hop) {
   return {hop.context.request_class, hop.context.depth};
 }
@@ -501,6 +507,8 @@
   if (found != servers_.end()) answer.load = found->second.Report(context.now);
   answer.load.downstream_threshold = hop.downstream_threshold;
   answer.made_calls = hop.nested_calls > 0;
+  answer.times.held_us = ToWholeMicros(context.now - hop.arrived);
+  answer.times.waited_us = ToWholeMicros(hop.Waited(context.now));
   outbox_.Send(hop.entry.name, hop.entry_address, std::move(answer), context);
 }
 
--- a/src/libpolicy/admission_window.cc
+++ b/src/libpolicy/admission_window.cc
@@ -7,6 +7,9 @@
 
 // A limit this many times what is under way limits nothing.
 constexpr double kSlack = 2.0;
+// Weight of the newest request in the share that requests waited: the last ten
+// or so count.
+constexpr double kShareWeight = 0.1;
 
 }  // namespace
 
@@ -39,12 +42,18 @@
   }
 }
 
-bool AdmissionWindow::IsOverload(const EndedRequest& ended,
-                                 Duration target) const {
+double AdmissionWindow::WaitedMicros(const EndedRequest& ended) {
+  const double latency = static_cast<double>(ended.latency.count());
+  if (!ended.waited) return wait_share_ * latency;
+  const double waited = static_cast<double>(ended.waited->count());
+  if (latency > 0)
+    wait_share_ += kShareWeight * (waited / latency - wait_share_);
+  return waited;
+}
+
+bool AdmissionWindow::IsOverload(const EndedRequest& ended, Duration target) {
   const double whole = static_cast<double>(target.count());
-  const bool waited =
-      static_cast<double>(ended.waited.count()) >= options_.least_wait * whole;
-  if (!waited) return false;
+  if (WaitedMicros(ended) < options_.least_wait * whole) return false;
   return !ended.served ||
          static_cast<double>(ended.latency.count()) > options_.goal * whole;
 }
--- a/src/libutil/fields.h
+++ b/src/libutil/fields.h
@@ -34,9 +34,13 @@
   return std::tie(v.attempt, v.server, v.context, v.request);
 }
 
+inline auto Fields(const CallTimes& v) {
+  return std::tie(v.held_us, v.waited_us);
+}
+
 inline auto Fields(const CallAnswer& v) {
   return std::tie(v.attempt, v.entry_incarnation, v.response, v.failure,
-                  v.credits_returned, v.load, v.made_calls);
+                  v.credits_returned, v.load, v.made_calls, v.times);
 }
 
 inline auto Fields(const CallCancel& v) { return std::tie(v.attempt); }
@@ -195,6 +199,7 @@
 inline const char* TypeName(const LoadReport&) { return "LoadReport"; }
 inline const char* TypeName(const Hello&) { return "Hello"; }
 inline const char* TypeName(const CallForward&) { return "CallForward"; }
+inline const char* TypeName(const CallTimes&) { return "CallTimes"; }
 inline const char* TypeName(const CallAnswer&) { return "CallAnswer"; }
 inline const char* TypeName(const CallCancel&) { return "CallCancel"; }
 inline const char* TypeName(const HomeForward&) { return "HomeForward"; }
--- a/src/libutil/messages.cc
+++ b/src/libutil/messages.cc
@@ -21,6 +21,10 @@
   return pvt::Fields(a) == pvt::Fields(b);
 }
 
+bool operator==(const CallTimes& a, const CallTimes& b) {
+  return pvt::Fields(a) == pvt::Fields(b);
+}
+
 bool operator==(const CallAnswer& a, const CallAnswer& b) {
   return pvt::Fields(a) == pvt::Fields(b);
 }
--- a/src/libwire/amaranth.thrift
+++ b/src/libwire/amaranth.thrift
@@ -107,6 +107,11 @@
   4: required HttpRequest request
 }
 
+struct CallTimes {
+  1: required i64 held_us,
+  2: required i64 waited_us
+}
+
 struct CallAnswer {
   1: required i64 attempt,
   2: required i64 entry_incarnation,
@@ -114,7 +119,8 @@
   4: required Failure failure,
   5: required i32 credits_returned,
   6: required LoadReport load,
-  7: optional bool made_calls
+  7: optional bool made_calls,
+  8: optional CallTimes times
 }
 
 struct CallCancel {
--- a/src/libwire/from_wire.cc
+++ b/src/libwire/from_wire.cc
@@ -159,6 +159,11 @@
       check.Narrow<uint16_t>(in.credits_returned, "credits_returned");
   FromWire(in.load, out.load, check);
   out.made_calls = in.__isset.made_calls && in.made_calls;
+  if (in.__isset.times) {
+    out.times.held_us = check.Narrow<uint32_t>(in.times.held_us, "held_us");
+    out.times.waited_us =
+        check.Narrow<uint32_t>(in.times.waited_us, "waited_us");
+  }
 }
 
 void FromWire(wire::CallCancel& in, CallCancel& out, RangeCheck&) {
--- a/src/libwire/gen-cpp/amaranth_types.cpp
+++ b/src/libwire/gen-cpp/amaranth_types.cpp
@@ -2148,6 +2148,130 @@
 }
 
 
+CallTimes::~CallTimes() noexcept {
+}
+
+
+void CallTimes::__set_held_us(const int64_t val) {
+  this->held_us = val;
+}
+
+void CallTimes::__set_waited_us(const int64_t val) {
+  this->waited_us = val;
+}
+std::ostream& operator<<(std::ostream& out, const CallTimes& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CallTimes::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_held_us = false;
+  bool isset_waited_us = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->held_us);
+          isset_held_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->waited_us);
+          isset_waited_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_held_us)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_waited_us)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t CallTimes::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CallTimes");
+
+  xfer += oprot->writeFieldBegin("held_us", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->held_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waited_us", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->waited_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CallTimes &a, CallTimes &b) {
+  using ::std::swap;
+  swap(a.held_us, b.held_us);
+  swap(a.waited_us, b.waited_us);
+}
+
+CallTimes::CallTimes(const CallTimes& other56) noexcept {
+  held_us = other56.held_us;
+  waited_us = other56.waited_us;
+}
+CallTimes::CallTimes(CallTimes&& other57) noexcept {
+  held_us = other57.held_us;
+  waited_us = other57.waited_us;
+}
+CallTimes& CallTimes::operator=(const CallTimes& other58) noexcept {
+  held_us = other58.held_us;
+  waited_us = other58.waited_us;
+  return *this;
+}
+CallTimes& CallTimes::operator=(CallTimes&& other59) noexcept {
+  held_us = other59.held_us;
+  waited_us = other59.waited_us;
+  return *this;
+}
+void CallTimes::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CallTimes(";
+  out << "held_us=" << to_string(held_us);
+  out << ", " << "waited_us=" << to_string(waited_us);
+  out << ")";
+}
+
+
 CallAnswer::~CallAnswer() noexcept {
 }
 
@@ -2180,6 +2304,11 @@
   this->made_calls = val;
 __isset.made_calls = true;
 }
+
+void CallAnswer::__set_times(const CallTimes& val) {
+  this->times = val;
+__isset.times = true;
+}
 std::ostream& operator<<(std::ostream& out, const CallAnswer& obj)
 {
   obj.printTo(out);
@@ -2270,6 +2399,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->times.read(iprot);
+          this->__isset.times = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2328,6 +2465,11 @@
     xfer += oprot->writeBool(this->made_calls);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.times) {
+    xfer += oprot->writeFieldBegin("times", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->times.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2342,49 +2484,54 @@
   swap(a.credits_returned, b.credits_returned);
   swap(a.load, b.load);
   swap(a.made_calls, b.made_calls);
+  swap(a.times, b.times);
   swap(a.__isset, b.__isset);
 }
 
-CallAnswer::CallAnswer(const CallAnswer& other56) {
-  attempt = other56.attempt;
-  entry_incarnation = other56.entry_incarnation;
-  response = other56.response;
-  failure = other56.failure;
-  credits_returned = other56.credits_returned;
-  load = other56.load;
-  made_calls = other56.made_calls;
-  __isset = other56.__isset;
-}
-CallAnswer::CallAnswer(CallAnswer&& other57) noexcept {
-  attempt = other57.attempt;
-  entry_incarnation = other57.entry_incarnation;
-  response = std::move(other57.response);
-  failure = std::move(other57.failure);
-  credits_returned = other57.credits_returned;
-  load = std::move(other57.load);
-  made_calls = other57.made_calls;
-  __isset = other57.__isset;
-}
-CallAnswer& CallAnswer::operator=(const CallAnswer& other58) {
-  attempt = other58.attempt;
-  entry_incarnation = other58.entry_incarnation;
-  response = other58.response;
-  failure = other58.failure;
-  credits_returned = other58.credits_returned;
-  load = other58.load;
-  made_calls = other58.made_calls;
-  __isset = other58.__isset;
+CallAnswer::CallAnswer(const CallAnswer& other60) {
+  attempt = other60.attempt;
+  entry_incarnation = other60.entry_incarnation;
+  response = other60.response;
+  failure = other60.failure;
+  credits_returned = other60.credits_returned;
+  load = other60.load;
+  made_calls = other60.made_calls;
+  times = other60.times;
+  __isset = other60.__isset;
+}
+CallAnswer::CallAnswer(CallAnswer&& other61) noexcept {
+  attempt = other61.attempt;
+  entry_incarnation = other61.entry_incarnation;
+  response = std::move(other61.response);
+  failure = std::move(other61.failure);
+  credits_returned = other61.credits_returned;
+  load = std::move(other61.load);
+  made_calls = other61.made_calls;
+  times = std::move(other61.times);
+  __isset = other61.__isset;
+}
+CallAnswer& CallAnswer::operator=(const CallAnswer& other62) {
+  attempt = other62.attempt;
+  entry_incarnation = other62.entry_incarnation;
+  response = other62.response;
+  failure = other62.failure;
+  credits_returned = other62.credits_returned;
+  load = other62.load;
+  made_calls = other62.made_calls;
+  times = other62.times;
+  __isset = other62.__isset;
   return *this;
 }
-CallAnswer& CallAnswer::operator=(CallAnswer&& other59) noexcept {
-  attempt = other59.attempt;
-  entry_incarnation = other59.entry_incarnation;
-  response = std::move(other59.response);
-  failure = std::move(other59.failure);
-  credits_returned = other59.credits_returned;
-  load = std::move(other59.load);
-  made_calls = other59.made_calls;
-  __isset = other59.__isset;
+CallAnswer& CallAnswer::operator=(CallAnswer&& other63) noexcept {
+  attempt = other63.attempt;
+  entry_incarnation = other63.entry_incarnation;
+  response = std::move(other63.response);
+  failure = std::move(other63.failure);
+  credits_returned = other63.credits_returned;
+  load = std::move(other63.load);
+  made_calls = other63.made_calls;
+  times = std::move(other63.times);
+  __isset = other63.__isset;
   return *this;
 }
 void CallAnswer::printTo(std::ostream& out) const {
@@ -2397,6 +2544,7 @@
   out << ", " << "credits_returned=" << to_string(credits_returned);
   out << ", " << "load=" << to_string(load);
   out << ", " << "made_calls="; (__isset.made_calls ? (out << to_string(made_calls)) : (out << "<null>"));
+  out << ", " << "times="; (__isset.times ? (out << to_string(times)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2478,18 +2626,18 @@
   swap(a.attempt, b.attempt);
 }
 
-CallCancel::CallCancel(const CallCancel& other60) noexcept {
-  attempt = other60.attempt;
+CallCancel::CallCancel(const CallCancel& other64) noexcept {
+  attempt = other64.attempt;
 }
-CallCancel::CallCancel(CallCancel&& other61) noexcept {
-  attempt = other61.attempt;
+CallCancel::CallCancel(CallCancel&& other65) noexcept {
+  attempt = other65.attempt;
 }
-CallCancel& CallCancel::operator=(const CallCancel& other62) noexcept {
-  attempt = other62.attempt;
+CallCancel& CallCancel::operator=(const CallCancel& other66) noexcept {
+  attempt = other66.attempt;
   return *this;
 }
-CallCancel& CallCancel::operator=(CallCancel&& other63) noexcept {
-  attempt = other63.attempt;
+CallCancel& CallCancel::operator=(CallCancel&& other67) noexcept {
+  attempt = other67.attempt;
   return *this;
 }
 void CallCancel::printTo(std::ostream& out) const {
@@ -2637,30 +2785,30 @@
   swap(a.remaining_us, b.remaining_us);
 }
 
-HomeForward::HomeForward(const HomeForward& other64) {
-  attempt = other64.attempt;
-  home_incarnation = other64.home_incarnation;
-  request = other64.request;
-  remaining_us = other64.remaining_us;
+HomeForward::HomeForward(const HomeForward& other68) {
+  attempt = other68.attempt;
+  home_incarnation = other68.home_incarnation;
+  request = other68.request;
+  remaining_us = other68.remaining_us;
 }
-HomeForward::HomeForward(HomeForward&& other65) noexcept {
-  attempt = other65.attempt;
-  home_incarnation = other65.home_incarnation;
-  request = std::move(other65.request);
-  remaining_us = other65.remaining_us;
+HomeForward::HomeForward(HomeForward&& other69) noexcept {
+  attempt = other69.attempt;
+  home_incarnation = other69.home_incarnation;
+  request = std::move(other69.request);
+  remaining_us = other69.remaining_us;
 }
-HomeForward& HomeForward::operator=(const HomeForward& other66) {
-  attempt = other66.attempt;
-  home_incarnation = other66.home_incarnation;
-  request = other66.request;
-  remaining_us = other66.remaining_us;
+HomeForward& HomeForward::operator=(const HomeForward& other70) {
+  attempt = other70.attempt;
+  home_incarnation = other70.home_incarnation;
+  request = other70.request;
+  remaining_us = other70.remaining_us;
   return *this;
 }
-HomeForward& HomeForward::operator=(HomeForward&& other67) noexcept {
-  attempt = other67.attempt;
-  home_incarnation = other67.home_incarnation;
-  request = std::move(other67.request);
-  remaining_us = other67.remaining_us;
+HomeForward& HomeForward::operator=(HomeForward&& other71) noexcept {
+  attempt = other71.attempt;
+  home_incarnation = other71.home_incarnation;
+  request = std::move(other71.request);
+  remaining_us = other71.remaining_us;
   return *this;
 }
 void HomeForward::printTo(std::ostream& out) const {
@@ -2751,18 +2899,18 @@
   swap(a.sequence, b.sequence);
 }
 
-LinkPing::LinkPing(const LinkPing& other68) noexcept {
-  sequence = other68.sequence;
+LinkPing::LinkPing(const LinkPing& other72) noexcept {
+  sequence = other72.sequence;
 }
-LinkPing::LinkPing(LinkPing&& other69) noexcept {
-  sequence = other69.sequence;
+LinkPing::LinkPing(LinkPing&& other73) noexcept {
+  sequence = other73.sequence;
 }
-LinkPing& LinkPing::operator=(const LinkPing& other70) noexcept {
-  sequence = other70.sequence;
+LinkPing& LinkPing::operator=(const LinkPing& other74) noexcept {
+  sequence = other74.sequence;
   return *this;
 }
-LinkPing& LinkPing::operator=(LinkPing&& other71) noexcept {
-  sequence = other71.sequence;
+LinkPing& LinkPing::operator=(LinkPing&& other75) noexcept {
+  sequence = other75.sequence;
   return *this;
 }
 void LinkPing::printTo(std::ostream& out) const {
@@ -2850,18 +2998,18 @@
   swap(a.sequence, b.sequence);
 }
 
-LinkPong::LinkPong(const LinkPong& other72) noexcept {
-  sequence = other72.sequence;
+LinkPong::LinkPong(const LinkPong& other76) noexcept {
+  sequence = other76.sequence;
 }
-LinkPong::LinkPong(LinkPong&& other73) noexcept {
-  sequence = other73.sequence;
+LinkPong::LinkPong(LinkPong&& other77) noexcept {
+  sequence = other77.sequence;
 }
-LinkPong& LinkPong::operator=(const LinkPong& other74) noexcept {
-  sequence = other74.sequence;
+LinkPong& LinkPong::operator=(const LinkPong& other78) noexcept {
+  sequence = other78.sequence;
   return *this;
 }
-LinkPong& LinkPong::operator=(LinkPong&& other75) noexcept {
-  sequence = other75.sequence;
+LinkPong& LinkPong::operator=(LinkPong&& other79) noexcept {
+  sequence = other79.sequence;
   return *this;
 }
 void LinkPong::printTo(std::ostream& out) const {
@@ -2949,18 +3097,18 @@
   swap(a.have_version, b.have_version);
 }
 
-SettingsRequest::SettingsRequest(const SettingsRequest& other76) noexcept {
-  have_version = other76.have_version;
+SettingsRequest::SettingsRequest(const SettingsRequest& other80) noexcept {
+  have_version = other80.have_version;
 }
-SettingsRequest::SettingsRequest(SettingsRequest&& other77) noexcept {
-  have_version = other77.have_version;
+SettingsRequest::SettingsRequest(SettingsRequest&& other81) noexcept {
+  have_version = other81.have_version;
 }
-SettingsRequest& SettingsRequest::operator=(const SettingsRequest& other78) noexcept {
-  have_version = other78.have_version;
+SettingsRequest& SettingsRequest::operator=(const SettingsRequest& other82) noexcept {
+  have_version = other82.have_version;
   return *this;
 }
-SettingsRequest& SettingsRequest::operator=(SettingsRequest&& other79) noexcept {
-  have_version = other79.have_version;
+SettingsRequest& SettingsRequest::operator=(SettingsRequest&& other83) noexcept {
+  have_version = other83.have_version;
   return *this;
 }
 void SettingsRequest::printTo(std::ostream& out) const {
@@ -3088,26 +3236,26 @@
   swap(a.text, b.text);
 }
 
-SettingsSnapshot::SettingsSnapshot(const SettingsSnapshot& other80) {
-  version = other80.version;
-  text_hash = other80.text_hash;
-  text = other80.text;
+SettingsSnapshot::SettingsSnapshot(const SettingsSnapshot& other84) {
+  version = other84.version;
+  text_hash = other84.text_hash;
+  text = other84.text;
 }
-SettingsSnapshot::SettingsSnapshot(SettingsSnapshot&& other81) noexcept {
-  version = other81.version;
-  text_hash = other81.text_hash;
-  text = std::move(other81.text);
+SettingsSnapshot::SettingsSnapshot(SettingsSnapshot&& other85) noexcept {
+  version = other85.version;
+  text_hash = other85.text_hash;
+  text = std::move(other85.text);
 }
-SettingsSnapshot& SettingsSnapshot::operator=(const SettingsSnapshot& other82) {
-  version = other82.version;
-  text_hash = other82.text_hash;
-  text = other82.text;
+SettingsSnapshot& SettingsSnapshot::operator=(const SettingsSnapshot& other86) {
+  version = other86.version;
+  text_hash = other86.text_hash;
+  text = other86.text;
   return *this;
 }
-SettingsSnapshot& SettingsSnapshot::operator=(SettingsSnapshot&& other83) noexcept {
-  version = other83.version;
-  text_hash = other83.text_hash;
-  text = std::move(other83.text);
+SettingsSnapshot& SettingsSnapshot::operator=(SettingsSnapshot&& other87) noexcept {
+  version = other87.version;
+  text_hash = other87.text_hash;
+  text = std::move(other87.text);
   return *this;
 }
 void SettingsSnapshot::printTo(std::ostream& out) const {
@@ -3217,22 +3365,22 @@
   swap(a.key, b.key);
 }
 
-KeyClaim::KeyClaim(const KeyClaim& other84) {
-  claim_id = other84.claim_id;
-  key = other84.key;
+KeyClaim::KeyClaim(const KeyClaim& other88) {
+  claim_id = other88.claim_id;
+  key = other88.key;
 }
-KeyClaim::KeyClaim(KeyClaim&& other85) noexcept {
-  claim_id = other85.claim_id;
-  key = std::move(other85.key);
+KeyClaim::KeyClaim(KeyClaim&& other89) noexcept {
+  claim_id = other89.claim_id;
+  key = std::move(other89.key);
 }
-KeyClaim& KeyClaim::operator=(const KeyClaim& other86) {
-  claim_id = other86.claim_id;
-  key = other86.key;
+KeyClaim& KeyClaim::operator=(const KeyClaim& other90) {
+  claim_id = other90.claim_id;
+  key = other90.key;
   return *this;
 }
-KeyClaim& KeyClaim::operator=(KeyClaim&& other87) noexcept {
-  claim_id = other87.claim_id;
-  key = std::move(other87.key);
+KeyClaim& KeyClaim::operator=(KeyClaim&& other91) noexcept {
+  claim_id = other91.claim_id;
+  key = std::move(other91.key);
   return *this;
 }
 void KeyClaim::printTo(std::ostream& out) const {
@@ -3297,14 +3445,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->claims.clear();
-            uint32_t _size88;
-            ::apache::thrift::protocol::TType _etype91;
-            xfer += iprot->readListBegin(_etype91, _size88);
-            this->claims.resize(_size88);
-            uint32_t _i92;
-            for (_i92 = 0; _i92 < _size88; ++_i92)
+            uint32_t _size92;
+            ::apache::thrift::protocol::TType _etype95;
+            xfer += iprot->readListBegin(_etype95, _size92);
+            this->claims.resize(_size92);
+            uint32_t _i96;
+            for (_i96 = 0; _i96 < _size92; ++_i96)
             {
-              xfer += this->claims[_i92].read(iprot);
+              xfer += this->claims[_i96].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3341,10 +3489,10 @@
   xfer += oprot->writeFieldBegin("claims", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->claims.size()));
-    std::vector<KeyClaim> ::const_iterator _iter93;
-    for (_iter93 = this->claims.begin(); _iter93 != this->claims.end(); ++_iter93)
+    std::vector<KeyClaim> ::const_iterator _iter97;
+    for (_iter97 = this->claims.begin(); _iter97 != this->claims.end(); ++_iter97)
     {
-      xfer += (*_iter93).write(oprot);
+      xfer += (*_iter97).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3361,22 +3509,22 @@
   swap(a.claims, b.claims);
 }
 
-ClaimRequest::ClaimRequest(const ClaimRequest& other94) {
-  holder = other94.holder;
-  claims = other94.claims;
+ClaimRequest::ClaimRequest(const ClaimRequest& other98) {
+  holder = other98.holder;
+  claims = other98.claims;
 }
-ClaimRequest::ClaimRequest(ClaimRequest&& other95) noexcept {
-  holder = std::move(other95.holder);
-  claims = std::move(other95.claims);
+ClaimRequest::ClaimRequest(ClaimRequest&& other99) noexcept {
+  holder = std::move(other99.holder);
+  claims = std::move(other99.claims);
 }
-ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other96) {
-  holder = other96.holder;
-  claims = other96.claims;
+ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other100) {
+  holder = other100.holder;
+  claims = other100.claims;
   return *this;
 }
-ClaimRequest& ClaimRequest::operator=(ClaimRequest&& other97) noexcept {
-  holder = std::move(other97.holder);
-  claims = std::move(other97.claims);
+ClaimRequest& ClaimRequest::operator=(ClaimRequest&& other101) noexcept {
+  holder = std::move(other101.holder);
+  claims = std::move(other101.claims);
   return *this;
 }
 void ClaimRequest::printTo(std::ostream& out) const {
@@ -3525,30 +3673,30 @@
   swap(a.holder_claim_id, b.holder_claim_id);
 }
 
-ClaimOutcome::ClaimOutcome(const ClaimOutcome& other98) {
-  claim_id = other98.claim_id;
-  known = other98.known;
-  holder = other98.holder;
-  holder_claim_id = other98.holder_claim_id;
+ClaimOutcome::ClaimOutcome(const ClaimOutcome& other102) {
+  claim_id = other102.claim_id;
+  known = other102.known;
+  holder = other102.holder;
+  holder_claim_id = other102.holder_claim_id;
 }
-ClaimOutcome::ClaimOutcome(ClaimOutcome&& other99) noexcept {
-  claim_id = other99.claim_id;
-  known = other99.known;
-  holder = std::move(other99.holder);
-  holder_claim_id = other99.holder_claim_id;
+ClaimOutcome::ClaimOutcome(ClaimOutcome&& other103) noexcept {
+  claim_id = other103.claim_id;
+  known = other103.known;
+  holder = std::move(other103.holder);
+  holder_claim_id = other103.holder_claim_id;
 }
-ClaimOutcome& ClaimOutcome::operator=(const ClaimOutcome& other100) {
-  claim_id = other100.claim_id;
-  known = other100.known;
-  holder = other100.holder;
-  holder_claim_id = other100.holder_claim_id;
+ClaimOutcome& ClaimOutcome::operator=(const ClaimOutcome& other104) {
+  claim_id = other104.claim_id;
+  known = other104.known;
+  holder = other104.holder;
+  holder_claim_id = other104.holder_claim_id;
   return *this;
 }
-ClaimOutcome& ClaimOutcome::operator=(ClaimOutcome&& other101) noexcept {
-  claim_id = other101.claim_id;
-  known = other101.known;
-  holder = std::move(other101.holder);
-  holder_claim_id = other101.holder_claim_id;
+ClaimOutcome& ClaimOutcome::operator=(ClaimOutcome&& other105) noexcept {
+  claim_id = other105.claim_id;
+  known = other105.known;
+  holder = std::move(other105.holder);
+  holder_claim_id = other105.holder_claim_id;
   return *this;
 }
 void ClaimOutcome::printTo(std::ostream& out) const {
@@ -3602,14 +3750,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->outcomes.clear();
-            uint32_t _size102;
-            ::apache::thrift::protocol::TType _etype105;
-            xfer += iprot->readListBegin(_etype105, _size102);
-            this->outcomes.resize(_size102);
-            uint32_t _i106;
-            for (_i106 = 0; _i106 < _size102; ++_i106)
+            uint32_t _size106;
+            ::apache::thrift::protocol::TType _etype109;
+            xfer += iprot->readListBegin(_etype109, _size106);
+            this->outcomes.resize(_size106);
+            uint32_t _i110;
+            for (_i110 = 0; _i110 < _size106; ++_i110)
             {
-              xfer += this->outcomes[_i106].read(iprot);
+              xfer += this->outcomes[_i110].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3640,10 +3788,10 @@
   xfer += oprot->writeFieldBegin("outcomes", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->outcomes.size()));
-    std::vector<ClaimOutcome> ::const_iterator _iter107;
-    for (_iter107 = this->outcomes.begin(); _iter107 != this->outcomes.end(); ++_iter107)
+    std::vector<ClaimOutcome> ::const_iterator _iter111;
+    for (_iter111 = this->outcomes.begin(); _iter111 != this->outcomes.end(); ++_iter111)
     {
-      xfer += (*_iter107).write(oprot);
+      xfer += (*_iter111).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3659,18 +3807,18 @@
   swap(a.outcomes, b.outcomes);
 }
 
-ClaimReply::ClaimReply(const ClaimReply& other108) {
-  outcomes = other108.outcomes;
+ClaimReply::ClaimReply(const ClaimReply& other112) {
+  outcomes = other112.outcomes;
 }
-ClaimReply::ClaimReply(ClaimReply&& other109) noexcept {
-  outcomes = std::move(other109.outcomes);
+ClaimReply::ClaimReply(ClaimReply&& other113) noexcept {
+  outcomes = std::move(other113.outcomes);
 }
-ClaimReply& ClaimReply::operator=(const ClaimReply& other110) {
-  outcomes = other110.outcomes;
+ClaimReply& ClaimReply::operator=(const ClaimReply& other114) {
+  outcomes = other114.outcomes;
   return *this;
 }
-ClaimReply& ClaimReply::operator=(ClaimReply&& other111) noexcept {
-  outcomes = std::move(other111.outcomes);
+ClaimReply& ClaimReply::operator=(ClaimReply&& other115) noexcept {
+  outcomes = std::move(other115.outcomes);
   return *this;
 }
 void ClaimReply::printTo(std::ostream& out) const {
@@ -3838,34 +3986,34 @@
   swap(a.draining, b.draining);
 }
 
-ServerRecord::ServerRecord(const ServerRecord& other112) {
-  server = other112.server;
-  service_name = other112.service_name;
-  address = other112.address;
-  slots = other112.slots;
-  draining = other112.draining;
-}
-ServerRecord::ServerRecord(ServerRecord&& other113) noexcept {
-  server = std::move(other113.server);
-  service_name = std::move(other113.service_name);
-  address = std::move(other113.address);
-  slots = other113.slots;
-  draining = other113.draining;
-}
-ServerRecord& ServerRecord::operator=(const ServerRecord& other114) {
-  server = other114.server;
-  service_name = other114.service_name;
-  address = other114.address;
-  slots = other114.slots;
-  draining = other114.draining;
+ServerRecord::ServerRecord(const ServerRecord& other116) {
+  server = other116.server;
+  service_name = other116.service_name;
+  address = other116.address;
+  slots = other116.slots;
+  draining = other116.draining;
+}
+ServerRecord::ServerRecord(ServerRecord&& other117) noexcept {
+  server = std::move(other117.server);
+  service_name = std::move(other117.service_name);
+  address = std::move(other117.address);
+  slots = other117.slots;
+  draining = other117.draining;
+}
+ServerRecord& ServerRecord::operator=(const ServerRecord& other118) {
+  server = other118.server;
+  service_name = other118.service_name;
+  address = other118.address;
+  slots = other118.slots;
+  draining = other118.draining;
   return *this;
 }
-ServerRecord& ServerRecord::operator=(ServerRecord&& other115) noexcept {
-  server = std::move(other115.server);
-  service_name = std::move(other115.service_name);
-  address = std::move(other115.address);
-  slots = other115.slots;
-  draining = other115.draining;
+ServerRecord& ServerRecord::operator=(ServerRecord&& other119) noexcept {
+  server = std::move(other119.server);
+  service_name = std::move(other119.service_name);
+  address = std::move(other119.address);
+  slots = other119.slots;
+  draining = other119.draining;
   return *this;
 }
 void ServerRecord::printTo(std::ostream& out) const {
@@ -4011,14 +4159,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size116;
-            ::apache::thrift::protocol::TType _etype119;
-            xfer += iprot->readListBegin(_etype119, _size116);
-            this->servers.resize(_size116);
-            uint32_t _i120;
-            for (_i120 = 0; _i120 < _size116; ++_i120)
+            uint32_t _size120;
+            ::apache::thrift::protocol::TType _etype123;
+            xfer += iprot->readListBegin(_etype123, _size120);
+            this->servers.resize(_size120);
+            uint32_t _i124;
+            for (_i124 = 0; _i124 < _size120; ++_i124)
             {
-              xfer += this->servers[_i120].read(iprot);
+              xfer += this->servers[_i124].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4091,10 +4239,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<ServerRecord> ::const_iterator _iter121;
-    for (_iter121 = this->servers.begin(); _iter121 != this->servers.end(); ++_iter121)
+    std::vector<ServerRecord> ::const_iterator _iter125;
+    for (_iter125 = this->servers.begin(); _iter125 != this->servers.end(); ++_iter125)
     {
-      xfer += (*_iter121).write(oprot);
+      xfer += (*_iter125).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4117,46 +4265,46 @@
   swap(a.servers, b.servers);
 }
 
-MemberRecord::MemberRecord(const MemberRecord& other122) {
-  node = other122.node;
-  version = other122.version;
-  state = other122.state;
-  data_centre = other122.data_centre;
-  region = other122.region;
-  peer_address = other122.peer_address;
-  gossip_address = other122.gossip_address;
-  servers = other122.servers;
-}
-MemberRecord::MemberRecord(MemberRecord&& other123) noexcept {
-  node = std::move(other123.node);
-  version = other123.version;
-  state = other123.state;
-  data_centre = std::move(other123.data_centre);
-  region = std::move(other123.region);
-  peer_address = std::move(other123.peer_address);
-  gossip_address = std::move(other123.gossip_address);
-  servers = std::move(other123.servers);
-}
-MemberRecord& MemberRecord::operator=(const MemberRecord& other124) {
-  node = other124.node;
-  version = other124.version;
-  state = other124.state;
-  data_centre = other124.data_centre;
-  region = other124.region;
-  peer_address = other124.peer_address;
-  gossip_address = other124.gossip_address;
-  servers = other124.servers;
+MemberRecord::MemberRecord(const MemberRecord& other126) {
+  node = other126.node;
+  version = other126.version;
+  state = other126.state;
+  data_centre = other126.data_centre;
+  region = other126.region;
+  peer_address = other126.peer_address;
+  gossip_address = other126.gossip_address;
+  servers = other126.servers;
+}
+MemberRecord::MemberRecord(MemberRecord&& other127) noexcept {
+  node = std::move(other127.node);
+  version = other127.version;
+  state = other127.state;
+  data_centre = std::move(other127.data_centre);
+  region = std::move(other127.region);
+  peer_address = std::move(other127.peer_address);
+  gossip_address = std::move(other127.gossip_address);
+  servers = std::move(other127.servers);
+}
+MemberRecord& MemberRecord::operator=(const MemberRecord& other128) {
+  node = other128.node;
+  version = other128.version;
+  state = other128.state;
+  data_centre = other128.data_centre;
+  region = other128.region;
+  peer_address = other128.peer_address;
+  gossip_address = other128.gossip_address;
+  servers = other128.servers;
   return *this;
 }
-MemberRecord& MemberRecord::operator=(MemberRecord&& other125) noexcept {
-  node = std::move(other125.node);
-  version = other125.version;
-  state = other125.state;
-  data_centre = std::move(other125.data_centre);
-  region = std::move(other125.region);
-  peer_address = std::move(other125.peer_address);
-  gossip_address = std::move(other125.gossip_address);
-  servers = std::move(other125.servers);
+MemberRecord& MemberRecord::operator=(MemberRecord&& other129) noexcept {
+  node = std::move(other129.node);
+  version = other129.version;
+  state = other129.state;
+  data_centre = std::move(other129.data_centre);
+  region = std::move(other129.region);
+  peer_address = std::move(other129.peer_address);
+  gossip_address = std::move(other129.gossip_address);
+  servers = std::move(other129.servers);
   return *this;
 }
 void MemberRecord::printTo(std::ostream& out) const {
@@ -4311,30 +4459,30 @@
   swap(a.remaining_us, b.remaining_us);
 }
 
-QuarantineRecord::QuarantineRecord(const QuarantineRecord& other126) {
-  service_name = other126.service_name;
-  fingerprint = other126.fingerprint;
-  crashes = other126.crashes;
-  remaining_us = other126.remaining_us;
+QuarantineRecord::QuarantineRecord(const QuarantineRecord& other130) {
+  service_name = other130.service_name;
+  fingerprint = other130.fingerprint;
+  crashes = other130.crashes;
+  remaining_us = other130.remaining_us;
 }
-QuarantineRecord::QuarantineRecord(QuarantineRecord&& other127) noexcept {
-  service_name = std::move(other127.service_name);
-  fingerprint = other127.fingerprint;
-  crashes = other127.crashes;
-  remaining_us = other127.remaining_us;
+QuarantineRecord::QuarantineRecord(QuarantineRecord&& other131) noexcept {
+  service_name = std::move(other131.service_name);
+  fingerprint = other131.fingerprint;
+  crashes = other131.crashes;
+  remaining_us = other131.remaining_us;
 }
-QuarantineRecord& QuarantineRecord::operator=(const QuarantineRecord& other128) {
-  service_name = other128.service_name;
-  fingerprint = other128.fingerprint;
-  crashes = other128.crashes;
-  remaining_us = other128.remaining_us;
+QuarantineRecord& QuarantineRecord::operator=(const QuarantineRecord& other132) {
+  service_name = other132.service_name;
+  fingerprint = other132.fingerprint;
+  crashes = other132.crashes;
+  remaining_us = other132.remaining_us;
   return *this;
 }
-QuarantineRecord& QuarantineRecord::operator=(QuarantineRecord&& other129) noexcept {
-  service_name = std::move(other129.service_name);
-  fingerprint = other129.fingerprint;
-  crashes = other129.crashes;
-  remaining_us = other129.remaining_us;
+QuarantineRecord& QuarantineRecord::operator=(QuarantineRecord&& other133) noexcept {
+  service_name = std::move(other133.service_name);
+  fingerprint = other133.fingerprint;
+  crashes = other133.crashes;
+  remaining_us = other133.remaining_us;
   return *this;
 }
 void QuarantineRecord::printTo(std::ostream& out) const {
@@ -4416,14 +4564,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size130;
-            ::apache::thrift::protocol::TType _etype133;
-            xfer += iprot->readListBegin(_etype133, _size130);
-            this->members.resize(_size130);
-            uint32_t _i134;
-            for (_i134 = 0; _i134 < _size130; ++_i134)
+            uint32_t _size134;
+            ::apache::thrift::protocol::TType _etype137;
+            xfer += iprot->readListBegin(_etype137, _size134);
+            this->members.resize(_size134);
+            uint32_t _i138;
+            for (_i138 = 0; _i138 < _size134; ++_i138)
             {
-              xfer += this->members[_i134].read(iprot);
+              xfer += this->members[_i138].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4436,14 +4584,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quarantines.clear();
-            uint32_t _size135;
-            ::apache::thrift::protocol::TType _etype138;
-            xfer += iprot->readListBegin(_etype138, _size135);
-            this->quarantines.resize(_size135);
-            uint32_t _i139;
-            for (_i139 = 0; _i139 < _size135; ++_i139)
+            uint32_t _size139;
+            ::apache::thrift::protocol::TType _etype142;
+            xfer += iprot->readListBegin(_etype142, _size139);
+            this->quarantines.resize(_size139);
+            uint32_t _i143;
+            for (_i143 = 0; _i143 < _size139; ++_i143)
             {
-              xfer += this->quarantines[_i139].read(iprot);
+              xfer += this->quarantines[_i143].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4464,14 +4612,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->bucket_hashes.clear();
-            uint32_t _size140;
-            ::apache::thrift::protocol::TType _etype143;
-            xfer += iprot->readListBegin(_etype143, _size140);
-            this->bucket_hashes.resize(_size140);
-            uint32_t _i144;
-            for (_i144 = 0; _i144 < _size140; ++_i144)
+            uint32_t _size144;
+            ::apache::thrift::protocol::TType _etype147;
+            xfer += iprot->readListBegin(_etype147, _size144);
+            this->bucket_hashes.resize(_size144);
+            uint32_t _i148;
+            for (_i148 = 0; _i148 < _size144; ++_i148)
             {
-              xfer += iprot->readI32(this->bucket_hashes[_i144]);
+              xfer += iprot->readI32(this->bucket_hashes[_i148]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4514,10 +4662,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<MemberRecord> ::const_iterator _iter145;
-    for (_iter145 = this->members.begin(); _iter145 != this->members.end(); ++_iter145)
+    std::vector<MemberRecord> ::const_iterator _iter149;
+    for (_iter149 = this->members.begin(); _iter149 != this->members.end(); ++_iter149)
     {
-      xfer += (*_iter145).write(oprot);
+      xfer += (*_iter149).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4526,10 +4674,10 @@
   xfer += oprot->writeFieldBegin("quarantines", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantines.size()));
-    std::vector<QuarantineRecord> ::const_iterator _iter146;
-    for (_iter146 = this->quarantines.begin(); _iter146 != this->quarantines.end(); ++_iter146)
+    std::vector<QuarantineRecord> ::const_iterator _iter150;
+    for (_iter150 = this->quarantines.begin(); _iter150 != this->quarantines.end(); ++_iter150)
     {
-      xfer += (*_iter146).write(oprot);
+      xfer += (*_iter150).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4542,10 +4690,10 @@
   xfer += oprot->writeFieldBegin("bucket_hashes", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->bucket_hashes.size()));
-    std::vector<int32_t> ::const_iterator _iter147;
-    for (_iter147 = this->bucket_hashes.begin(); _iter147 != this->bucket_hashes.end(); ++_iter147)
+    std::vector<int32_t> ::const_iterator _iter151;
+    for (_iter151 = this->bucket_hashes.begin(); _iter151 != this->bucket_hashes.end(); ++_iter151)
     {
-      xfer += oprot->writeI32((*_iter147));
+      xfer += oprot->writeI32((*_iter151));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4565,34 +4713,34 @@
   swap(a.bucket_hashes, b.bucket_hashes);
 }
 
-MemberSync::MemberSync(const MemberSync& other148) {
-  reply_wanted = other148.reply_wanted;
-  members = other148.members;
-  quarantines = other148.quarantines;
-  settings_version = other148.settings_version;
-  bucket_hashes = other148.bucket_hashes;
-}
-MemberSync::MemberSync(MemberSync&& other149) noexcept {
-  reply_wanted = other149.reply_wanted;
-  members = std::move(other149.members);
-  quarantines = std::move(other149.quarantines);
-  settings_version = other149.settings_version;
-  bucket_hashes = std::move(other149.bucket_hashes);
-}
-MemberSync& MemberSync::operator=(const MemberSync& other150) {
-  reply_wanted = other150.reply_wanted;
-  members = other150.members;
-  quarantines = other150.quarantines;
-  settings_version = other150.settings_version;
-  bucket_hashes = other150.bucket_hashes;
+MemberSync::MemberSync(const MemberSync& other152) {
+  reply_wanted = other152.reply_wanted;
+  members = other152.members;
+  quarantines = other152.quarantines;
+  settings_version = other152.settings_version;
+  bucket_hashes = other152.bucket_hashes;
+}
+MemberSync::MemberSync(MemberSync&& other153) noexcept {
+  reply_wanted = other153.reply_wanted;
+  members = std::move(other153.members);
+  quarantines = std::move(other153.quarantines);
+  settings_version = other153.settings_version;
+  bucket_hashes = std::move(other153.bucket_hashes);
+}
+MemberSync& MemberSync::operator=(const MemberSync& other154) {
+  reply_wanted = other154.reply_wanted;
+  members = other154.members;
+  quarantines = other154.quarantines;
+  settings_version = other154.settings_version;
+  bucket_hashes = other154.bucket_hashes;
   return *this;
 }
-MemberSync& MemberSync::operator=(MemberSync&& other151) noexcept {
-  reply_wanted = other151.reply_wanted;
-  members = std::move(other151.members);
-  quarantines = std::move(other151.quarantines);
-  settings_version = other151.settings_version;
-  bucket_hashes = std::move(other151.bucket_hashes);
+MemberSync& MemberSync::operator=(MemberSync&& other155) noexcept {
+  reply_wanted = other155.reply_wanted;
+  members = std::move(other155.members);
+  quarantines = std::move(other155.quarantines);
+  settings_version = other155.settings_version;
+  bucket_hashes = std::move(other155.bucket_hashes);
   return *this;
 }
 void MemberSync::printTo(std::ostream& out) const {
@@ -4756,14 +4904,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->updates.clear();
-            uint32_t _size152;
-            ::apache::thrift::protocol::TType _etype155;
-            xfer += iprot->readListBegin(_etype155, _size152);
-            this->updates.resize(_size152);
-            uint32_t _i156;
-            for (_i156 = 0; _i156 < _size152; ++_i156)
+            uint32_t _size156;
+            ::apache::thrift::protocol::TType _etype159;
+            xfer += iprot->readListBegin(_etype159, _size156);
+            this->updates.resize(_size156);
+            uint32_t _i160;
+            for (_i160 = 0; _i160 < _size156; ++_i160)
             {
-              xfer += this->updates[_i156].read(iprot);
+              xfer += this->updates[_i160].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4776,14 +4924,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quarantines.clear();
-            uint32_t _size157;
-            ::apache::thrift::protocol::TType _etype160;
-            xfer += iprot->readListBegin(_etype160, _size157);
-            this->quarantines.resize(_size157);
-            uint32_t _i161;
-            for (_i161 = 0; _i161 < _size157; ++_i161)
+            uint32_t _size161;
+            ::apache::thrift::protocol::TType _etype164;
+            xfer += iprot->readListBegin(_etype164, _size161);
+            this->quarantines.resize(_size161);
+            uint32_t _i165;
+            for (_i165 = 0; _i165 < _size161; ++_i165)
             {
-              xfer += this->quarantines[_i161].read(iprot);
+              xfer += this->quarantines[_i165].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4864,10 +5012,10 @@
   xfer += oprot->writeFieldBegin("updates", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->updates.size()));
-    std::vector<MemberRecord> ::const_iterator _iter162;
-    for (_iter162 = this->updates.begin(); _iter162 != this->updates.end(); ++_iter162)
+    std::vector<MemberRecord> ::const_iterator _iter166;
+    for (_iter166 = this->updates.begin(); _iter166 != this->updates.end(); ++_iter166)
     {
-      xfer += (*_iter162).write(oprot);
+      xfer += (*_iter166).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4876,10 +5024,10 @@
   xfer += oprot->writeFieldBegin("quarantines", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantines.size()));
-    std::vector<QuarantineRecord> ::const_iterator _iter163;
-    for (_iter163 = this->quarantines.begin(); _iter163 != this->quarantines.end(); ++_iter163)
+    std::vector<QuarantineRecord> ::const_iterator _iter167;
+    for (_iter167 = this->quarantines.begin(); _iter167 != this->quarantines.end(); ++_iter167)
     {
-      xfer += (*_iter163).write(oprot);
+      xfer += (*_iter167).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4904,54 +5052,54 @@
   swap(a.quarantines, b.quarantines);
 }
 
-Gossip::Gossip(const Gossip& other164) {
-  kind = other164.kind;
-  source = other164.source;
-  source_address = other164.source_address;
-  sequence = other164.sequence;
-  target = other164.target;
-  target_address = other164.target_address;
-  settings_version = other164.settings_version;
-  membership_hash = other164.membership_hash;
-  updates = other164.updates;
-  quarantines = other164.quarantines;
-}
-Gossip::Gossip(Gossip&& other165) noexcept {
-  kind = other165.kind;
-  source = std::move(other165.source);
-  source_address = std::move(other165.source_address);
-  sequence = other165.sequence;
-  target = std::move(other165.target);
-  target_address = std::move(other165.target_address);
-  settings_version = other165.settings_version;
-  membership_hash = other165.membership_hash;
-  updates = std::move(other165.updates);
-  quarantines = std::move(other165.quarantines);
-}
-Gossip& Gossip::operator=(const Gossip& other166) {
-  kind = other166.kind;
-  source = other166.source;
-  source_address = other166.source_address;
-  sequence = other166.sequence;
-  target = other166.target;
-  target_address = other166.target_address;
-  settings_version = other166.settings_version;
-  membership_hash = other166.membership_hash;
-  updates = other166.updates;
-  quarantines = other166.quarantines;
+Gossip::Gossip(const Gossip& other168) {
+  kind = other168.kind;
+  source = other168.source;
+  source_address = other168.source_address;
+  sequence = other168.sequence;
+  target = other168.target;
+  target_address = other168.target_address;
+  settings_version = other168.settings_version;
+  membership_hash = other168.membership_hash;
+  updates = other168.updates;
+  quarantines = other168.quarantines;
+}
+Gossip::Gossip(Gossip&& other169) noexcept {
+  kind = other169.kind;
+  source = std::move(other169.source);
+  source_address = std::move(other169.source_address);
+  sequence = other169.sequence;
+  target = std::move(other169.target);
+  target_address = std::move(other169.target_address);
+  settings_version = other169.settings_version;
+  membership_hash = other169.membership_hash;
+  updates = std::move(other169.updates);
+  quarantines = std::move(other169.quarantines);
+}
+Gossip& Gossip::operator=(const Gossip& other170) {
+  kind = other170.kind;
+  source = other170.source;
+  source_address = other170.source_address;
+  sequence = other170.sequence;
+  target = other170.target;
+  target_address = other170.target_address;
+  settings_version = other170.settings_version;
+  membership_hash = other170.membership_hash;
+  updates = other170.updates;
+  quarantines = other170.quarantines;
   return *this;
 }
-Gossip& Gossip::operator=(Gossip&& other167) noexcept {
-  kind = other167.kind;
-  source = std::move(other167.source);
-  source_address = std::move(other167.source_address);
-  sequence = other167.sequence;
-  target = std::move(other167.target);
-  target_address = std::move(other167.target_address);
-  settings_version = other167.settings_version;
-  membership_hash = other167.membership_hash;
-  updates = std::move(other167.updates);
-  quarantines = std::move(other167.quarantines);
+Gossip& Gossip::operator=(Gossip&& other171) noexcept {
+  kind = other171.kind;
+  source = std::move(other171.source);
+  source_address = std::move(other171.source_address);
+  sequence = other171.sequence;
+  target = std::move(other171.target);
+  target_address = std::move(other171.target_address);
+  settings_version = other171.settings_version;
+  membership_hash = other171.membership_hash;
+  updates = std::move(other171.updates);
+  quarantines = std::move(other171.quarantines);
   return *this;
 }
 void Gossip::printTo(std::ostream& out) const {
--- a/src/libwire/gen-cpp/amaranth_types.h
+++ b/src/libwire/gen-cpp/amaranth_types.h
@@ -67,6 +67,8 @@
 
 class CallForward;
 
+class CallTimes;
+
 class CallAnswer;
 
 class CallCancel;
@@ -759,9 +761,55 @@
 
 std::ostream& operator<<(std::ostream& out, const CallForward& obj);
 
+
+class CallTimes : public virtual ::apache::thrift::TBase {
+ public:
+
+  CallTimes(const CallTimes&) noexcept;
+  CallTimes(CallTimes&&) noexcept;
+  CallTimes& operator=(const CallTimes&) noexcept;
+  CallTimes& operator=(CallTimes&&) noexcept;
+  CallTimes() noexcept
+            : held_us(0),
+              waited_us(0) {
+  }
+
+  virtual ~CallTimes() noexcept;
+  int64_t held_us;
+  int64_t waited_us;
+
+  void __set_held_us(const int64_t val);
+
+  void __set_waited_us(const int64_t val);
+
+  bool operator == (const CallTimes & rhs) const
+  {
+    if (!(held_us == rhs.held_us))
+      return false;
+    if (!(waited_us == rhs.waited_us))
+      return false;
+    return true;
+  }
+  bool operator != (const CallTimes &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CallTimes & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CallTimes &a, CallTimes &b);
+
+std::ostream& operator<<(std::ostream& out, const CallTimes& obj);
+
 typedef struct _CallAnswer__isset {
-  _CallAnswer__isset() : made_calls(false) {}
+  _CallAnswer__isset() : made_calls(false), times(false) {}
   bool made_calls :1;
+  bool times :1;
 } _CallAnswer__isset;
 
 class CallAnswer : public virtual ::apache::thrift::TBase {
@@ -786,6 +834,7 @@
   int32_t credits_returned;
   LoadReport load;
   bool made_calls;
+  CallTimes times;
 
   _CallAnswer__isset __isset;
 
@@ -803,6 +852,8 @@
 
   void __set_made_calls(const bool val);
 
+  void __set_times(const CallTimes& val);
+
   bool operator == (const CallAnswer & rhs) const
   {
     if (!(attempt == rhs.attempt))
@@ -821,6 +872,10 @@
       return false;
     else if (__isset.made_calls && !(made_calls == rhs.made_calls))
       return false;
+    if (__isset.times != rhs.__isset.times)
+      return false;
+    else if (__isset.times && !(times == rhs.times))
+      return false;
     return true;
   }
   bool operator != (const CallAnswer &rhs) const {
--- a/src/libwire/generators_test.cc
+++ b/src/libwire/generators_test.cc
@@ -75,6 +75,8 @@
   return context;
 }
 
+CallTimes AnyTimes() { return {Any<uint32_t>(), Any<uint32_t>()}; }
+
 LoadReport AnyLoad() {
   return {AnyName(),       Any<uint32_t>(), Any<uint32_t>(), Any<uint32_t>(),
           Any<uint32_t>(), Any<uint32_t>(), Any<uint32_t>()};
@@ -120,7 +122,7 @@
     case 2:
       return CallAnswer{Any<uint64_t>(), Any<uint64_t>(), AnyResponse(),
                         AnyFailure(),    Any<uint16_t>(), AnyLoad(),
-                        Any<bool>()};
+                        Any<bool>(),     AnyTimes()};
     case 3:
       return CallCancel{Any<uint64_t>()};
     case 4:
--- a/src/libwire/to_wire.cc
+++ b/src/libwire/to_wire.cc
@@ -22,7 +22,8 @@
 static_assert(kHasFields<LoadReport, 7>);
 static_assert(kHasFields<Hello, 3>);
 static_assert(kHasFields<CallForward, 4>);
-static_assert(kHasFields<CallAnswer, 7>);
+static_assert(kHasFields<CallTimes, 2>);
+static_assert(kHasFields<CallAnswer, 8>);
 static_assert(kHasFields<CallCancel, 1>);
 static_assert(kHasFields<HomeForward, 4>);
 static_assert(kHasFields<LinkPing, 1>);
@@ -186,6 +187,12 @@
   out.credits_returned = in.credits_returned;
   ToWire(in.load, out.load);
   if (in.made_calls) out.__set_made_calls(true);
+  if (!(in.times == CallTimes())) {
+    wire::CallTimes times;
+    times.held_us = in.times.held_us;
+    times.waited_us = in.times.waited_us;
+    out.__set_times(times);
+  }
 }
 
 void ToWire(const CallCancel& in, wire::CallCancel& out) {
