What matters least gives way first when requests end late for waiting

A late request now shrinks the window of the least important class that lately waited, too; its own only if there is none.

Also a field missing in a test of the event log.

--- a/src/include/amaranthroute/policy/admission_window.h
+++ b/src/include/amaranthroute/policy/admission_window.h
@@ -81,11 +81,19 @@
   /// A request was let in.
   void OnBegin();
   /// It has ended; `target` is its class's latency target (0: none is set, and
-  /// nothing is learned).
-  void OnEnd(const EndedRequest& ended, Duration target, TimePoint now);
+  /// nothing is learned). True if it was late, or failed, for waiting: then the
+  /// window that is to give way is shrunk, this one or a less important one.
+  bool OnEnd(const EndedRequest& ended, Duration target);
   /// It has ended and tells nothing: its caller left, or it never went out.
   void OnAbandoned();
 
+  /// Lets in fewer, once for all that were under way together: `latency` is
+  /// what the late request took.
+  void Shrink(Duration latency, TimePoint now);
+
+  /// Whether letting in fewer of these can help: some are under way, and lately
+  /// a good part of their time was waiting.
+  bool CanGiveWay() const;
   size_t under_way() const { return under_way_; }
   /// The limit; 0 while there is none.
   double limit() const { return limited_ ? limit_ : 0; }
@@ -93,7 +101,6 @@
  private:
   double WaitedMicros(const EndedRequest& ended);
   bool IsOverload(const EndedRequest& ended, Duration target);
-  void Shrink(double under_way, Duration latency, TimePoint now);
   void Grow(double under_way);
 
   AdmissionWindowOptions options_;
@@ -101,8 +108,8 @@
   double wait_share_ = 0;  // of a request's latency, moving average
   bool limited_ = false;
   double limit_ = 0;
-  double last_size_ = 0;     // the window before it last shrank
-  TimePoint next_shrink_{};  // one for all that were under way together
+  double last_size_ = 0;  // the window before it last shrank
+  TimePoint next_shrink_{};
 };
 
 }  // namespace amaranth
--- a/src/libnode/entry/admission.cc
+++ b/src/libnode/entry/admission.cc
@@ -48,9 +48,10 @@
 bool Admission::TakePlace(Call& call, std::mt19937_64& random) {
   const std::string key = KeyOf(call);
   if (windows_.size() >= kMaxClasses && windows_.count(key) == 0) return true;
-  AdmissionWindow& window = windows_[key];
-  if (!window.HasRoom(random)) return false;
-  window.OnBegin();
+  ClassWindow& own = windows_[key];
+  own.tier = call.context.tier;
+  if (!own.window.HasRoom(random)) return false;
+  own.window.OnBegin();
   call.has_place = true;
   return true;
 }
@@ -64,18 +65,28 @@
   ended.served = served;
   // What was in flight when the deadline came told nothing of its waits.
   if (!call.attempt) ended.waited = call.waited;
-  windows_[KeyOf(call)].OnEnd(ended, target, now);
+  ClassWindow& own = windows_[KeyOf(call)];
+  if (!own.window.OnEnd(ended, target)) return;
+  GivesWayTo(own).window.Shrink(ended.latency, now);
+}
+
+Admission::ClassWindow& Admission::GivesWayTo(ClassWindow& own) {
+  ClassWindow* least = &own;
+  for (auto& [key, other] : windows_) {
+    if (other.tier < least->tier && other.window.CanGiveWay()) least = &other;
+  }
+  return *least;
 }
 
 void Admission::AbandonPlace(Call& call) {
   if (!call.has_place) return;
   call.has_place = false;
-  windows_[KeyOf(call)].OnAbandoned();
+  windows_[KeyOf(call)].window.OnAbandoned();
 }
 
 double Admission::WindowOf(const Call& call) const {
   const auto found = windows_.find(KeyOf(call));
-  return found == windows_.end() ? 0 : found->second.limit();
+  return found == windows_.end() ? 0 : found->second.window.limit();
 }
 
 }  // namespace amaranth::pvt
--- a/src/libnode/entry/admission.h
+++ b/src/libnode/entry/admission.h
@@ -43,6 +43,16 @@
   double WindowOf(const Call& call) const;
 
  private:
+  struct ClassWindow {
+    AdmissionWindow window;
+    Tier tier = Tier::kStandard;
+  };
+
+  // The window that gives way to a class of `tier` that waits too long: of the
+  // least important classes that waited, too, whose waits were for the same
+  // services as far as this node can see; else `own`.
+  ClassWindow& GivesWayTo(ClassWindow& own);
+
   // Callers choose class names, but only known services get here.
   static std::string KeyOf(const Call& call);
 
@@ -51,7 +61,7 @@
   std::map<std::pair<std::string, Tier>, CallerShares> caller_shares_;
   // Service and class of calls whose servers make calls of their own.
   std::set<std::pair<std::string, std::string>> makes_calls_;
-  std::map<std::string, AdmissionWindow> windows_;  // by KeyOf
+  std::map<std::string, ClassWindow> windows_;  // by KeyOf
 };
 
 }  // namespace amaranth::pvt
--- a/src/libpolicy/admission_window.cc
+++ b/src/libpolicy/admission_window.cc
@@ -30,16 +30,20 @@
   if (under_way_ > 0) --under_way_;
 }
 
-void AdmissionWindow::OnEnd(const EndedRequest& ended, Duration target,
-                            TimePoint now) {
+bool AdmissionWindow::OnEnd(const EndedRequest& ended, Duration target) {
   const double with_it = static_cast<double>(under_way_);
   OnAbandoned();
-  if (target <= Duration::zero()) return;
-  if (IsOverload(ended, target)) {
-    Shrink(with_it, ended.latency, now);
-  } else if (ended.served) {
-    Grow(with_it);
-  }
+  if (target <= Duration::zero()) return false;
+  if (IsOverload(ended, target)) return true;
+  if (ended.served) Grow(with_it);
+  return false;
+}
+
+bool AdmissionWindow::CanGiveWay() const {
+  const bool above_least =
+      static_cast<double>(under_way_) > options_.smallest &&
+      (!limited_ || limit_ > options_.smallest);
+  return above_least && wait_share_ >= options_.least_wait;
 }
 
 double AdmissionWindow::WaitedMicros(const EndedRequest& ended) {
@@ -58,9 +62,9 @@
          static_cast<double>(ended.latency.count()) > options_.goal * whole;
 }
 
-void AdmissionWindow::Shrink(double under_way, Duration latency,
-                             TimePoint now) {
+void AdmissionWindow::Shrink(Duration latency, TimePoint now) {
   if (now < next_shrink_) return;
+  const double under_way = static_cast<double>(under_way_ + 1);
   const double size = limited_ ? std::min(limit_, under_way) : under_way;
   last_size_ = size;
   limit_ = std::max(options_.smallest, size * options_.shrink);
--- a/src/libpolicy/admission_window_test.cc
+++ b/src/libpolicy/admission_window_test.cc
@@ -14,6 +14,10 @@
 
 TimePoint At(int ms) { return TimePoint(milliseconds(ms)); }
 
+void Finish(AdmissionWindow& window, const EndedRequest& ended, int at_ms) {
+  if (window.OnEnd(ended, kTarget)) window.Shrink(ended.latency, At(at_ms));
+}
+
 // Entry nodes with a window each, and one service whose requests make `calls`
 // calls there one after the other. Virtual time in steps of a millisecond.
 class ChainFleet {
@@ -96,7 +100,7 @@
   void End(const Request& request, int ms) {
     const EndedRequest ended{milliseconds(ms - request.began),
                              milliseconds(request.waited), true};
-    windows_[request.node].OnEnd(ended, kTarget, At(ms));
+    Finish(windows_[request.node], ended, ms);
     if (request.counted && ended.latency <= kTarget) ++in_time_;
   }
 
@@ -155,7 +159,7 @@
 
 TEST(AdmissionWindowTest, WithoutALateRequestThereIsNoLimit) {
   AdmissionWindow window = Busy(500);
-  window.OnEnd(Ended(300, 200), kTarget, At(0));
+  Finish(window, Ended(300, 200), 0);
   CHECK(window.HasRoom(random_));
   DOUBLES_EQUAL(0, window.limit(), 0);
 }
@@ -163,9 +167,9 @@
 TEST(AdmissionWindowTest,
      OneLateForWaitingShrinksItOnceForAllThatWereUnderWay) {
   AdmissionWindow window = Busy(10);
-  window.OnEnd(Ended(1200, 600), kTarget, At(2000));
+  Finish(window, Ended(1200, 600), 2000);
   DOUBLES_EQUAL(8, window.limit(), 0.01);
-  window.OnEnd(Ended(1300, 700), kTarget, At(2010));
+  Finish(window, Ended(1300, 700), 2010);
   DOUBLES_EQUAL(8, window.limit(), 0.01);
   CHECK_FALSE(window.HasRoom(random_));
 }
@@ -174,14 +178,14 @@
 // number under way; callers would be turned away for nothing.
 TEST(AdmissionWindowTest, WorkThatIsSlowByItselfDoesNotShrinkIt) {
   AdmissionWindow window = Busy(10);
-  window.OnEnd(Ended(3000, 100), kTarget, At(2000));
-  window.OnEnd(Ended(50, 0, false), kTarget, At(2000));
+  Finish(window, Ended(3000, 100), 2000);
+  Finish(window, Ended(50, 0, false), 2000);
   CHECK(window.HasRoom(random_));
 }
 
 TEST(AdmissionWindowTest, AFailureAfterALongWaitShrinksIt) {
   AdmissionWindow window = Busy(10);
-  window.OnEnd(Ended(700, 400, false), kTarget, At(2000));
+  Finish(window, Ended(700, 400, false), 2000);
   CHECK(window.limit() > 0);
 }
 
@@ -189,11 +193,11 @@
 // turned away by the memory of a burst.
 TEST(AdmissionWindowTest, TheLimitEndsWithTheLoad) {
   AdmissionWindow window = Busy(10);
-  window.OnEnd(Ended(1200, 600), kTarget, At(0));
-  for (int i = 0; i < 9; ++i) window.OnEnd(Ended(300, 0), kTarget, At(2000));
+  Finish(window, Ended(1200, 600), 0);
+  for (int i = 0; i < 9; ++i) Finish(window, Ended(300, 0), 2000);
   for (int i = 0; i < 12; ++i) {
     window.OnBegin();
-    window.OnEnd(Ended(300, 0), kTarget, At(2000 + i));
+    Finish(window, Ended(300, 0), 2000 + i);
   }
   DOUBLES_EQUAL(0, window.limit(), 0);
 }
@@ -202,7 +206,7 @@
   AdmissionWindow window;
   for (int i = 0; i < 50; ++i) {
     window.OnBegin();
-    window.OnEnd(Ended(2000, 1900), kTarget, At(i * 5000));
+    Finish(window, Ended(2000, 1900), i * 5000);
   }
   CHECK(window.HasRoom(random_));
 }
--- a/src/libreplay/event_log_test.cc
+++ b/src/libreplay/event_log_test.cc
@@ -44,7 +44,7 @@
       CallerRequest{4, Call()},
       CallerGone{3},
       PeerReceived{{"n2", 5}, LinkPing{9}},
-      PeerReceived{{"n2", 5}, CallAnswer{99, 77, {}, {}, 0, {}}},
+      PeerReceived{{"n2", 5}, CallAnswer{99, 77, {}, {}, 0, {}, false, {}}},
       GossipReceived{{"127.0.0.1", 3}, {}},
       PeerSendFailed{"n2", LinkPong{9}},
       PeerLost{"n2"},
