New calls pass by a host that is not heard from

Cause: while a data centre is cut off without resets, a link is dropped after 2 s of silence (500 ms, then 1,500 ms after a ping); until then all calls that choose a server there hang.

Change: the ping goes out after 250 ms; unanswered for 150 ms, new calls go elsewhere, the link stays (a slow host may still answer). One call a second tries a host that could not be reached. Ruled out: dropping the link sooner (it turns what is in flight into 'may have run').

--- a/src/include/amaranthroute/policy/progress_watch.h
+++ b/src/include/amaranthroute/policy/progress_watch.h
@@ -9,8 +9,11 @@
 /// and a pool hands the dead connection to the next call.
 ///
 /// A quiet link with calls outstanding is asked for a sign of life, which costs
-/// the other end nothing, so that long work is not mistaken for silence;
-/// without any answer it is dropped and never used again. Between node and
+/// the other end nothing, so that long work is not mistaken for silence. While
+/// the question is open for longer than a round trip the link is in doubt: new
+/// calls go elsewhere, which costs nothing if it lives, where until it is
+/// dropped all that go there would hang. Without any answer it is dropped and
+/// never used again. Between node and
 /// backend server there is no such question, so an attempt has a timeout of a
 /// multiple of the server's usual latency.
 
@@ -20,13 +23,16 @@
 
 /// Times of a ProgressWatch.
 struct ProgressWatchOptions {
-  /// Silence after a send before the other end is asked. A hundred round trips
-  /// of today's meshes; rarely reached under load, so probes cost nothing.
-  Duration probe_after = std::chrono::milliseconds(500);
+  /// Silence after a send before the other end is asked. Fifty round trips of
+  /// today's meshes and more than most calls take, so probes cost little.
+  Duration probe_after = std::chrono::milliseconds(250);
+  /// Silence after the probe before new calls go elsewhere. The tenth of a
+  /// second for which a processor's quota may be spent, and half of that.
+  Duration doubt_after = std::chrono::milliseconds(150);
   /// Silence after the probe before the link is dropped. Longer than the pause
   /// of a busy process: a link dropped in error turns each call on it into
   /// "may have run".
-  Duration drop_after = std::chrono::milliseconds(1500);
+  Duration drop_after = std::chrono::milliseconds(1750);
 };
 
 /// Watches one link to a peer.
@@ -36,6 +42,7 @@
   enum class Action {
     kNone,
     kProbe,  ///< send a LinkPing
+    kDoubt,  ///< send new calls elsewhere until something is heard
     kDrop,   ///< close it; calls on it may have run
   };
 
@@ -47,15 +54,18 @@
   void OnReceived(TimePoint now);
 
   /// What to do now; `outstanding`: an answer is awaited on this link. Says
-  /// kProbe once in each silence.
+  /// kProbe and kDoubt once in each silence.
   Action Check(TimePoint now, bool outstanding);
   /// When Check next has something to say; kNever if nothing is outstanding.
   TimePoint next_check(bool outstanding) const;
 
  private:
+  Action CheckProbed(TimePoint now);
+
   ProgressWatchOptions options_;
   TimePoint silent_since_ = kNever;  // first send after the last receipt
   TimePoint probed_ = kNever;
+  bool doubted_ = false;  // since probed_
 };
 
 /// Shortest timeout of an attempt: a hiccup of a fast server is no failure.
--- a/src/libnode/calls_test.cc
+++ b/src/libnode/calls_test.cc
@@ -209,6 +209,31 @@
   CHECK_EQUAL(200, fleet.AnswerOf(call)->response.status);
 }
 
+// Callers notice a host that falls silent for half a second, not for two. Its
+// link is pinged, and as no answer comes new calls go to the other server; the
+// link itself is kept, as a host that was only slow may still answer.
+TEST(Calls, CallsPassByASilentHostBeforeItsLinkIsDropped) {
+  fleet.AddNode("a1", "bilbao-a");
+  fleet.AddNode("a2", "bilbao-a");
+  fleet.AddNode("a3", "bilbao-a");
+  fleet.AddServer("a2", ServerOf("s2", "subscriptions"));
+  fleet.AddServer("a3", ServerOf("s3", "subscriptions"));
+  fleet.RunFor(kSettle);
+  fleet.Cut("a1", "a2");
+  std::vector<uint64_t> calls;
+  for (int i = 0; i < 200; ++i) {
+    fleet.At(std::chrono::milliseconds(5) * i, [&] {
+      calls.push_back(fleet.Call("a1", MakeRequest("POST", "subscriptions")));
+    });
+  }
+  fleet.RunFor(std::chrono::milliseconds(1200));
+  int late = 0;
+  for (size_t i = 110; i < calls.size(); ++i) {
+    if (fleet.AnswerOf(calls[i]) == nullptr) ++late;
+  }
+  CHECK_EQUAL(0, late);
+}
+
 // Callers see whole answers throughout a planned stop of a node and its
 // server's host: the node tells the others, finishes what it has, and exits.
 TEST(Calls, APlannedStopCutsNoRequest) {
@@ -237,7 +262,7 @@
   }
 }
 
-// Callers of the crash-maker see a final answer with its reason; others are
+// Callers of the poison request see a final answer with its reason; others are
 // served. It crashes the first server among others in flight, is run with no
 // other suspect at the second, and never reaches a third.
 TEST(Calls, ACrashMakerReachesTwoServersOnly) {
@@ -332,7 +357,7 @@
 }
 
 // Callers of a popular page go on seeing it. The page is in flight at each
-// crash that a crash-maker causes; it was answered a moment ago, so it is
+// crash that a poison request causes; it was answered a moment ago, so it is
 // neither run one at a time nor quarantined.
 TEST(Calls, APopularPageIsNotBlamedForCrashes) {
   for (const char* name : {"a1", "a2", "a3"}) fleet.AddNode(name, "bilbao-a");
@@ -368,9 +393,9 @@
 }
 
 // Callers of innocent requests are served, before and after. A first
-// crash-maker takes innocents down with it, which are then suspects; a second
-// one arrives as an ordinary call while they run again. Were they run beside
-// it, its crash would have one suspect in flight, the wrong one.
+// poison request takes innocents down with it, which are then suspects; a
+// second one arrives as an ordinary call while they run again. Were they run
+// beside it, its crash would have one suspect in flight, the wrong one.
 TEST(Calls, AnInnocentIsNotBlamedForANewCrashMaker) {
   fleet.AddNode("a1", "bilbao-a");
   for (const char* host : {"2", "3", "4", "5", "6", "7"}) {
--- a/src/libnode/entry/entry_attempts.cc
+++ b/src/libnode/entry/entry_attempts.cc
@@ -104,6 +104,7 @@
   ++call.tries;
   SetAttempt(call, attempt);
   choice_.OnSent(server_key);
+  choice_.OnTried(place.node, context.now);
   parts_.stats.Count("amaranth_tries_total");
   parts_.outbox.Send(place.node, place.peer_address, std::move(forward),
                      context);
@@ -128,13 +129,12 @@
     }
     return;
   }
-  OnAttemptAnswer(call, from, answer, context);
+  OnAttemptAnswer(call, answer, context);
 }
 
-void EntryRole::OnAttemptAnswer(Call& call, const NodeRef& from,
-                                const CallAnswer& answer, Context& context) {
+void EntryRole::OnAttemptAnswer(Call& call, const CallAnswer& answer,
+                                Context& context) {
   const Attempt attempt = *call.attempt;
-  choice_.OnReached(from.name);
   call.ledger.Return(attempt.lent, answer.credits_returned);
   LearnLoad(call, answer, context);
   const bool answered = answer.failure.reason == Reason::kNone;
@@ -333,6 +333,12 @@
                      context);
 }
 
+void EntryRole::OnPeerQuiet(const std::string& peer, Context& context) {
+  choice_.OnUnreachable(peer, context.now);
+  context.Log(LogLevel::kInfo, "entry",
+              "Node " + peer + " is not heard from; new calls go elsewhere.");
+}
+
 void EntryRole::OnPeerLost(const std::string& peer, Context& context) {
   std::vector<uint64_t> lost;
   for (const auto& [attempt, id] : by_attempt_) {
--- a/src/libnode/entry/entry_role.h
+++ b/src/libnode/entry/entry_role.h
@@ -15,7 +15,7 @@
 #include "amaranthroute/policy/retry_budget.h"
 #include "libnode/entry/admission.h"
 #include "libnode/entry/call.h"
-#include "libnode/entry/claim_desk.h"
+#include "libnode/entry/claim_coordinator.h"
 #include "libnode/entry/key_registry.h"
 #include "libnode/entry/server_choice.h"
 #include "libnode/membership/membership.h"
@@ -37,7 +37,7 @@
     Membership& membership;
     SettingsCache& settings;
     ServingRole& serving;
-    ClaimDesk& claims;
+    ClaimCoordinator& claims;
     Outbox& outbox;
     Stats& stats;
     Records& records;
@@ -53,6 +53,9 @@
                      Context& context);
   void OnCallAnswer(const NodeRef& from, const CallAnswer& answer,
                     Context& context);
+  // Nothing is heard from it although it was asked: no new calls there.
+  void OnPeerQuiet(const std::string& peer, Context& context);
+  void OnPeerHeard(const std::string& peer) { choice_.OnReached(peer); }
   // The link is gone: attempts there may have run.
   void OnPeerLost(const std::string& peer, Context& context);
   // Proved never sent.
@@ -110,8 +113,7 @@
   bool TryNext(Call& call, const std::optional<Reason>& last, Context& context);
   void SendAttempt(Call& call, const ServerPlace& place, Context& context);
   Duration RemainingFor(const Call& call, TimePoint now) const;
-  void OnAttemptAnswer(Call& call, const NodeRef& from,
-                       const CallAnswer& answer, Context& context);
+  void OnAttemptAnswer(Call& call, const CallAnswer& answer, Context& context);
   void OnAttemptFailed(Call& call, Failure failure, Context& context);
   bool MayRetry(const Call& call, const Failure& failure,
                 const DeploymentRules& rules) const;
--- a/src/libnode/entry/server_choice.cc
+++ b/src/libnode/entry/server_choice.cc
@@ -11,9 +11,12 @@
 
 // A load report older than this says nothing: queues empty in far less.
 constexpr Duration kReportLife = std::chrono::seconds(1);
-// A host that broke its link is avoided this long, then tried by one call: as
-// long as a refused connection costs that call only a retry, this may be short.
+// A host that broke its link, or is not heard from, is avoided this long, then
+// tried by one call: as long as a refused connection costs that call only a
+// retry, this may be short.
 constexpr Duration kAvoidUnreachable = std::chrono::seconds(1);
+// ... and is a host like any other again if nobody called it for this long.
+constexpr Duration kForgetUnreachable = std::chrono::seconds(10);
 constexpr Duration kForgetAfter = std::chrono::minutes(2);
 constexpr double kLatencyWeight = 0.2;
 
@@ -161,6 +164,11 @@
   unreachable_[node] = now + kAvoidUnreachable;
 }
 
+void ServerChoice::OnTried(const std::string& node, TimePoint now) {
+  const auto found = unreachable_.find(node);
+  if (found != unreachable_.end()) found->second = now + kAvoidUnreachable;
+}
+
 bool ServerChoice::IsUnreachable(const std::string& node, TimePoint now) const {
   const auto found = unreachable_.find(node);
   return found != unreachable_.end() && now < found->second;
@@ -178,7 +186,8 @@
 
 void ServerChoice::Expire(TimePoint now) {
   for (auto it = unreachable_.begin(); it != unreachable_.end();) {
-    it = it->second <= now ? unreachable_.erase(it) : std::next(it);
+    const bool old = it->second + kForgetUnreachable <= now;
+    it = old ? unreachable_.erase(it) : std::next(it);
   }
   for (auto it = seen_.begin(); it != seen_.end();) {
     const bool idle = it->second.in_flight == 0;
--- a/src/libnode/entry/server_choice.h
+++ b/src/libnode/entry/server_choice.h
@@ -55,6 +55,9 @@
   // A link to the node broke or could not be made. Gossip takes a second or
   // more to find a dead host; until then every other call would run into it.
   void OnUnreachable(const std::string& node, TimePoint now);
+  // A call was sent there: if the node could not be reached before, the others
+  // wait for what becomes of this one.
+  void OnTried(const std::string& node, TimePoint now);
   void OnReached(const std::string& node) { unreachable_.erase(node); }
   // Whether a fresh report says that the server has a free slot and no queue.
   bool HasRoom(const std::string& server_key, TimePoint now) const;
--- a/src/libnode/entry/server_choice_test.cc
+++ b/src/libnode/entry/server_choice_test.cc
@@ -72,4 +72,49 @@
   STRCMP_EQUAL("b", place->node.c_str());
 }
 
+// NOLINTNEXTLINE(readability-identifier-naming)
+TEST_GROUP(UnreachableHosts) {
+  ServerChoice choice{"here"};
+  EffectiveSettings settings;
+  std::vector<ServerPlace> places{PlaceAt("a"), PlaceAt("b")};
+  std::mt19937_64 random{4};
+
+  // Of a hundred calls, how many go to `node`.
+  int SentTo(const std::string& node, int ms) {
+    const TimePoint now(std::chrono::milliseconds{ms});
+    int sent = 0;
+    for (int i = 0; i < 100; ++i) {
+      const std::optional<ServerPlace> place =
+          choice.Choose(places, settings, {}, std::nullopt, now, random);
+      choice.OnTried(place->node, now);
+      if (place->node == node) ++sent;
+    }
+    return sent;
+  }
+
+  void LoseAt(const std::string& node, int ms) {
+    choice.OnUnreachable(node, TimePoint(std::chrono::milliseconds(ms)));
+  }
+};
+
+// Callers see calls hang in one second of every two while a data centre is cut
+// off without resets: a host that was avoided for a second is tried by all
+// calls at once, and each waits for the connection that never comes. One call
+// tries; the others go on elsewhere until it has been answered.
+TEST(UnreachableHosts, OneCallTriesAHostThatCouldNotBeReached) {
+  LoseAt("a", 0);
+  CHECK_EQUAL(0, SentTo("a", 500));
+  CHECK_EQUAL(1, SentTo("a", 1100));
+  CHECK_EQUAL(0, SentTo("a", 1900));
+  CHECK_EQUAL(1, SentTo("a", 2200));
+  choice.OnReached("a");
+  CHECK(SentTo("a", 2300) > 20);
+}
+
+TEST(UnreachableHosts, TheOnlyHostIsUsedAlsoInDoubt) {
+  places = {PlaceAt("a")};
+  LoseAt("a", 0);
+  CHECK_EQUAL(100, SentTo("a", 100));
+}
+
 }  // namespace amaranth::pvt
--- a/src/libnode/node_state.cc
+++ b/src/libnode/node_state.cc
@@ -61,6 +61,9 @@
   links.awaits_answer = [this](const std::string& peer) {
     return entry.Awaits(peer);
   };
+  links.on_doubt = [this](const std::string& peer, Context& context) {
+    entry.OnPeerQuiet(peer, context);
+  };
   links.on_silent = [this](const std::string& peer, Context& context) {
     LosePeer(peer, context);
   };
@@ -143,6 +146,7 @@
 
 void NodeState::ApplyOne(const PeerReceived& event, Context& context) {
   links.OnReceived(event.peer.name, context);
+  entry.OnPeerHeard(event.peer.name);
   Deliver(event.peer, event.message, context);
 }
 
--- a/src/libnode/peer_links.cc
+++ b/src/libnode/peer_links.cc
@@ -37,6 +37,9 @@
       case ProgressWatch::Action::kProbe:
         context.Emit(SendPeer{peer, link.address, LinkPing{++link.pings}});
         break;
+      case ProgressWatch::Action::kDoubt:
+        on_doubt(peer, context);
+        break;
       case ProgressWatch::Action::kDrop:
         silent.push_back(peer);
         break;
--- a/src/libnode/peer_links.h
+++ b/src/libnode/peer_links.h
@@ -22,6 +22,8 @@
  public:
   // Whether an answer is awaited from the peer.
   std::function<bool(const std::string& peer)> awaits_answer;
+  // A link may be dead: nothing was heard since it was pinged.
+  std::function<void(const std::string& peer, Context&)> on_doubt;
   // A link was given up on; called once the effects say so.
   std::function<void(const std::string& peer, Context&)> on_silent;
 
--- a/src/libpolicy/progress_watch.cc
+++ b/src/libpolicy/progress_watch.cc
@@ -16,6 +16,7 @@
   // nothing to say is not silent.
   silent_since_ = kNever;
   probed_ = kNever;
+  doubted_ = false;
 }
 
 ProgressWatch::Action ProgressWatch::Check(TimePoint now, bool outstanding) {
@@ -25,17 +26,26 @@
     return Action::kNone;
   }
   if (silent_since_ == kNever) silent_since_ = now;
-  if (probed_ != kNever) {
-    return now - probed_ >= options_.drop_after ? Action::kDrop : Action::kNone;
-  }
+  if (probed_ != kNever) return CheckProbed(now);
   if (now - silent_since_ < options_.probe_after) return Action::kNone;
   probed_ = now;
+  doubted_ = false;
   return Action::kProbe;
 }
 
+ProgressWatch::Action ProgressWatch::CheckProbed(TimePoint now) {
+  const Duration unanswered = now - probed_;
+  if (unanswered >= options_.drop_after) return Action::kDrop;
+  if (doubted_ || unanswered < options_.doubt_after) return Action::kNone;
+  doubted_ = true;
+  return Action::kDoubt;
+}
+
 TimePoint ProgressWatch::next_check(bool outstanding) const {
   if (!outstanding) return kNever;
-  if (probed_ != kNever) return probed_ + options_.drop_after;
+  if (probed_ != kNever) {
+    return probed_ + (doubted_ ? options_.drop_after : options_.doubt_after);
+  }
   if (silent_since_ == kNever) return TimePoint{};
   return silent_since_ + options_.probe_after;
 }
