--- a/src/cmake/check.sh
+++ b/src/cmake/check.sh
@@ -9,7 +9,7 @@
 echo "== format"
 clang-format --dry-run --Werror "${sources[@]}"
 
-bash src/cmake/check_rooms.sh
+bash src/cmake/check_layers.sh
 
 echo "== build"
 cmake --preset release >/dev/null
--- a/src/cmake/check_layers.sh
+++ b/src/cmake/check_layers.sh
@@ -4,19 +4,19 @@
 set -euo pipefail
 cd "$(dirname "$0")/../libnode"
 
-rooms=(shared membership settings serving entry)
+parts=(shared membership settings serving entry)
 allowed=""
 status=0
-for room in "${rooms[@]}"; do
-  allowed="$allowed|$room"
+for part in "${parts[@]}"; do
+  allowed="$allowed|$part"
   # membership and settings stand side by side.
-  wrong=$(grep -n '#include "libnode/' "$room"/*.h "$room"/*.cc |
+  wrong=$(grep -n '#include "libnode/' "$part"/*.h "$part"/*.cc |
     grep -v '_test\.cc:' |
     grep -Ev "\"libnode/(${allowed#|})/" || true)
-  [ "$room" = settings ] &&
+  [ "$part" = settings ] &&
     wrong+=$(grep -n '"libnode/membership/' settings/*.h settings/*.cc || true)
   if [ -n "$wrong" ]; then
-    echo "libnode/$room includes what stands after it:"
+    echo "libnode/$part includes what stands after it:"
     echo "$wrong"
     status=1
   fi
--- a/src/include/amaranthroute/messages.h
+++ b/src/include/amaranthroute/messages.h
@@ -41,7 +41,7 @@
   uint8_t depth = 0;           ///< 0 at the edge
   Duration remaining{0};       ///< until the request's deadline
   uint16_t retry_credits = 0;  ///< lent to this hop's subtree
-  uint64_t fingerprint = 0;    ///< of the request's content, for crash-makers
+  uint64_t fingerprint = 0;  ///< of the request's content, for poison requests
   /// Tries of this request so far whose backend server broke the connection.
   uint8_t suspected_crashes = 0;
   /// Shedding level, fixed at the edge and the same at every hop (see
--- a/src/include/amaranthroute/policy/crash_guard.h
+++ b/src/include/amaranthroute/policy/crash_guard.h
@@ -36,7 +36,7 @@
   size_t capacity = 2048;
 };
 
-/// Crash-makers of one service, as a serving node knows them. Fingerprint 0
+/// Poison requests of one service, as a serving node knows them. Fingerprint 0
 /// means "none" and is never suspected.
 class CrashGuard {
  public:
--- a/src/libnode/entry/claim_coordinator.cc
+++ b/src/libnode/entry/claim_coordinator.cc
@@ -1,4 +1,4 @@
-#include "libnode/entry/claim_desk.h"
+#include "libnode/entry/claim_coordinator.h"
 
 #include <algorithm>
 #include <optional>
@@ -51,12 +51,13 @@
 
 }  // namespace
 
-ClaimDesk::ClaimDesk(Membership& membership, Outbox& outbox, Stats& stats)
+ClaimCoordinator::ClaimCoordinator(Membership& membership, Outbox& outbox,
+                                   Stats& stats)
     : membership_(membership), outbox_(outbox), stats_(stats) {}
 
-std::string ClaimDesk::DelegateFor(const std::string& key,
-                                   const Context& context,
-                                   const std::string& avoided) const {
+std::string ClaimCoordinator::DelegateFor(const std::string& key,
+                                          const Context& context,
+                                          const std::string& avoided) const {
   std::vector<std::string> delegates = RendezvousChoose(
       membership_.AliveInDataCentre(), "claim-delegates", kDelegates);
   delegates.erase(std::remove(delegates.begin(), delegates.end(), avoided),
@@ -66,8 +67,8 @@
   return RendezvousChoose(delegates, key, 1).front();
 }
 
-void ClaimDesk::Claim(uint64_t claim_id, const std::string& key,
-                      Context& context) {
+void ClaimCoordinator::Claim(uint64_t claim_id, const std::string& key,
+                             Context& context) {
   stats_.Count("amaranth_claims_total");
   Pending pending;
   pending.key = key;
@@ -78,7 +79,8 @@
   Send(claim_id, stored, context);
 }
 
-void ClaimDesk::Send(uint64_t claim_id, Pending& pending, Context& context) {
+void ClaimCoordinator::Send(uint64_t claim_id, Pending& pending,
+                            Context& context) {
   pending.delegate = DelegateFor(pending.key, context, pending.delegate);
   const NodeRef& self = context.identity.node;
   if (pending.delegate == self.name) {
@@ -97,15 +99,16 @@
                context);
 }
 
-void ClaimDesk::OnClaimRequest(const NodeRef& from, const ClaimRequest& request,
-                               Context& context) {
+void ClaimCoordinator::OnClaimRequest(const NodeRef& from,
+                                      const ClaimRequest& request,
+                                      Context& context) {
   for (const KeyClaim& claim : request.claims) {
     AddToBatch(from, claim, context);
   }
 }
 
-void ClaimDesk::AddToBatch(const NodeRef& asker, const KeyClaim& claim,
-                           Context& context) {
+void ClaimCoordinator::AddToBatch(const NodeRef& asker, const KeyClaim& claim,
+                                  Context& context) {
   const Batched batched{asker, claim};
   if (!context.identity.use_platform || gathering_.size() >= kMaxGathering) {
     Reply(batched, false, "", context);
@@ -116,7 +119,7 @@
   if (gathering_.size() >= kMaxBatch) Flush(context);
 }
 
-void ClaimDesk::Flush(Context& context) {
+void ClaimCoordinator::Flush(Context& context) {
   while (!gathering_.empty() && in_flight_.size() < kMaxBatchesInFlight) {
     const size_t count = std::min(gathering_.size(), kMaxBatch);
     Batch batch;
@@ -137,8 +140,8 @@
   flush_at_ = gathering_.empty() ? kNever : context.now + kGather;
 }
 
-bool ClaimDesk::OnPlatformReplied(const PlatformReplied& replied,
-                                  Context& context) {
+bool ClaimCoordinator::OnPlatformReplied(const PlatformReplied& replied,
+                                         Context& context) {
   const auto found = in_flight_.find(replied.op);
   if (found == in_flight_.end()) return false;
   const Batch batch = std::move(found->second);
@@ -152,8 +155,8 @@
   return true;
 }
 
-void ClaimDesk::Reply(const Batched& batched, bool known,
-                      const std::string& holder, Context& context) {
+void ClaimCoordinator::Reply(const Batched& batched, bool known,
+                             const std::string& holder, Context& context) {
   ClaimOutcome outcome;
   if (known) {
     const std::optional<ClaimOutcome> parsed = ParseHolder(holder);
@@ -169,7 +172,7 @@
   outbox_.Send(batched.asker.name, address, std::move(reply), context);
 }
 
-void ClaimDesk::OnClaimReply(const ClaimReply& reply, Context& context) {
+void ClaimCoordinator::OnClaimReply(const ClaimReply& reply, Context& context) {
   for (const ClaimOutcome& outcome : reply.outcomes) {
     Finish({outcome.claim_id, outcome.known, outcome.holder,
             outcome.holder_claim_id},
@@ -177,7 +180,7 @@
   }
 }
 
-void ClaimDesk::Finish(const ClaimResult& result, Context& context) {
+void ClaimCoordinator::Finish(const ClaimResult& result, Context& context) {
   const auto found = pending_.find(result.claim_id);
   if (found == pending_.end()) return;  // given up on, or answered twice
   deadlines_.Remove(found->second.give_up, result.claim_id);
@@ -186,7 +189,7 @@
   on_result(result, context);
 }
 
-void ClaimDesk::OnPeerLost(const std::string& peer, Context& context) {
+void ClaimCoordinator::OnPeerLost(const std::string& peer, Context& context) {
   std::vector<uint64_t> lost;
   for (const auto& [claim_id, pending] : pending_) {
     if (pending.delegate == peer) lost.push_back(claim_id);
@@ -203,14 +206,14 @@
   }
 }
 
-void ClaimDesk::OnTimer(Context& context) {
+void ClaimCoordinator::OnTimer(Context& context) {
   for (const uint64_t claim_id : deadlines_.TakeDue(context.now)) {
     Finish({claim_id, false, {}, 0}, context);
   }
   if (context.now >= flush_at_) Flush(context);
 }
 
-TimePoint ClaimDesk::next_timer() const {
+TimePoint ClaimCoordinator::next_timer() const {
   const bool can_flush = in_flight_.size() < kMaxBatchesInFlight;
   return std::min(deadlines_.next(), can_flush ? flush_at_ : kNever);
 }
--- a/src/libnode/entry/claim_coordinator.h
+++ b/src/libnode/entry/claim_coordinator.h
@@ -1,5 +1,5 @@
-#ifndef AMARANTHROUTE_LIBNODE_ENTRY_CLAIM_DESK_H_
-#define AMARANTHROUTE_LIBNODE_ENTRY_CLAIM_DESK_H_
+#ifndef AMARANTHROUTE_LIBNODE_ENTRY_CLAIM_COORDINATOR_H_
+#define AMARANTHROUTE_LIBNODE_ENTRY_CLAIM_COORDINATOR_H_
 
 // Claims of idempotency keys in the platform's table: asked for by this node's
 // own calls, and batched for its data centre where it is the delegate.
@@ -35,9 +35,9 @@
   uint64_t holder_claim_id = 0;
 };
 
-class ClaimDesk {
+class ClaimCoordinator {
  public:
-  ClaimDesk(Membership& membership, Outbox& outbox, Stats& stats);
+  ClaimCoordinator(Membership& membership, Outbox& outbox, Stats& stats);
 
   std::function<void(const ClaimResult&, Context&)> on_result;
 
@@ -91,4 +91,4 @@
 
 }  // namespace amaranth::pvt
 
-#endif  // AMARANTHROUTE_LIBNODE_ENTRY_CLAIM_DESK_H_
+#endif  // AMARANTHROUTE_LIBNODE_ENTRY_CLAIM_COORDINATOR_H_
--- a/src/libnode/membership/membership_spread.cc
+++ b/src/libnode/membership/membership_spread.cc
@@ -142,9 +142,9 @@
   }
 }
 
-// A caller sends a crash-maker again within milliseconds, to any node. Gossip
-// from neighbour to neighbour loses that race, and each lost race costs a
-// backend server; so the node that learned of it tells every node itself, one
+// A caller sends a poison request again within milliseconds, to any node.
+// Gossip from neighbour to neighbour loses that race, and each lost race costs
+// a backend server; so the node that learned of it tells every node itself, one
 // datagram each. Crashes are rare: at 1,600 nodes this is about 200 KB for one.
 void Membership::TellQuarantines(Context& context) {
   if (to_tell_.empty()) return;
--- a/src/libnode/node_state.h
+++ b/src/libnode/node_state.h
@@ -6,7 +6,7 @@
 #include <random>
 
 #include "amaranthroute/reducer.h"
-#include "libnode/entry/claim_desk.h"
+#include "libnode/entry/claim_coordinator.h"
 #include "libnode/entry/entry_role.h"
 #include "libnode/membership/membership.h"
 #include "libnode/peer_links.h"
@@ -49,7 +49,7 @@
   SettingsStore settings;
   SettingsCache settings_cache;
   ServingRole serving;
-  ClaimDesk claims;
+  ClaimCoordinator claims;
   EntryRole entry;
   PeerLinks links;
   StopState stop;
--- a/src/libnode/serving/crash_window.h
+++ b/src/libnode/serving/crash_window.h
@@ -7,7 +7,7 @@
 // reach the node one by one, between answers that were already on the way.
 // Blaming each reset alone would make suspects of requests whose server only
 // closed one connection; waiting for announcements to stop would take seconds,
-// in which the crash-maker reaches more servers. So the first reset opens a
+// in which the poison request reaches more servers. So the first reset opens a
 // window over the calls then in flight. If all of them end in a reset, or a
 // connection is refused while the window is open, the server crashed; if any
 // of them is answered, it did not.
