--- a/src/libhost/http_client.cc
+++ b/src/libhost/http_client.cc
@@ -329,9 +329,8 @@
         });
   }
 
-  // Sends what was just added. On a later turn it would cost the event loop a
-  // poll of its own for each request. What has ended already is told on a later
-  // turn, as promised.
+  // Sends what was just added in this turn, not behind all that is queued for
+  // the next one. What has ended already is told on a later turn, as promised.
   void Start() {
     int running = 0;
     curl_multi_socket_action(multi_, CURL_SOCKET_TIMEOUT, 0, &running);
