--- a/src/libnode/calls_test.cc
+++ b/src/libnode/calls_test.cc
@@ -44,6 +44,16 @@
 TEST_GROUP(Calls) {
   FakeFleet fleet{7};
 
+  // a1 takes the calls; a2 and a3 have a server each.
+  void StartTwoServers() {
+    fleet.AddNode("a1", "bilbao-a");
+    fleet.AddNode("a2", "bilbao-a");
+    fleet.AddNode("a3", "bilbao-a");
+    fleet.AddServer("a2", ServerOf("s2", "subscriptions"));
+    fleet.AddServer("a3", ServerOf("s3", "subscriptions"));
+    fleet.RunFor(kSettle);
+  }
+
   // Three hosts; catalogue calls subscriptions calls progress.
   void StartChain() {
     fleet.AddNode("a1", "bilbao-a");
@@ -213,12 +223,7 @@
 // link is pinged, and as no answer comes new calls go to the other server; the
 // link itself is kept, as a host that was only slow may still answer.
 TEST(Calls, CallsPassByASilentHostBeforeItsLinkIsDropped) {
-  fleet.AddNode("a1", "bilbao-a");
-  fleet.AddNode("a2", "bilbao-a");
-  fleet.AddNode("a3", "bilbao-a");
-  fleet.AddServer("a2", ServerOf("s2", "subscriptions"));
-  fleet.AddServer("a3", ServerOf("s3", "subscriptions"));
-  fleet.RunFor(kSettle);
+  StartTwoServers();
   fleet.Cut("a1", "a2");
   std::vector<uint64_t> calls;
   for (int i = 0; i < 200; ++i) {
@@ -237,12 +242,7 @@
 // Callers see whole answers throughout a planned stop of a node and its
 // server's host: the node tells the others, finishes what it has, and exits.
 TEST(Calls, APlannedStopCutsNoRequest) {
-  fleet.AddNode("a1", "bilbao-a");
-  fleet.AddNode("a2", "bilbao-a");
-  fleet.AddNode("a3", "bilbao-a");
-  fleet.AddServer("a2", ServerOf("s2", "subscriptions"));
-  fleet.AddServer("a3", ServerOf("s3", "subscriptions"));
-  fleet.RunFor(kSettle);
+  StartTwoServers();
   std::vector<uint64_t> calls;
   for (int i = 0; i < 600; ++i) {
     fleet.At(std::chrono::milliseconds(5) * i, [&] {
--- a/src/libnode/entry/admission.cc
+++ b/src/libnode/entry/admission.cc
@@ -58,7 +58,6 @@
 
 void Admission::EndPlace(Call& call, bool served, Duration target,
                          TimePoint now) {
-  if (!call.has_place) return;
   call.has_place = false;
   EndedRequest ended;
   ended.latency = now - call.started;
--- a/src/libnode/entry/admission.h
+++ b/src/libnode/entry/admission.h
@@ -6,7 +6,6 @@
 // class.
 
 #include <map>
-#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -35,7 +34,8 @@
 
   // Takes a place in the window of the request's class; false if it is full.
   bool TakePlace(Call& call, std::mt19937_64& random);
-  // The request has ended: `target` is its class's latency target.
+  // A request that has a place has ended: `target` is its class's latency
+  // target.
   void EndPlace(Call& call, bool served, Duration target, TimePoint now);
   // It has ended without news: its caller left.
   void AbandonPlace(Call& call);
@@ -48,9 +48,9 @@
     Tier tier = Tier::kStandard;
   };
 
-  // The window that gives way to a class of `tier` that waits too long: of the
-  // least important classes that waited, too, whose waits were for the same
-  // services as far as this node can see; else `own`.
+  // The window that gives way to the class of `own`, which waits too long: the
+  // least important one whose requests lately waited, too, for the same
+  // services as far as this node can see; else `own` itself.
   ClassWindow& GivesWayTo(ClassWindow& own);
 
   // Callers choose class names, but only known services get here.
--- a/src/libnode/entry/entry_finish.cc
+++ b/src/libnode/entry/entry_finish.cc
@@ -102,6 +102,7 @@
 // A route's time limit may be shorter than its target: then that is what its
 // requests have to end in.
 void EntryRole::EndPlace(Call& call, bool served, TimePoint now) {
+  if (!call.has_place) return;
   const Duration target =
       parts_.settings.Of(call.context.service, call.own_class).target_p99;
   admission_.EndPlace(call, served,
