What a backend server did, told while calls wait for it

Callers of browsing are refused although its services are up: "short" at size. From the callers' nodes a service that is short looks the same whether its slots stand idle, are held for longer than usual, or its node is too slow to fill them. Neither log nor metric told. Each serving node now logs a line a second for a server that calls wait for (slots, limit, in flight, ended, own time, longest wait, threshold) and counts what ended and for how long.

--- a/src/libnode/serving/local_server.cc
+++ b/src/libnode/serving/local_server.cc
@@ -86,8 +86,9 @@
 }
 
 void LocalServer::OnDispatched(uint64_t dispatch, uint64_t fingerprint,
-                               bool is_long) {
+                               bool is_long, Duration waited) {
   dispatches_[dispatch] = Dispatch{fingerprint, is_long};
+  load_.OnStarted(waited, in_flight());
   if (!is_long) return;
   ++long_in_flight_;
   limit_.SetLongInFlight(long_in_flight_);
@@ -106,6 +107,7 @@
   // Long work says nothing about how the server copes with ordinary calls.
   if (!is_long) limit_.OnSample(own_time, in_flight(), failed, now);
   dispatches_.erase(found);
+  load_.OnEnded(own_time);
   if (!failed) drain_.OnDone(now);
   if (is_long) return;
   // A try that timed out counts as slow as it was: without it a server slower
--- a/src/libnode/serving/local_server.h
+++ b/src/libnode/serving/local_server.h
@@ -16,6 +16,7 @@
 #include "amaranthroute/policy/shedder.h"
 #include "amaranthroute/settings.h"
 #include "libnode/serving/crash_window.h"
+#include "libnode/serving/load_window.h"
 
 namespace amaranth::pvt {
 
@@ -43,7 +44,8 @@
     return long_work_.Allows(long_in_flight_, limit_.limit());
   }
 
-  void OnDispatched(uint64_t dispatch, uint64_t fingerprint, bool is_long);
+  void OnDispatched(uint64_t dispatch, uint64_t fingerprint, bool is_long,
+                    Duration waited);
   // Ends a dispatch that was answered, or broke (`failed`). `own_time` is
   // `latency` without the waits for nested calls.
   void OnEnded(uint64_t dispatch, const CallKind& kind, Duration latency,
@@ -64,6 +66,7 @@
   Shedder& shedder() { return shedder_; }
   DrainMeter& drain() { return drain_; }
   CrashWindow& crash_window() { return crash_window_; }
+  LoadWindow& load() { return load_; }
 
   // Calls that were in flight at a crash wait here. Each runs with no other
   // call in flight, so that a second crash names the one that caused it.
@@ -99,6 +102,7 @@
   DrainMeter drain_;
   LongWorkShare long_work_;
   CrashWindow crash_window_;
+  LoadWindow load_;
   std::map<uint64_t, Dispatch> dispatches_;
   int long_in_flight_ = 0;
   Duration expected_service_{0};
--- a/src/libnode/serving/serving_role.cc
+++ b/src/libnode/serving/serving_role.cc
@@ -244,7 +244,8 @@
   hop.dispatched = context.now;
   const Duration timeout = DispatchTimeout(hop, server, context);
   hop.timeout_at = context.now + timeout;
-  server.OnDispatched(hop.id, hop.context.fingerprint, hop.context.long_work);
+  server.OnDispatched(hop.id, hop.context.fingerprint, hop.context.long_work,
+                      context.now - hop.arrived);
   stats_.Observe("node", "queue", "dispatched", context.now - hop.arrived);
   context.Emit(SendServer{hop.id, hop.server, server.record().address,
                           RequestFor(hop, context.now), timeout});
--- a/src/libnode/serving/serving_role.h
+++ b/src/libnode/serving/serving_role.h
@@ -104,6 +104,8 @@
   std::vector<uint64_t> WaitingAt(const std::string& server) const;
   void RefuseUndrained(LocalServer& server, Context& context);
   void CheckServers(Context& context);
+  // Once a second: what the server did, and a line if calls waited for it.
+  void TellLoad(LocalServer& server, Context& context);
   // Gives up on waiting calls that are past deadline or patience.
   void DropExpired(LocalServer& server, Context& context);
   void RemoveServer(const std::string& name, Context& context);
--- a/src/libnode/serving/serving_servers.cc
+++ b/src/libnode/serving/serving_servers.cc
@@ -15,6 +15,9 @@
 constexpr size_t kMaxLocalServers = 64;
 constexpr size_t kMaxNameLength = 100;
 
+// A second in which no call waited longer for a slot has nothing to explain.
+constexpr Duration kWorthTelling = std::chrono::milliseconds(10);
+
 std::optional<Endpoint> ParseEndpoint(const std::string& text) {
   const size_t colon = text.rfind(':');
   if (colon == std::string::npos || colon == 0) return std::nullopt;
@@ -247,6 +250,29 @@
   RefuseAll(expired, Reason::kDeadline, context);
 }
 
+void ServingRole::TellLoad(LocalServer& server, Context& context) {
+  LoadWindow::Summary load;
+  if (!server.load().TakeDue(context.now, load)) return;
+  const std::string label = "service=\"" + server.record().service + "\"";
+  stats_.Count("amaranth_server_ended_total", label, load.ended);
+  stats_.Count("amaranth_server_busy_us_total", label,
+               load.ended * static_cast<uint64_t>(load.mean_own_time.count()));
+  if (load.longest_wait < kWorthTelling && server.queue().size() == 0) return;
+  const LoadReport report = server.Report(context.now);
+  std::string text = "Calls wait for backend server " + report.server;
+  text += ": service=" + server.record().service;
+  text += " slots=" + std::to_string(server.record().slots);
+  text += " limit=" + std::to_string(report.limit);
+  text += " mean_in_flight=" + std::to_string(load.mean_in_flight);
+  text += " queued=" + std::to_string(report.queued);
+  text += " ended=" + std::to_string(load.ended);
+  text += " own_us=" + std::to_string(load.mean_own_time.count());
+  text +=
+      " longest_wait_ms=" + std::to_string(ToMillis(load.longest_wait));
+  text += " threshold=" + std::to_string(report.shed_threshold);
+  context.Log(LogLevel::kInfo, kPart, std::move(text));
+}
+
 void ServingRole::CheckServers(Context& context) {
   std::vector<std::string> silent;
   for (auto& [name, server] : servers_) {
@@ -254,6 +280,7 @@
     DropExpired(server, context);
     RefuseUndrained(server, context);
     Pump(server, context);
+    TellLoad(server, context);
     // Four lost announcements, and no answer in that time either. Shorter would
     // drop servers that are merely busy, longer would keep sending work to dead
     // ones.
