--- a/src/libnode/serving/serving_servers.cc
+++ b/src/libnode/serving/serving_servers.cc
@@ -258,18 +258,15 @@
   stats_.Count("amaranth_server_busy_us_total", label,
                load.ended * static_cast<uint64_t>(load.mean_own_time.count()));
   if (load.longest_wait < kWorthTelling && server.queue().size() == 0) return;
-  const LoadReport report = server.Report(context.now);
-  std::string text = "Calls wait for backend server " + report.server;
+  std::string text = "Calls wait for backend server " + server.record().server;
   text += ": service=" + server.record().service;
   text += " slots=" + std::to_string(server.record().slots);
-  text += " limit=" + std::to_string(report.limit);
+  text += " limit=" + std::to_string(server.limit());
   text += " mean_in_flight=" + std::to_string(load.mean_in_flight);
-  text += " queued=" + std::to_string(report.queued);
+  text += " queued=" + std::to_string(server.queue().size());
   text += " ended=" + std::to_string(load.ended);
   text += " own_us=" + std::to_string(load.mean_own_time.count());
-  text +=
-      " longest_wait_ms=" + std::to_string(ToMillis(load.longest_wait));
-  text += " threshold=" + std::to_string(report.shed_threshold);
+  text += " longest_wait_ms=" + std::to_string(ToMillis(load.longest_wait));
   context.Log(LogLevel::kInfo, kPart, std::move(text));
 }
 
