amaranthd allocates by mimalloc

What callers saw: browsing short at size.

A profile of such a node in the burst (perf, 271 samples): libcurl 43%, the reducer 20%, links between nodes 14%; malloc and free, within these, 18%.

Not done: libcurl's share, which a client of our own would cut; that is the open issue after this one.

--- a/src/cmake/install_packages.sh
+++ b/src/cmake/install_packages.sh
@@ -6,7 +6,7 @@
   librestinio-dev libasio-dev libhttp-parser-dev libfmt-dev
   libthrift-dev thrift-compiler libboost-dev libcpputest-dev librapidcheck-dev
   libcxxopts-dev libspdlog-dev libcurl4-openssl-dev nlohmann-json3-dev
-  libxxhash-dev libssl-dev spin gnuplot-nox python3
+  libxxhash-dev libssl-dev libmimalloc-dev spin gnuplot-nox python3
 )
 missing=()
 for package in "${packages[@]}"; do
