A window gives way by half: in a surge it had found its size when it was over

What callers saw: of the first six seconds of a burst some 500 requests in each two failed, after 0.8 s and half of their calls.

Cause: a window shrank to 0.8, once a request's latency. From unlimited to a third of what is under way that is five steps of most of a second. Class: a step that is small against the disturbance, on a slow signal.

The size after one step in OneLateForWaiting... is 5 of 10 instead of 8 of 10, as the step is. Growth is 0.5 instead of 0.2 a request, so that a window is back after two round trips as before; TheLimitEndsWithTheLoad holds as it stood (it failed with 0.2).

--- a/src/include/amaranthroute/policy/admission_window.h
+++ b/src/include/amaranthroute/policy/admission_window.h
@@ -38,14 +38,13 @@
   /// for at least this part of its target: work that is long by itself is not
   /// made shorter by letting in less.
   double least_wait = 0.2;
-  /// What one such request leaves of the window. In the model of its test 0.5
-  /// and 0.8 end alike up to twice the capacity, 0.9 is too slow there; at four
-  /// times 0.5 is better by far, which was not measured on a mesh yet.
-  double shrink = 0.8;
-  /// Requests that end in time add this over one window of them, up to the size
-  /// at which it last shrank: back there from 0.8 of it after two round trips.
-  /// Half and twice of it end alike in the model.
-  double grow = 0.2;
+  /// What one such request leaves of the window. Each step takes a request's
+  /// whole latency to be felt: in small ones a surge of several times the
+  /// capacity is over before the window has found its size.
+  double shrink = 0.5;
+  /// A request that ends in time adds this, up to the size at which the window
+  /// last shrank: it is back there from a half of it after two round trips.
+  double grow = 0.5;
   /// ... and this many requests over one window beyond that size. From 0.1 to
   /// 2 all end alike in the model.
   double probe = 0.5;
