The search for slots tries again a second after a trial that told nothing

A turn may now have three tenths of such calls: what they add to it, they add to both numbers, and a server that is asked for less than it can do shows no gain at either.

--- a/src/include/amaranthroute/policy/admission_queue.h
+++ b/src/include/amaranthroute/policy/admission_queue.h
@@ -113,8 +113,8 @@
   /// ended.
   static size_t CapacityForWait(size_t least, int slots, Duration service,
                                 Duration max_wait = kSteeringWait);
-  /// Twice what cuts the lowest group whole; the 256 places of a server with 15
-  /// slots of 17 ms, for which the steering was measured.
+  /// A third more than the wait at which the threshold has cut the lowest group
+  /// of levels whole (ShedderOptions::calm_wait and group_wait).
   static constexpr Duration kSteeringWait = std::chrono::milliseconds(300);
 
   /// Changes the bounds; calls that wait stay, also beyond a lower capacity.
--- a/src/libpolicy/slot_search.cc
+++ b/src/libpolicy/slot_search.cc
@@ -13,8 +13,11 @@
 // this many mean times.
 constexpr double kSettleTimes = 2.0;
 // Part of a turn's calls that may leave a free slot: with more, what the server
-// ends is what it is asked for, and says nothing of its capacity.
-constexpr double kMostUnwaited = 0.1;
+// ends is what it is asked for, and says nothing of its capacity. Windows that
+// hold a short queue let it run empty now and then.
+constexpr double kMostUnwaited = 0.3;
+// A trial that told nothing is made again after this.
+constexpr Duration kRetryTrial = std::chrono::seconds(1);
 // Part of what its additional slots would bring by their number that the larger
 // of two numbers has to bring, to be worth taking.
 constexpr double kLeastWorth = 0.5;
@@ -118,7 +121,7 @@
 void SlotSearch::EndTurn(TimePoint now) {
   if (unwaited_ > kMostUnwaited * ended_) {
     AbandonTrial();
-    next_search_ = now + options_.recheck;
+    next_search_ = now + kRetryTrial;
     return;
   }
   const double seconds =
