--- a/src/libnode/overload_test.cc
+++ b/src/libnode/overload_test.cc
@@ -84,7 +84,8 @@
     change.target = "/settings";
     change.body = Body(R"({"changes":[{"path":")" + path + R"(","name":")" +
                        name + R"(","value":")" + value + R"("}]})");
-    CHECK_EQUAL(200, fleet.Operator("a1", std::move(change)).status);
+    const HttpResponse accepted = fleet.Operator("a1", std::move(change));
+    CHECK_EQUAL(200, accepted.status);
     fleet.RunFor(std::chrono::seconds(5));
   }
 
