--- a/src/include/amaranthroute/policy/admission_window.h
+++ b/src/include/amaranthroute/policy/admission_window.h
@@ -31,8 +31,7 @@
 /// Targets and steps of an AdmissionWindow.
 struct AdmissionWindowOptions {
   /// Part of its latency target by which a request should have ended. The rest
-  /// covers the spread of a call chain's time around its mean: at 1.0, 7 to
-  /// 36 in a hundred of what is let in end late in the model.
+  /// covers the spread of a call chain's time around its mean.
   double goal = 0.8;
   /// A request that ended after that is a sign of overload only if it waited
   /// for at least this part of its target: work that is long by itself is not
@@ -45,8 +44,7 @@
   /// A request that ends in time adds this, up to the size at which the window
   /// last shrank: it is back there from a half of it after two round trips.
   double grow = 0.5;
-  /// ... and this many requests over one window beyond that size. From 0.1 to
-  /// 2 all end alike in the model.
+  /// ... and this many requests over one window beyond that size.
   double probe = 0.5;
   /// Never smaller: some requests must flow to tell of the recovery.
   double smallest = 1.0;
--- a/src/include/amaranthroute/policy/caller_shares.h
+++ b/src/include/amaranthroute/policy/caller_shares.h
@@ -5,10 +5,10 @@
 ///
 /// Load pattern: one caller, or a few, ask for most of what a service can do.
 /// Shedding by request alone takes the same share of every caller's requests:
-/// with one at three times the capacity, nine quiet ones lose half of theirs
-/// (measured: 0.529 of their calls good). Here a caller that asks for more than
-/// its fair share gets lower shedding levels in proportion, so that its surplus
-/// is shed first. Nothing changes for anybody while nothing is shed.
+/// with one at three times the capacity, nine quiet ones lose half of theirs.
+/// Here a caller that asks for more than its fair share gets lower shedding
+/// levels in proportion, so that its surplus is shed first. Nothing changes for
+/// anybody while nothing is shed.
 
 #include <cstdint>
 #include <string>
--- a/src/include/amaranthroute/policy/concurrency_limit.h
+++ b/src/include/amaranthroute/policy/concurrency_limit.h
@@ -25,7 +25,7 @@
 
 /// Bounds and steps of a ConcurrencyLimit.
 struct ConcurrencyLimitOptions {
-  /// Limit before anything was measured; clamped to floor and ceiling.
+  /// Limit before the first window; clamped to floor and ceiling.
   int initial = 20;
   /// Never below: one call at a time is what a measurement needs.
   int floor = 1;
@@ -39,8 +39,7 @@
   double tolerance = 1.5;
   /// Size of one trial cut. Under congestion it takes 35% off the latency and
   /// otherwise nothing; the bound between, 17%, is nearly two spreads of the
-  /// difference of two means of 200 samples (10%) from either. At 0.75 it
-  /// is one, and the limit wandered between 12 and 40 with a knee at 20.
+  /// difference of two means of 200 samples (10%) from either.
   double cut = 0.65;
   /// Raise per calm window; 1.25 goes from 10 to 100 slots in 11 windows.
   double raise = 1.25;
@@ -51,23 +50,21 @@
   /// the mean of exponential service times within 10%.
   int window_samples = 100;
   Duration min_window = std::chrono::milliseconds(50);
-  /// A window of a slow server closes at this age with fewer samples. At 1 s a
-  /// server with 10 slots and 200 ms of service was judged by 40 samples and
-  /// lost a third of its slots to chance.
+  /// A window of a slow server closes at this age with fewer samples. Sooner, a
+  /// server with few slots would be judged by chance.
   Duration max_window = std::chrono::seconds(5);
   int min_samples = 10;
   /// A trial ends early, after this many samples or more, once they are this
   /// many times likelier if nothing was gained than if the cut had cured
-  /// congestion (Wald's sequential test, for exponential times). A vain trial
-  /// of a server with 10 slots and 50 ms then costs a third of the slots for
-  /// about 0.5 s instead of 1.9 s. Error: one in 33, tried again after
-  /// recheck_period.
+  /// congestion (Wald's sequential test, for exponential times): a vain trial
+  /// costs a third of the slots while it lasts. Error: one in 33, tried again
+  /// after recheck_period.
   int min_trial_samples = 20;
   double vain_odds = 33;
   /// A baseline that may hold a queue (first measured under load, raised by a
   /// verdict, or crept up) is checked by one more trial after this long. It
   /// costs a third of the slots for a window or two, so it is not made without
-  /// such a reason: made every 30 s it cost the lowest tiers calls each time.
+  /// such a reason.
   Duration recheck_period = std::chrono::seconds(2);
 };
 
--- a/src/include/amaranthroute/policy/server_picker.h
+++ b/src/include/amaranthroute/policy/server_picker.h
@@ -43,8 +43,8 @@
 /// Bounds of the choice.
 struct PickOptions {
   /// Part of the calls that may leave the data centre while its servers are
-  /// usable but full. Chosen, not measured: a data centre that is asked for
-  /// twice its capacity puts 0.4 of it on all the others together.
+  /// usable but full: one that is asked for twice its capacity puts 0.4 of it
+  /// on all the others together.
   double spill_share = 0.2;
 };
 
--- a/src/include/amaranthroute/policy/shedder.h
+++ b/src/include/amaranthroute/policy/shedder.h
@@ -55,10 +55,8 @@
 /// Targets and steps of a Shedder.
 struct ShedderOptions {
   /// Age of the oldest waiting call that is no overload. The oldest is of the
-  /// lowest tier let in, which waits for all others: at 40 ms a server with 10
-  /// slots kept 97.4% of its capacity busy at twice the load, at 80 ms 98.3%,
-  /// at 120 ms 98.8% (ten trial runs each), while overload is seen a window
-  /// later with each 80 ms.
+  /// lowest tier let in, which waits for all others: with less, a server with
+  /// few slots runs out of calls by chance; with more, overload is seen later.
   Duration target_delay = std::chrono::milliseconds(80);
   /// ... and never less than this many usual service times: with 10 slots and
   /// 200 ms of service one call's turn is half of that.
--- a/src/libnode/serving/local_server.cc
+++ b/src/libnode/serving/local_server.cc
@@ -13,9 +13,8 @@
 // within about ten answers without jumping at each.
 constexpr double kServiceWeight = 0.1;
 
-// The shedder's target in queue targets: 80 ms with the default of 20 ms; see
-// ShedderOptions::target_delay for what was measured. The queue, which only
-// changes its order, acts first.
+// The shedder's target in queue targets: 80 ms with the default of 20 ms. The
+// queue, which only changes its order, acts first.
 constexpr int kShedderTargets = 4;
 
 // Callers choose class names: the table must not grow with them.
