One moving average of a duration and one clamp to a message's microseconds

LocalServer and ServerChoice each wrote the average, LocalServer::Report and ServingRole::SendAnswer each the clamp to 32 bits. Both stand once now, in libnode/shared/durations.h; arithmetic and weights are the same. No behaviour changes.

--- a/src/libnode/entry/server_choice.cc
+++ b/src/libnode/entry/server_choice.cc
@@ -5,6 +5,7 @@
 
 #include "amaranthroute/policy/shedder.h"
 #include "amaranthroute/policy/slow_start.h"
+#include "libnode/shared/durations.h"
 
 namespace amaranth::pvt {
 namespace {
@@ -139,11 +140,7 @@
   if (seen.in_flight > 0) --seen.in_flight;
   seen.used = now;
   if (latency && !failed) {
-    const double mean = static_cast<double>(seen.latency.count());
-    const double sample = static_cast<double>(latency->count());
-    seen.latency = mean == 0 ? *latency
-                             : Duration(static_cast<int64_t>(
-                                   mean + kLatencyWeight * (sample - mean)));
+    seen.latency = MovingAverage(seen.latency, *latency, kLatencyWeight);
   }
   if (latency || failed) {
     outliers_[service].OnResult(server_key, latency.value_or(Duration(0)),
--- a/src/libnode/serving/local_server.cc
+++ b/src/libnode/serving/local_server.cc
@@ -1,7 +1,8 @@
 #include "libnode/serving/local_server.h"
 
 #include <algorithm>
-#include <limits>
+
+#include "libnode/shared/durations.h"
 
 namespace amaranth::pvt {
 namespace {
@@ -20,14 +21,6 @@
 // Callers choose class names: the table must not grow with them.
 constexpr size_t kMaxKinds = 256;
 
-Duration Averaged(Duration mean, Duration sample) {
-  if (mean == Duration::zero()) return sample;
-  const double before = static_cast<double>(mean.count());
-  const double newest = static_cast<double>(sample.count());
-  return Duration(
-      static_cast<int64_t>(before + kServiceWeight * (newest - before)));
-}
-
 int SlotsOf(const ServerRecord& record, const EffectiveSettings& settings) {
   if (settings.fixed_limit > 0) return static_cast<int>(settings.fixed_limit);
   if (record.slots > 0) return static_cast<int>(record.slots);
@@ -127,11 +120,12 @@
   // A try that timed out counts as slow as it was: without it a server slower
   // than the timeout would never be seen to be slow.
   if (!failed || latency >= expected_service_) {
-    expected_service_ = Averaged(expected_service_, latency);
+    expected_service_ =
+        MovingAverage(expected_service_, latency, kServiceWeight);
   }
   const Duration of_kind = ExpectedService(kind);
   if ((!failed || latency >= of_kind) && HasPlaceFor(kind)) {
-    expected_by_kind_[kind] = Averaged(of_kind, latency);
+    expected_by_kind_[kind] = MovingAverage(of_kind, latency, kServiceWeight);
   }
   shedder_.OnServiceTime(expected_service_);
 }
@@ -162,9 +156,7 @@
   report.limit = static_cast<uint32_t>(limit());
   report.queued = static_cast<uint32_t>(queue_.size());
   report.shed_threshold = shedder_.Threshold(now);
-  const int64_t turn = expected_service_.count() / std::max(1, limit());
-  report.turn_us = static_cast<uint32_t>(
-      std::clamp<int64_t>(turn, 0, std::numeric_limits<uint32_t>::max()));
+  report.turn_us = ToWireMicros(expected_service_ / std::max(1, limit()));
   return report;
 }
 
--- a/src/libnode/serving/serving_role.cc
+++ b/src/libnode/serving/serving_role.cc
@@ -1,11 +1,11 @@
 #include "libnode/serving/serving_role.h"
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 #include "amaranthroute/policy/progress_watch.h"
 #include "libnode/shared/answers.h"
+#include "libnode/shared/durations.h"
 
 namespace amaranth::pvt {
 namespace {
@@ -31,11 +31,6 @@
   return hop.timeout_at != kNever && now >= hop.timeout_at;
 }
 
-uint32_t ToWholeMicros(Duration time) {
-  return static_cast<uint32_t>(std::clamp<int64_t>(
-      time.count(), 0, std::numeric_limits<uint32_t>::max()));
-}
-
 bool IsRefusal(const HttpResponse& response) {
   return !FindHeader(response.headers, kRefusedHeader).empty();
 }
@@ -522,8 +517,8 @@
   if (found != servers_.end()) answer.load = found->second.Report(context.now);
   answer.load.downstream_threshold = hop.downstream_threshold;
   answer.made_calls = hop.nested_calls > 0;
-  answer.times.held_us = ToWholeMicros(context.now - hop.arrived);
-  answer.times.waited_us = ToWholeMicros(hop.Waited(context.now));
+  answer.times.held_us = ToWireMicros(context.now - hop.arrived);
+  answer.times.waited_us = ToWireMicros(hop.Waited(context.now));
   outbox_.Send(hop.entry.name, hop.entry_address, std::move(answer), context);
 }
 
