The search for slots keeps less state, and a comment no longer tells of counting

A trial's current number was always the limit, and calls that left a free slot were counted outside of a turn only to be thrown away. Both are gone; verdicts are the same. The comment on a link's options says what they would cost, not when that was counted. No behaviour changes.

--- a/src/include/amaranthroute/policy/slot_search.h
+++ b/src/include/amaranthroute/policy/slot_search.h
@@ -62,9 +62,8 @@
   int limit() const;
 
  private:
-  // Two numbers of slots that are compared.
+  // Another number of slots, compared with limit_.
   struct Trial {
-    int current = 0;
     int candidate = 0;
     std::vector<double> rates;  // of the turns so far, calls a second
   };
@@ -73,7 +72,7 @@
   bool IsCandidatesTurn() const { return trial_.rates.size() % 2 == 1; }
   int StepOf(double share) const;
   void Watch(bool calls_wait, TimePoint now);
-  void Measure(TimePoint now);
+  void Measure(bool calls_wait, TimePoint now);
   void BeginTrial(int candidate, TimePoint now);
   void BeginTurn(TimePoint now);
   void EndTurn(TimePoint now);
@@ -97,7 +96,7 @@
   TimePoint measured_since_{};  // kNever while the turn settles
   TimePoint settled_at_{};
   int ended_ = 0;     // in this turn, or while watched
-  int unwaited_ = 0;  // of these, calls that left a free slot
+  int unwaited_ = 0;  // of this turn, calls that left a free slot
 };
 
 }  // namespace amaranth
--- a/src/libhost/peer_link.cc
+++ b/src/libhost/peer_link.cc
@@ -123,8 +123,8 @@
   on_end(*self);
 }
 
-// Once a connection: at each read they were two of a call's fourteen system
-// calls at the serving node (counted at 3,000 calls a second).
+// The options are set once a connection: at each read they would be two system
+// calls of every call.
 void PeerLink::StartReading() {
   asio::error_code ignored;
   socket_.non_blocking(true, ignored);
--- a/src/libpolicy/slot_search.cc
+++ b/src/libpolicy/slot_search.cc
@@ -62,9 +62,8 @@
       mean_own_time_ == 0
           ? micros
           : mean_own_time_ + kTimeWeight * (micros - mean_own_time_);
-  if (!calls_wait) ++unwaited_;
   if (InTrial()) {
-    Measure(now);
+    Measure(calls_wait, now);
   } else {
     Watch(calls_wait, now);
   }
@@ -74,7 +73,7 @@
 void SlotSearch::Watch(bool calls_wait, TimePoint now) {
   if (now < next_search_) return;
   if (!calls_wait) {
-    ended_ = unwaited_ = 0;
+    ended_ = 0;
     return;
   }
   if (++ended_ < options_.turn_calls) return;
@@ -90,7 +89,7 @@
 
 void SlotSearch::BeginTrial(int candidate, TimePoint now) {
   if (candidate < 1) return Rest(now);
-  trial_ = Trial{limit_, candidate, {}};
+  trial_ = Trial{candidate, {}};
   BeginTurn(now);
 }
 
@@ -101,14 +100,14 @@
   ended_ = unwaited_ = 0;
 }
 
-void SlotSearch::Measure(TimePoint now) {
+void SlotSearch::Measure(bool calls_wait, TimePoint now) {
   if (now < settled_at_) return;
   if (measured_since_ == kNever) {
     measured_since_ = now;
-    ended_ = unwaited_ = 0;
     return;
   }
   ++ended_;
+  if (!calls_wait) ++unwaited_;
   const Duration length = now - measured_since_;
   const bool full =
       ended_ >= options_.turn_calls && length >= options_.least_turn;
@@ -134,14 +133,13 @@
 
 bool SlotSearch::CandidateIsBetter() const {
   const double gain = MedianGain(trial_.rates) - 1;
-  if (trial_.candidate < trial_.current) return gain > options_.least_gain;
-  const double more =
-      static_cast<double>(trial_.candidate) / trial_.current - 1;
+  if (trial_.candidate < limit_) return gain > options_.least_gain;
+  const double more = static_cast<double>(trial_.candidate) / limit_ - 1;
   return gain > kLeastWorth * more;
 }
 
 void SlotSearch::Judge(TimePoint now) {
-  const int step = trial_.candidate - trial_.current;
+  const int step = trial_.candidate - limit_;
   if (CandidateIsBetter()) {
     AfterGain(step, now);
   } else {
