--- a/src/include/amaranthroute/messages.h
+++ b/src/include/amaranthroute/messages.h
@@ -5,6 +5,7 @@
 /// Thrift's compact protocol; the reducer sees only these.
 
 #include <cstdint>
+#include <optional>
 #include <ostream>
 #include <string>
 #include <string_view>
@@ -13,6 +14,7 @@
 
 #include "amaranthroute/http.h"
 #include "amaranthroute/ids.h"
+#include "amaranthroute/policy/server_judge.h"
 #include "amaranthroute/time.h"
 #include "amaranthroute/verdict.h"
 
@@ -63,6 +65,9 @@
   /// Time in which the server ends one call while all its slots are busy; 0 if
   /// not measured. By it a report is brought up to date as it ages.
   uint32_t turn_us = 0;
+  /// Time of this very call in the server itself, without the calls that it
+  /// made, microseconds; 0 if it was not served.
+  uint32_t own_us = 0;
 };
 
 /// First frame on a peer link, in both directions.
@@ -78,6 +83,9 @@
   std::string server;
   CallContext context;
   HttpRequest request;
+  /// What a call of this kind usually takes in a server of this service, by the
+  /// answers that the entry node had, microseconds; 0 if it had none.
+  uint32_t usual_us = 0;
 };
 
 /// How a serving node spent the time for which it held a call.
@@ -175,6 +183,8 @@
   Endpoint address;
   uint32_t slots = 0;
   bool draining = false;
+  /// As the node beside it judges it by all of its calls.
+  ServerFitness fitness;
 };
 
 /// One node as the fleet knows it. (incarnation, version) only rises; the
@@ -237,6 +247,9 @@
   std::string target;       ///< kPingRequest: name of the node to probe
   Endpoint target_address;  ///< kPingRequest
   uint64_t settings_version = 0;
+  /// How long ago the platform was known to hold nothing newer than
+  /// `settings_version`; nothing if the sender does not know.
+  std::optional<Duration> settings_confirmed;
   uint64_t membership_hash = 0;
   std::vector<MemberRecord> updates;
   std::vector<QuarantineRecord> quarantines;
--- a/src/include/amaranthroute/policy/server_picker.h
+++ b/src/include/amaranthroute/policy/server_picker.h
@@ -33,11 +33,13 @@
   uint32_t limit = 0;      ///< from its last answer; 0 unknown
   uint32_t queued = 0;     ///< from its last answer
   Duration latency{0};     ///< own moving average; 0 unknown
-  bool local = true;       ///< in the caller's data centre
-  double weight = 1.0;     ///< slow start, 0 to 1
-  bool ejected = false;    ///< by OutlierDetector
-  bool suspect = false;    ///< its node is suspected to be gone
-  bool excluded = false;   ///< already tried for this request
+  /// Factor on its expected wait, by what the node beside it tells: 1 if sound.
+  double penalty = 1.0;
+  bool local = true;      ///< in the caller's data centre
+  double weight = 1.0;    ///< slow start, 0 to 1
+  bool ejected = false;   ///< by OutlierDetector
+  bool suspect = false;   ///< its node is suspected to be gone
+  bool excluded = false;  ///< already tried for this request
 };
 
 /// Bounds of the choice.
--- a/src/libnode/entry/entry_attempts.cc
+++ b/src/libnode/entry/entry_attempts.cc
@@ -4,6 +4,7 @@
 
 #include "amaranthroute/policy/retry_after.h"
 #include "libnode/entry/entry_role.h"
+#include "libnode/shared/durations.h"
 
 namespace amaranth::pvt {
 namespace {
@@ -98,8 +99,10 @@
   forward.context.remaining = RemainingFor(call, context.now);
   forward.context.retry_credits = attempt.lent;
   forward.request = call.request;
+  forward.usual_us = ToWireMicros(usual_times_.Of(call.context));
 
   const std::string server_key = ServerKey(place.node, place.server);
+  CountChoice(server_key, context.now);
   call.tried.insert(server_key);
   ++call.tries;
   SetAttempt(call, attempt);
@@ -110,6 +113,15 @@
                      context);
 }
 
+void EntryRole::CountChoice(const std::string& server_key, TimePoint now) {
+  const std::optional<Duration> age = choice_.ReportAge(server_key, now);
+  if (!age) {
+    parts_.stats.Count("amaranth_choices_unreported_total");
+    return;
+  }
+  parts_.stats.Observe("node", "choice", "report-age", *age);
+}
+
 void EntryRole::OnCallAnswer(const NodeRef& from, const CallAnswer& answer,
                              Context& context) {
   // Answers are matched by ids unique to this incarnation and must come from
@@ -175,6 +187,9 @@
   if (!load.server.empty()) {
     choice_.OnReport(ServerKey(call.attempt->node.name, load.server), load,
                      context.now);
+    if (load.own_us > 0) {
+      usual_times_.Learn(call.context, Duration(load.own_us));
+    }
   }
   // A call that was refused unrun has asked nothing of the services below: its
   // zero is no news, and would let in what they go on turning away.
--- a/src/libnode/entry/entry_role.h
+++ b/src/libnode/entry/entry_role.h
@@ -18,6 +18,7 @@
 #include "libnode/entry/claim_coordinator.h"
 #include "libnode/entry/key_registry.h"
 #include "libnode/entry/server_choice.h"
+#include "libnode/entry/usual_times.h"
 #include "libnode/membership/membership.h"
 #include "libnode/serving/serving_role.h"
 #include "libnode/settings/settings_cache.h"
@@ -112,6 +113,8 @@
   // before failed) cannot be paid for.
   bool TryNext(Call& call, const std::optional<Reason>& last, Context& context);
   void SendAttempt(Call& call, const ServerPlace& place, Context& context);
+  // For metrics: how old what is known of the chosen server is.
+  void CountChoice(const std::string& server_key, TimePoint now);
   Duration RemainingFor(const Call& call, TimePoint now) const;
   void OnAttemptAnswer(Call& call, const CallAnswer& answer, Context& context);
   void OnAttemptFailed(Call& call, Failure failure, Context& context);
@@ -154,6 +157,7 @@
 
   Parts parts_;
   ServerChoice choice_;
+  UsualTimes usual_times_;
   RecentSet answered_;  // fingerprints that were answered lately
   KeyRegistry keys_;
   Admission admission_;
--- a/src/libnode/entry/server_choice.cc
+++ b/src/libnode/entry/server_choice.cc
@@ -21,6 +21,15 @@
 constexpr Duration kForgetAfter = std::chrono::minutes(2);
 constexpr double kLatencyWeight = 0.2;
 
+// A failing server is called where each of the others would be waited for so
+// many times longer: left out altogether, it would take from a service that is
+// short of slots what it still does, and all would be left out where all fail.
+constexpr double kFailingPenalty = 5;
+
+double PenaltyOf(const ServerFitness& fitness) {
+  return fitness.slowdown * (fitness.failing ? kFailingPenalty : 1);
+}
+
 }  // namespace
 
 std::string ServerKey(const std::string& node, const std::string& server) {
@@ -45,6 +54,7 @@
     view.weight *= outliers->second.Weight(key, now);
   }
   view.excluded = tried.count(key) > 0;
+  view.penalty = PenaltyOf(place.fitness);
   const auto found = seen_.find(key);
   if (found == seen_.end()) return view;
   const Seen& seen = found->second;
@@ -55,6 +65,8 @@
     view.limit = seen.report.limit;
     view.queued = seen.report.queued;
     if (seen.report.turn_us > 0) BringUpToDate(seen, now, view);
+    // A fresh report tells by itself how slow the server is.
+    view.penalty = PenaltyOf({place.fitness.failing, 1});
   }
   if (level && *level < ThresholdOf(seen, now)) view.excluded = true;
   return view;
@@ -126,6 +138,15 @@
   return places[*picked];
 }
 
+std::optional<Duration> ServerChoice::ReportAge(const std::string& server_key,
+                                                TimePoint now) const {
+  const auto found = seen_.find(server_key);
+  if (found == seen_.end() || found->second.reported == TimePoint{}) {
+    return std::nullopt;
+  }
+  return now - found->second.reported;
+}
+
 void ServerChoice::OnSent(const std::string& server_key) {
   Seen& seen = seen_[server_key];
   ++seen.in_flight;
--- a/src/libnode/entry/server_choice.h
+++ b/src/libnode/entry/server_choice.h
@@ -2,8 +2,9 @@
 #define AMARANTHROUTE_LIBNODE_ENTRY_SERVER_CHOICE_H_
 
 // What this entry node knows of other hosts' backend servers from its own
-// calls, and the choice among them. Health and load endpoints play no part:
-// they lag and mislead; an answer's own latency and load report do not.
+// calls and from the nodes beside them, and the choice among them. Health and
+// load endpoints play no part: they lag and mislead; an answer's own latency
+// and load report do not.
 
 #include <map>
 #include <optional>
@@ -59,6 +60,9 @@
   // wait for what becomes of this one.
   void OnTried(const std::string& node, TimePoint now);
   void OnReached(const std::string& node) { unreachable_.erase(node); }
+  // How old the server's last report is; nothing if there is none.
+  std::optional<Duration> ReportAge(const std::string& server_key,
+                                    TimePoint now) const;
   // Whether a fresh report says that the server has a free slot and no queue.
   bool HasRoom(const std::string& server_key, TimePoint now) const;
   // Forgets servers that nobody has used or reported for a while.
--- a/src/libnode/entry/server_choice_test.cc
+++ b/src/libnode/entry/server_choice_test.cc
@@ -117,4 +117,58 @@
   CHECK_EQUAL(100, SentTo("a", 100));
 }
 
+// NOLINTNEXTLINE(readability-identifier-naming)
+TEST_GROUP(JudgedServers) {
+  ServerChoice choice{"here"};
+  EffectiveSettings settings;
+  std::vector<ServerPlace> places;
+  std::mt19937_64 random{4};
+
+  // Of a hundred calls, how many go to servers that `bad` holds for.
+  template <typename Predicate>
+  int SentTo(Predicate bad) {
+    int sent = 0;
+    for (int i = 0; i < 100; ++i) {
+      const std::optional<ServerPlace> place = choice.Choose(
+          places, settings, {}, std::nullopt, FromMicros(60'000'000), random);
+      if (bad(place->fitness)) ++sent;
+    }
+    return sent;
+  }
+
+  void AddServers(int count, const ServerFitness& fitness) {
+    for (int i = 0; i < count; ++i) {
+      places.push_back(PlaceAt("n" + std::to_string(places.size())));
+      places.back().fitness = fitness;
+    }
+  }
+};
+
+// Guards against failures of a server that this node has hardly called.
+TEST(JudgedServers, FailingOnesGetFewCallsWhileOthersAreFree) {
+  AddServers(8, {});
+  AddServers(2, {true, 1});
+  CHECK(SentTo([](const ServerFitness& f) { return f.failing; }) < 10);
+}
+
+// Guards against judges that are wrong, or blame their servers for what lies
+// below: with most of a service left out, the rest would carry all.
+TEST(JudgedServers, FailingOnesAreCalledWhenTheOthersAreFull) {
+  AddServers(2, {});
+  AddServers(8, {true, 1});
+  for (int i = 0; i < 2; ++i) {
+    choice.OnReport(ServerKey(places[i].node, "s"), Busy(200),
+                    FromMicros(60'000'000));
+  }
+  CHECK(SentTo([](const ServerFitness& f) { return f.failing; }) > 90);
+}
+
+// Guards against the full share of calls for a server at a fifth of its speed
+// that this node has not called lately.
+TEST(JudgedServers, SlowOnesGetFewCalls) {
+  AddServers(8, {});
+  AddServers(2, {false, 5});
+  CHECK(SentTo([](const ServerFitness& f) { return f.slowdown > 1; }) < 10);
+}
+
 }  // namespace amaranth::pvt
--- /dev/null
+++ b/src/libnode/entry/usual_times.h
@@ -0,0 +1,47 @@
+#ifndef AMARANTHROUTE_LIBNODE_ENTRY_USUAL_TIMES_H_
+#define AMARANTHROUTE_LIBNODE_ENTRY_USUAL_TIMES_H_
+
+// What calls of each kind take in the servers of each service, as answers told
+// this entry node. It is sent with every call, so that the node beside a server
+// can tell whether its server is slower than its peers.
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+
+#include "amaranthroute/messages.h"
+#include "libnode/shared/moving_median.h"
+
+namespace amaranth::pvt {
+
+class UsualTimes {
+ public:
+  void Learn(const CallContext& call, Duration own_time) {
+    auto& of_service = times_[call.service];
+    const bool known = of_service.count(call.request_class) > 0;
+    // Callers choose class names: the table must not grow with them.
+    if (!known && of_service.size() >= kMaxClasses) return;
+    of_service[call.request_class][call.depth].Add(own_time);
+  }
+
+  // 0 if no call of this kind has been answered.
+  Duration Of(const CallContext& call) const {
+    const auto service = times_.find(call.service);
+    if (service == times_.end()) return Duration(0);
+    const auto of_class = service->second.find(call.request_class);
+    if (of_class == service->second.end()) return Duration(0);
+    const auto at_depth = of_class->second.find(call.depth);
+    if (at_depth == of_class->second.end()) return Duration(0);
+    return at_depth->second.value();
+  }
+
+ private:
+  static constexpr size_t kMaxClasses = 256;
+  using ByDepth = std::map<uint8_t, MovingMedian>;
+  std::map<std::string, std::map<std::string, ByDepth>> times_;  // and by class
+};
+
+}  // namespace amaranth::pvt
+
+#endif  // AMARANTHROUTE_LIBNODE_ENTRY_USUAL_TIMES_H_
--- a/src/libnode/fakes/fake_fleet.h
+++ b/src/libnode/fakes/fake_fleet.h
@@ -49,7 +49,8 @@
   // Requests with this body abort the process, which restarts later.
   std::string crash_body;
   Duration restart_after = std::chrono::seconds(1);
-  bool failing = false;  // answers 500
+  bool failing = false;      // answers 500
+  double failing_share = 0;  // of its calls, answered 500 as well
   // Times that a failed nested call is sent again by the server itself.
   int own_retries = 0;
   size_t backlog = 1000;
@@ -114,6 +115,7 @@
   void SetDatagramLoss(double share) { datagram_loss_ = share; }
   void SetDatagramDuplicates(double share) { datagram_duplicates_ = share; }
   void SetServiceTime(const std::string& server, Duration service_time);
+  void SetFailingShare(const std::string& server, double share);
 
   TimePoint now() const { return now_; }
   Node& node(const std::string& name) { return *hosts_.at(name).node; }
@@ -180,6 +182,7 @@
   void BreakLinks(const std::string& node);
   Duration Latency(const std::string& a, const std::string& b);
 
+  Server* FindServer(const std::string& name);
   void Announce(const std::shared_ptr<Server>& server);
   void StartWaiting(const std::shared_ptr<Server>& server);
   Duration ServiceTimeOf(const Server& server, const HttpRequest& request);
--- a/src/libnode/fakes/fake_servers.cc
+++ b/src/libnode/fakes/fake_servers.cc
@@ -18,13 +18,20 @@
 
 void FakeFleet::SetServiceTime(const std::string& server,
                                Duration service_time) {
-  for (auto& [name, host] : hosts_) {
+  FindServer(server)->options.service_time = service_time;
+}
+
+void FakeFleet::SetFailingShare(const std::string& server, double share) {
+  FindServer(server)->options.failing_share = share;
+}
+
+FakeFleet::Server* FakeFleet::FindServer(const std::string& name) {
+  for (auto& [host_name, host] : hosts_) {
     for (const std::shared_ptr<Server>& candidate : host.servers) {
-      if (candidate->options.name == server) {
-        candidate->options.service_time = service_time;
-      }
+      if (candidate->options.name == name) return candidate.get();
     }
   }
+  return nullptr;
 }
 
 void FakeFleet::Do(Host& host, const SendServer& effect) {
@@ -138,7 +145,11 @@
   const std::shared_ptr<Server>& server = running->server;
   if (running->ended) return;
   if (running->gone || next == server->options.nested.size()) {
-    FinishRun(running, server->options.failing ? 500 : 200);
+    const double share = server->options.failing_share;
+    const bool fails =
+        server->options.failing ||
+        (share > 0 && std::bernoulli_distribution(share)(random_));
+    FinishRun(running, fails ? 500 : 200);
     return;
   }
   std::string service = server->options.nested[next];
--- a/src/libnode/membership/membership.cc
+++ b/src/libnode/membership/membership.cc
@@ -20,11 +20,13 @@
   if (!IsUp(record)) return false;
   return std::any_of(record.servers.begin(), record.servers.end(),
                      [&](const ServerRecord& known) {
-                       return known.server == server && !known.draining;
+                       return known.server == server && !known.draining &&
+                              known.fitness.sound();
                      });
 }
 
-// True if work that went to a server of `before` must stop now.
+// True if work that went to a server of `before` must stop now, or go elsewhere
+// as far as others have room for it.
 bool StopsWork(const MemberRecord& before, const MemberRecord& after) {
   if (before.state != MemberState::kLeft && after.state == MemberState::kLeft) {
     return true;
@@ -77,6 +79,10 @@
     if (!IsLocal(*sender)) remote_heard_[sender->data_centre] = context.now;
   }
   SeeSettings(message.from.name, message.settings_version, context);
+  if (message.settings_confirmed && on_settings_confirmed) {
+    on_settings_confirmed(message.settings_version, *message.settings_confirmed,
+                          context);
+  }
   switch (message.kind) {
     case GossipKind::kPing:
       context.Emit(
@@ -164,6 +170,8 @@
   // process, seen by its new address, starts afresh.
   if (known->address != server.address) told_to_drain_.erase(server.server);
   if (told_to_drain_.count(server.server) != 0) server.draining = true;
+  // Announcements say nothing of it.
+  if (known->address == server.address) server.fitness = known->fitness;
   if (*known == server) return;
   const bool urgent = server.draining && !known->draining;
   *known = server;
@@ -191,6 +199,18 @@
   ChangeSelf(std::move(self), true, context);
 }
 
+void Membership::SetServerFitness(const std::string& server,
+                                  const ServerFitness& fitness,
+                                  Context& context) {
+  MemberRecord self = Self();
+  const auto known = FindServer(self, server);
+  if (known == self.servers.end() || known->fitness == fitness) return;
+  known->fitness = fitness;
+  // That a server is sound again may take its time: callers come back to it
+  // one after the other.
+  ChangeSelf(std::move(self), !fitness.sound(), context);
+}
+
 void Membership::ExpireServers(Context& context) {
   std::vector<std::string> expired;
   for (const auto& [server, heard] : announced_) {
--- a/src/libnode/membership/membership.h
+++ b/src/libnode/membership/membership.h
@@ -27,6 +27,11 @@
   // A peer was heard to hold a settings version above ours, or we hold none.
   std::function<void(const std::string& peer, uint64_t version, Context&)>
       on_settings_version;
+  // How long ago the settings in force here were known to be the newest, as
+  // told to and by peers.
+  std::function<std::optional<Duration>(TimePoint now)> settings_confirmed;
+  std::function<void(uint64_t version, Duration ago, Context&)>
+      on_settings_confirmed;
 
   void Start(Context& context);
   void OnGossip(const GossipReceived& received, Context& context);
@@ -41,6 +46,9 @@
   void AnnounceServer(const ServerRecord& record, Context& context);
   void RemoveServer(const std::string& server, Context& context);
   void SetServerDraining(const std::string& server, Context& context);
+  // How a local backend server does, told to all who call its service.
+  void SetServerFitness(const std::string& server, const ServerFitness& fitness,
+                        Context& context);
   // Drops local servers that have not announced themselves lately.
   void ExpireServers(Context& context);
   // A planned stop: told to others at once; they send us no new work.
@@ -154,7 +162,8 @@
   void Ping(const std::string& name, uint64_t sequence, Context& context);
   GossipMessage BuildMessage(GossipKind kind, uint64_t sequence,
                              const MemberRecord* receiver = nullptr);
-  void AddRecord(const MemberRecord& record, size_t& size,
+  // False if it has no place.
+  bool AddRecord(const MemberRecord& record, size_t& size,
                  GossipMessage& message) const;
   void AddQueued(size_t budget, size_t& size, GossipMessage& message);
   void AddQuarantines(size_t& size, GossipMessage& message);
--- a/src/libnode/membership/membership_property_test.cc
+++ b/src/libnode/membership/membership_property_test.cc
@@ -50,7 +50,7 @@
     case 5:
       if (!host.running || host.paused) break;
       fleet.Do(name, [](Membership& m, Context& context) {
-        m.AnnounceServer({"s", "catalogue", {"127.0.0.1", 80}, 10, false},
+        m.AnnounceServer({"s", "catalogue", {"127.0.0.1", 80}, 10, false, {}},
                          context);
       });
       break;
--- a/src/libnode/membership/membership_spread.cc
+++ b/src/libnode/membership/membership_spread.cc
@@ -93,6 +93,9 @@
   message.from_address = identity_.gossip_address;
   message.sequence = sequence;
   message.settings_version = settings_version_;
+  if (settings_confirmed) {
+    message.settings_confirmed = settings_confirmed(last_now_);
+  }
   message.membership_hash = table_.hash();
   size_t size = kGossipHeaderSize;
   AddRecord(Self(), size, message);
@@ -108,12 +111,13 @@
   return message;
 }
 
-void Membership::AddRecord(const MemberRecord& record, size_t& size,
+bool Membership::AddRecord(const MemberRecord& record, size_t& size,
                            GossipMessage& message) const {
   const size_t more = EncodedSize(record);
-  if (size + more > kDatagramBudget) return;
+  if (size + more > kDatagramBudget) return false;
   size += more;
   message.updates.push_back(record);
+  return true;
 }
 
 void Membership::AddQueued(size_t budget, size_t& size,
@@ -177,18 +181,20 @@
   message.updates.clear();
   size_t size = kGossipHeaderSize + kQuarantinesPerDatagram * 64;
   AddRecord(Self(), size, message);
-  for (const auto& [name, left] : urgent_) {
-    const MemberRecord* record = Find(name);
-    if (record != nullptr && name != identity_.node.name) {
-      AddRecord(*record, size, message);
-    }
+  // What has no place in this datagram keeps its pushes for the next ones: when
+  // many servers of a service turn bad at once there are more than fit.
+  for (auto entry = urgent_.begin(); entry != urgent_.end();) {
+    const MemberRecord* record = Find(entry->first);
+    const bool is_self = entry->first == identity_.node.name;
+    const bool nothing_else = message.updates.size() <= 1;
+    const bool told = record == nullptr || is_self ||
+                      AddRecord(*record, size, message) || nothing_else;
+    const bool done = told && --entry->second <= 0;
+    entry = done ? urgent_.erase(entry) : std::next(entry);
   }
   for (const std::string& name : targets) {
     context.Emit(SendGossip{Find(name)->gossip_address, message});
   }
-  for (auto entry = urgent_.begin(); entry != urgent_.end();) {
-    entry = --entry->second <= 0 ? urgent_.erase(entry) : std::next(entry);
-  }
   if (plain_pushes_left_ > 0) --plain_pushes_left_;
   const bool more = !urgent_.empty() || plain_pushes_left_ > 0;
   next_push_ = more ? context.now + kPushInterval : kNever;
--- a/src/libnode/membership/membership_table.h
+++ b/src/libnode/membership/membership_table.h
@@ -27,6 +27,7 @@
   bool local = false;    // on this node's own host
   bool suspect = false;  // its node may be down
   uint32_t slots = 0;
+  ServerFitness fitness;   // as the node beside it judges it
   TimePoint first_seen{};  // by this node; a young server is a cold one
 
   friend bool operator==(const ServerPlace& a, const ServerPlace& b);
--- a/src/libnode/membership/membership_test.cc
+++ b/src/libnode/membership/membership_test.cc
@@ -34,7 +34,7 @@
 }
 
 ServerRecord Server(const std::string& name) {
-  return {name, "catalogue", {"127.0.0.1", 8080}, 100, false};
+  return {name, "catalogue", {"127.0.0.1", 8080}, 100, false, {}};
 }
 
 void Announce(MembershipFleet& fleet, const std::string& node) {
--- a/src/libnode/membership/membership_updates.cc
+++ b/src/libnode/membership/membership_updates.cc
@@ -10,7 +10,7 @@
 // Field headers, list headers and lengths of a record, and the varints of its
 // numbers at their longest.
 constexpr size_t kRecordOverhead = 56;
-constexpr size_t kServerOverhead = 20;
+constexpr size_t kServerOverhead = 24;
 constexpr size_t kQuarantineOverhead = 24;
 constexpr double kTransmissionsPerLog = 4.0;
 constexpr size_t kMaxQuarantines = 1024;
--- a/src/libnode/serving/hop.h
+++ b/src/libnode/serving/hop.h
@@ -31,6 +31,7 @@
   TimePoint deadline{};
   TimePoint dispatched{};
   TimePoint timeout_at = kNever;
+  Duration usual{0};  // time of calls of its kind in the server, by its caller
   HopState state = HopState::kQueued;
   bool is_suspect = false;  // counted as the server's suspect in flight
   bool cancelled = false;
--- a/src/libnode/serving/local_server.h
+++ b/src/libnode/serving/local_server.h
@@ -13,6 +13,7 @@
 #include "amaranthroute/policy/concurrency_limit.h"
 #include "amaranthroute/policy/long_work.h"
 #include "amaranthroute/policy/retry_after.h"
+#include "amaranthroute/policy/server_judge.h"
 #include "amaranthroute/policy/shedder.h"
 #include "amaranthroute/policy/slot_search.h"
 #include "amaranthroute/settings.h"
@@ -71,6 +72,7 @@
   DrainMeter& drain() { return drain_; }
   CrashWindow& crash_window() { return crash_window_; }
   LoadWindow& load() { return load_; }
+  ServerJudge& judge() { return judge_; }
 
   // Calls that were in flight at a crash wait here. Each runs with no other
   // call in flight, so that a second crash names the one that caused it.
@@ -88,6 +90,7 @@
   TimePoint draining_since{};
   TimePoint last_heard{};
   ServerStart start;
+  ServerFitness told_fitness;  // to the other nodes
 
  private:
   struct Dispatch {
@@ -109,6 +112,7 @@
   LongWorkShare long_work_;
   CrashWindow crash_window_;
   LoadWindow load_;
+  ServerJudge judge_;
   std::map<uint64_t, Dispatch> dispatches_;
   int long_in_flight_ = 0;
   Duration expected_service_{0};
--- a/src/libnode/serving/serving_role.cc
+++ b/src/libnode/serving/serving_role.cc
@@ -27,6 +27,11 @@
 // How long after its deadline a non-idempotent call's answer is still awaited.
 constexpr Duration kLateAnswerGrace = std::chrono::seconds(5);
 
+// A call that ended this near to its deadline was ended by it. One that had so
+// many times the usual time by then shows a server that does not answer.
+constexpr Duration kDeadlineMargin = std::chrono::milliseconds(20);
+constexpr int kHangFactor = 5;
+
 bool IsRunningLate(const Hop& hop, TimePoint now) {
   return hop.timeout_at != kNever && now >= hop.timeout_at;
 }
@@ -81,6 +86,7 @@
   hop.arrived = context.now;
   hop.deadline = context.now + hop.context.remaining;
   hop.ledger = CreditLedger(hop.context.retry_credits);
+  hop.usual = Duration(forward.usual_us);
   stats_.Count("amaranth_hops_total");
   Admit(std::move(hop), context);
 }
@@ -295,6 +301,8 @@
   if (hops_.count(replied.dispatch) == 0) return;
   const Hop hop = EndDispatch(replied.dispatch, false, context);
   NoteServed(hop, replied.response, context.now);
+  const HttpResponse& response = replied.response;
+  JudgeResult(hop, response.status >= 500 || IsRefusal(response), context.now);
   crash_guard_.OnSurvived(hop.context.fingerprint, context.now);
   answered_.Insert(hop.context.fingerprint, context.now);
   Answer(hop, replied.response, context);
@@ -337,6 +345,7 @@
   }
   const bool cancelled = broken->cancelled;
   const Hop hop = EndDispatch(failed.dispatch, !cancelled, context);
+  if (!cancelled) JudgeResult(hop, true, context.now);
   on_hop_cancelled(hop.id, context);
   // Told to the fleet before the caller is answered, who may send it again.
   if (found != servers_.end()) NoteCrash(found->second, context);
@@ -345,6 +354,46 @@
   Pump(found->second, context);
 }
 
+void ServingRole::JudgeResult(const Hop& hop, bool failed, TimePoint now) {
+  const auto found = servers_.find(hop.server);
+  if (found == servers_.end() || hop.context.long_work) return;
+  const Duration own_time = hop.OwnTime(now);
+  // A failure below is not the server's own, nor is a deadline that came before
+  // the server had the time that it needs.
+  const bool below = hop.nested_gave_up || !hop.failed_nested.empty() ||
+                     hop.nested_in_flight > 0;
+  const bool cut_short = now + kDeadlineMargin >= hop.deadline &&
+                         own_time < hop.usual * kHangFactor;
+  if (failed && (below || cut_short)) return;
+  found->second.judge().OnEnded(own_time, hop.usual, failed, now);
+}
+
+void ServingRole::TellFitness(LocalServer& server, Context& context) {
+  const std::string& service = server.record().service;
+  ServerFitness fitness = server.judge().Fitness(context.now);
+  // The only server of a service has nothing to be compared with.
+  if (membership_.ServersOf(service).size() < 2) fitness = ServerFitness();
+  if (fitness == server.told_fitness) return;
+  server.told_fitness = fitness;
+  const std::string& name = server.record().server;
+  membership_.SetServerFitness(name, fitness, context);
+  std::string text =
+      "Backend server " + name + " of service " + service + " is judged ";
+  if (fitness.failing) {
+    text += "failing";
+  } else if (!fitness.sound()) {
+    text += "slow";
+  } else {
+    text += "sound again";
+  }
+  text += ": slowdown=" + std::to_string(fitness.slowdown);
+  stats_.Count("amaranth_server_verdicts_total",
+               fitness.sound()   ? "verdict=\"sound\""
+               : fitness.failing ? "verdict=\"failing\""
+                                 : "verdict=\"slow\"");
+  context.Log(LogLevel::kInfo, kPart, text + ".");
+}
+
 Failure ServingRole::ExplainBreak(const ServerFailed& failed, const Hop& hop,
                                   TimePoint now) const {
   Failure failure;
@@ -515,6 +564,9 @@
   answer.credits_returned = hop.ledger.available();
   const auto found = servers_.find(hop.server);
   if (found != servers_.end()) answer.load = found->second.Report(context.now);
+  const bool served =
+      answer.failure.reason == Reason::kNone && answer.response.status < 500;
+  if (served) answer.load.own_us = ToWireMicros(hop.OwnTime(context.now));
   answer.load.downstream_threshold = hop.downstream_threshold;
   answer.made_calls = hop.nested_calls > 0;
   answer.times.held_us = ToWireMicros(context.now - hop.arrived);
--- a/src/libnode/serving/serving_role.h
+++ b/src/libnode/serving/serving_role.h
@@ -92,6 +92,10 @@
   // Takes a dispatched hop out of its server's books.
   Hop EndDispatch(uint64_t id, bool failed, Context& context);
   void NoteServed(const Hop& hop, const HttpResponse& response, TimePoint now);
+  // Passes a result on to the server's judge; `failed` by what came back.
+  void JudgeResult(const Hop& hop, bool failed, TimePoint now);
+  // Tells the other nodes of a server that turned bad or is sound again.
+  void TellFitness(LocalServer& server, Context& context);
   void NoteCrash(LocalServer& server, Context& context);
   Hop TakeHop(uint64_t id);
   // The same for one not yet dispatched, which also leaves its queue.
--- a/src/libnode/serving/serving_servers.cc
+++ b/src/libnode/serving/serving_servers.cc
@@ -278,6 +278,7 @@
     RefuseUndrained(server, context);
     Pump(server, context);
     TellLoad(server, context);
+    TellFitness(server, context);
     // Four lost announcements, and no answer in that time either. Shorter would
     // drop servers that are merely busy, longer would keep sending work to dead
     // ones.
--- a/src/libpolicy/server_picker.cc
+++ b/src/libpolicy/server_picker.cc
@@ -54,7 +54,7 @@
                              ? static_cast<double>(server.latency.count())
                              : default_latency;
   const double calls = 1.0 + server.in_flight + server.queued;
-  return calls / LimitOf(server) * latency;
+  return calls / LimitOf(server) * latency * server.penalty;
 }
 
 size_t TwoChoices(const std::vector<ServerView>& servers, Indexes among,
@@ -95,6 +95,7 @@
 bool IsSound(const ServerView& server) {
   return !server.ejected && !server.suspect;
 }
+bool HasNoPenalty(const ServerView& server) { return server.penalty <= 1; }
 bool IsTrusted(const ServerView& server) { return !server.suspect; }
 
 Indexes NotExcluded(const std::vector<ServerView>& servers) {
@@ -151,7 +152,10 @@
     const Indexes with_room = Where(servers, remote, HasRoom);
     return TwoChoices(servers, with_room.empty() ? remote : with_room, random);
   }
-  const Indexes local_room = Where(servers, local, HasRoom);
+  Indexes local_room = Where(servers, local, HasRoom);
+  // Of two drawn ones both may be bad, so a penalty alone would not do.
+  const Indexes unpenalised = Where(servers, local_room, HasNoPenalty);
+  if (!unpenalised.empty()) local_room = unpenalised;
   if (!local_room.empty()) {
     return TwoChoices(servers, WithQuicker(servers, local_room, local), random);
   }
--- a/src/libutil/fields.h
+++ b/src/libutil/fields.h
@@ -23,7 +23,7 @@
 
 inline auto Fields(const LoadReport& v) {
   return std::tie(v.server, v.in_flight, v.limit, v.queued, v.shed_threshold,
-                  v.downstream_threshold, v.turn_us);
+                  v.downstream_threshold, v.turn_us, v.own_us);
 }
 
 inline auto Fields(const Hello& v) {
@@ -31,7 +31,7 @@
 }
 
 inline auto Fields(const CallForward& v) {
-  return std::tie(v.attempt, v.server, v.context, v.request);
+  return std::tie(v.attempt, v.server, v.context, v.request, v.usual_us);
 }
 
 inline auto Fields(const CallTimes& v) {
@@ -73,8 +73,13 @@
 
 inline auto Fields(const ClaimReply& v) { return std::tie(v.outcomes); }
 
+inline auto Fields(const ServerFitness& v) {
+  return std::tie(v.failing, v.slowdown);
+}
+
 inline auto Fields(const ServerRecord& v) {
-  return std::tie(v.server, v.service, v.address, v.slots, v.draining);
+  return std::tie(v.server, v.service, v.address, v.slots, v.draining,
+                  v.fitness);
 }
 
 inline auto Fields(const MemberRecord& v) {
@@ -93,8 +98,8 @@
 
 inline auto Fields(const GossipMessage& v) {
   return std::tie(v.kind, v.from, v.from_address, v.sequence, v.target,
-                  v.target_address, v.settings_version, v.membership_hash,
-                  v.updates, v.quarantines);
+                  v.target_address, v.settings_version, v.settings_confirmed,
+                  v.membership_hash, v.updates, v.quarantines);
 }
 
 inline auto Fields(const TableClaimRows& v) { return std::tie(v.rows); }
@@ -215,6 +220,7 @@
 inline const char* TypeName(const ClaimRequest&) { return "ClaimRequest"; }
 inline const char* TypeName(const ClaimOutcome&) { return "ClaimOutcome"; }
 inline const char* TypeName(const ClaimReply&) { return "ClaimReply"; }
+inline const char* TypeName(const ServerFitness&) { return "ServerFitness"; }
 inline const char* TypeName(const ServerRecord&) { return "ServerRecord"; }
 inline const char* TypeName(const MemberRecord&) { return "MemberRecord"; }
 inline const char* TypeName(const QuarantineRecord&) {
--- a/src/libutil/print.h
+++ b/src/libutil/print.h
@@ -4,6 +4,7 @@
 // Prints any message, event or effect on one line, for logs, replay and failed
 // tests. Works from Fields() in fields.h.
 
+#include <optional>
 #include <ostream>
 #include <string>
 #include <tuple>
@@ -33,6 +34,8 @@
 void Print(std::ostream& out, const std::vector<T>& items);
 template <typename... Ts>
 void Print(std::ostream& out, const std::variant<Ts...>& value);
+template <typename T>
+void Print(std::ostream& out, const std::optional<T>& value);
 
 inline void Print(std::ostream& out, const Endpoint& value) { out << value; }
 inline void Print(std::ostream& out, const NodeRef& value) { out << value; }
@@ -62,6 +65,15 @@
   out << "]";
 }
 
+template <typename T>
+void Print(std::ostream& out, const std::optional<T>& value) {
+  if (value) {
+    Print(out, *value);
+  } else {
+    out << "none";
+  }
+}
+
 template <typename... Ts>
 void Print(std::ostream& out, const std::variant<Ts...>& value) {
   std::visit([&](const auto& alternative) { Print(out, alternative); }, value);
--- a/src/libwire/amaranth.thrift
+++ b/src/libwire/amaranth.thrift
@@ -91,7 +91,8 @@
   4: required i64 queued,
   5: required i64 shed_threshold,
   6: required i64 downstream_threshold,
-  7: optional i64 turn_us
+  7: optional i64 turn_us,
+  8: optional i64 own_us
 }
 
 struct Hello {
@@ -104,7 +105,8 @@
   1: required i64 attempt,
   2: required string server,
   3: required CallContext context,
-  4: required HttpRequest request
+  4: required HttpRequest request,
+  5: optional i64 usual_us
 }
 
 struct CallTimes {
@@ -178,7 +180,9 @@
   2: required string service_name,
   3: required Endpoint address,
   4: required i64 slots,
-  5: required bool draining
+  5: required bool draining,
+  6: optional bool failing,
+  7: optional i64 slowdown
 }
 
 struct MemberRecord {
@@ -217,5 +221,6 @@
   7: required i64 settings_version,
   8: required i64 membership_hash,
   9: required list<MemberRecord> updates,
-  10: required list<QuarantineRecord> quarantines
+  10: required list<QuarantineRecord> quarantines,
+  11: optional i64 settings_confirmed_us
 }
--- a/src/libwire/from_wire.cc
+++ b/src/libwire/from_wire.cc
@@ -85,6 +85,9 @@
   if (in.__isset.turn_us) {
     out.turn_us = check.Narrow<uint32_t>(in.turn_us, "turn_us");
   }
+  if (in.__isset.own_us) {
+    out.own_us = check.Narrow<uint32_t>(in.own_us, "own_us");
+  }
 }
 
 void FromWire(wire::KeyClaim& in, KeyClaim& out, RangeCheck&) {
@@ -105,6 +108,10 @@
   FromWire(in.address, out.address, check);
   out.slots = check.Narrow<uint32_t>(in.slots, "slots");
   out.draining = in.draining;
+  if (in.__isset.failing) out.fitness.failing = in.failing;
+  if (in.__isset.slowdown) {
+    out.fitness.slowdown = check.Narrow<uint32_t>(in.slowdown, "slowdown");
+  }
 }
 
 void FromWire(wire::MemberRecord& in, MemberRecord& out, RangeCheck& check) {
@@ -148,6 +155,9 @@
   out.server = std::move(in.server);
   FromWire(in.context, out.context, check);
   FromWire(in.request, out.request, check);
+  if (in.__isset.usual_us) {
+    out.usual_us = check.Narrow<uint32_t>(in.usual_us, "usual_us");
+  }
 }
 
 void FromWire(wire::CallAnswer& in, CallAnswer& out, RangeCheck& check) {
@@ -221,6 +231,10 @@
   FromWire(in.target_address, out.target_address, check);
   out.settings_version = Unsigned(in.settings_version);
   out.membership_hash = Unsigned(in.membership_hash);
+  if (in.__isset.settings_confirmed_us) {
+    out.settings_confirmed =
+        check.ToDuration(in.settings_confirmed_us, "settings_confirmed_us");
+  }
   FromWireList(in.updates, out.updates, check);
   FromWireList(in.quarantines, out.quarantines, check);
 }
--- a/src/libwire/gen-cpp/amaranth_types.cpp
+++ b/src/libwire/gen-cpp/amaranth_types.cpp
@@ -1604,6 +1604,11 @@
   this->turn_us = val;
 __isset.turn_us = true;
 }
+
+void LoadReport::__set_own_us(const int64_t val) {
+  this->own_us = val;
+__isset.own_us = true;
+}
 std::ostream& operator<<(std::ostream& out, const LoadReport& obj)
 {
   obj.printTo(out);
@@ -1694,6 +1699,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->own_us);
+          this->__isset.own_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1752,6 +1765,11 @@
     xfer += oprot->writeI64(this->turn_us);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.own_us) {
+    xfer += oprot->writeFieldBegin("own_us", ::apache::thrift::protocol::T_I64, 8);
+    xfer += oprot->writeI64(this->own_us);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1766,6 +1784,7 @@
   swap(a.shed_threshold, b.shed_threshold);
   swap(a.downstream_threshold, b.downstream_threshold);
   swap(a.turn_us, b.turn_us);
+  swap(a.own_us, b.own_us);
   swap(a.__isset, b.__isset);
 }
 
@@ -1777,6 +1796,7 @@
   shed_threshold = other44.shed_threshold;
   downstream_threshold = other44.downstream_threshold;
   turn_us = other44.turn_us;
+  own_us = other44.own_us;
   __isset = other44.__isset;
 }
 LoadReport::LoadReport(LoadReport&& other45) noexcept {
@@ -1787,6 +1807,7 @@
   shed_threshold = other45.shed_threshold;
   downstream_threshold = other45.downstream_threshold;
   turn_us = other45.turn_us;
+  own_us = other45.own_us;
   __isset = other45.__isset;
 }
 LoadReport& LoadReport::operator=(const LoadReport& other46) {
@@ -1797,6 +1818,7 @@
   shed_threshold = other46.shed_threshold;
   downstream_threshold = other46.downstream_threshold;
   turn_us = other46.turn_us;
+  own_us = other46.own_us;
   __isset = other46.__isset;
   return *this;
 }
@@ -1808,6 +1830,7 @@
   shed_threshold = other47.shed_threshold;
   downstream_threshold = other47.downstream_threshold;
   turn_us = other47.turn_us;
+  own_us = other47.own_us;
   __isset = other47.__isset;
   return *this;
 }
@@ -1821,6 +1844,7 @@
   out << ", " << "shed_threshold=" << to_string(shed_threshold);
   out << ", " << "downstream_threshold=" << to_string(downstream_threshold);
   out << ", " << "turn_us="; (__isset.turn_us ? (out << to_string(turn_us)) : (out << "<null>"));
+  out << ", " << "own_us="; (__isset.own_us ? (out << to_string(own_us)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1993,6 +2017,11 @@
 void CallForward::__set_request(const HttpRequest& val) {
   this->request = val;
 }
+
+void CallForward::__set_usual_us(const int64_t val) {
+  this->usual_us = val;
+__isset.usual_us = true;
+}
 std::ostream& operator<<(std::ostream& out, const CallForward& obj)
 {
   obj.printTo(out);
@@ -2057,6 +2086,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->usual_us);
+          this->__isset.usual_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2098,6 +2135,11 @@
   xfer += this->request.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.usual_us) {
+    xfer += oprot->writeFieldBegin("usual_us", ::apache::thrift::protocol::T_I64, 5);
+    xfer += oprot->writeI64(this->usual_us);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2109,6 +2151,8 @@
   swap(a.server, b.server);
   swap(a.context, b.context);
   swap(a.request, b.request);
+  swap(a.usual_us, b.usual_us);
+  swap(a.__isset, b.__isset);
 }
 
 CallForward::CallForward(const CallForward& other52) {
@@ -2116,18 +2160,24 @@
   server = other52.server;
   context = other52.context;
   request = other52.request;
+  usual_us = other52.usual_us;
+  __isset = other52.__isset;
 }
 CallForward::CallForward(CallForward&& other53) noexcept {
   attempt = other53.attempt;
   server = std::move(other53.server);
   context = std::move(other53.context);
   request = std::move(other53.request);
+  usual_us = other53.usual_us;
+  __isset = other53.__isset;
 }
 CallForward& CallForward::operator=(const CallForward& other54) {
   attempt = other54.attempt;
   server = other54.server;
   context = other54.context;
   request = other54.request;
+  usual_us = other54.usual_us;
+  __isset = other54.__isset;
   return *this;
 }
 CallForward& CallForward::operator=(CallForward&& other55) noexcept {
@@ -2135,6 +2185,8 @@
   server = std::move(other55.server);
   context = std::move(other55.context);
   request = std::move(other55.request);
+  usual_us = other55.usual_us;
+  __isset = other55.__isset;
   return *this;
 }
 void CallForward::printTo(std::ostream& out) const {
@@ -2144,6 +2196,7 @@
   out << ", " << "server=" << to_string(server);
   out << ", " << "context=" << to_string(context);
   out << ", " << "request=" << to_string(request);
+  out << ", " << "usual_us="; (__isset.usual_us ? (out << to_string(usual_us)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3852,6 +3905,16 @@
 void ServerRecord::__set_draining(const bool val) {
   this->draining = val;
 }
+
+void ServerRecord::__set_failing(const bool val) {
+  this->failing = val;
+__isset.failing = true;
+}
+
+void ServerRecord::__set_slowdown(const int64_t val) {
+  this->slowdown = val;
+__isset.slowdown = true;
+}
 std::ostream& operator<<(std::ostream& out, const ServerRecord& obj)
 {
   obj.printTo(out);
@@ -3925,6 +3988,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->failing);
+          this->__isset.failing = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->slowdown);
+          this->__isset.slowdown = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3972,6 +4051,16 @@
   xfer += oprot->writeBool(this->draining);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.failing) {
+    xfer += oprot->writeFieldBegin("failing", ::apache::thrift::protocol::T_BOOL, 6);
+    xfer += oprot->writeBool(this->failing);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.slowdown) {
+    xfer += oprot->writeFieldBegin("slowdown", ::apache::thrift::protocol::T_I64, 7);
+    xfer += oprot->writeI64(this->slowdown);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3984,6 +4073,9 @@
   swap(a.address, b.address);
   swap(a.slots, b.slots);
   swap(a.draining, b.draining);
+  swap(a.failing, b.failing);
+  swap(a.slowdown, b.slowdown);
+  swap(a.__isset, b.__isset);
 }
 
 ServerRecord::ServerRecord(const ServerRecord& other116) {
@@ -3992,6 +4084,9 @@
   address = other116.address;
   slots = other116.slots;
   draining = other116.draining;
+  failing = other116.failing;
+  slowdown = other116.slowdown;
+  __isset = other116.__isset;
 }
 ServerRecord::ServerRecord(ServerRecord&& other117) noexcept {
   server = std::move(other117.server);
@@ -3999,6 +4094,9 @@
   address = std::move(other117.address);
   slots = other117.slots;
   draining = other117.draining;
+  failing = other117.failing;
+  slowdown = other117.slowdown;
+  __isset = other117.__isset;
 }
 ServerRecord& ServerRecord::operator=(const ServerRecord& other118) {
   server = other118.server;
@@ -4006,6 +4104,9 @@
   address = other118.address;
   slots = other118.slots;
   draining = other118.draining;
+  failing = other118.failing;
+  slowdown = other118.slowdown;
+  __isset = other118.__isset;
   return *this;
 }
 ServerRecord& ServerRecord::operator=(ServerRecord&& other119) noexcept {
@@ -4014,6 +4115,9 @@
   address = std::move(other119.address);
   slots = other119.slots;
   draining = other119.draining;
+  failing = other119.failing;
+  slowdown = other119.slowdown;
+  __isset = other119.__isset;
   return *this;
 }
 void ServerRecord::printTo(std::ostream& out) const {
@@ -4024,6 +4128,8 @@
   out << ", " << "address=" << to_string(address);
   out << ", " << "slots=" << to_string(slots);
   out << ", " << "draining=" << to_string(draining);
+  out << ", " << "failing="; (__isset.failing ? (out << to_string(failing)) : (out << "<null>"));
+  out << ", " << "slowdown="; (__isset.slowdown ? (out << to_string(slowdown)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4798,6 +4904,11 @@
 void Gossip::__set_quarantines(const std::vector<QuarantineRecord> & val) {
   this->quarantines = val;
 }
+
+void Gossip::__set_settings_confirmed_us(const int64_t val) {
+  this->settings_confirmed_us = val;
+__isset.settings_confirmed_us = true;
+}
 std::ostream& operator<<(std::ostream& out, const Gossip& obj)
 {
   obj.printTo(out);
@@ -4940,6 +5051,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->settings_confirmed_us);
+          this->__isset.settings_confirmed_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5033,6 +5152,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.settings_confirmed_us) {
+    xfer += oprot->writeFieldBegin("settings_confirmed_us", ::apache::thrift::protocol::T_I64, 11);
+    xfer += oprot->writeI64(this->settings_confirmed_us);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5050,6 +5174,8 @@
   swap(a.membership_hash, b.membership_hash);
   swap(a.updates, b.updates);
   swap(a.quarantines, b.quarantines);
+  swap(a.settings_confirmed_us, b.settings_confirmed_us);
+  swap(a.__isset, b.__isset);
 }
 
 Gossip::Gossip(const Gossip& other168) {
@@ -5063,6 +5189,8 @@
   membership_hash = other168.membership_hash;
   updates = other168.updates;
   quarantines = other168.quarantines;
+  settings_confirmed_us = other168.settings_confirmed_us;
+  __isset = other168.__isset;
 }
 Gossip::Gossip(Gossip&& other169) noexcept {
   kind = other169.kind;
@@ -5075,6 +5203,8 @@
   membership_hash = other169.membership_hash;
   updates = std::move(other169.updates);
   quarantines = std::move(other169.quarantines);
+  settings_confirmed_us = other169.settings_confirmed_us;
+  __isset = other169.__isset;
 }
 Gossip& Gossip::operator=(const Gossip& other170) {
   kind = other170.kind;
@@ -5087,6 +5217,8 @@
   membership_hash = other170.membership_hash;
   updates = other170.updates;
   quarantines = other170.quarantines;
+  settings_confirmed_us = other170.settings_confirmed_us;
+  __isset = other170.__isset;
   return *this;
 }
 Gossip& Gossip::operator=(Gossip&& other171) noexcept {
@@ -5100,6 +5232,8 @@
   membership_hash = other171.membership_hash;
   updates = std::move(other171.updates);
   quarantines = std::move(other171.quarantines);
+  settings_confirmed_us = other171.settings_confirmed_us;
+  __isset = other171.__isset;
   return *this;
 }
 void Gossip::printTo(std::ostream& out) const {
@@ -5115,6 +5249,7 @@
   out << ", " << "membership_hash=" << to_string(membership_hash);
   out << ", " << "updates=" << to_string(updates);
   out << ", " << "quarantines=" << to_string(quarantines);
+  out << ", " << "settings_confirmed_us="; (__isset.settings_confirmed_us ? (out << to_string(settings_confirmed_us)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libwire/gen-cpp/amaranth_types.h
+++ b/src/libwire/gen-cpp/amaranth_types.h
@@ -574,8 +574,9 @@
 std::ostream& operator<<(std::ostream& out, const CallContext& obj);
 
 typedef struct _LoadReport__isset {
-  _LoadReport__isset() : turn_us(false) {}
+  _LoadReport__isset() : turn_us(false), own_us(false) {}
   bool turn_us :1;
+  bool own_us :1;
 } _LoadReport__isset;
 
 class LoadReport : public virtual ::apache::thrift::TBase {
@@ -592,7 +593,8 @@
                queued(0),
                shed_threshold(0),
                downstream_threshold(0),
-               turn_us(0) {
+               turn_us(0),
+               own_us(0) {
   }
 
   virtual ~LoadReport() noexcept;
@@ -603,6 +605,7 @@
   int64_t shed_threshold;
   int64_t downstream_threshold;
   int64_t turn_us;
+  int64_t own_us;
 
   _LoadReport__isset __isset;
 
@@ -620,6 +623,8 @@
 
   void __set_turn_us(const int64_t val);
 
+  void __set_own_us(const int64_t val);
+
   bool operator == (const LoadReport & rhs) const
   {
     if (!(server == rhs.server))
@@ -638,6 +643,10 @@
       return false;
     else if (__isset.turn_us && !(turn_us == rhs.turn_us))
       return false;
+    if (__isset.own_us != rhs.__isset.own_us)
+      return false;
+    else if (__isset.own_us && !(own_us == rhs.own_us))
+      return false;
     return true;
   }
   bool operator != (const LoadReport &rhs) const {
@@ -706,6 +715,10 @@
 
 std::ostream& operator<<(std::ostream& out, const Hello& obj);
 
+typedef struct _CallForward__isset {
+  _CallForward__isset() : usual_us(false) {}
+  bool usual_us :1;
+} _CallForward__isset;
 
 class CallForward : public virtual ::apache::thrift::TBase {
  public:
@@ -716,7 +729,8 @@
   CallForward& operator=(CallForward&&) noexcept;
   CallForward() noexcept
               : attempt(0),
-                server() {
+                server(),
+                usual_us(0) {
   }
 
   virtual ~CallForward() noexcept;
@@ -724,6 +738,9 @@
   std::string server;
   CallContext context;
   HttpRequest request;
+  int64_t usual_us;
+
+  _CallForward__isset __isset;
 
   void __set_attempt(const int64_t val);
 
@@ -733,6 +750,8 @@
 
   void __set_request(const HttpRequest& val);
 
+  void __set_usual_us(const int64_t val);
+
   bool operator == (const CallForward & rhs) const
   {
     if (!(attempt == rhs.attempt))
@@ -743,6 +762,10 @@
       return false;
     if (!(request == rhs.request))
       return false;
+    if (__isset.usual_us != rhs.__isset.usual_us)
+      return false;
+    else if (__isset.usual_us && !(usual_us == rhs.usual_us))
+      return false;
     return true;
   }
   bool operator != (const CallForward &rhs) const {
@@ -1339,6 +1362,11 @@
 
 std::ostream& operator<<(std::ostream& out, const ClaimReply& obj);
 
+typedef struct _ServerRecord__isset {
+  _ServerRecord__isset() : failing(false), slowdown(false) {}
+  bool failing :1;
+  bool slowdown :1;
+} _ServerRecord__isset;
 
 class ServerRecord : public virtual ::apache::thrift::TBase {
  public:
@@ -1351,7 +1379,9 @@
                : server(),
                  service_name(),
                  slots(0),
-                 draining(0) {
+                 draining(0),
+                 failing(0),
+                 slowdown(0) {
   }
 
   virtual ~ServerRecord() noexcept;
@@ -1360,6 +1390,10 @@
   Endpoint address;
   int64_t slots;
   bool draining;
+  bool failing;
+  int64_t slowdown;
+
+  _ServerRecord__isset __isset;
 
   void __set_server(const std::string& val);
 
@@ -1371,6 +1405,10 @@
 
   void __set_draining(const bool val);
 
+  void __set_failing(const bool val);
+
+  void __set_slowdown(const int64_t val);
+
   bool operator == (const ServerRecord & rhs) const
   {
     if (!(server == rhs.server))
@@ -1383,6 +1421,14 @@
       return false;
     if (!(draining == rhs.draining))
       return false;
+    if (__isset.failing != rhs.__isset.failing)
+      return false;
+    else if (__isset.failing && !(failing == rhs.failing))
+      return false;
+    if (__isset.slowdown != rhs.__isset.slowdown)
+      return false;
+    else if (__isset.slowdown && !(slowdown == rhs.slowdown))
+      return false;
     return true;
   }
   bool operator != (const ServerRecord &rhs) const {
@@ -1595,6 +1641,10 @@
 
 std::ostream& operator<<(std::ostream& out, const MemberSync& obj);
 
+typedef struct _Gossip__isset {
+  _Gossip__isset() : settings_confirmed_us(false) {}
+  bool settings_confirmed_us :1;
+} _Gossip__isset;
 
 class Gossip : public virtual ::apache::thrift::TBase {
  public:
@@ -1608,7 +1658,8 @@
            sequence(0),
            target(),
            settings_version(0),
-           membership_hash(0) {
+           membership_hash(0),
+           settings_confirmed_us(0) {
   }
 
   virtual ~Gossip() noexcept;
@@ -1622,6 +1673,9 @@
   int64_t membership_hash;
   std::vector<MemberRecord>  updates;
   std::vector<QuarantineRecord>  quarantines;
+  int64_t settings_confirmed_us;
+
+  _Gossip__isset __isset;
 
   void __set_kind(const int32_t val);
 
@@ -1643,6 +1697,8 @@
 
   void __set_quarantines(const std::vector<QuarantineRecord> & val);
 
+  void __set_settings_confirmed_us(const int64_t val);
+
   bool operator == (const Gossip & rhs) const
   {
     if (!(kind == rhs.kind))
@@ -1665,6 +1721,10 @@
       return false;
     if (!(quarantines == rhs.quarantines))
       return false;
+    if (__isset.settings_confirmed_us != rhs.__isset.settings_confirmed_us)
+      return false;
+    else if (__isset.settings_confirmed_us && !(settings_confirmed_us == rhs.settings_confirmed_us))
+      return false;
     return true;
   }
   bool operator != (const Gossip &rhs) const {
--- a/src/libwire/generators_test.cc
+++ b/src/libwire/generators_test.cc
@@ -79,7 +79,7 @@
 
 LoadReport AnyLoad() {
   return {AnyName(),       Any<uint32_t>(), Any<uint32_t>(), Any<uint32_t>(),
-          Any<uint32_t>(), Any<uint32_t>(), Any<uint32_t>()};
+          Any<uint32_t>(), Any<uint32_t>(), Any<uint32_t>(), Any<uint32_t>()};
 }
 
 KeyClaim AnyClaim() { return {Any<uint64_t>(), Any<std::string>()}; }
@@ -89,7 +89,8 @@
 }
 
 ServerRecord AnyServer() {
-  return {AnyName(), AnyName(), AnyEndpoint(), Any<uint32_t>(), Any<bool>()};
+  return {AnyName(),       AnyName(),   AnyEndpoint(),
+          Any<uint32_t>(), Any<bool>(), {Any<bool>(), Any<uint32_t>()}};
 }
 
 MemberRecord AnyMember() {
@@ -117,8 +118,8 @@
     case 0:
       return Hello{AnyNode(), AnyName(), AnyName()};
     case 1:
-      return CallForward{Any<uint64_t>(), AnyName(), AnyContext(),
-                         AnyRequest()};
+      return CallForward{Any<uint64_t>(), AnyName(), AnyContext(), AnyRequest(),
+                         Any<uint32_t>()};
     case 2:
       return CallAnswer{Any<uint64_t>(), Any<uint64_t>(), AnyResponse(),
                         AnyFailure(),    Any<uint16_t>(), AnyLoad(),
@@ -155,6 +156,7 @@
   message.target = AnyLine();
   message.target_address = AnyEndpoint();
   message.settings_version = Any<uint64_t>();
+  if (Any<bool>()) message.settings_confirmed = AnyDuration();
   message.membership_hash = Any<uint64_t>();
   message.updates = AnyList(AnyMember);
   message.quarantines = AnyList(AnyQuarantine);
--- a/src/libwire/to_wire.cc
+++ b/src/libwire/to_wire.cc
@@ -19,9 +19,9 @@
     count;
 
 static_assert(kHasFields<CallContext, 15>);
-static_assert(kHasFields<LoadReport, 7>);
+static_assert(kHasFields<LoadReport, 8>);
 static_assert(kHasFields<Hello, 3>);
-static_assert(kHasFields<CallForward, 4>);
+static_assert(kHasFields<CallForward, 5>);
 static_assert(kHasFields<CallTimes, 2>);
 static_assert(kHasFields<CallAnswer, 8>);
 static_assert(kHasFields<CallCancel, 1>);
@@ -34,11 +34,11 @@
 static_assert(kHasFields<ClaimRequest, 2>);
 static_assert(kHasFields<ClaimOutcome, 4>);
 static_assert(kHasFields<ClaimReply, 1>);
-static_assert(kHasFields<ServerRecord, 5>);
+static_assert(kHasFields<ServerRecord, 6>);
 static_assert(kHasFields<MemberRecord, 8>);
 static_assert(kHasFields<QuarantineRecord, 4>);
 static_assert(kHasFields<MemberSync, 5>);
-static_assert(kHasFields<GossipMessage, 10>);
+static_assert(kHasFields<GossipMessage, 11>);
 
 int64_t Signed(uint64_t value) { return static_cast<int64_t>(value); }
 
@@ -116,6 +116,7 @@
   out.shed_threshold = in.shed_threshold;
   out.downstream_threshold = in.downstream_threshold;
   if (in.turn_us > 0) out.__set_turn_us(in.turn_us);
+  if (in.own_us > 0) out.__set_own_us(in.own_us);
 }
 
 void ToWire(const KeyClaim& in, wire::KeyClaim& out) {
@@ -136,6 +137,8 @@
   ToWire(in.address, out.address);
   out.slots = in.slots;
   out.draining = in.draining;
+  if (in.fitness.failing) out.__set_failing(true);
+  if (in.fitness.slowdown != 1) out.__set_slowdown(in.fitness.slowdown);
 }
 
 void ToWire(const MemberRecord& in, wire::MemberRecord& out) {
@@ -177,6 +180,7 @@
   out.server = in.server;
   ToWire(in.context, out.context);
   ToWire(in.request, out.request);
+  if (in.usual_us > 0) out.__set_usual_us(in.usual_us);
 }
 
 void ToWire(const CallAnswer& in, wire::CallAnswer& out) {
@@ -250,6 +254,9 @@
   ToWire(in.target_address, out.target_address);
   out.settings_version = Signed(in.settings_version);
   out.membership_hash = Signed(in.membership_hash);
+  if (in.settings_confirmed) {
+    out.__set_settings_confirmed_us(Micros(*in.settings_confirmed));
+  }
   ToWireList(in.updates, out.updates);
   ToWireList(in.quarantines, out.quarantines);
 }
