A few nodes of a data centre watch the platform for all

Mend: five nodes of a data centre watch, chosen by hash of those that are up. Gossip carries how long ago the platform was known to hold nothing newer than the sender's version; a node that has not heard that for two seconds asks by itself, so it also does when the watchers are killed, cut off or turned away. Small data centres, of up to five nodes, are as before. After an outage the first call reads instead of waiting for news, so that all hear at once that the platform is back.

Metrics: platform calls by kind, age of the load report behind each choice, choices without one.

--- a/src/libnode/calls_test.cc
+++ b/src/libnode/calls_test.cc
@@ -520,4 +520,29 @@
   CHECK(ExitIn(effects) == ExitProcess{100});
 }
 
+// Guards against choices that cannot be explained afterwards: how old what an
+// entry node knew was, and how often it knew nothing.
+TEST(Calls, MetricsTellHowOldTheReportsBehindChoicesWere) {
+  StartTwoServers();
+  for (int i = 0; i < 20; ++i) {
+    fleet.Call("a1", MakeRequest("GET", "subscriptions"));
+    fleet.RunFor(std::chrono::milliseconds(100));
+  }
+  const std::string metrics = fleet.node("a1").MetricsText();
+  CHECK(metrics.find("amaranth_choices_unreported_total 2\n") !=
+        std::string::npos);
+  CHECK(metrics.find("amaranth_latency_seconds_count{tenant=\"node\","
+                     "class=\"choice\",outcome=\"report-age\"} 18\n") !=
+        std::string::npos);
+}
+
+// Guards against a use of the platform that nobody can account for.
+TEST(Calls, MetricsTellOfPlatformCallsByKind) {
+  fleet.AddNode("a1", "bilbao-a", true);
+  fleet.RunFor(kSettle);
+  const std::string metrics = fleet.node("a1").MetricsText();
+  CHECK(metrics.find("amaranth_platform_calls_total{kind=\"read-head\"}") !=
+        std::string::npos);
+}
+
 }  // namespace amaranth::pvt
--- a/src/libnode/fakes/settings_fleet.h
+++ b/src/libnode/fakes/settings_fleet.h
@@ -93,11 +93,26 @@
   std::map<CallId, HttpResponse> answers;
   bool versions_rose = true;
   int head_reads = 0;
+  // Where operators write a document elsewhere, which the nodes watch.
+  SettingsSource source = SettingsSource::kHeadRow;
+  uint64_t document_version = 0;
+  std::set<std::string> turned_away;  // by the platform
+  std::multiset<std::string> watch_calls;
+
+  void WriteDocument(uint64_t version) {
+    document_version = version;
+    for (const Watch& watch : std::exchange(open_watches_, {})) {
+      AnswerWatch(watch);
+    }
+  }
+
+  void Kill(const std::string& name) { hosts_.erase(name); }
 
   void Add(const std::string& name) {
     Host& host = hosts_[name];
     host.identity.node = {name, 0};
     host.identity.peer_address = {"127.0.0.1", 1};
+    host.identity.rules.settings_source = source;
     Restart(name);
   }
 
@@ -181,6 +196,11 @@
   }
 
  private:
+  struct Watch {
+    std::string host;
+    uint64_t incarnation = 0;
+    PlatformOpId op = 0;
+  };
   struct Pending {
     TimePoint at;
     std::string host;
@@ -204,7 +224,56 @@
     }
   }
 
+  // Answered at once if it only reads or there is news, else with the news or
+  // after ten seconds without.
+  void CarryWatch(Host& host, const SendPlatform& sent, uint64_t after) {
+    const Watch watch{host.identity.node.name, host.identity.node.incarnation,
+                      sent.op};
+    watch_calls.insert(watch.host);
+    if (after == 0 || after < document_version ||
+        turned_away.count(watch.host) > 0) {
+      AnswerWatch(watch);
+      return;
+    }
+    open_watches_.push_back(watch);
+    pending_.push_back({now_ + std::chrono::seconds(10), watch.host,
+                        watch.incarnation,
+                        [this, watch](SettingsStore&, Context&) {
+                          if (EndWatch(watch.op)) AnswerWatch(watch);
+                        }});
+  }
+
+  bool EndWatch(PlatformOpId op) {
+    const auto found =
+        std::find_if(open_watches_.begin(), open_watches_.end(),
+                     [op](const Watch& watch) { return watch.op == op; });
+    if (found == open_watches_.end()) return false;
+    open_watches_.erase(found);
+    return true;
+  }
+
+  void AnswerWatch(const Watch& watch) {
+    const auto found = hosts_.find(watch.host);
+    if (found == hosts_.end()) return;
+    PlatformReplied replied{watch.op, {}};
+    replied.reply.status = PlatformStatus::kUnreachable;
+    if (turned_away.count(watch.host) == 0) {
+      SettingsDocument document;
+      document.version = document_version;
+      replied.reply.status = PlatformStatus::kOk;
+      replied.reply.version = document_version;
+      replied.reply.bytes = ToText(document);
+    }
+    Later(found->second, [replied](SettingsStore& s, Context& context) {
+      s.OnPlatformReplied(replied, context);
+    });
+  }
+
   void CarryPlatform(Host& host, const SendPlatform& sent) {
+    if (const auto* watch = std::get_if<TableWatchSettings>(&sent.request)) {
+      CarryWatch(host, sent, watch->after);
+      return;
+    }
     if (std::holds_alternative<TableReadHead>(sent.request)) ++head_reads;
     PlatformReply reply;
     switch (fault(sent.request)) {
@@ -262,6 +331,7 @@
       pending_.erase(pending_.begin() + static_cast<std::ptrdiff_t>(i));
     }
     for (const Pending& item : due) {
+      if (hosts_.count(item.host) == 0) continue;
       const Host& host = hosts_[item.host];
       if (host.identity.node.incarnation != item.incarnation) continue;
       Do(item.host, item.action);
@@ -277,9 +347,12 @@
                               0, hosts_.size() - 1)(random_));
       if (other->first == name) continue;
       const uint64_t version = other->second.store->version();
+      const std::optional<Duration> confirmed =
+          other->second.store->ConfirmedAgo(now_);
       Do(name, [&](SettingsStore& s, Context& context) {
         s.OnVersionSeen(other->first, other->second.identity.peer_address,
                         version, context);
+        if (confirmed) s.OnConfirmed(version, *confirmed, now_);
       });
     }
   }
@@ -296,6 +369,7 @@
   std::map<std::string, Host> hosts_;
   std::vector<Pending> pending_;
   std::vector<PlatformRequest> held_;
+  std::vector<Watch> open_watches_;
 };
 
 }  // namespace amaranth::pvt
--- a/src/libnode/node_state.cc
+++ b/src/libnode/node_state.cc
@@ -19,6 +19,25 @@
   return !IsReadMethod(request.method) && named;
 }
 
+std::string_view KindLabelOf(const PlatformRequest& request) {
+  if (std::holds_alternative<TableWatchSettings>(request)) {
+    return "kind=\"watch-settings\"";
+  }
+  if (std::holds_alternative<TableReadHead>(request)) {
+    return "kind=\"read-head\"";
+  }
+  if (std::holds_alternative<TableReadPeers>(request)) {
+    return "kind=\"read-peers\"";
+  }
+  if (std::holds_alternative<TableWritePeer>(request)) {
+    return "kind=\"write-peer\"";
+  }
+  if (std::holds_alternative<TableClaimRows>(request)) {
+    return "kind=\"claim-keys\"";
+  }
+  return "kind=\"other\"";
+}
+
 }  // namespace
 
 NodeState::NodeState(NodeIdentity id)
@@ -44,6 +63,13 @@
     if (member == nullptr) return;
     settings.OnVersionSeen(peer, member->peer_address, version, context);
   };
+  membership.settings_confirmed = [this](TimePoint now) {
+    return settings.ConfirmedAgo(now);
+  };
+  membership.on_settings_confirmed = [this](uint64_t version, Duration ago,
+                                            Context& context) {
+    settings.OnConfirmed(version, ago, context.now);
+  };
   settings.alive_in_data_centre = [this]() {
     return membership.AliveInDataCentre();
   };
@@ -75,6 +101,7 @@
   membership.Start(context);
   settings.Start(context);
   AskForWake(context);
+  CountPlatformCalls(effects);
   return effects;
 }
 
@@ -91,9 +118,18 @@
   if (membership.superseded()) RequestStop(context);
   ConsiderExit(context);
   AskForWake(context);
+  CountPlatformCalls(effects);
   return effects;
 }
 
+void NodeState::CountPlatformCalls(const Effects& effects) {
+  for (const Effect& effect : effects) {
+    const auto* call = std::get_if<SendPlatform>(&effect);
+    if (call == nullptr) continue;
+    stats.Count("amaranth_platform_calls_total", KindLabelOf(call->request));
+  }
+}
+
 void NodeState::RefuseCaller(const CallerRequest& event, Reason reason,
                              Context& context) {
   Failure failure;
--- a/src/libnode/node_state.h
+++ b/src/libnode/node_state.h
@@ -77,6 +77,8 @@
   void RunTimers(Context& context);
   void ConsiderExit(Context& context);
   void AskForWake(Context& context);
+  // For metrics.
+  void CountPlatformCalls(const Effects& effects);
   TimePoint NextTimer() const;
   void RefuseCaller(const CallerRequest& event, Reason reason,
                     Context& context);
--- a/src/libnode/settings/settings_store.cc
+++ b/src/libnode/settings/settings_store.cc
@@ -14,6 +14,15 @@
 constexpr char kDelegateKey[] = "settings-delegates";
 constexpr size_t kDelegates = 2;
 
+// Nodes of a data centre that watch the platform; the others learn from them.
+// All of them cut off from the platform at once, and from other data centres,
+// is what the others watch for (kConfirmedLife). Each change wakes every watch,
+// so with all nodes watching its calls would grow with the fleet.
+constexpr size_t kWatchers = 5;
+// A node that has not heard for this long that the platform holds nothing newer
+// asks by itself. Gossip takes 1.7 s at most to tell forty nodes.
+constexpr Duration kConfirmedLife = std::chrono::seconds(2);
+
 // One second for the poll leaves four of the five in which a version must be
 // in force everywhere for gossip and the snapshot.
 constexpr Duration kPollInterval = std::chrono::seconds(1);
@@ -90,7 +99,7 @@
   if (context.now >= op_deadline_) OnPlatformSilent(context);
   if (context.now >= next_poll_) {
     if (watches()) {
-      Watch(context);
+      ConsiderWatch(context);
     } else {
       PollHead(context);
     }
@@ -130,14 +139,40 @@
   return true;
 }
 
-bool SettingsStore::IsDelegate() const {
+bool SettingsStore::IsAmongFirst(size_t count) const {
   if (!alive_in_data_centre) return true;
   const std::vector<std::string> chosen =
-      RendezvousChoose(alive_in_data_centre(), kDelegateKey, kDelegates);
+      RendezvousChoose(alive_in_data_centre(), kDelegateKey, count);
   return std::find(chosen.begin(), chosen.end(), identity_.node.name) !=
          chosen.end();
 }
 
+bool SettingsStore::IsDelegate() const { return IsAmongFirst(kDelegates); }
+
+void SettingsStore::OnConfirmed(uint64_t version, Duration ago, TimePoint now) {
+  if (version > document_.version) return;
+  if (!confirmed_ || *confirmed_ < now - ago) confirmed_ = now - ago;
+}
+
+std::optional<Duration> SettingsStore::ConfirmedAgo(TimePoint now) const {
+  const bool watching = watches() && op_ && head_known_ && !platform_lost_;
+  if (watching) return Duration(0);
+  if (!confirmed_) return std::nullopt;
+  return now - *confirmed_;
+}
+
+bool SettingsStore::HearsOfWatchers(TimePoint now) const {
+  return ready_ && confirmed_ && now - *confirmed_ < kConfirmedLife;
+}
+
+void SettingsStore::ConsiderWatch(Context& context) {
+  if (HearsOfWatchers(context.now) && !IsAmongFirst(kWatchers)) {
+    next_poll_ = *confirmed_ + kConfirmedLife;
+    return;
+  }
+  Watch(context);
+}
+
 void SettingsStore::PollHead(Context& context) {
   next_poll_ = context.now + Jittered(poll_interval_, context);
   const bool polls = !ready_ || IsDelegate();
@@ -211,7 +246,7 @@
   head_known_ = document_.version > 0;
   const bool waited = context.now - watch_began_ >= kShortestWatch;
   if (waited || !reply.bytes.empty()) {
-    Watch(context);
+    ConsiderWatch(context);
   } else {
     next_poll_ = context.now + Jittered(poll_interval_, context);
   }
@@ -233,6 +268,9 @@
                     std::to_string(document_.version) + " stays in force");
   }
   if (watches()) {
+    // The next call is answered at once: a watch would not tell for seconds
+    // that the platform is back.
+    watched_ = 0;
     next_poll_ = context.now + Jittered(poll_interval_, context);
     poll_interval_ = std::min(poll_interval_ * 2, kMaxWatchRetry);
     return;
--- a/src/libnode/settings/settings_store.h
+++ b/src/libnode/settings/settings_store.h
@@ -49,6 +49,12 @@
   void OnVersionSeen(const std::string& peer, const Endpoint& address,
                      uint64_t version, Context& context);
 
+  // Where the platform is watched: a peer tells how long ago the platform was
+  // known to hold nothing newer than `version`.
+  void OnConfirmed(uint64_t version, Duration ago, TimePoint now);
+  // The same of this node; nothing if it does not know.
+  std::optional<Duration> ConfirmedAgo(TimePoint now) const;
+
   // An operator's change. Answered later, once, by AnswerCaller with JSON.
   void Change(CallId call, std::vector<SettingsChange> changes,
               std::optional<uint64_t> expected_version, std::string author,
@@ -70,9 +76,13 @@
     bool asked = false;
   };
 
+  bool IsAmongFirst(size_t count) const;
   bool IsDelegate() const;
   void PollHead(Context& context);
   void Watch(Context& context);
+  // Watches, or leaves that to the watchers while they are heard of.
+  void ConsiderWatch(Context& context);
+  bool HearsOfWatchers(TimePoint now) const;
   void OnWatched(const PlatformReply& reply, Context& context);
   bool watches() const {
     return identity_.rules.settings_source == SettingsSource::kWatch;
@@ -103,6 +113,7 @@
   bool platform_lost_ = false;  // told in the log
   uint64_t watched_ = 0;        // where the next watch goes on
   TimePoint watch_began_{};
+  std::optional<TimePoint> confirmed_;  // as peers told
   SettingsHead head_;
 
   std::map<std::string, PeerVersion> peers_;  // that hold more than this node
--- a/src/libnode/settings/settings_store_test.cc
+++ b/src/libnode/settings/settings_store_test.cc
@@ -3,7 +3,9 @@
 #include <CppUTest/TestHarness.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -45,6 +47,86 @@
 
 TEST_GROUP(SettingsStore){};
 
+// A data centre of forty nodes, all of which could watch the platform.
+TEST_GROUP(WatchedSettings) {
+  SettingsFleet fleet{3};
+
+  void Start() {
+    fleet.source = SettingsSource::kWatch;
+    fleet.document_version = 1;
+    Grow(fleet, 40);
+    fleet.Run(seconds(25));
+    CHECK(fleet.AllAt(1));
+    fleet.watch_calls.clear();
+  }
+
+  // Those that still watch when all is calm.
+  std::set<std::string> Watchers() {
+    fleet.watch_calls.clear();
+    fleet.Run(seconds(11));
+    return {fleet.watch_calls.begin(), fleet.watch_calls.end()};
+  }
+
+  bool InForceWithin(uint64_t version, Duration limit) {
+    return fleet.RunUntil(
+        [&] {
+          const auto& hosts = fleet.hosts();
+          return std::all_of(
+              hosts.begin(), hosts.end(), [&](const auto& entry) {
+                const bool excused = fleet.turned_away.count(entry.first) > 0;
+                return excused || entry.second.store->version() == version;
+              });
+        },
+        limit);
+  }
+};
+
+// Guards against a burst of reads that grows with the fleet: a change wakes
+// every watch at once.
+TEST(WatchedSettings, AFewNodesWatchForAll) {
+  Start();
+  fleet.Run(seconds(20));
+  CHECK(fleet.watch_calls.size() <= 12);
+  fleet.watch_calls.clear();
+  fleet.WriteDocument(2);
+  CHECK(InForceWithin(2, seconds(2)));
+  fleet.Run(seconds(3));
+  CHECK(fleet.watch_calls.size() <= 8);
+}
+
+// Guards against a data centre that serves old settings since the platform
+// turns the nodes away that watch for it.
+TEST(WatchedSettings, OthersAskWhenTheWatchersAreTurnedAway) {
+  Start();
+  fleet.turned_away = Watchers();
+  CHECK(fleet.turned_away.size() >= 2);
+  CHECK(fleet.turned_away.size() <= 6);
+  fleet.WriteDocument(2);
+  CHECK(InForceWithin(2, seconds(3)));
+}
+
+// The same, where the watchers are gone a moment before the change.
+TEST(WatchedSettings, OthersAskWhenTheWatchersAreKilled) {
+  Start();
+  const std::set<std::string> watchers = Watchers();
+  for (const std::string& name : watchers) fleet.Kill(name);
+  fleet.Run(milliseconds(100));
+  fleet.WriteDocument(2);
+  CHECK(InForceWithin(2, seconds(3)));
+}
+
+// Guards against nodes that stay with what they have after the platform was
+// away: nobody had a watch while the document changed.
+TEST(WatchedSettings, AChangeDuringAnOutageIsInForceSoonAfterIt) {
+  Start();
+  for (const auto& [name, host] : fleet.hosts()) fleet.turned_away.insert(name);
+  fleet.Run(seconds(12));
+  fleet.WriteDocument(2);
+  fleet.Run(seconds(1));
+  fleet.turned_away.clear();
+  CHECK(InForceWithin(2, seconds(3)));
+}
+
 TEST(SettingsStore, FleetWithoutSettingsIsReadyWithDefaults) {
   SettingsFleet fleet(1);
   Grow(fleet, 2);
