--- a/src/fuzz/write_corpus.cc
+++ b/src/fuzz/write_corpus.cc
@@ -27,7 +27,7 @@
   member.region = "eu";
   member.peer_address = Endpoint{"127.0.0.1", 7001};
   member.gossip_address = Endpoint{"127.0.0.1", 7002};
-  member.servers = {{"s1", "pay", Endpoint{"127.0.0.1", 8001}, 100, false}};
+  member.servers = {{"s1", "pay", Endpoint{"127.0.0.1", 8001}, 100, false, {}}};
   return member;
 }
 
--- a/src/libnode/entry/usual_times.h
+++ b/src/libnode/entry/usual_times.h
@@ -8,7 +8,6 @@
 #include <cstdint>
 #include <map>
 #include <string>
-#include <utility>
 
 #include "amaranthroute/messages.h"
 #include "libnode/shared/moving_median.h"
@@ -18,7 +17,7 @@
 class UsualTimes {
  public:
   void Learn(const CallContext& call, Duration own_time) {
-    auto& of_service = times_[call.service];
+    ByClass& of_service = times_[call.service];
     const bool known = of_service.count(call.request_class) > 0;
     // Callers choose class names: the table must not grow with them.
     if (!known && of_service.size() >= kMaxClasses) return;
@@ -39,7 +38,8 @@
  private:
   static constexpr size_t kMaxClasses = 256;
   using ByDepth = std::map<uint8_t, MovingMedian>;
-  std::map<std::string, std::map<std::string, ByDepth>> times_;  // and by class
+  using ByClass = std::map<std::string, ByDepth>;
+  std::map<std::string, ByClass> times_;  // by service
 };
 
 }  // namespace amaranth::pvt
--- a/src/libnode/serving/serving_role.h
+++ b/src/libnode/serving/serving_role.h
@@ -89,6 +89,7 @@
   void SendAnswer(const Hop& hop, CallAnswer answer, Context& context);
   Duration RetryAfterFor(const std::string& server, Context& context);
 
+  static CallKind KindOf(const Hop& hop);
   // Takes a dispatched hop out of its server's books.
   Hop EndDispatch(uint64_t id, bool failed, Context& context);
   void NoteServed(const Hop& hop, const HttpResponse& response, TimePoint now);
--- a/src/libnode/settings/settings_store.cc
+++ b/src/libnode/settings/settings_store.cc
@@ -15,12 +15,12 @@
 constexpr size_t kDelegates = 2;
 
 // Nodes of a data centre that watch the platform; the others learn from them.
-// All of them cut off from the platform at once, and from other data centres,
-// is what the others watch for (kConfirmedLife). Each change wakes every watch,
-// so with all nodes watching its calls would grow with the fleet.
+// Each change wakes every watch: with all nodes watching, the calls would grow
+// with the fleet. So many, as a data centre that loses all of them at once
+// hears of a change by kConfirmedLife later.
 constexpr size_t kWatchers = 5;
 // A node that has not heard for this long that the platform holds nothing newer
-// asks by itself. Gossip takes 1.7 s at most to tell forty nodes.
+// asks by itself. Gossip reaches forty nodes in less.
 constexpr Duration kConfirmedLife = std::chrono::seconds(2);
 
 // One second for the poll leaves four of the five in which a version must be
--- a/src/libnode/settings/settings_store_test.cc
+++ b/src/libnode/settings/settings_store_test.cc
@@ -4,6 +4,7 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <string>
@@ -70,7 +71,8 @@
   bool InForceWithin(uint64_t version, Duration limit) {
     return fleet.RunUntil(
         [&] {
-          const auto& hosts = fleet.hosts();
+          const std::map<std::string, SettingsFleet::Host>& hosts =
+              fleet.hosts();
           return std::all_of(
               hosts.begin(), hosts.end(), [&](const auto& entry) {
                 const bool excused = fleet.turned_away.count(entry.first) > 0;
