--- a/src/libnode/membership/membership.h
+++ b/src/libnode/membership/membership.h
@@ -162,8 +162,7 @@
   void Ping(const std::string& name, uint64_t sequence, Context& context);
   GossipMessage BuildMessage(GossipKind kind, uint64_t sequence,
                              const MemberRecord* receiver = nullptr);
-  // False if it has no place.
-  bool AddRecord(const MemberRecord& record, size_t& size,
+  void AddRecord(const MemberRecord& record, size_t& size,
                  GossipMessage& message) const;
   void AddQueued(size_t budget, size_t& size, GossipMessage& message);
   void AddQuarantines(size_t& size, GossipMessage& message);
--- a/src/libnode/membership/membership_spread.cc
+++ b/src/libnode/membership/membership_spread.cc
@@ -111,13 +111,12 @@
   return message;
 }
 
-bool Membership::AddRecord(const MemberRecord& record, size_t& size,
+void Membership::AddRecord(const MemberRecord& record, size_t& size,
                            GossipMessage& message) const {
   const size_t more = EncodedSize(record);
-  if (size + more > kDatagramBudget) return false;
+  if (size + more > kDatagramBudget) return;
   size += more;
   message.updates.push_back(record);
-  return true;
 }
 
 void Membership::AddQueued(size_t budget, size_t& size,
@@ -181,20 +180,18 @@
   message.updates.clear();
   size_t size = kGossipHeaderSize + kQuarantinesPerDatagram * 64;
   AddRecord(Self(), size, message);
-  // What has no place in this datagram keeps its pushes for the next ones: when
-  // many servers of a service turn bad at once there are more than fit.
-  for (auto entry = urgent_.begin(); entry != urgent_.end();) {
-    const MemberRecord* record = Find(entry->first);
-    const bool is_self = entry->first == identity_.node.name;
-    const bool nothing_else = message.updates.size() <= 1;
-    const bool told = record == nullptr || is_self ||
-                      AddRecord(*record, size, message) || nothing_else;
-    const bool done = told && --entry->second <= 0;
-    entry = done ? urgent_.erase(entry) : std::next(entry);
+  for (const auto& [name, left] : urgent_) {
+    const MemberRecord* record = Find(name);
+    if (record != nullptr && name != identity_.node.name) {
+      AddRecord(*record, size, message);
+    }
   }
   for (const std::string& name : targets) {
     context.Emit(SendGossip{Find(name)->gossip_address, message});
   }
+  for (auto entry = urgent_.begin(); entry != urgent_.end();) {
+    entry = --entry->second <= 0 ? urgent_.erase(entry) : std::next(entry);
+  }
   if (plain_pushes_left_ > 0) --plain_pushes_left_;
   const bool more = !urgent_.empty() || plain_pushes_left_ > 0;
   next_push_ = more ? context.now + kPushInterval : kNever;
--- a/src/libnode/membership/membership_test.cc
+++ b/src/libnode/membership/membership_test.cc
@@ -367,4 +367,28 @@
   CHECK(fleet.RunUntil([&] { return informed == 11; }, seconds(1)));
 }
 
+// Guards against calls to servers that are known to be bad: when many turn bad
+// at once, their records do not fit into one datagram.
+TEST(Membership, ManyBadServersAreKnownEverywhereWithinASecond) {
+  MembershipFleet fleet(23);
+  Grow(fleet, {"derby"}, 40);
+  std::vector<std::string> bad;
+  for (int i = 0; i < 25; ++i) bad.push_back(Name("derby", i));
+  RunAnnouncing(fleet, bad, seconds(20));
+  for (const std::string& node : bad) {
+    fleet.Do(node, [&](Membership& m, Context& context) {
+      m.SetServerFitness("s-" + node, {true, 1}, context);
+    });
+  }
+  const std::function<bool()> all_know = [&] {
+    for (auto& [name, host] : fleet.hosts()) {
+      for (const ServerPlace& place : host.membership->ServersOf("catalogue")) {
+        if (!place.fitness.failing) return false;
+      }
+    }
+    return true;
+  };
+  CHECK(fleet.RunUntil(all_know, seconds(1)));
+}
+
 }  // namespace amaranth::pvt
