--- a/src/libpolicy/server_judge.cc
+++ b/src/libpolicy/server_judge.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 namespace amaranth {
+
 ServerJudge::ServerJudge(ServerJudgeOptions options) : options_(options) {}
 
 void ServerJudge::OnEnded(Duration own_time, Duration usual, bool failed,
@@ -60,7 +61,7 @@
 
 void ServerJudge::Hold(const ServerFitness& verdict, TimePoint now) {
   // Calls that were sent before callers heard of the verdict must not prolong
-  // it, and its text is not changed while it stands.
+  // it.
   if (now < held_until_) {
     verdict_.failing = verdict_.failing || verdict.failing;
     return;
