--- a/src/libnode/membership/membership_test.cc
+++ b/src/libnode/membership/membership_test.cc
@@ -372,8 +372,10 @@
 TEST(Membership, ManyBadServersAreKnownEverywhereWithinASecond) {
   MembershipFleet fleet(23);
   Grow(fleet, {"derby"}, 40);
+  constexpr int kBad = 25;
   std::vector<std::string> bad;
-  for (int i = 0; i < 25; ++i) bad.push_back(Name("derby", i));
+  bad.reserve(kBad);
+  for (int i = 0; i < kBad; ++i) bad.push_back(Name("derby", i));
   RunAnnouncing(fleet, bad, seconds(20));
   for (const std::string& node : bad) {
     fleet.Do(node, [&](Membership& m, Context& context) {
