--- a/src/fuzz/write_corpus.cc
+++ b/src/fuzz/write_corpus.cc
@@ -89,6 +89,8 @@
           SettingsSnapshot{5, 6, "{}"},
           ClaimRequest{NodeRef{"n1", 77}, {{1, "key"}}},
           ClaimReply{{{1, true, NodeRef{"n1", 77}, 1}}},
+          QuotaRequest{1, "customer", 1, false},
+          QuotaReply{1, "customer", 1, std::chrono::milliseconds(5), false},
           SampleSync()};
 }
 
--- a/src/include/amaranthroute/messages.h
+++ b/src/include/amaranthroute/messages.h
@@ -186,6 +186,26 @@
   std::vector<ClaimOutcome> outcomes;
 };
 
+/// Asks for tokens of a customer's quota. An entry node asks the home of the
+/// customer in its data centre for one, before it sends a request to a backend
+/// server; a home asks those of other data centres for a loan.
+struct QuotaRequest {
+  uint64_t id = 0;
+  std::string customer;
+  uint32_t tokens = 1;
+  bool loan = false;
+};
+/// Answers a QuotaRequest.
+struct QuotaReply {
+  uint64_t id = 0;
+  std::string customer;
+  uint32_t tokens = 0;  ///< granted
+  /// When a refused caller should come back; 0 with no tokens: the home does
+  /// not know the customer.
+  Duration retry_after{0};
+  bool loan = false;
+};
+
 /// State of a member.
 enum class MemberState : uint8_t {
   kAlive = 0,
@@ -250,7 +270,8 @@
 using PeerMessage =
     std::variant<Hello, CallForward, CallAnswer, CallCancel, HomeForward,
                  LinkPing, LinkPong, SettingsRequest, SettingsSnapshot,
-                 ClaimRequest, ClaimReply, MemberSync>;
+                 ClaimRequest, ClaimReply, QuotaRequest, QuotaReply,
+                 MemberSync>;
 
 /// Kind of a gossip datagram (SWIM).
 enum class GossipKind : uint8_t {
@@ -296,6 +317,8 @@
 bool operator==(const ClaimRequest& a, const ClaimRequest& b);
 bool operator==(const ClaimOutcome& a, const ClaimOutcome& b);
 bool operator==(const ClaimReply& a, const ClaimReply& b);
+bool operator==(const QuotaRequest& a, const QuotaRequest& b);
+bool operator==(const QuotaReply& a, const QuotaReply& b);
 bool operator==(const ServerRecord& a, const ServerRecord& b);
 bool operator==(const MemberRecord& a, const MemberRecord& b);
 bool operator==(const QuarantineRecord& a, const QuarantineRecord& b);
--- a/src/include/amaranthroute/routes.h
+++ b/src/include/amaranthroute/routes.h
@@ -33,10 +33,12 @@
   std::string host;    ///< compared case-insensitively, without a port
   std::string prefix;  ///< of the path; starts and ends with a slash
   std::vector<RouteTarget> targets;
+  /// Its requests need no customer's key.
+  bool open = false;
 
   friend bool operator==(const Route& a, const Route& b) {
     return a.name == b.name && a.host == b.host && a.prefix == b.prefix &&
-           a.targets == b.targets;
+           a.targets == b.targets && a.open == b.open;
   }
   friend bool operator!=(const Route& a, const Route& b) { return !(a == b); }
 };
--- a/src/include/amaranthroute/verdict.h
+++ b/src/include/amaranthroute/verdict.h
@@ -47,6 +47,8 @@
   kNotReady,          ///< the node has no settings yet
   kNoRoute,           ///< no route matches this host and path
   kServerRefused,     ///< the backend server reports that it did not run it
+  kUnknownKey,        ///< no customer holds the key, or there is none
+  kOverQuota,         ///< beyond the customer's quota across all nodes
 };
 
 /// Returns stable lower-case text, e.g. "may-have-run".
--- a/src/libnode/entry/call.h
+++ b/src/libnode/entry/call.h
@@ -24,9 +24,10 @@
 };
 
 enum class CallPhase {
-  kClaiming,   // its key is being claimed; nothing was dispatched
-  kRunning,    // this node sends it to backend servers
-  kForwarded,  // forwarded to the home of its key, which runs it
+  kAwaitingQuota,  // a token of its customer's quota is asked for
+  kClaiming,       // its key is being claimed; nothing was dispatched
+  kRunning,        // this node sends it to backend servers
+  kForwarded,      // forwarded to the home of its key, which runs it
 };
 
 // Whether the request was shed or refused for lack of capacity, at this node
@@ -76,6 +77,11 @@
   // An earlier attempt ran or may have run: the verdict can no longer be "not
   // run".
   bool may_have_run = false;
+  // The customer who holds the key of the request; empty if there is none, and
+  // for nested calls.
+  std::string customer;
+  // Holds a token of its customer's quota.
+  bool has_quota_token = false;
   // Counted in the admission window of its class, see Admission.
   bool in_window = false;
   // Time spent in queues for a slot and between nodes, by the answers to its
--- a/src/libnode/entry/entry_begin.cc
+++ b/src/libnode/entry/entry_begin.cc
@@ -13,6 +13,12 @@
 // Deeper call chains are taken for loops; those of the users are up to 6 deep.
 constexpr uint8_t kMaxDepth = 32;
 
+// Caller key that all customers with a quota share.
+constexpr char kWithinQuota[] = "within-quota";
+
+// Tenant of the requests on open routes.
+constexpr char kNoCustomer[] = "default";
+
 // Headers that are not forwarded: they belong to one connection, or are set by
 // the nodes.
 constexpr std::string_view kStrippedHeaders[] = {
@@ -31,6 +37,8 @@
     kFinalHeader,
     kTicketHeader,
     kRefusedHeader,
+    kKeyHeader,
+    kCustomerHeader,
 };
 
 // Removes the headers that are not forwarded. "Host" names this node and is
@@ -98,7 +106,8 @@
     return RefuseUnregistered(waiter, Verdict::kNotRun, Reason::kNoRoute, id,
                               "no route takes this host and path", context);
   }
-  const MatchedRoute routed{DrawTarget(*route, context.random), route->name};
+  const MatchedRoute routed{DrawTarget(*route, context.random), route->name,
+                            route->open};
   Begin(waiter, event.request, routed, std::nullopt, context);
 }
 
@@ -116,9 +125,21 @@
     return RefuseUnregistered(waiter, Verdict::kNotRun, Reason::kBadRequest, "",
                               parsed.error().message, context);
   }
-  const CallerHeaders& headers = parsed.value();
+  CallerHeaders headers = parsed.value();
+  const bool nested = !headers.context_token.empty();
+  const bool from_peer = waiter.http_call == 0;
+  const bool needs_key = !nested && !(routed && routed->open);
+  const Customer* customer =
+      needs_key ? FindCustomer(request, from_peer) : nullptr;
+  if (!parts_.settings.customers().empty() && !nested) {
+    if (needs_key && customer == nullptr) {
+      return RefuseUnknownKey(waiter, request, headers.request_id, context);
+    }
+    // The name that the caller stated is not proved by a key.
+    headers.tenant = customer != nullptr ? customer->name : kNoCustomer;
+  }
   Outcome<Call> built =
-      BuildCall(request, headers, routed.has_value(), remaining, context);
+      BuildCall(request, headers, routed, customer, remaining, context);
   if (!built) {
     return RefuseUnregistered(waiter, Verdict::kNotRun, Reason::kBadRequest,
                               headers.request_id, built.error().message,
@@ -155,13 +176,42 @@
   StartRunning(running, context);
 }
 
+const Customer* EntryRole::FindCustomer(const HttpRequest& request,
+                                        bool from_peer) const {
+  const CustomerTable& customers = parts_.settings.customers();
+  if (!from_peer) {
+    return customers.FindByKey(FindHeader(request.headers, kKeyHeader));
+  }
+  return customers.Find(
+      std::string(FindHeader(request.headers, kCustomerHeader)));
+}
+
+void EntryRole::RefuseUnknownKey(const Waiter& waiter,
+                                 const HttpRequest& request,
+                                 const std::string& request_id,
+                                 Context& context) {
+  const std::string_view key = FindHeader(request.headers, kKeyHeader);
+  const std::string detail = key.empty()
+                                 ? "the request has no customer's key"
+                                 : "no customer holds the key with digest " +
+                                       std::string(KeyDigest::Of(key).Short());
+  context.Log(LogLevel::kInfo, "entry",
+              "request=" + request_id +
+                  " outcome=unknown-key verdict=not-run detail=\"" + detail +
+                  "\"");
+  RefuseUnregistered(waiter, Verdict::kNotRun, Reason::kUnknownKey, request_id,
+                     detail, context);
+}
+
 Outcome<Call> EntryRole::BuildCall(const HttpRequest& request,
-                                   const CallerHeaders& headers, bool routed,
+                                   const CallerHeaders& headers,
+                                   const std::optional<MatchedRoute>& routed,
+                                   const Customer* customer,
                                    std::optional<Duration> remaining,
                                    Context& context) {
   Call call;
   call.id = context.NextId();
-  call.request = WithoutNodeHeaders(request, routed);
+  call.request = WithoutNodeHeaders(request, routed.has_value());
   call.started = context.now;
   CallContext& call_context = call.context;
   call_context.mesh = parts_.settings.mesh();
@@ -170,6 +220,10 @@
   call_context.tenant = headers.tenant;
   call_context.caller_key =
       headers.caller.empty() ? headers.tenant : headers.caller;
+  // Its share is what the operators set, however much others ask for.
+  if (customer != nullptr && !customer->quota.unlimited()) {
+    call_context.caller_key = kWithinQuota;
+  }
   call_context.request_id = headers.request_id;
   if (call_context.request_id.empty()) {
     call_context.request_id =
@@ -180,10 +234,17 @@
   if (!headers.context_token.empty()) {
     return BuildNested(std::move(call), headers, routed, context);
   }
+  if (customer != nullptr) {
+    SetHeader(call.request.headers, kCustomerHeader, customer->name);
+    call.customer = customer->name;
+  }
   const EffectiveSettings& settings =
       parts_.settings.Resolve(call_context.service, call_context.request_class);
   call_context.tier = settings.tier;
-  ApplyClassSettings(call, settings, headers, routed);
+  if (customer != nullptr && customer->tier) {
+    call_context.tier = *customer->tier;
+  }
+  ApplyClassSettings(call, settings, headers, routed.has_value());
   Duration limit = headers.deadline.value_or(settings.deadline);
   // The deadline of a route is set by the operators: a caller may only shorten
   // it.
@@ -195,7 +256,8 @@
 }
 
 Outcome<Call> EntryRole::BuildNested(Call call, const CallerHeaders& headers,
-                                     bool routed, Context& context) {
+                                     const std::optional<MatchedRoute>& routed,
+                                     Context& context) {
   const std::optional<ContextToken> token =
       ParseContextToken(headers.context_token);
   Hop* hop = token ? parts_.serving.FindHop(*token) : nullptr;
@@ -213,6 +275,10 @@
   call_context.request_id = parent.request_id;
   call_context.request_class = parent.request_class;
   call_context.tenant = parent.tenant;
+  const bool open = routed && routed->open;
+  if (!open && parts_.settings.customers().Find(parent.tenant) != nullptr) {
+    SetHeader(call.request.headers, kCustomerHeader, parent.tenant);
+  }
   call_context.caller_key = parent.caller_key;
   call_context.tier = parent.tier;
   call_context.level = parent.level;
@@ -222,7 +288,7 @@
   const EffectiveSettings& settings = parts_.settings.Resolve(
       call_context.service,
       routed ? headers.request_class : call_context.request_class);
-  ApplyClassSettings(call, settings, headers, routed);
+  ApplyClassSettings(call, settings, headers, routed.has_value());
   call.is_root = false;
   call.parent_hop = hop->id;
   call.deadline = hop->deadline;
@@ -370,6 +436,56 @@
     PropagateThreshold(call, context);
     return FinishWithFailure(call, std::move(refusal), context);
   }
+  if (TakeQuotaToken(call, context)) StartFirstAttempt(call, context);
+}
+
+bool EntryRole::TakeQuotaToken(Call& call, Context& context) {
+  if (call.customer.empty()) return true;
+  const Customer* customer = parts_.settings.customers().Find(call.customer);
+  if (customer == nullptr || customer->quota.unlimited()) return true;
+  call.phase = CallPhase::kAwaitingQuota;
+  const std::optional<QuotaDecision> decision =
+      parts_.quotas.Ask(call.id, *customer, context);
+  if (!decision) return false;
+  if (!decision->granted) {
+    RefuseOverQuota(call, decision->retry_after, context);
+    return false;
+  }
+  call.phase = CallPhase::kRunning;
+  call.has_quota_token = true;
+  return true;
+}
+
+bool EntryRole::OnQuotaDecision(uint64_t id, const QuotaDecision& decision,
+                                Context& context) {
+  Call* call = FindCall(id);
+  if (call == nullptr || call->phase != CallPhase::kAwaitingQuota) return false;
+  if (!decision.granted) {
+    RefuseOverQuota(*call, decision.retry_after, context);
+    return true;
+  }
+  call->phase = CallPhase::kRunning;
+  call->has_quota_token = true;
+  StartFirstAttempt(*call, context);
+  return true;
+}
+
+void EntryRole::RefuseOverQuota(Call& call, Duration retry_after,
+                                Context& context) {
+  parts_.stats.Count("amaranth_over_quota_total",
+                     "customer=\"" + call.customer + "\"");
+  // Its end says nothing about the load.
+  admission_.AbandonInWindow(call);
+  Failure refusal;
+  refusal.verdict = Verdict::kNotRun;
+  refusal.reason = Reason::kOverQuota;
+  refusal.final = true;
+  refusal.retry_after = retry_after;
+  refusal.detail = "customer " + call.customer + " is over its quota";
+  FinishWithFailure(call, std::move(refusal), context);
+}
+
+void EntryRole::StartFirstAttempt(Call& call, Context& context) {
   retry_budgets_[call.context.service].OnFirstAttempt(context.now);
   if (call.is_root && context.identity.rules.fleet_retry_slack > 0) {
     FleetShareOf(call.context.service, context.identity.rules)
--- a/src/libnode/entry/entry_finish.cc
+++ b/src/libnode/entry/entry_finish.cc
@@ -79,6 +79,9 @@
                               ? known->second
                               : RetryAfter(0, 0, context.random);
   }
+  if (call.has_quota_token && failure.verdict == Verdict::kNotRun) {
+    parts_.quotas.GiveBack(call.customer, context.now);
+  }
   UpdateKeyRecord(call, nullptr, failure);
   CompleteInWindow(call, false, context.now);
   ReportToParent(call, failure.final, failure.verdict, context.now);
@@ -119,6 +122,7 @@
   const CallContext& call_context = call.context;
   std::string text = "request=" + call_context.request_id;
   text += " class=" + call.call_class;
+  if (!call.customer.empty()) text += " customer=" + call.customer;
   text += " service=" + call_context.service;
   text += " depth=" + std::to_string(call_context.depth);
   text += " outcome=" + std::string(ToString(failure.reason));
--- a/src/libnode/entry/entry_role.h
+++ b/src/libnode/entry/entry_role.h
@@ -14,6 +14,7 @@
 #include "amaranthroute/event.h"
 #include "amaranthroute/policy/fleet_retry_share.h"
 #include "amaranthroute/policy/retry_budget.h"
+#include "libnode/customers/quota_keeper.h"
 #include "libnode/entry/admission.h"
 #include "libnode/entry/call.h"
 #include "libnode/entry/claim_coordinator.h"
@@ -38,6 +39,7 @@
   struct Parts {
     Membership& membership;
     SettingsCache& settings;
+    QuotaKeeper& quotas;
     ServingRole& serving;
     ClaimCoordinator& claims;
     Outbox& outbox;
@@ -65,6 +67,9 @@
   void OnSendFailed(const std::string& peer, const PeerMessage& message,
                     Context& context);
   void OnClaimResult(const ClaimResult& result, Context& context);
+  // Returns false if the request has ended.
+  bool OnQuotaDecision(uint64_t id, const QuotaDecision& decision,
+                       Context& context);
   void OnHopCancelled(uint64_t hop, Context& context);
   void OnTimer(Context& context);
   TimePoint next_timer() const;
@@ -82,11 +87,20 @@
   void Begin(const Waiter& waiter, const HttpRequest& request,
              const std::optional<MatchedRoute>& routed,
              std::optional<Duration> remaining, Context& context);
+  // Returns the customer whose key the caller sent, or whom the node that
+  // forwarded the request named; null if there is none.
+  const Customer* FindCustomer(const HttpRequest& request,
+                               bool from_peer) const;
+  void RefuseUnknownKey(const Waiter& waiter, const HttpRequest& request,
+                        const std::string& request_id, Context& context);
   Outcome<Call> BuildCall(const HttpRequest& request,
-                          const CallerHeaders& headers, bool routed,
+                          const CallerHeaders& headers,
+                          const std::optional<MatchedRoute>& routed,
+                          const Customer* customer,
                           std::optional<Duration> remaining, Context& context);
   Outcome<Call> BuildNested(Call call, const CallerHeaders& headers,
-                            bool routed, Context& context);
+                            const std::optional<MatchedRoute>& routed,
+                            Context& context);
   void RefuseUnregistered(const Waiter& waiter, Verdict verdict, Reason reason,
                           const std::string& request_id,
                           const std::string& detail, Context& context);
@@ -101,6 +115,11 @@
   bool TryAdmit(Call& call, Failure& refusal, Context& context);
   uint64_t Register(Call call);
   void StartRunning(Call& call, Context& context);
+  // Takes a token of the customer's quota. Returns false if the call is over
+  // the quota and has been refused, or continues with OnQuotaDecision.
+  bool TakeQuotaToken(Call& call, Context& context);
+  void RefuseOverQuota(Call& call, Duration retry_after, Context& context);
+  void StartFirstAttempt(Call& call, Context& context);
 
   // entry_keys.cc: at-most-once execution of keyed requests.
   void BeginKeyed(Call call, bool forwarded_here, Context& context);
--- a/src/libnode/fakes/fake_fleet.cc
+++ b/src/libnode/fakes/fake_fleet.cc
@@ -416,6 +416,9 @@
     } else {
       reply.version = found->second;
     }
+  } else if (const auto* watch = std::get_if<TableWatchSettings>(&request)) {
+    reply.version = document_version_;
+    if (document_version_ > watch->after) reply.bytes = document_;
   } else if (const auto* put = std::get_if<ObjectPut>(&request)) {
     objects_[put->name] = put->bytes;
   } else if (const auto* get = std::get_if<ObjectGet>(&request)) {
--- a/src/libnode/fakes/fake_fleet.h
+++ b/src/libnode/fakes/fake_fleet.h
@@ -128,6 +128,12 @@
   void Cut(const std::string& a, const std::string& b);
   void Heal();
   void Stop(const std::string& node);  // planned stop
+  // Replaces the settings document that nodes with SettingsSource::kWatch
+  // watch. They learn of it when their current watch ends.
+  void SetDocument(uint64_t version, std::string text) {
+    document_version_ = version;
+    document_ = std::move(text);
+  }
   void SetPlatform(PlatformMode mode) { platform_mode_ = mode; }
   void SetDatagramLoss(double share) { datagram_loss_ = share; }
   void SetDatagramDuplicates(double share) { datagram_duplicates_ = share; }
@@ -232,6 +238,8 @@
   uint64_t head_version_ = 0;
   std::string head_object_;
   std::map<std::string, uint64_t> changes_;
+  uint64_t document_version_ = 0;
+  std::string document_;
   uint64_t platform_operations_ = 0;
   double datagram_loss_ = 0;
   double datagram_duplicates_ = 0;
--- a/src/libnode/membership/membership.cc
+++ b/src/libnode/membership/membership.cc
@@ -245,6 +245,13 @@
   return member == nullptr ? Endpoint() : member->peer_address;
 }
 
+std::optional<TimePoint> Membership::DownSince(
+    const std::string& node_name) const {
+  const auto tombstone = tombstones_.find(node_name);
+  if (tombstone == tombstones_.end()) return std::nullopt;
+  return tombstone->second - kTombstoneRetention;
+}
+
 std::vector<std::string> Membership::UpInDataCentre() const {
   std::vector<std::string> names = UpPeers();
   if (IsUp(Self())) names.push_back(identity_.node.name);
--- a/src/libnode/membership/membership.h
+++ b/src/libnode/membership/membership.h
@@ -81,6 +81,10 @@
   // included. All nodes choose the same delegates from them by hash.
   std::vector<std::string> UpInDataCentre() const;
 
+  // Returns when this node learned that the member had died or left; nullopt if
+  // it is up or unknown.
+  std::optional<TimePoint> DownSince(const std::string& node_name) const;
+
   // Returns the number of nodes that are up or whose tombstone is still kept,
   // this node included: nodes of a partitioned data centre may still be
   // working.
--- a/src/libnode/node_state.cc
+++ b/src/libnode/node_state.cc
@@ -47,9 +47,10 @@
       membership(identity),
       settings(identity),
       settings_cache(settings, identity.mesh),
+      quotas(identity, membership, settings_cache, outbox, stats),
       serving(membership, settings_cache, outbox, stats, records),
       claims(membership, outbox, stats),
-      entry({membership, settings_cache, serving, claims, outbox, stats,
+      entry({membership, settings_cache, quotas, serving, claims, outbox, stats,
              records, identity.data_centre}) {
   ConnectModules();
 }
@@ -81,6 +82,10 @@
   serving.on_hop_cancelled = [this](uint64_t hop, Context& context) {
     entry.OnHopCancelled(hop, context);
   };
+  quotas.on_decision = [this](uint64_t call, const QuotaDecision& decision,
+                              Context& context) {
+    return entry.OnQuotaDecision(call, decision, context);
+  };
   claims.on_result = [this](const ClaimResult& result, Context& context) {
     entry.OnClaimResult(result, context);
   };
@@ -100,6 +105,7 @@
   Context context{identity, now, random, next_id, effects};
   membership.Start(context);
   settings.Start(context);
+  quotas.Start(now);
   RequestWake(context);
   CountPlatformCalls(effects);
   return effects;
@@ -198,12 +204,15 @@
   entry.OnPeerLost(peer, context);
   serving.OnEntryLost(peer, context);
   claims.OnPeerLost(peer, context);
+  quotas.OnPeerLost(peer, context);
 }
 
 void NodeState::ApplyOne(const PeerSendFailed& event, Context& context) {
   entry.OnSendFailed(event.peer, event.message, context);
   if (std::holds_alternative<ClaimRequest>(event.message)) {
     claims.OnPeerLost(event.peer, context);
+  } else if (const auto* ask = std::get_if<QuotaRequest>(&event.message)) {
+    quotas.OnSendFailed(*ask, context);
   }
 }
 
@@ -267,6 +276,10 @@
     claims.OnClaimRequest(from, *claim, context);
   } else if (const auto* reply = std::get_if<ClaimReply>(&message)) {
     claims.OnClaimReply(*reply, context);
+  } else if (const auto* ask = std::get_if<QuotaRequest>(&message)) {
+    quotas.OnRequest(from, *ask, context);
+  } else if (const auto* quota = std::get_if<QuotaReply>(&message)) {
+    quotas.OnReply(*quota, context);
   } else if (const auto* sync = std::get_if<MemberSync>(&message)) {
     membership.OnSync(from, *sync, context);
   }
@@ -283,6 +296,7 @@
   if (context.now < NextTimer()) return;
   membership.OnTimer(context);
   settings.OnTimer(context);
+  quotas.OnTimer(context);
   entry.OnTimer(context);
   serving.OnTimer(context);
   claims.OnTimer(context);
@@ -291,8 +305,9 @@
 
 TimePoint NodeState::NextTimer() const {
   return std::min({membership.next_timer(), settings.next_timer(),
-                   entry.next_timer(), serving.next_timer(),
-                   claims.next_timer(), links.next_timer()});
+                   quotas.next_timer(), entry.next_timer(),
+                   serving.next_timer(), claims.next_timer(),
+                   links.next_timer()});
 }
 
 void NodeState::ExitIfDrained(Context& context) {
--- a/src/libnode/node_state.h
+++ b/src/libnode/node_state.h
@@ -7,6 +7,7 @@
 #include <random>
 
 #include "amaranthroute/reducer.h"
+#include "libnode/customers/quota_keeper.h"
 #include "libnode/entry/claim_coordinator.h"
 #include "libnode/entry/entry_role.h"
 #include "libnode/membership/membership.h"
@@ -49,6 +50,7 @@
   Membership membership;
   SettingsStore settings;
   SettingsCache settings_cache;
+  QuotaKeeper quotas;
   ServingRole serving;
   ClaimCoordinator claims;
   EntryRole entry;
--- a/src/libnode/settings/settings_cache.h
+++ b/src/libnode/settings/settings_cache.h
@@ -35,6 +35,7 @@
 
   const std::string& mesh() const { return mesh_; }
   const RouteTable& routes() const { return store_.routes(); }
+  const CustomerTable& customers() const { return store_.customers(); }
 
  private:
   // Callers choose class names, so the cache size must be bounded: it is
--- a/src/libnode/settings/settings_document.cc
+++ b/src/libnode/settings/settings_document.cc
@@ -78,10 +78,58 @@
                     {"host", route.host},
                     {"prefix", route.prefix},
                     {"targets", std::move(targets)}});
+    if (route.open) json.back()["open"] = true;
   }
   return json;
 }
 
+Json ToJson(const CustomerTable& table) {
+  Json json = Json::array();
+  for (const Customer& customer : table.customers()) {
+    Json keys = Json::array();
+    for (const KeyDigest& key : customer.keys) keys.push_back(key.text());
+    json.push_back({{"name", customer.name}, {"keys", std::move(keys)}});
+    if (customer.tier) json.back()["tier"] = *customer.tier;
+    if (customer.quota.unlimited()) continue;
+    json.back()["rate"] = customer.quota.rate;
+    json.back()["burst"] = customer.quota.burst;
+  }
+  return json;
+}
+
+Outcome<Customer> ParseCustomer(const Json& json) {
+  Customer customer;
+  customer.name = json.at("name");
+  for (const Json& text : json.at("keys")) {
+    Outcome<KeyDigest> key = KeyDigest::Parse(text.get<std::string>());
+    if (!key) return key.error();
+    customer.keys.push_back(std::move(key.value()));
+  }
+  if (json.contains("tier")) {
+    const int tier = json["tier"];
+    if (tier < 0 || tier >= kTierCount) {
+      return Error{ErrorCode::kInvalid, "tier is out of range"};
+    }
+    customer.tier = static_cast<Tier>(tier);
+  }
+  if (json.contains("rate")) customer.quota = {json["rate"], json.at("burst")};
+  return customer;
+}
+
+Outcome<CustomerTable> ParseCustomers(const Json& json) {
+  std::vector<Customer> customers;
+  try {
+    for (const Json& item : json) {
+      Outcome<Customer> customer = ParseCustomer(item);
+      if (!customer) return customer.error();
+      customers.push_back(std::move(customer.value()));
+    }
+  } catch (const Json::exception& error) {
+    return Error{ErrorCode::kInvalid, error.what()};
+  }
+  return CustomerTable(std::move(customers));
+}
+
 Outcome<RouteTable> ParseRoutes(const Json& json) {
   std::vector<Route> routes;
   try {
@@ -93,6 +141,7 @@
       for (const Json& target : item.at("targets")) {
         route.targets.push_back({target.at("service"), target.at("weight")});
       }
+      route.open = item.value("open", false);
       routes.push_back(std::move(route));
     }
   } catch (const Json::exception& error) {
@@ -116,6 +165,7 @@
   next.tree = base.tree.Apply(changes);
   next.history = base.history;
   next.routes = base.routes;
+  next.customers = base.customers;
   next.history.push_back({next.version, author, change_id, changes});
   if (next.history.size() > kSettingsHistoryLength) {
     next.history.erase(next.history.begin());
@@ -130,6 +180,9 @@
   json["settings"] = Json::parse(amaranth::ToText(document.tree));
   json["history"] = ToJson(document.history);
   if (!document.routes.empty()) json["routes"] = ToJson(document.routes);
+  if (!document.customers.empty()) {
+    json["customers"] = ToJson(document.customers);
+  }
   return Dump(json);
 }
 
@@ -156,6 +209,11 @@
     if (!routes) return routes.error();
     document.routes = std::move(routes.value());
   }
+  if (json.contains("customers")) {
+    Outcome<CustomerTable> customers = ParseCustomers(json["customers"]);
+    if (!customers) return customers.error();
+    document.customers = std::move(customers.value());
+  }
   return document;
 }
 
--- a/src/libnode/settings/settings_document.h
+++ b/src/libnode/settings/settings_document.h
@@ -2,13 +2,14 @@
 #define AMARANTHROUTE_LIBNODE_SETTINGS_SETTINGS_DOCUMENT_H_
 
 // A settings snapshot as it is stored on the platform and sent between peers:
-// the settings tree and the most recent changes to it.
+// the settings tree, the most recent changes to it, routes and customers.
 
 #include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "amaranthroute/customers.h"
 #include "amaranthroute/outcome.h"
 #include "amaranthroute/routes.h"
 #include "amaranthroute/settings.h"
@@ -37,10 +38,12 @@
   SettingsTree tree;
   std::vector<SettingsHistoryEntry> history;  // newest last
   RouteTable routes;
+  CustomerTable customers;
 
   friend bool operator==(const SettingsDocument& a, const SettingsDocument& b) {
     return a.version == b.version && a.tree == b.tree &&
-           a.history == b.history && a.routes == b.routes;
+           a.history == b.history && a.routes == b.routes &&
+           a.customers == b.customers;
   }
 };
 
--- a/src/libnode/settings/settings_store.h
+++ b/src/libnode/settings/settings_store.h
@@ -70,6 +70,7 @@
 
   const SettingsTree& tree() const { return document_.tree; }
   const RouteTable& routes() const { return document_.routes; }
+  const CustomerTable& customers() const { return document_.customers; }
   uint64_t version() const { return document_.version; }
   bool ready() const { return ready_; }
   // Newest last.
--- a/src/libnode/shared/answers.cc
+++ b/src/libnode/shared/answers.cc
@@ -11,6 +11,10 @@
   switch (failure.reason) {
     case Reason::kBadRequest:
       return 400;
+    case Reason::kUnknownKey:
+      return 401;
+    case Reason::kOverQuota:
+      return 429;
     case Reason::kNoRoute:
     case Reason::kUnknownService:
       return 404;
--- a/src/libnode/shared/caller_headers.h
+++ b/src/libnode/shared/caller_headers.h
@@ -17,6 +17,10 @@
 inline constexpr std::string_view kServiceHeader = "X-Amaranth-Service";
 inline constexpr std::string_view kClassHeader = "X-Amaranth-Class";
 inline constexpr std::string_view kTenantHeader = "X-Amaranth-Tenant";
+// The customer's key, sent by callers. Never forwarded.
+inline constexpr std::string_view kKeyHeader = "X-Amaranth-Key";
+// Name of the customer who holds the key. Set only by nodes.
+inline constexpr std::string_view kCustomerHeader = "X-Amaranth-Customer";
 inline constexpr std::string_view kRequestIdHeader = "X-Amaranth-Request-Id";
 inline constexpr std::string_view kCallerHeader = "X-Amaranth-Caller";
 inline constexpr std::string_view kDeadlineHeader = "X-Amaranth-Deadline-Ms";
@@ -56,10 +60,11 @@
 // backslashes, and so is safe in logs, JSON and metric labels.
 bool IsSafeText(std::string_view text);
 
-// Service and class that a route gives to a request without a service header.
+// What a route gives to a request without a service header.
 struct MatchedRoute {
   std::string service;
   std::string request_class;
+  bool open = false;  // needs no customer's key
 };
 
 // Parses and validates the headers. The message of an error may be shown to the
--- /dev/null
+++ b/src/libpolicy/quota_bucket.cc
@@ -0,0 +1,61 @@
+#include "amaranthroute/policy/quota_bucket.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace amaranth {
+namespace {
+
+// A part of less than one token could never give out any.
+constexpr double kMinCapacity = 1;
+
+double Seconds(Duration time) {
+  return std::chrono::duration<double>(time).count();
+}
+
+Duration FromSeconds(double seconds) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(seconds));
+}
+
+}  // namespace
+
+void QuotaBucket::Refill(const Quota& part, TimePoint owned_since,
+                         TimePoint now) {
+  const TimePoint since = started_ ? refilled_ : owned_since;
+  const double added = part.rate * std::max(0.0, Seconds(now - since));
+  const double capacity = std::max(kMinCapacity, part.burst);
+  tokens_ = std::min(capacity, tokens_ + added);
+  part_ = part;
+  started_ = true;
+  refilled_ = now;
+}
+
+bool QuotaBucket::TryTake() {
+  if (tokens_ < 1) return false;
+  tokens_ -= 1;
+  return true;
+}
+
+double QuotaBucket::TakeForLoan(double wanted) {
+  const double given = std::floor(std::min(wanted, tokens_ / 2));
+  tokens_ -= given;
+  return given;
+}
+
+Duration QuotaBucket::TimeToToken() const {
+  if (tokens_ >= 1) return Duration(0);
+  if (part_.rate <= 0) return kMaxReservation;
+  return std::min(kMaxReservation, FromSeconds((1 - tokens_) / part_.rate));
+}
+
+Duration QuotaBucket::Reserve(TimePoint now) {
+  const TimePoint earliest = now + TimeToToken();
+  const Duration step =
+      part_.rate <= 0 ? kMaxReservation : FromSeconds(1 / part_.rate);
+  reserved_until_ =
+      std::clamp(reserved_until_ + step, earliest, now + kMaxReservation);
+  return reserved_until_ - now;
+}
+
+}  // namespace amaranth
--- a/src/libutil/fields.h
+++ b/src/libutil/fields.h
@@ -76,6 +76,14 @@
 
 inline auto Fields(const ClaimReply& v) { return std::tie(v.outcomes); }
 
+inline auto Fields(const QuotaRequest& v) {
+  return std::tie(v.id, v.customer, v.tokens, v.loan);
+}
+
+inline auto Fields(const QuotaReply& v) {
+  return std::tie(v.id, v.customer, v.tokens, v.retry_after, v.loan);
+}
+
 inline auto Fields(const ServerFitness& v) {
   return std::tie(v.failing, v.slowdown);
 }
@@ -230,6 +238,8 @@
 inline const char* TypeName(const ClaimRequest&) { return "ClaimRequest"; }
 inline const char* TypeName(const ClaimOutcome&) { return "ClaimOutcome"; }
 inline const char* TypeName(const ClaimReply&) { return "ClaimReply"; }
+inline const char* TypeName(const QuotaRequest&) { return "QuotaRequest"; }
+inline const char* TypeName(const QuotaReply&) { return "QuotaReply"; }
 inline const char* TypeName(const ServerFitness&) { return "ServerFitness"; }
 inline const char* TypeName(const ServerRecord&) { return "ServerRecord"; }
 inline const char* TypeName(const MemberRecord&) { return "MemberRecord"; }
--- a/src/libutil/messages.cc
+++ b/src/libutil/messages.cc
@@ -69,6 +69,14 @@
   return pvt::Fields(a) == pvt::Fields(b);
 }
 
+bool operator==(const QuotaRequest& a, const QuotaRequest& b) {
+  return pvt::Fields(a) == pvt::Fields(b);
+}
+
+bool operator==(const QuotaReply& a, const QuotaReply& b) {
+  return pvt::Fields(a) == pvt::Fields(b);
+}
+
 bool operator==(const ServerRecord& a, const ServerRecord& b) {
   return pvt::Fields(a) == pvt::Fields(b);
 }
--- a/src/libutil/verdict.cc
+++ b/src/libutil/verdict.cc
@@ -24,6 +24,10 @@
       return "no-route";
     case Reason::kServerRefused:
       return "server-refused";
+    case Reason::kUnknownKey:
+      return "unknown-key";
+    case Reason::kOverQuota:
+      return "over-quota";
     case Reason::kUnknownService:
       return "unknown-service";
     case Reason::kNoServer:
--- a/src/libwire/amaranth.thrift
+++ b/src/libwire/amaranth.thrift
@@ -22,7 +22,9 @@
   CLAIM_REQUEST = 10,
   CLAIM_REPLY = 11,
   MEMBER_SYNC = 12,
-  GOSSIP = 13
+  GOSSIP = 13,
+  QUOTA_REQUEST = 14,
+  QUOTA_REPLY = 15
 }
 
 struct Envelope {
@@ -179,6 +181,21 @@
   1: required list<ClaimOutcome> outcomes
 }
 
+struct QuotaRequest {
+  1: required i64 id,
+  2: required string customer,
+  3: required i64 tokens,
+  4: required bool loan
+}
+
+struct QuotaReply {
+  1: required i64 id,
+  2: required string customer,
+  3: required i64 tokens,
+  4: required i64 retry_after_us,
+  5: required bool loan
+}
+
 struct ServerRecord {
   1: required string server,
   2: required string service_name,
--- a/src/libwire/codec.cc
+++ b/src/libwire/codec.cc
@@ -82,6 +82,16 @@
   static constexpr int32_t kKind = MessageKind::CLAIM_REPLY;
 };
 template <>
+struct WireTraits<QuotaRequest> {
+  using Type = wire::QuotaRequest;
+  static constexpr int32_t kKind = MessageKind::QUOTA_REQUEST;
+};
+template <>
+struct WireTraits<QuotaReply> {
+  using Type = wire::QuotaReply;
+  static constexpr int32_t kKind = MessageKind::QUOTA_REPLY;
+};
+template <>
 struct WireTraits<MemberSync> {
   using Type = wire::MemberSync;
   static constexpr int32_t kKind = MessageKind::MEMBER_SYNC;
--- a/src/libwire/convert.h
+++ b/src/libwire/convert.h
@@ -69,6 +69,8 @@
 void ToWire(const SettingsSnapshot& in, wire::SettingsSnapshot& out);
 void ToWire(const ClaimRequest& in, wire::ClaimRequest& out);
 void ToWire(const ClaimReply& in, wire::ClaimReply& out);
+void ToWire(const QuotaRequest& in, wire::QuotaRequest& out);
+void ToWire(const QuotaReply& in, wire::QuotaReply& out);
 void ToWire(const MemberSync& in, wire::MemberSync& out);
 void ToWire(const GossipMessage& in, wire::Gossip& out);
 
@@ -86,6 +88,8 @@
               RangeCheck& check);
 void FromWire(wire::ClaimRequest& in, ClaimRequest& out, RangeCheck& check);
 void FromWire(wire::ClaimReply& in, ClaimReply& out, RangeCheck& check);
+void FromWire(wire::QuotaRequest& in, QuotaRequest& out, RangeCheck& check);
+void FromWire(wire::QuotaReply& in, QuotaReply& out, RangeCheck& check);
 void FromWire(wire::MemberSync& in, MemberSync& out, RangeCheck& check);
 void FromWire(wire::Gossip& in, GossipMessage& out, RangeCheck& check);
 
--- a/src/libwire/from_wire.cc
+++ b/src/libwire/from_wire.cc
@@ -48,7 +48,7 @@
 
 void FromWire(wire::Failure& in, Failure& out, RangeCheck& check) {
   out.verdict = check.ToEnum(in.verdict, Verdict::kRan, "verdict");
-  out.reason = check.ToEnum(in.reason, Reason::kServerRefused, "reason");
+  out.reason = check.ToEnum(in.reason, Reason::kOverQuota, "reason");
   out.retry_after = check.ToDuration(in.retry_after_us, "retry_after_us");
   out.final = in.is_final;
   out.detail = std::move(in.detail);
@@ -222,6 +222,21 @@
   FromWireList(in.outcomes, out.outcomes, check);
 }
 
+void FromWire(wire::QuotaRequest& in, QuotaRequest& out, RangeCheck& check) {
+  out.id = Unsigned(in.id);
+  out.customer = std::move(in.customer);
+  out.tokens = check.Narrow<uint32_t>(in.tokens, "tokens");
+  out.loan = in.loan;
+}
+
+void FromWire(wire::QuotaReply& in, QuotaReply& out, RangeCheck& check) {
+  out.id = Unsigned(in.id);
+  out.customer = std::move(in.customer);
+  out.tokens = check.Narrow<uint32_t>(in.tokens, "tokens");
+  out.retry_after = check.ToDuration(in.retry_after_us, "retry_after_us");
+  out.loan = in.loan;
+}
+
 void FromWire(wire::MemberSync& in, MemberSync& out, RangeCheck& check) {
   out.reply_wanted = in.reply_wanted;
   FromWireList(in.members, out.members, check);
--- a/src/libwire/gen-cpp/amaranth_types.cpp
+++ b/src/libwire/gen-cpp/amaranth_types.cpp
@@ -26,7 +26,9 @@
   MessageKind::CLAIM_REQUEST,
   MessageKind::CLAIM_REPLY,
   MessageKind::MEMBER_SYNC,
-  MessageKind::GOSSIP
+  MessageKind::GOSSIP,
+  MessageKind::QUOTA_REQUEST,
+  MessageKind::QUOTA_REPLY
 };
 const char* _kMessageKindNames[] = {
   "HELLO",
@@ -41,9 +43,11 @@
   "CLAIM_REQUEST",
   "CLAIM_REPLY",
   "MEMBER_SYNC",
-  "GOSSIP"
+  "GOSSIP",
+  "QUOTA_REQUEST",
+  "QUOTA_REPLY"
 };
-const std::map<int, const char*> _MessageKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(13, _kMessageKindValues, _kMessageKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _MessageKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(15, _kMessageKindValues, _kMessageKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const MessageKind::type& val) {
   std::map<int, const char*>::const_iterator it = _MessageKind_VALUES_TO_NAMES.find(val);
@@ -3978,6 +3982,379 @@
 }
 
 
+QuotaRequest::~QuotaRequest() noexcept {
+}
+
+
+void QuotaRequest::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void QuotaRequest::__set_customer(const std::string& val) {
+  this->customer = val;
+}
+
+void QuotaRequest::__set_tokens(const int64_t val) {
+  this->tokens = val;
+}
+
+void QuotaRequest::__set_loan(const bool val) {
+  this->loan = val;
+}
+std::ostream& operator<<(std::ostream& out, const QuotaRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuotaRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_id = false;
+  bool isset_customer = false;
+  bool isset_tokens = false;
+  bool isset_loan = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          isset_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->customer);
+          isset_customer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->tokens);
+          isset_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->loan);
+          isset_loan = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_id)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_customer)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_tokens)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_loan)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t QuotaRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuotaRequest");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("customer", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->customer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("loan", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->loan);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuotaRequest &a, QuotaRequest &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.customer, b.customer);
+  swap(a.tokens, b.tokens);
+  swap(a.loan, b.loan);
+}
+
+QuotaRequest::QuotaRequest(const QuotaRequest& other116) {
+  id = other116.id;
+  customer = other116.customer;
+  tokens = other116.tokens;
+  loan = other116.loan;
+}
+QuotaRequest::QuotaRequest(QuotaRequest&& other117) noexcept {
+  id = other117.id;
+  customer = std::move(other117.customer);
+  tokens = other117.tokens;
+  loan = other117.loan;
+}
+QuotaRequest& QuotaRequest::operator=(const QuotaRequest& other118) {
+  id = other118.id;
+  customer = other118.customer;
+  tokens = other118.tokens;
+  loan = other118.loan;
+  return *this;
+}
+QuotaRequest& QuotaRequest::operator=(QuotaRequest&& other119) noexcept {
+  id = other119.id;
+  customer = std::move(other119.customer);
+  tokens = other119.tokens;
+  loan = other119.loan;
+  return *this;
+}
+void QuotaRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuotaRequest(";
+  out << "id=" << to_string(id);
+  out << ", " << "customer=" << to_string(customer);
+  out << ", " << "tokens=" << to_string(tokens);
+  out << ", " << "loan=" << to_string(loan);
+  out << ")";
+}
+
+
+QuotaReply::~QuotaReply() noexcept {
+}
+
+
+void QuotaReply::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void QuotaReply::__set_customer(const std::string& val) {
+  this->customer = val;
+}
+
+void QuotaReply::__set_tokens(const int64_t val) {
+  this->tokens = val;
+}
+
+void QuotaReply::__set_retry_after_us(const int64_t val) {
+  this->retry_after_us = val;
+}
+
+void QuotaReply::__set_loan(const bool val) {
+  this->loan = val;
+}
+std::ostream& operator<<(std::ostream& out, const QuotaReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuotaReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_id = false;
+  bool isset_customer = false;
+  bool isset_tokens = false;
+  bool isset_retry_after_us = false;
+  bool isset_loan = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          isset_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->customer);
+          isset_customer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->tokens);
+          isset_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->retry_after_us);
+          isset_retry_after_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->loan);
+          isset_loan = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_id)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_customer)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_tokens)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_retry_after_us)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_loan)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t QuotaReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuotaReply");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("customer", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->customer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("retry_after_us", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->retry_after_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("loan", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->loan);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuotaReply &a, QuotaReply &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.customer, b.customer);
+  swap(a.tokens, b.tokens);
+  swap(a.retry_after_us, b.retry_after_us);
+  swap(a.loan, b.loan);
+}
+
+QuotaReply::QuotaReply(const QuotaReply& other120) {
+  id = other120.id;
+  customer = other120.customer;
+  tokens = other120.tokens;
+  retry_after_us = other120.retry_after_us;
+  loan = other120.loan;
+}
+QuotaReply::QuotaReply(QuotaReply&& other121) noexcept {
+  id = other121.id;
+  customer = std::move(other121.customer);
+  tokens = other121.tokens;
+  retry_after_us = other121.retry_after_us;
+  loan = other121.loan;
+}
+QuotaReply& QuotaReply::operator=(const QuotaReply& other122) {
+  id = other122.id;
+  customer = other122.customer;
+  tokens = other122.tokens;
+  retry_after_us = other122.retry_after_us;
+  loan = other122.loan;
+  return *this;
+}
+QuotaReply& QuotaReply::operator=(QuotaReply&& other123) noexcept {
+  id = other123.id;
+  customer = std::move(other123.customer);
+  tokens = other123.tokens;
+  retry_after_us = other123.retry_after_us;
+  loan = other123.loan;
+  return *this;
+}
+void QuotaReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuotaReply(";
+  out << "id=" << to_string(id);
+  out << ", " << "customer=" << to_string(customer);
+  out << ", " << "tokens=" << to_string(tokens);
+  out << ", " << "retry_after_us=" << to_string(retry_after_us);
+  out << ", " << "loan=" << to_string(loan);
+  out << ")";
+}
+
+
 ServerRecord::~ServerRecord() noexcept {
 }
 
@@ -4193,50 +4570,50 @@
   swap(a.__isset, b.__isset);
 }
 
-ServerRecord::ServerRecord(const ServerRecord& other116) {
-  server = other116.server;
-  service_name = other116.service_name;
-  address = other116.address;
-  slots = other116.slots;
-  draining = other116.draining;
-  failing = other116.failing;
-  slowdown = other116.slowdown;
-  started_ms = other116.started_ms;
-  __isset = other116.__isset;
-}
-ServerRecord::ServerRecord(ServerRecord&& other117) noexcept {
-  server = std::move(other117.server);
-  service_name = std::move(other117.service_name);
-  address = std::move(other117.address);
-  slots = other117.slots;
-  draining = other117.draining;
-  failing = other117.failing;
-  slowdown = other117.slowdown;
-  started_ms = other117.started_ms;
-  __isset = other117.__isset;
-}
-ServerRecord& ServerRecord::operator=(const ServerRecord& other118) {
-  server = other118.server;
-  service_name = other118.service_name;
-  address = other118.address;
-  slots = other118.slots;
-  draining = other118.draining;
-  failing = other118.failing;
-  slowdown = other118.slowdown;
-  started_ms = other118.started_ms;
-  __isset = other118.__isset;
+ServerRecord::ServerRecord(const ServerRecord& other124) {
+  server = other124.server;
+  service_name = other124.service_name;
+  address = other124.address;
+  slots = other124.slots;
+  draining = other124.draining;
+  failing = other124.failing;
+  slowdown = other124.slowdown;
+  started_ms = other124.started_ms;
+  __isset = other124.__isset;
+}
+ServerRecord::ServerRecord(ServerRecord&& other125) noexcept {
+  server = std::move(other125.server);
+  service_name = std::move(other125.service_name);
+  address = std::move(other125.address);
+  slots = other125.slots;
+  draining = other125.draining;
+  failing = other125.failing;
+  slowdown = other125.slowdown;
+  started_ms = other125.started_ms;
+  __isset = other125.__isset;
+}
+ServerRecord& ServerRecord::operator=(const ServerRecord& other126) {
+  server = other126.server;
+  service_name = other126.service_name;
+  address = other126.address;
+  slots = other126.slots;
+  draining = other126.draining;
+  failing = other126.failing;
+  slowdown = other126.slowdown;
+  started_ms = other126.started_ms;
+  __isset = other126.__isset;
   return *this;
 }
-ServerRecord& ServerRecord::operator=(ServerRecord&& other119) noexcept {
-  server = std::move(other119.server);
-  service_name = std::move(other119.service_name);
-  address = std::move(other119.address);
-  slots = other119.slots;
-  draining = other119.draining;
-  failing = other119.failing;
-  slowdown = other119.slowdown;
-  started_ms = other119.started_ms;
-  __isset = other119.__isset;
+ServerRecord& ServerRecord::operator=(ServerRecord&& other127) noexcept {
+  server = std::move(other127.server);
+  service_name = std::move(other127.service_name);
+  address = std::move(other127.address);
+  slots = other127.slots;
+  draining = other127.draining;
+  failing = other127.failing;
+  slowdown = other127.slowdown;
+  started_ms = other127.started_ms;
+  __isset = other127.__isset;
   return *this;
 }
 void ServerRecord::printTo(std::ostream& out) const {
@@ -4385,14 +4762,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size120;
-            ::apache::thrift::protocol::TType _etype123;
-            xfer += iprot->readListBegin(_etype123, _size120);
-            this->servers.resize(_size120);
-            uint32_t _i124;
-            for (_i124 = 0; _i124 < _size120; ++_i124)
+            uint32_t _size128;
+            ::apache::thrift::protocol::TType _etype131;
+            xfer += iprot->readListBegin(_etype131, _size128);
+            this->servers.resize(_size128);
+            uint32_t _i132;
+            for (_i132 = 0; _i132 < _size128; ++_i132)
             {
-              xfer += this->servers[_i124].read(iprot);
+              xfer += this->servers[_i132].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4465,10 +4842,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<ServerRecord> ::const_iterator _iter125;
-    for (_iter125 = this->servers.begin(); _iter125 != this->servers.end(); ++_iter125)
+    std::vector<ServerRecord> ::const_iterator _iter133;
+    for (_iter133 = this->servers.begin(); _iter133 != this->servers.end(); ++_iter133)
     {
-      xfer += (*_iter125).write(oprot);
+      xfer += (*_iter133).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4491,46 +4868,46 @@
   swap(a.servers, b.servers);
 }
 
-MemberRecord::MemberRecord(const MemberRecord& other126) {
-  node = other126.node;
-  version = other126.version;
-  state = other126.state;
-  data_centre = other126.data_centre;
-  region = other126.region;
-  peer_address = other126.peer_address;
-  gossip_address = other126.gossip_address;
-  servers = other126.servers;
-}
-MemberRecord::MemberRecord(MemberRecord&& other127) noexcept {
-  node = std::move(other127.node);
-  version = other127.version;
-  state = other127.state;
-  data_centre = std::move(other127.data_centre);
-  region = std::move(other127.region);
-  peer_address = std::move(other127.peer_address);
-  gossip_address = std::move(other127.gossip_address);
-  servers = std::move(other127.servers);
-}
-MemberRecord& MemberRecord::operator=(const MemberRecord& other128) {
-  node = other128.node;
-  version = other128.version;
-  state = other128.state;
-  data_centre = other128.data_centre;
-  region = other128.region;
-  peer_address = other128.peer_address;
-  gossip_address = other128.gossip_address;
-  servers = other128.servers;
+MemberRecord::MemberRecord(const MemberRecord& other134) {
+  node = other134.node;
+  version = other134.version;
+  state = other134.state;
+  data_centre = other134.data_centre;
+  region = other134.region;
+  peer_address = other134.peer_address;
+  gossip_address = other134.gossip_address;
+  servers = other134.servers;
+}
+MemberRecord::MemberRecord(MemberRecord&& other135) noexcept {
+  node = std::move(other135.node);
+  version = other135.version;
+  state = other135.state;
+  data_centre = std::move(other135.data_centre);
+  region = std::move(other135.region);
+  peer_address = std::move(other135.peer_address);
+  gossip_address = std::move(other135.gossip_address);
+  servers = std::move(other135.servers);
+}
+MemberRecord& MemberRecord::operator=(const MemberRecord& other136) {
+  node = other136.node;
+  version = other136.version;
+  state = other136.state;
+  data_centre = other136.data_centre;
+  region = other136.region;
+  peer_address = other136.peer_address;
+  gossip_address = other136.gossip_address;
+  servers = other136.servers;
   return *this;
 }
-MemberRecord& MemberRecord::operator=(MemberRecord&& other129) noexcept {
-  node = std::move(other129.node);
-  version = other129.version;
-  state = other129.state;
-  data_centre = std::move(other129.data_centre);
-  region = std::move(other129.region);
-  peer_address = std::move(other129.peer_address);
-  gossip_address = std::move(other129.gossip_address);
-  servers = std::move(other129.servers);
+MemberRecord& MemberRecord::operator=(MemberRecord&& other137) noexcept {
+  node = std::move(other137.node);
+  version = other137.version;
+  state = other137.state;
+  data_centre = std::move(other137.data_centre);
+  region = std::move(other137.region);
+  peer_address = std::move(other137.peer_address);
+  gossip_address = std::move(other137.gossip_address);
+  servers = std::move(other137.servers);
   return *this;
 }
 void MemberRecord::printTo(std::ostream& out) const {
@@ -4685,30 +5062,30 @@
   swap(a.remaining_us, b.remaining_us);
 }
 
-QuarantineRecord::QuarantineRecord(const QuarantineRecord& other130) {
-  service_name = other130.service_name;
-  fingerprint = other130.fingerprint;
-  crashes = other130.crashes;
-  remaining_us = other130.remaining_us;
+QuarantineRecord::QuarantineRecord(const QuarantineRecord& other138) {
+  service_name = other138.service_name;
+  fingerprint = other138.fingerprint;
+  crashes = other138.crashes;
+  remaining_us = other138.remaining_us;
 }
-QuarantineRecord::QuarantineRecord(QuarantineRecord&& other131) noexcept {
-  service_name = std::move(other131.service_name);
-  fingerprint = other131.fingerprint;
-  crashes = other131.crashes;
-  remaining_us = other131.remaining_us;
+QuarantineRecord::QuarantineRecord(QuarantineRecord&& other139) noexcept {
+  service_name = std::move(other139.service_name);
+  fingerprint = other139.fingerprint;
+  crashes = other139.crashes;
+  remaining_us = other139.remaining_us;
 }
-QuarantineRecord& QuarantineRecord::operator=(const QuarantineRecord& other132) {
-  service_name = other132.service_name;
-  fingerprint = other132.fingerprint;
-  crashes = other132.crashes;
-  remaining_us = other132.remaining_us;
+QuarantineRecord& QuarantineRecord::operator=(const QuarantineRecord& other140) {
+  service_name = other140.service_name;
+  fingerprint = other140.fingerprint;
+  crashes = other140.crashes;
+  remaining_us = other140.remaining_us;
   return *this;
 }
-QuarantineRecord& QuarantineRecord::operator=(QuarantineRecord&& other133) noexcept {
-  service_name = std::move(other133.service_name);
-  fingerprint = other133.fingerprint;
-  crashes = other133.crashes;
-  remaining_us = other133.remaining_us;
+QuarantineRecord& QuarantineRecord::operator=(QuarantineRecord&& other141) noexcept {
+  service_name = std::move(other141.service_name);
+  fingerprint = other141.fingerprint;
+  crashes = other141.crashes;
+  remaining_us = other141.remaining_us;
   return *this;
 }
 void QuarantineRecord::printTo(std::ostream& out) const {
@@ -4790,14 +5167,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size134;
-            ::apache::thrift::protocol::TType _etype137;
-            xfer += iprot->readListBegin(_etype137, _size134);
-            this->members.resize(_size134);
-            uint32_t _i138;
-            for (_i138 = 0; _i138 < _size134; ++_i138)
+            uint32_t _size142;
+            ::apache::thrift::protocol::TType _etype145;
+            xfer += iprot->readListBegin(_etype145, _size142);
+            this->members.resize(_size142);
+            uint32_t _i146;
+            for (_i146 = 0; _i146 < _size142; ++_i146)
             {
-              xfer += this->members[_i138].read(iprot);
+              xfer += this->members[_i146].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4810,14 +5187,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quarantines.clear();
-            uint32_t _size139;
-            ::apache::thrift::protocol::TType _etype142;
-            xfer += iprot->readListBegin(_etype142, _size139);
-            this->quarantines.resize(_size139);
-            uint32_t _i143;
-            for (_i143 = 0; _i143 < _size139; ++_i143)
+            uint32_t _size147;
+            ::apache::thrift::protocol::TType _etype150;
+            xfer += iprot->readListBegin(_etype150, _size147);
+            this->quarantines.resize(_size147);
+            uint32_t _i151;
+            for (_i151 = 0; _i151 < _size147; ++_i151)
             {
-              xfer += this->quarantines[_i143].read(iprot);
+              xfer += this->quarantines[_i151].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4838,14 +5215,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->bucket_hashes.clear();
-            uint32_t _size144;
-            ::apache::thrift::protocol::TType _etype147;
-            xfer += iprot->readListBegin(_etype147, _size144);
-            this->bucket_hashes.resize(_size144);
-            uint32_t _i148;
-            for (_i148 = 0; _i148 < _size144; ++_i148)
+            uint32_t _size152;
+            ::apache::thrift::protocol::TType _etype155;
+            xfer += iprot->readListBegin(_etype155, _size152);
+            this->bucket_hashes.resize(_size152);
+            uint32_t _i156;
+            for (_i156 = 0; _i156 < _size152; ++_i156)
             {
-              xfer += iprot->readI32(this->bucket_hashes[_i148]);
+              xfer += iprot->readI32(this->bucket_hashes[_i156]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4888,10 +5265,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<MemberRecord> ::const_iterator _iter149;
-    for (_iter149 = this->members.begin(); _iter149 != this->members.end(); ++_iter149)
+    std::vector<MemberRecord> ::const_iterator _iter157;
+    for (_iter157 = this->members.begin(); _iter157 != this->members.end(); ++_iter157)
     {
-      xfer += (*_iter149).write(oprot);
+      xfer += (*_iter157).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4900,10 +5277,10 @@
   xfer += oprot->writeFieldBegin("quarantines", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantines.size()));
-    std::vector<QuarantineRecord> ::const_iterator _iter150;
-    for (_iter150 = this->quarantines.begin(); _iter150 != this->quarantines.end(); ++_iter150)
+    std::vector<QuarantineRecord> ::const_iterator _iter158;
+    for (_iter158 = this->quarantines.begin(); _iter158 != this->quarantines.end(); ++_iter158)
     {
-      xfer += (*_iter150).write(oprot);
+      xfer += (*_iter158).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4916,10 +5293,10 @@
   xfer += oprot->writeFieldBegin("bucket_hashes", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->bucket_hashes.size()));
-    std::vector<int32_t> ::const_iterator _iter151;
-    for (_iter151 = this->bucket_hashes.begin(); _iter151 != this->bucket_hashes.end(); ++_iter151)
+    std::vector<int32_t> ::const_iterator _iter159;
+    for (_iter159 = this->bucket_hashes.begin(); _iter159 != this->bucket_hashes.end(); ++_iter159)
     {
-      xfer += oprot->writeI32((*_iter151));
+      xfer += oprot->writeI32((*_iter159));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4939,34 +5316,34 @@
   swap(a.bucket_hashes, b.bucket_hashes);
 }
 
-MemberSync::MemberSync(const MemberSync& other152) {
-  reply_wanted = other152.reply_wanted;
-  members = other152.members;
-  quarantines = other152.quarantines;
-  settings_version = other152.settings_version;
-  bucket_hashes = other152.bucket_hashes;
-}
-MemberSync::MemberSync(MemberSync&& other153) noexcept {
-  reply_wanted = other153.reply_wanted;
-  members = std::move(other153.members);
-  quarantines = std::move(other153.quarantines);
-  settings_version = other153.settings_version;
-  bucket_hashes = std::move(other153.bucket_hashes);
-}
-MemberSync& MemberSync::operator=(const MemberSync& other154) {
-  reply_wanted = other154.reply_wanted;
-  members = other154.members;
-  quarantines = other154.quarantines;
-  settings_version = other154.settings_version;
-  bucket_hashes = other154.bucket_hashes;
+MemberSync::MemberSync(const MemberSync& other160) {
+  reply_wanted = other160.reply_wanted;
+  members = other160.members;
+  quarantines = other160.quarantines;
+  settings_version = other160.settings_version;
+  bucket_hashes = other160.bucket_hashes;
+}
+MemberSync::MemberSync(MemberSync&& other161) noexcept {
+  reply_wanted = other161.reply_wanted;
+  members = std::move(other161.members);
+  quarantines = std::move(other161.quarantines);
+  settings_version = other161.settings_version;
+  bucket_hashes = std::move(other161.bucket_hashes);
+}
+MemberSync& MemberSync::operator=(const MemberSync& other162) {
+  reply_wanted = other162.reply_wanted;
+  members = other162.members;
+  quarantines = other162.quarantines;
+  settings_version = other162.settings_version;
+  bucket_hashes = other162.bucket_hashes;
   return *this;
 }
-MemberSync& MemberSync::operator=(MemberSync&& other155) noexcept {
-  reply_wanted = other155.reply_wanted;
-  members = std::move(other155.members);
-  quarantines = std::move(other155.quarantines);
-  settings_version = other155.settings_version;
-  bucket_hashes = std::move(other155.bucket_hashes);
+MemberSync& MemberSync::operator=(MemberSync&& other163) noexcept {
+  reply_wanted = other163.reply_wanted;
+  members = std::move(other163.members);
+  quarantines = std::move(other163.quarantines);
+  settings_version = other163.settings_version;
+  bucket_hashes = std::move(other163.bucket_hashes);
   return *this;
 }
 void MemberSync::printTo(std::ostream& out) const {
@@ -5140,14 +5517,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->updates.clear();
-            uint32_t _size156;
-            ::apache::thrift::protocol::TType _etype159;
-            xfer += iprot->readListBegin(_etype159, _size156);
-            this->updates.resize(_size156);
-            uint32_t _i160;
-            for (_i160 = 0; _i160 < _size156; ++_i160)
+            uint32_t _size164;
+            ::apache::thrift::protocol::TType _etype167;
+            xfer += iprot->readListBegin(_etype167, _size164);
+            this->updates.resize(_size164);
+            uint32_t _i168;
+            for (_i168 = 0; _i168 < _size164; ++_i168)
             {
-              xfer += this->updates[_i160].read(iprot);
+              xfer += this->updates[_i168].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5160,14 +5537,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quarantines.clear();
-            uint32_t _size161;
-            ::apache::thrift::protocol::TType _etype164;
-            xfer += iprot->readListBegin(_etype164, _size161);
-            this->quarantines.resize(_size161);
-            uint32_t _i165;
-            for (_i165 = 0; _i165 < _size161; ++_i165)
+            uint32_t _size169;
+            ::apache::thrift::protocol::TType _etype172;
+            xfer += iprot->readListBegin(_etype172, _size169);
+            this->quarantines.resize(_size169);
+            uint32_t _i173;
+            for (_i173 = 0; _i173 < _size169; ++_i173)
             {
-              xfer += this->quarantines[_i165].read(iprot);
+              xfer += this->quarantines[_i173].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5264,10 +5641,10 @@
   xfer += oprot->writeFieldBegin("updates", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->updates.size()));
-    std::vector<MemberRecord> ::const_iterator _iter166;
-    for (_iter166 = this->updates.begin(); _iter166 != this->updates.end(); ++_iter166)
+    std::vector<MemberRecord> ::const_iterator _iter174;
+    for (_iter174 = this->updates.begin(); _iter174 != this->updates.end(); ++_iter174)
     {
-      xfer += (*_iter166).write(oprot);
+      xfer += (*_iter174).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5276,10 +5653,10 @@
   xfer += oprot->writeFieldBegin("quarantines", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantines.size()));
-    std::vector<QuarantineRecord> ::const_iterator _iter167;
-    for (_iter167 = this->quarantines.begin(); _iter167 != this->quarantines.end(); ++_iter167)
+    std::vector<QuarantineRecord> ::const_iterator _iter175;
+    for (_iter175 = this->quarantines.begin(); _iter175 != this->quarantines.end(); ++_iter175)
     {
-      xfer += (*_iter167).write(oprot);
+      xfer += (*_iter175).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5317,66 +5694,66 @@
   swap(a.__isset, b.__isset);
 }
 
-Gossip::Gossip(const Gossip& other168) {
-  kind = other168.kind;
-  source = other168.source;
-  source_address = other168.source_address;
-  sequence = other168.sequence;
-  target = other168.target;
-  target_address = other168.target_address;
-  settings_version = other168.settings_version;
-  membership_hash = other168.membership_hash;
-  updates = other168.updates;
-  quarantines = other168.quarantines;
-  settings_confirmed_us = other168.settings_confirmed_us;
-  platform_epoch = other168.platform_epoch;
-  __isset = other168.__isset;
-}
-Gossip::Gossip(Gossip&& other169) noexcept {
-  kind = other169.kind;
-  source = std::move(other169.source);
-  source_address = std::move(other169.source_address);
-  sequence = other169.sequence;
-  target = std::move(other169.target);
-  target_address = std::move(other169.target_address);
-  settings_version = other169.settings_version;
-  membership_hash = other169.membership_hash;
-  updates = std::move(other169.updates);
-  quarantines = std::move(other169.quarantines);
-  settings_confirmed_us = other169.settings_confirmed_us;
-  platform_epoch = other169.platform_epoch;
-  __isset = other169.__isset;
-}
-Gossip& Gossip::operator=(const Gossip& other170) {
-  kind = other170.kind;
-  source = other170.source;
-  source_address = other170.source_address;
-  sequence = other170.sequence;
-  target = other170.target;
-  target_address = other170.target_address;
-  settings_version = other170.settings_version;
-  membership_hash = other170.membership_hash;
-  updates = other170.updates;
-  quarantines = other170.quarantines;
-  settings_confirmed_us = other170.settings_confirmed_us;
-  platform_epoch = other170.platform_epoch;
-  __isset = other170.__isset;
+Gossip::Gossip(const Gossip& other176) {
+  kind = other176.kind;
+  source = other176.source;
+  source_address = other176.source_address;
+  sequence = other176.sequence;
+  target = other176.target;
+  target_address = other176.target_address;
+  settings_version = other176.settings_version;
+  membership_hash = other176.membership_hash;
+  updates = other176.updates;
+  quarantines = other176.quarantines;
+  settings_confirmed_us = other176.settings_confirmed_us;
+  platform_epoch = other176.platform_epoch;
+  __isset = other176.__isset;
+}
+Gossip::Gossip(Gossip&& other177) noexcept {
+  kind = other177.kind;
+  source = std::move(other177.source);
+  source_address = std::move(other177.source_address);
+  sequence = other177.sequence;
+  target = std::move(other177.target);
+  target_address = std::move(other177.target_address);
+  settings_version = other177.settings_version;
+  membership_hash = other177.membership_hash;
+  updates = std::move(other177.updates);
+  quarantines = std::move(other177.quarantines);
+  settings_confirmed_us = other177.settings_confirmed_us;
+  platform_epoch = other177.platform_epoch;
+  __isset = other177.__isset;
+}
+Gossip& Gossip::operator=(const Gossip& other178) {
+  kind = other178.kind;
+  source = other178.source;
+  source_address = other178.source_address;
+  sequence = other178.sequence;
+  target = other178.target;
+  target_address = other178.target_address;
+  settings_version = other178.settings_version;
+  membership_hash = other178.membership_hash;
+  updates = other178.updates;
+  quarantines = other178.quarantines;
+  settings_confirmed_us = other178.settings_confirmed_us;
+  platform_epoch = other178.platform_epoch;
+  __isset = other178.__isset;
   return *this;
 }
-Gossip& Gossip::operator=(Gossip&& other171) noexcept {
-  kind = other171.kind;
-  source = std::move(other171.source);
-  source_address = std::move(other171.source_address);
-  sequence = other171.sequence;
-  target = std::move(other171.target);
-  target_address = std::move(other171.target_address);
-  settings_version = other171.settings_version;
-  membership_hash = other171.membership_hash;
-  updates = std::move(other171.updates);
-  quarantines = std::move(other171.quarantines);
-  settings_confirmed_us = other171.settings_confirmed_us;
-  platform_epoch = other171.platform_epoch;
-  __isset = other171.__isset;
+Gossip& Gossip::operator=(Gossip&& other179) noexcept {
+  kind = other179.kind;
+  source = std::move(other179.source);
+  source_address = std::move(other179.source_address);
+  sequence = other179.sequence;
+  target = std::move(other179.target);
+  target_address = std::move(other179.target_address);
+  settings_version = other179.settings_version;
+  membership_hash = other179.membership_hash;
+  updates = std::move(other179.updates);
+  quarantines = std::move(other179.quarantines);
+  settings_confirmed_us = other179.settings_confirmed_us;
+  platform_epoch = other179.platform_epoch;
+  __isset = other179.__isset;
   return *this;
 }
 void Gossip::printTo(std::ostream& out) const {
--- a/src/libwire/gen-cpp/amaranth_types.h
+++ b/src/libwire/gen-cpp/amaranth_types.h
@@ -35,7 +35,9 @@
     CLAIM_REQUEST = 10,
     CLAIM_REPLY = 11,
     MEMBER_SYNC = 12,
-    GOSSIP = 13
+    GOSSIP = 13,
+    QUOTA_REQUEST = 14,
+    QUOTA_REPLY = 15
   };
 };
 
@@ -91,6 +93,10 @@
 
 class ClaimReply;
 
+class QuotaRequest;
+
+class QuotaReply;
+
 class ServerRecord;
 
 class MemberRecord;
@@ -1398,6 +1404,126 @@
 
 std::ostream& operator<<(std::ostream& out, const ClaimReply& obj);
 
+
+class QuotaRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuotaRequest(const QuotaRequest&);
+  QuotaRequest(QuotaRequest&&) noexcept;
+  QuotaRequest& operator=(const QuotaRequest&);
+  QuotaRequest& operator=(QuotaRequest&&) noexcept;
+  QuotaRequest() noexcept
+               : id(0),
+                 customer(),
+                 tokens(0),
+                 loan(0) {
+  }
+
+  virtual ~QuotaRequest() noexcept;
+  int64_t id;
+  std::string customer;
+  int64_t tokens;
+  bool loan;
+
+  void __set_id(const int64_t val);
+
+  void __set_customer(const std::string& val);
+
+  void __set_tokens(const int64_t val);
+
+  void __set_loan(const bool val);
+
+  bool operator == (const QuotaRequest & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(customer == rhs.customer))
+      return false;
+    if (!(tokens == rhs.tokens))
+      return false;
+    if (!(loan == rhs.loan))
+      return false;
+    return true;
+  }
+  bool operator != (const QuotaRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuotaRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuotaRequest &a, QuotaRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const QuotaRequest& obj);
+
+
+class QuotaReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuotaReply(const QuotaReply&);
+  QuotaReply(QuotaReply&&) noexcept;
+  QuotaReply& operator=(const QuotaReply&);
+  QuotaReply& operator=(QuotaReply&&) noexcept;
+  QuotaReply() noexcept
+             : id(0),
+               customer(),
+               tokens(0),
+               retry_after_us(0),
+               loan(0) {
+  }
+
+  virtual ~QuotaReply() noexcept;
+  int64_t id;
+  std::string customer;
+  int64_t tokens;
+  int64_t retry_after_us;
+  bool loan;
+
+  void __set_id(const int64_t val);
+
+  void __set_customer(const std::string& val);
+
+  void __set_tokens(const int64_t val);
+
+  void __set_retry_after_us(const int64_t val);
+
+  void __set_loan(const bool val);
+
+  bool operator == (const QuotaReply & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(customer == rhs.customer))
+      return false;
+    if (!(tokens == rhs.tokens))
+      return false;
+    if (!(retry_after_us == rhs.retry_after_us))
+      return false;
+    if (!(loan == rhs.loan))
+      return false;
+    return true;
+  }
+  bool operator != (const QuotaReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuotaReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuotaReply &a, QuotaReply &b);
+
+std::ostream& operator<<(std::ostream& out, const QuotaReply& obj);
+
 typedef struct _ServerRecord__isset {
   _ServerRecord__isset() : failing(false), slowdown(false), started_ms(false) {}
   bool failing :1;
--- a/src/libwire/generators_test.cc
+++ b/src/libwire/generators_test.cc
@@ -51,8 +51,8 @@
 }
 
 Failure AnyFailure() {
-  return {AnyEnum(Verdict::kRan), AnyEnum(Reason::kServerRefused),
-          AnyDuration(), Any<bool>(), Any<std::string>()};
+  return {AnyEnum(Verdict::kRan), AnyEnum(Reason::kOverQuota), AnyDuration(),
+          Any<bool>(), Any<std::string>()};
 }
 
 CallContext AnyContext() {
@@ -149,6 +149,12 @@
       return ClaimRequest{AnyNode(), AnyList(AnyClaim)};
     case 10:
       return ClaimReply{AnyList(AnyOutcome)};
+    case 11:
+      return QuotaRequest{Any<uint64_t>(), Any<std::string>(), Any<uint32_t>(),
+                          Any<bool>()};
+    case 12:
+      return QuotaReply{Any<uint64_t>(), Any<std::string>(), Any<uint32_t>(),
+                        AnyDuration(), Any<bool>()};
     default:
       return AnySync();
   }
--- a/src/libwire/to_wire.cc
+++ b/src/libwire/to_wire.cc
@@ -34,6 +34,8 @@
 static_assert(kHasFields<ClaimRequest, 2>);
 static_assert(kHasFields<ClaimOutcome, 4>);
 static_assert(kHasFields<ClaimReply, 1>);
+static_assert(kHasFields<QuotaRequest, 4>);
+static_assert(kHasFields<QuotaReply, 5>);
 static_assert(kHasFields<ServerRecord, 7>);
 static_assert(kHasFields<MemberRecord, 8>);
 static_assert(kHasFields<QuarantineRecord, 4>);
@@ -242,6 +244,21 @@
   ToWireList(in.outcomes, out.outcomes);
 }
 
+void ToWire(const QuotaRequest& in, wire::QuotaRequest& out) {
+  out.id = Signed(in.id);
+  out.customer = in.customer;
+  out.tokens = in.tokens;
+  out.loan = in.loan;
+}
+
+void ToWire(const QuotaReply& in, wire::QuotaReply& out) {
+  out.id = Signed(in.id);
+  out.customer = in.customer;
+  out.tokens = in.tokens;
+  out.retry_after_us = ClampedMicros(in.retry_after);
+  out.loan = in.loan;
+}
+
 void ToWire(const MemberSync& in, wire::MemberSync& out) {
   out.reply_wanted = in.reply_wanted;
   ToWireList(in.members, out.members);
