--- a/src/amaranthctl/command.cc
+++ b/src/amaranthctl/command.cc
@@ -96,6 +96,10 @@
   return MakeGet("/servers", View::kServers);
 }
 
+Command Customers(const CtlOptions&, const Arguments&) {
+  return MakeGet("/customers", View::kCustomers);
+}
+
 Command SettingsGet(const CtlOptions&, const Arguments& arguments) {
   return MakeSettingsGet(arguments, View::kValues);
 }
@@ -139,9 +143,10 @@
   return MakePost("/drain", nlohmann::json::object(), View::kDraining, options);
 }
 
-constexpr std::array<CommandSyntax, 12> kCommandSyntaxes = {{
+constexpr std::array<CommandSyntax, 13> kCommandSyntaxes = {{
     {"status", "", 0, 0, "status", Status},
     {"servers", "", 0, 0, "servers", Servers},
+    {"customers", "", 0, 0, "customers", Customers},
     {"settings", "get", 0, 2, "settings get [PATH [NAME]]", SettingsGet},
     {"settings", "explain", 0, 1, "settings explain [PATH]", SettingsExplain},
     {"settings", "set", 3, 3, "settings set PATH NAME VALUE", SettingsSet},
--- a/src/amaranthctl/command.h
+++ b/src/amaranthctl/command.h
@@ -13,6 +13,7 @@
 enum class View {
   kStatus,
   kServers,
+  kCustomers,
   kValues,
   kExplainedValues,
   kHistory,
--- a/src/amaranthctl/options.cc
+++ b/src/amaranthctl/options.cc
@@ -21,6 +21,7 @@
  Commands:
   status                        state of the node, members, local servers
   servers                       all backend servers known to the node
+  customers                     customers with their keys' digests and quotas
   settings get [PATH [NAME]]    values in effect at PATH
   settings explain [PATH]       the same, with the path each value comes from
   settings set PATH NAME VALUE  set a value at PATH
--- a/src/amaranthctl/render.cc
+++ b/src/amaranthctl/render.cc
@@ -111,6 +111,23 @@
   return table.ToText();
 }
 
+std::string CustomersText(const Json& answer) {
+  Table table(
+      {"CUSTOMER", "TIER", ">RATE/S", ">BURST", "HOME", "KEYS (DIGESTS)"});
+  for (const Json& customer : ArrayField(answer, "customers")) {
+    std::vector<std::string> row =
+        FieldTexts(customer, {"customer", "tier", "rate", "burst", "home"});
+    std::string keys;
+    for (const Json& key : ArrayField(customer, "keys")) {
+      if (!key.is_string()) continue;
+      keys += (keys.empty() ? "" : " ") + key.get<std::string>();
+    }
+    row.push_back(keys);
+    table.AddRow(std::move(row));
+  }
+  return table.ToText();
+}
+
 std::string OriginText(const Json& value) {
   const Json::const_iterator found = value.find("is_default");
   const bool is_default =
@@ -224,6 +241,8 @@
       return StatusText(answer);
     case View::kServers:
       return ServersText(answer, options);
+    case View::kCustomers:
+      return CustomersText(answer);
     case View::kValues:
     case View::kExplainedValues:
       return ValuesText(answer, command);
--- a/src/amaranthctl/render_test.cc
+++ b/src/amaranthctl/render_test.cc
@@ -55,6 +55,17 @@
         std::string::npos);
 }
 
+TEST(CtlRender, CustomersShowTheirQuotasAndDigests) {
+  const std::string text =
+      RenderText(View::kCustomers,
+                 R"({"customers":[{"customer":"c1","tier":"critical","rate":5.0,
+          "burst":7.0,"home":"n2","keys":["ab12","cd34"]},
+          {"customer":"c2","keys":[]}]})");
+  CHECK(text.find("c1        critical") != std::string::npos);
+  CHECK(text.find("n2    ab12 cd34\n") != std::string::npos);
+  CHECK(text.find("c2        -") != std::string::npos);
+}
+
 TEST(CtlRender, ServersAreFilteredByService) {
   const std::string body =
       R"({"servers":[{"server":"s1","service":"pay","draining":false},
--- a/src/libnode/customers/quota_keeper.cc
+++ b/src/libnode/customers/quota_keeper.cc
@@ -51,6 +51,11 @@
   }
 }
 
+std::string QuotaKeeper::HomeOf(const std::string& customer, TimePoint now) {
+  RefreshView(now);
+  return view_.HomeOf(customer);
+}
+
 std::optional<QuotaDecision> QuotaKeeper::Ask(uint64_t call,
                                               const Customer& customer,
                                               Context& context) {
--- a/src/libnode/customers/quota_keeper.h
+++ b/src/libnode/customers/quota_keeper.h
@@ -59,6 +59,9 @@
   void OnTimer(Context& context);
   TimePoint next_timer() const;
 
+  // Returns the node in this data centre that gives out the customer's quota.
+  std::string HomeOf(const std::string& customer, TimePoint now);
+
  private:
   // A request of this node whose home is asked.
   struct Asked {
--- a/src/libnode/operator_api.cc
+++ b/src/libnode/operator_api.cc
@@ -92,6 +92,24 @@
   return Json{{"servers", std::move(servers)}};
 }
 
+// Shows digests of keys only in the short form that the logs use.
+Json CustomersJson(NodeState& state, TimePoint now) {
+  Json customers = Json::array();
+  for (const Customer& customer : state.settings.customers().customers()) {
+    Json keys = Json::array();
+    for (const KeyDigest& key : customer.keys) keys.push_back(key.Short());
+    Json json = {{"customer", customer.name}, {"keys", std::move(keys)}};
+    if (customer.tier) json["tier"] = ToString(*customer.tier);
+    if (!customer.quota.unlimited()) {
+      json["rate"] = customer.quota.rate;
+      json["burst"] = customer.quota.burst;
+      json["home"] = state.quotas.HomeOf(customer.name, now);
+    }
+    customers.push_back(std::move(json));
+  }
+  return Json{{"customers", std::move(customers)}};
+}
+
 Json HistogramsJson(const Stats& stats) {
   Json all = Json::array();
   for (const HistogramSummary& summary : stats.Histograms()) {
@@ -219,6 +237,9 @@
   if (path == "/servers") {
     return JsonResponse(200, Dump(ServersJson(state, now)));
   }
+  if (path == "/customers") {
+    return JsonResponse(200, Dump(CustomersJson(state, now)));
+  }
   if (path == "/histograms") {
     return JsonResponse(200, Dump(HistogramsJson(state.stats)));
   }
--- a/testsuite/lib/users_platform.py
+++ b/testsuite/lib/users_platform.py
@@ -84,9 +84,11 @@
             self._rows[table, key] = (value, self._version)
             self._changed.notify_all()
 
-    def put_config(self, version, routes):
+    def put_config(self, version, routes, tenants=None):
         config = {"version": f"r{version}", "routes": routes, "services": {},
                   "limits": {}}
+        if tenants is not None:
+            config["tenants"] = tenants
         self.put("op", "config",
                  base64.b64encode(json.dumps(config).encode()).decode())
 
@@ -193,6 +195,8 @@
         self.limit = None
         self.leaving = False
         self.callers = []
+        self.customers = []  # Tenant header of each run
+        self.keys_seen = []  # keys that reached the server
         self.state = "ready"
         self._node, self._slots, self._sequence = node, slots, 0
         self._started = int(time.time() * 1000)
@@ -257,6 +261,9 @@
             return call.answer(421, headers=echo + [("Instance", self.name)])
         self.runs.append(attempt)
         self.callers.append(call.headers.get("Caller"))
+        self.customers.append(call.headers.get("Tenant"))
+        if "Credential" in call.headers:
+            self.keys_seen.append(call.headers["Credential"])
         if self.nested:
             host, path = self.nested
             nested_answer = request(
@@ -275,7 +282,8 @@
         self.body = response.read().decode()
 
 
-def request(port, method, path, host="", attempt="", body=None, timeout=10):
+def request(port, method, path, host="", attempt="", body=None, timeout=10,
+            key=""):
     """Sends one HTTP request on a new connection."""
     connection = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout)
     headers = {"Deadline-Ms": "5000"}
@@ -283,6 +291,9 @@
         headers["Host"] = host
     if attempt:
         headers["Attempt-Id"] = attempt
+    if key:
+        headers["Credential"] = key
+        headers["Tenant"] = "forged"
     connection.request(method, path, body=body, headers=headers)
     answer = Answer(connection.getresponse())
     connection.close()
