Customers: the class orders requests of customers of the same tier

Cause: a customer's tier goes before that of the class, and nearly all customers have the same one; what the operators say of classes was lost in levels, queues and windows. A window's tier even changed with each request.

Fleets without customers are not affected: tier and class tier are equal there. The window test names the class's tier, which its windows are ordered by now; its checks are unchanged.

--- a/src/include/amaranthroute/messages.h
+++ b/src/include/amaranthroute/messages.h
@@ -38,6 +38,7 @@
   std::string tenant;
   /// Identifies the caller for fair sharing within a service and tier.
   std::string caller_key;
+  /// Of the customer if it has one, otherwise of the class.
   Tier tier = Tier::kStandard;
   bool idempotent = false;
   bool long_work = false;
@@ -52,6 +53,8 @@
   /// Shedding level, set at the entry node of the caller's request and the same
   /// at every hop (see policy/shedder.h and policy/caller_shares.h).
   uint32_t level = 0;
+  /// Of the request's class. Orders requests of the same tier.
+  Tier class_tier = Tier::kStandard;
 };
 
 /// Load of one backend server. Each answer carries one.
--- a/src/include/amaranthroute/policy/admission_queue.h
+++ b/src/include/amaranthroute/policy/admission_queue.h
@@ -61,12 +61,14 @@
   /// and because refusing is quick, the server would appear idle and attract
   /// all calls.
   Duration expected{0};
+  /// Orders the calls of one tier.
+  Tier class_tier = Tier::kStandard;
 
   friend bool operator==(const QueuedCall& a, const QueuedCall& b) {
     return a.id == b.id && a.tier == b.tier && a.level == b.level &&
            a.caller_key == b.caller_key && a.long_work == b.long_work &&
            a.enqueued == b.enqueued && a.deadline == b.deadline &&
-           a.expected == b.expected;
+           a.expected == b.expected && a.class_tier == b.class_tier;
   }
   friend bool operator!=(const QueuedCall& a, const QueuedCall& b) {
     return !(a == b);
@@ -164,7 +166,10 @@
 
  private:
   using Calls = std::list<QueuedCall>;  // of one caller, oldest first
-  // The calls of one tier that compete for the same slots: its short calls, or
+  // Ranks order calls by tier, then by the tier of their class.
+  static constexpr size_t kRankCount = size_t{kTierCount} * kTierCount;
+
+  // The calls of one rank that compete for the same slots: its short calls, or
   // its long work.
   struct Lane {
     std::map<std::string, Calls> callers;
@@ -173,15 +178,13 @@
     TimePoint above_since = kNever;  // wait over the target, without a break
     bool overloaded = false;
   };
-  struct TierLanes {
+  struct RankLanes {
     Lane short_calls;
     Lane long_calls;
   };
-  struct Place {
-    Tier tier = Tier::kStandard;
-    Calls::iterator call;
-  };
+  using Places = std::unordered_map<uint64_t, Calls::iterator>;
 
+  static size_t RankOf(const QueuedCall& call);
   Lane& LaneOf(const QueuedCall& call);
   void Insert(QueuedCall call);
   QueuedCall Extract(uint64_t id);
@@ -195,8 +198,8 @@
                std::vector<QueuedCall>& expired);
 
   AdmissionQueueOptions options_;
-  std::array<TierLanes, kTierCount> tiers_;
-  std::unordered_map<uint64_t, Place> places_;
+  std::array<RankLanes, kRankCount> ranks_;
+  Places places_;
   std::set<std::pair<TimePoint, uint64_t>> by_deadline_;
   // By the latest time at which a call can start and end before its deadline.
   std::set<std::pair<TimePoint, uint64_t>> by_latest_start_;
--- a/src/include/amaranthroute/policy/shedder.h
+++ b/src/include/amaranthroute/policy/shedder.h
@@ -53,6 +53,10 @@
 /// the same value, so it is shed first.
 uint32_t LevelByCost(uint32_t level, bool makes_nested_calls);
 
+/// Maps a level within its tier to the quarter of the class's tier: of the
+/// requests of one tier, those of less important classes are shed first.
+uint32_t LevelByClass(uint32_t level, Tier class_tier);
+
 /// Targets and step sizes of a Shedder.
 struct ShedderOptions {
   /// Age of the oldest waiting call up to which the service is not considered
--- a/src/libnode/customers/quota_fleet_test.cc
+++ b/src/libnode/customers/quota_fleet_test.cc
@@ -121,7 +121,7 @@
 
   // Schedules requests with Poisson arrivals at the nodes that `node` names.
   void Schedule(const std::string& customer, double rate, Duration length,
-                std::function<std::string()> node) {
+                const std::function<std::string()>& node) {
     std::exponential_distribution<double> gap(rate);
     const double end = static_cast<double>(length.count()) / 1e6;
     for (double at = gap(random); at < end; at += gap(random)) {
--- a/src/libnode/entry/admission.cc
+++ b/src/libnode/entry/admission.cc
@@ -21,6 +21,9 @@
   context.level = WeightedSheddingLevel(context.tier, context.request_id,
                                         shares.Weight(context.caller_key));
   if (by_cost) context.level = LevelByCost(context.level, HasNestedCalls(call));
+  if (!call.customer.empty()) {
+    context.level = LevelByClass(context.level, context.class_tier);
+  }
 }
 
 void Admission::RecordNestedCalls(const Call& call) {
@@ -49,7 +52,7 @@
   const std::string key = ClassKey(call);
   if (windows_.size() >= kMaxClasses && windows_.count(key) == 0) return true;
   ClassWindow& own = windows_[key];
-  own.tier = call.context.tier;
+  own.tier = call.context.class_tier;
   if (!own.window.HasRoom(random)) return false;
   own.window.OnBegin();
   call.in_window = true;
--- a/src/libnode/entry/admission_test.cc
+++ b/src/libnode/entry/admission_test.cc
@@ -17,6 +17,7 @@
   call.context.request_class = request_class;
   call.call_class = request_class;
   call.context.tier = tier;
+  call.context.class_tier = tier;
   return call;
 }
 
@@ -50,6 +51,20 @@
   }
 };
 
+// Guards against windows that change their order with each request: customers
+// of a higher tier send browse requests, too.
+TEST(AdmissionTest, TheTierOfACustomerDoesNotChangeTheOrderOfWindows) {
+  std::vector<Call> browse = Admit("browse", Tier::kBrowse, 20);
+  std::vector<Call> renewal = Admit("renewal", Tier::kStandard, 20);
+  Call important = MakeCall("browse", Tier::kBrowse);
+  important.context.tier = Tier::kCritical;
+  CHECK(admission.TryEnterWindow(important, random));
+  for (int i = 0; i < 10; ++i) Complete(browse[i], 700, 500);
+  Complete(renewal[0], 1100, 700);
+  CHECK(WindowLimit("browse", Tier::kBrowse) > 0);
+  DOUBLES_EQUAL(0, WindowLimit("renewal", Tier::kStandard), 0);
+}
+
 // Renewals complete late while browsing, which waits at the same service, is
 // still in time. If a late class shrank its own window, renewals would be shed
 // while browsing is still admitted. Only the window of browsing shrinks.
--- a/src/libnode/entry/entry_begin.cc
+++ b/src/libnode/entry/entry_begin.cc
@@ -241,6 +241,7 @@
   const EffectiveSettings& settings =
       parts_.settings.Resolve(call_context.service, call_context.request_class);
   call_context.tier = settings.tier;
+  call_context.class_tier = settings.tier;
   if (customer != nullptr && customer->tier) {
     call_context.tier = *customer->tier;
   }
@@ -281,6 +282,7 @@
   }
   call_context.caller_key = parent.caller_key;
   call_context.tier = parent.tier;
+  call_context.class_tier = parent.class_tier;
   call_context.level = parent.level;
   call_context.depth = static_cast<uint8_t>(parent.depth + 1);
   // A route sets for its own calls whether they may be retried and their
--- a/src/libnode/serving/serving_role.cc
+++ b/src/libnode/serving/serving_role.cc
@@ -139,12 +139,18 @@
   QueuedCall queued;
   queued.id = hop.id;
   queued.tier = hop.context.tier;
-  // Calls that enter the mesh at this service are queued one tier higher: such
-  // a request spends all of its time here, a nested call only a part of it.
+  queued.class_tier = hop.context.class_tier;
+  // Calls that enter the mesh at this service are queued one tier of classes
+  // higher: such a request spends all of its time here, a nested call only a
+  // part of it.
   const bool direct =
       context.identity.rules.admit_at_edge && hop.context.depth == 0;
-  if (direct && queued.tier != Tier::kCritical) {
-    queued.tier = static_cast<Tier>(static_cast<int>(queued.tier) + 1);
+  if (direct && queued.class_tier != Tier::kCritical) {
+    const bool from_customer =
+        !FindHeader(hop.request.headers, kCustomerHeader).empty();
+    queued.class_tier =
+        static_cast<Tier>(static_cast<int>(queued.class_tier) + 1);
+    if (!from_customer) queued.tier = queued.class_tier;
   }
   queued.level = level;
   queued.caller_key = hop.context.caller_key;
--- a/src/libpolicy/admission_queue.cc
+++ b/src/libpolicy/admission_queue.cc
@@ -55,13 +55,13 @@
     std::vector<QueuedCall>& expired) {
   DropExpired(now, expected_service, expired);
   long_allowed_ = long_allowed;
-  for (auto tier = tiers_.rbegin(); tier != tiers_.rend(); ++tier) {
-    Lane* lane = &tier->short_calls;
-    const Lane& long_calls = tier->long_calls;
+  for (auto rank = ranks_.rbegin(); rank != ranks_.rend(); ++rank) {
+    Lane* lane = &rank->short_calls;
+    const Lane& long_calls = rank->long_calls;
     const bool long_waits = long_allowed && !long_calls.by_age.empty();
     if (long_waits && (lane->by_age.empty() ||
                        *long_calls.by_age.begin() < *lane->by_age.begin())) {
-      lane = &tier->long_calls;
+      lane = &rank->long_calls;
     }
     if (lane->turn_order.empty()) continue;
     const Calls& calls = lane->callers.at(lane->turn_order.front());
@@ -91,9 +91,9 @@
   wait_timeout_ =
       std::max(options_.wait_timeout, expected_service * kTimeoutServiceTimes);
   DropMissingDeadline(now, expired);
-  for (TierLanes& tier : tiers_) {
-    UpdateOverloaded(tier.short_calls, now, expected_service);
-    if (tier.short_calls.overloaded) DropOld(tier.short_calls, now, expired);
+  for (RankLanes& rank : ranks_) {
+    UpdateOverloaded(rank.short_calls, now, expected_service);
+    if (rank.short_calls.overloaded) DropOld(rank.short_calls, now, expired);
   }
 }
 
@@ -105,9 +105,9 @@
     if (lane.by_age.empty()) return;
     oldest = std::max(oldest, now - lane.by_age.begin()->first);
   };
-  for (const TierLanes& tier : tiers_) {
-    include(tier.short_calls);
-    if (long_allowed_) include(tier.long_calls);
+  for (const RankLanes& rank : ranks_) {
+    include(rank.short_calls);
+    if (long_allowed_) include(rank.long_calls);
   }
   return oldest;
 }
@@ -115,8 +115,8 @@
 TimePoint AdmissionQueue::next_deadline() const {
   if (by_deadline_.empty()) return kNever;
   TimePoint next = by_deadline_.begin()->first;
-  for (const TierLanes& tier : tiers_) {
-    const Lane& lane = tier.short_calls;
+  for (const RankLanes& rank : ranks_) {
+    const Lane& lane = rank.short_calls;
     if (!lane.overloaded || lane.by_age.empty()) continue;
     next = std::min(next, lane.by_age.begin()->first + wait_timeout_);
   }
@@ -124,12 +124,21 @@
 }
 
 bool AdmissionQueue::overloaded(Tier tier) const {
-  return tiers_[static_cast<size_t>(tier)].short_calls.overloaded;
+  const size_t first = static_cast<size_t>(tier) * kTierCount;
+  for (size_t rank = first; rank < first + kTierCount; ++rank) {
+    if (ranks_[rank].short_calls.overloaded) return true;
+  }
+  return false;
+}
+
+size_t AdmissionQueue::RankOf(const QueuedCall& call) {
+  return static_cast<size_t>(call.tier) * kTierCount +
+         static_cast<size_t>(call.class_tier);
 }
 
 AdmissionQueue::Lane& AdmissionQueue::LaneOf(const QueuedCall& call) {
-  TierLanes& tier = tiers_[static_cast<size_t>(call.tier)];
-  return call.long_work ? tier.long_calls : tier.short_calls;
+  RankLanes& rank = ranks_[RankOf(call)];
+  return call.long_work ? rank.long_calls : rank.short_calls;
 }
 
 void AdmissionQueue::Insert(QueuedCall call) {
@@ -143,12 +152,12 @@
   Calls& calls = caller->second;
   calls.push_back(std::move(call));
   const Calls::iterator added = std::prev(calls.end());
-  places_[added->id] = Place{added->tier, added};
+  places_[added->id] = added;
 }
 
 QueuedCall AdmissionQueue::Extract(uint64_t id) {
   const auto place = places_.find(id);
-  const Calls::iterator at = place->second.call;
+  const Calls::iterator at = place->second;
   places_.erase(place);
   QueuedCall call = *at;
   Lane& lane = LaneOf(call);
@@ -180,15 +189,15 @@
 
 std::optional<uint64_t> AdmissionQueue::VictimFor(const QueuedCall& newcomer,
                                                   bool long_only) const {
-  const auto own_rank = static_cast<size_t>(newcomer.tier);
+  const auto own_rank = RankOf(newcomer);
   for (size_t rank = 0; rank <= own_rank; ++rank) {
     // The caller with the most waiting calls in one lane, over both lanes.
     const Lane* busiest_lane = nullptr;
     const std::string* busiest_caller = nullptr;
     size_t most = 0;
     for (const Lane* lane :
-         {&tiers_[rank].long_calls, &tiers_[rank].short_calls}) {
-      if (long_only && lane == &tiers_[rank].short_calls) continue;
+         {&ranks_[rank].long_calls, &ranks_[rank].short_calls}) {
+      if (long_only && lane == &ranks_[rank].short_calls) continue;
       for (const auto& [caller, calls] : lane->callers) {
         if (calls.size() <= most) continue;
         most = calls.size();
@@ -201,8 +210,8 @@
       // In the newcomer's own tier only the caller with the most waiting calls
       // loses one, and only if it keeps at least as many as the newcomer's
       // caller then has.
-      const Lane& own = newcomer.long_work ? tiers_[rank].long_calls
-                                           : tiers_[rank].short_calls;
+      const Lane& own = newcomer.long_work ? ranks_[rank].long_calls
+                                           : ranks_[rank].short_calls;
       const auto found = own.callers.find(newcomer.caller_key);
       const size_t own_calls =
           found == own.callers.end() ? 0 : found->second.size();
--- a/src/libpolicy/admission_queue_test.cc
+++ b/src/libpolicy/admission_queue_test.cc
@@ -127,6 +127,26 @@
   }));
 }
 
+// Guards against browsing that delays renewals because customers' tiers, which
+// go before those of classes, are all the same.
+TEST(AdmissionQueueTest, OfOneTierTheMoreImportantClassIsServedFirst) {
+  AdmissionQueue queue;
+  std::vector<QueuedCall> dropped;
+  const auto push = [&](uint64_t id, Tier tier, Tier class_tier) {
+    QueuedCall call = MakeCall(id, tier, "a", 0, 5000);
+    call.class_tier = class_tier;
+    queue.Push(call, AtMillis(0), dropped);
+  };
+  push(1, Tier::kStandard, Tier::kBrowse);
+  push(2, Tier::kStandard, Tier::kCritical);
+  push(3, Tier::kCritical, Tier::kBrowse);
+  for (const uint64_t expected : {3, 2, 1}) {
+    const std::optional<QueuedCall> next =
+        queue.Pop(AtMillis(1), milliseconds(10), true, dropped);
+    CHECK_EQUAL(expected, next.value().id);
+  }
+}
+
 TEST(AdmissionQueueTest, PermanentDelayReversesTheOrder) {
   AdmissionQueue queue;
   std::vector<QueuedCall> out;
--- a/src/libpolicy/shedder.cc
+++ b/src/libpolicy/shedder.cc
@@ -41,6 +41,15 @@
   return 1 + tier * kLevelsPerTier + half + step / 2;
 }
 
+uint32_t LevelByClass(uint32_t level, Tier class_tier) {
+  constexpr uint32_t kLevelsPerClass = kLevelsPerTier / kTierCount;
+  const uint32_t tier = (level - 1) / kLevelsPerTier;
+  const uint32_t step = (level - 1) % kLevelsPerTier;
+  return 1 + tier * kLevelsPerTier +
+         static_cast<uint32_t>(class_tier) * kLevelsPerClass +
+         step / kTierCount;
+}
+
 Shedder::Shedder(ShedderOptions options) : options_(options) {}
 
 void Shedder::SetTargetDelay(Duration target) {
--- a/src/libpolicy/shedder_test.cc
+++ b/src/libpolicy/shedder_test.cc
@@ -391,4 +391,21 @@
   }
 }
 
+// Guards against a threshold that sheds renewals and browsing alike because
+// customers' tiers, which go before those of classes, are all the same.
+TEST(ShedderTest, OfOneTierLessImportantClassesHaveLowerLevels) {
+  const uint32_t lowest = 1 + kLevelsPerTier * 2;
+  for (uint32_t level = lowest; level < lowest + kLevelsPerTier; ++level) {
+    const uint32_t browse = LevelByClass(level, Tier::kBrowse);
+    const uint32_t critical = LevelByClass(level, Tier::kCritical);
+    CHECK(browse >= lowest && critical < lowest + kLevelsPerTier);
+    for (uint32_t other = lowest; other < lowest + kLevelsPerTier; ++other) {
+      CHECK(LevelByClass(other, Tier::kBrowse) < critical);
+    }
+    if (level > lowest) {
+      CHECK(browse >= LevelByClass(level - 1, Tier::kBrowse));
+    }
+  }
+}
+
 }  // namespace amaranth
--- a/src/libutil/fields.h
+++ b/src/libutil/fields.h
@@ -19,7 +19,7 @@
   return std::tie(v.request_id, v.mesh, v.service, v.request_class, v.tenant,
                   v.caller_key, v.tier, v.idempotent, v.long_work, v.depth,
                   v.remaining, v.retry_credits, v.fingerprint,
-                  v.suspected_crashes, v.level);
+                  v.suspected_crashes, v.level, v.class_tier);
 }
 
 inline auto Fields(const LoadReport& v) {
--- a/src/libwire/amaranth.thrift
+++ b/src/libwire/amaranth.thrift
@@ -83,7 +83,8 @@
   12: required i32 retry_credits,
   13: required i64 fingerprint,
   14: required i32 suspected_crashes,
-  15: required i64 level
+  15: required i64 level,
+  16: optional i32 class_tier
 }
 
 struct LoadReport {
--- a/src/libwire/from_wire.cc
+++ b/src/libwire/from_wire.cc
@@ -71,6 +71,10 @@
   out.suspected_crashes =
       check.Narrow<uint8_t>(in.suspected_crashes, "suspected_crashes");
   out.level = check.Narrow<uint32_t>(in.level, "level");
+  out.class_tier = out.tier;
+  if (in.__isset.class_tier) {
+    out.class_tier = check.ToEnum(in.class_tier, Tier::kCritical, "class_tier");
+  }
 }
 
 void FromWire(wire::LoadReport& in, LoadReport& out, RangeCheck& check) {
--- a/src/libwire/gen-cpp/amaranth_types.cpp
+++ b/src/libwire/gen-cpp/amaranth_types.cpp
@@ -1190,6 +1190,11 @@
 void CallContext::__set_level(const int64_t val) {
   this->level = val;
 }
+
+void CallContext::__set_class_tier(const int32_t val) {
+  this->class_tier = val;
+__isset.class_tier = true;
+}
 std::ostream& operator<<(std::ostream& out, const CallContext& obj)
 {
   obj.printTo(out);
@@ -1353,6 +1358,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->class_tier);
+          this->__isset.class_tier = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1460,6 +1473,11 @@
   xfer += oprot->writeI64(this->level);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.class_tier) {
+    xfer += oprot->writeFieldBegin("class_tier", ::apache::thrift::protocol::T_I32, 16);
+    xfer += oprot->writeI32(this->class_tier);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1482,6 +1500,8 @@
   swap(a.fingerprint, b.fingerprint);
   swap(a.suspected_crashes, b.suspected_crashes);
   swap(a.level, b.level);
+  swap(a.class_tier, b.class_tier);
+  swap(a.__isset, b.__isset);
 }
 
 CallContext::CallContext(const CallContext& other40) {
@@ -1500,6 +1520,8 @@
   fingerprint = other40.fingerprint;
   suspected_crashes = other40.suspected_crashes;
   level = other40.level;
+  class_tier = other40.class_tier;
+  __isset = other40.__isset;
 }
 CallContext::CallContext(CallContext&& other41) noexcept {
   request_id = std::move(other41.request_id);
@@ -1517,6 +1539,8 @@
   fingerprint = other41.fingerprint;
   suspected_crashes = other41.suspected_crashes;
   level = other41.level;
+  class_tier = other41.class_tier;
+  __isset = other41.__isset;
 }
 CallContext& CallContext::operator=(const CallContext& other42) {
   request_id = other42.request_id;
@@ -1534,6 +1558,8 @@
   fingerprint = other42.fingerprint;
   suspected_crashes = other42.suspected_crashes;
   level = other42.level;
+  class_tier = other42.class_tier;
+  __isset = other42.__isset;
   return *this;
 }
 CallContext& CallContext::operator=(CallContext&& other43) noexcept {
@@ -1552,6 +1578,8 @@
   fingerprint = other43.fingerprint;
   suspected_crashes = other43.suspected_crashes;
   level = other43.level;
+  class_tier = other43.class_tier;
+  __isset = other43.__isset;
   return *this;
 }
 void CallContext::printTo(std::ostream& out) const {
@@ -1572,6 +1600,7 @@
   out << ", " << "fingerprint=" << to_string(fingerprint);
   out << ", " << "suspected_crashes=" << to_string(suspected_crashes);
   out << ", " << "level=" << to_string(level);
+  out << ", " << "class_tier="; (__isset.class_tier ? (out << to_string(class_tier)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libwire/gen-cpp/amaranth_types.h
+++ b/src/libwire/gen-cpp/amaranth_types.h
@@ -456,6 +456,10 @@
 
 std::ostream& operator<<(std::ostream& out, const Failure& obj);
 
+typedef struct _CallContext__isset {
+  _CallContext__isset() : class_tier(false) {}
+  bool class_tier :1;
+} _CallContext__isset;
 
 class CallContext : public virtual ::apache::thrift::TBase {
  public:
@@ -479,7 +483,8 @@
                 retry_credits(0),
                 fingerprint(0),
                 suspected_crashes(0),
-                level(0) {
+                level(0),
+                class_tier(0) {
   }
 
   virtual ~CallContext() noexcept;
@@ -498,6 +503,9 @@
   int64_t fingerprint;
   int32_t suspected_crashes;
   int64_t level;
+  int32_t class_tier;
+
+  _CallContext__isset __isset;
 
   void __set_request_id(const std::string& val);
 
@@ -529,6 +537,8 @@
 
   void __set_level(const int64_t val);
 
+  void __set_class_tier(const int32_t val);
+
   bool operator == (const CallContext & rhs) const
   {
     if (!(request_id == rhs.request_id))
@@ -561,6 +571,10 @@
       return false;
     if (!(level == rhs.level))
       return false;
+    if (__isset.class_tier != rhs.__isset.class_tier)
+      return false;
+    else if (__isset.class_tier && !(class_tier == rhs.class_tier))
+      return false;
     return true;
   }
   bool operator != (const CallContext &rhs) const {
--- a/src/libwire/generators_test.cc
+++ b/src/libwire/generators_test.cc
@@ -72,6 +72,7 @@
   context.fingerprint = Any<uint64_t>();
   context.suspected_crashes = Any<uint8_t>();
   context.level = Any<uint32_t>();
+  context.class_tier = AnyEnum(Tier::kCritical);
   return context;
 }
 
--- a/src/libwire/to_wire.cc
+++ b/src/libwire/to_wire.cc
@@ -18,7 +18,7 @@
     std::tuple_size_v<decltype(Fields(std::declval<const Message&>()))> ==
     count;
 
-static_assert(kHasFields<CallContext, 15>);
+static_assert(kHasFields<CallContext, 16>);
 static_assert(kHasFields<LoadReport, 11>);
 static_assert(kHasFields<Hello, 3>);
 static_assert(kHasFields<CallForward, 6>);
@@ -108,6 +108,7 @@
   out.fingerprint = Signed(in.fingerprint);
   out.suspected_crashes = in.suspected_crashes;
   out.level = in.level;
+  if (in.class_tier != in.tier) out.__set_class_tier(ToNumber(in.class_tier));
 }
 
 void ToWire(const LoadReport& in, wire::LoadReport& out) {
