Quotas: what a node gives out alone is charged to the home; newborns are no homes

Cause: until views of the members converge each node takes itself for the only one and gives out the whole quota.

A node is no home in its first 1.5 s. What it, or any node without a home that answers, gives out alone is charged to the home with its next question; so it may give out its own part at once. A home lends its last token, and callers wait up to 100 ms for one.

--- a/src/fuzz/fuzz_settings.cc
+++ b/src/fuzz/fuzz_settings.cc
@@ -3,6 +3,18 @@
 
 #include "amaranthroute/settings.h"
 #include "fuzz/require.h"
+#include "libnode/settings/settings_document.h"
+
+// Documents are either rejected, or can be sent on to peers.
+static void RequireDocumentCanBeSent(std::string_view text) {
+  const amaranth::Outcome<amaranth::pvt::SettingsDocument> document =
+      amaranth::pvt::ParseDocument(text);
+  if (!document) return;
+  amaranth::pvt::Require(
+      amaranth::pvt::ParseDocument(amaranth::pvt::ToText(document.value()))
+          .has_value(),
+      "settings document is accepted after a round trip");
+}
 
 // Snapshots come from peers and the object store, changes from operators. They
 // are either rejected, or parse to a settings tree that is equal after a round
@@ -28,5 +40,6 @@
     Require(reparsed && reparsed.value() == tree.value(),
             "settings tree is equal after a round trip");
   }
+  RequireDocumentCanBeSent(text);
   return 0;
 }
--- a/src/include/amaranthroute/messages.h
+++ b/src/include/amaranthroute/messages.h
@@ -191,7 +191,8 @@
 
 /// Asks for tokens of a customer's quota. An entry node asks the home of the
 /// customer in its data centre for one, before it sends a request to a backend
-/// server; a home asks those of other data centres for a loan.
+/// server, and for those that it has given out by itself since; a home asks
+/// those of other data centres for a loan.
 struct QuotaRequest {
   uint64_t id = 0;
   std::string customer;
--- a/src/include/amaranthroute/policy/quota_bucket.h
+++ b/src/include/amaranthroute/policy/quota_bucket.h
@@ -31,8 +31,11 @@
   /// Takes a token; false if there is none.
   bool TryTake();
   /// Takes as many whole tokens as another bucket may have: up to `wanted`, and
-  /// at most half of all.
+  /// at most half of all, or one.
   double TakeForLoan(double wanted);
+  /// Takes tokens that were given out elsewhere without this bucket. Those that
+  /// it does not have are taken from the next ones.
+  void Charge(double tokens);
   /// Adds tokens that another bucket gave.
   void Add(double tokens) { tokens_ += tokens; }
 
--- a/src/libnode/customers/quota_keeper.cc
+++ b/src/libnode/customers/quota_keeper.cc
@@ -7,12 +7,17 @@
 namespace amaranth::pvt {
 namespace {
 
+// Time after the start of a node in which it is no home: when all nodes start
+// at once, each takes itself for the only one until it hears of the others.
+constexpr Duration kSettleTime = std::chrono::milliseconds(1500);
+// A bucket that was not used for this time is full.
+constexpr Duration kFillTime = std::chrono::seconds(60);
 // Time after which a home that has not answered is passed by.
 constexpr Duration kAskTimeout = std::chrono::milliseconds(150);
 // Time for which it is then not asked.
 constexpr Duration kUnresponsiveTime = std::chrono::milliseconds(500);
 // Longest wait for a token at a home.
-constexpr Duration kMaxWait = std::chrono::milliseconds(50);
+constexpr Duration kMaxWait = std::chrono::milliseconds(100);
 constexpr Duration kServeInterval = std::chrono::milliseconds(5);
 // A deputy has the tokens of this time when it is first asked, and again if it
 // was not asked for longer.
@@ -20,7 +25,7 @@
 constexpr Duration kLoanTimeout = std::chrono::milliseconds(100);
 // Time between two loans, and after one that brought nothing.
 constexpr Duration kLoanInterval = std::chrono::milliseconds(20);
-constexpr Duration kFruitlessLoanInterval = std::chrono::milliseconds(250);
+constexpr Duration kFruitlessLoanInterval = std::chrono::milliseconds(100);
 // A loan is sized for the requests of this time.
 constexpr Duration kLoanTime = std::chrono::milliseconds(250);
 // A request that uses a token that came back may have been preceded by the one
@@ -65,17 +70,27 @@
   return DecideAlone(customer, context.now);
 }
 
+bool QuotaKeeper::IsSettled(TimePoint now) const {
+  return now - view_.started_at() >= kSettleTime;
+}
+
 bool QuotaKeeper::AskHome(uint64_t call, const std::string& customer,
                           Context& context) {
   for (const std::string& home : view_.HomeAndDeputyOf(customer)) {
     const auto unresponsive = unresponsive_until_.find(home);
     const bool passed_by = unresponsive != unresponsive_until_.end() &&
                            context.now < unresponsive->second;
-    if (passed_by) continue;
+    if (passed_by || (home == name_ && !IsSettled(context.now))) continue;
     const TimePoint expires = context.now + kAskTimeout;
-    asked_[call] = {customer, home, expires};
+    uint32_t debt = 0;
+    const auto owed = debts_.find(customer);
+    if (owed != debts_.end()) {
+      debt = owed->second;
+      debts_.erase(owed);
+    }
+    asked_[call] = {customer, home, debt, expires};
     asked_deadlines_.Add(expires, call);
-    Send(home, QuotaRequest{call, customer, 1, false}, context);
+    Send(home, QuotaRequest{call, customer, 1 + debt, false}, context);
     return true;
   }
   return false;
@@ -85,6 +100,7 @@
                                Context& context) {
   stats_.Count("amaranth_quota_unanswered_total");
   unresponsive_until_[asked.home] = context.now + kUnresponsiveTime;
+  if (asked.debt > 0) debts_[asked.customer] += asked.debt;
   if (AskHome(call, asked.customer, context)) return;
   DecideWithoutHome(call, asked.customer, context);
 }
@@ -128,8 +144,13 @@
                                        TimePoint now) {
   stats_.Count("amaranth_quota_alone_total");
   QuotaBucket& bucket = alone_[customer.name];
-  bucket.Refill(view_.PartOfNode(customer.quota), view_.started_at(), now);
-  if (bucket.TryTake()) return {true, {}};
+  // The home is charged with these tokens later, so they may be given out at
+  // once after a start.
+  bucket.Refill(view_.PartOfNode(customer.quota), now - kFillTime, now);
+  if (bucket.TryTake()) {
+    ++debts_[customer.name];
+    return {true, {}};
+  }
   return {false, bucket.Reserve(now)};
 }
 
@@ -153,7 +174,8 @@
 void QuotaKeeper::OnRequest(const NodeRef& from, const QuotaRequest& request,
                             Context& context) {
   RefreshView(context.now);
-  Home* home = FindHome(request.customer, context.now);
+  Home* home = IsSettled(context.now) ? FindHome(request.customer, context.now)
+                                      : nullptr;
   if (home == nullptr) {
     Send(from.name,
          QuotaReply{request.id, request.customer, 0, Duration(0), request.loan},
@@ -168,6 +190,7 @@
          context);
     return;
   }
+  if (request.tokens > 1) home->bucket.Charge(request.tokens - 1);
   if (home->waiting.empty() && home->bucket.TryTake()) {
     return Grant(from, request.id, request.customer, context);
   }
@@ -278,6 +301,7 @@
   const bool unknown_there =
       reply.tokens == 0 && reply.retry_after == Duration(0);
   if (unknown_there) {
+    if (asked->debt > 0) debts_[asked->customer] += asked->debt;
     return DecideWithoutHome(reply.id, asked->customer, context);
   }
   Decide(reply.id, asked->customer, {reply.tokens > 0, reply.retry_after},
--- a/src/libnode/customers/quota_keeper.h
+++ b/src/libnode/customers/quota_keeper.h
@@ -66,7 +66,8 @@
   // A request of this node whose home is asked.
   struct Asked {
     std::string customer;
-    std::string home;  // or its deputy
+    std::string home;   // or its deputy
+    uint32_t debt = 0;  // tokens asked for in addition, see debts_
     TimePoint expires{};
   };
   // A request of another node, waiting for a token at this home.
@@ -90,6 +91,8 @@
   };
 
   void RefreshView(TimePoint now);
+  // Returns whether this node may be a home.
+  bool IsSettled(TimePoint now) const;
 
   // Entry node.
   bool TakeGivenBack(const std::string& customer, TimePoint now);
@@ -127,6 +130,8 @@
   std::map<std::string, TimePoint> unresponsive_until_;
   std::unordered_map<std::string, GivenBack> given_back_;
   std::unordered_map<std::string, QuotaBucket> alone_;  // this node's own parts
+  // Tokens that this node gave out alone. The home is charged with them.
+  std::unordered_map<std::string, uint32_t> debts_;
   std::map<std::string, Home> homes_;
   TimePoint next_home_timer_;
 };
--- a/src/libnode/settings/settings_document.cc
+++ b/src/libnode/settings/settings_document.cc
@@ -106,11 +106,11 @@
     customer.keys.push_back(std::move(key.value()));
   }
   if (json.contains("tier")) {
-    const int tier = json["tier"];
-    if (tier < 0 || tier >= kTierCount) {
+    const Json& tier = json["tier"];
+    if (!tier.is_number_unsigned() || tier.get<uint64_t>() >= kTierCount) {
       return Error{ErrorCode::kInvalid, "tier is out of range"};
     }
-    customer.tier = static_cast<Tier>(tier);
+    customer.tier = static_cast<Tier>(tier.get<uint64_t>());
   }
   if (json.contains("rate")) customer.quota = {json["rate"], json.at("burst")};
   return customer;
--- a/src/libpolicy/quota_bucket.cc
+++ b/src/libpolicy/quota_bucket.cc
@@ -38,11 +38,14 @@
 }
 
 double QuotaBucket::TakeForLoan(double wanted) {
-  const double given = std::floor(std::min(wanted, tokens_ / 2));
+  if (tokens_ < 1) return 0;
+  const double given = std::floor(std::min(wanted, std::max(1.0, tokens_ / 2)));
   tokens_ -= given;
   return given;
 }
 
+void QuotaBucket::Charge(double tokens) { tokens_ -= tokens; }
+
 Duration QuotaBucket::TimeToToken() const {
   if (tokens_ >= 1) return Duration(0);
   if (part_.rate <= 0) return kMaxReservation;
--- a/src/libpolicy/quota_bucket_test.cc
+++ b/src/libpolicy/quota_bucket_test.cc
@@ -69,6 +69,22 @@
   CHECK_EQUAL(7, TakeAll(bucket));
 }
 
+// Guards against tokens that are given out twice, by a node that did not reach
+// the home and by the home afterwards.
+TEST(QuotaBucketGroup, ChargedTokensAreMissingLater) {
+  bucket.Refill(kPart, start, start + seconds(1));
+  bucket.Charge(15);
+  CHECK_EQUAL(0, TakeAll(bucket));
+  bucket.Refill(kPart, start, start + seconds(2));
+  CHECK_EQUAL(5, TakeAll(bucket));
+}
+
+TEST(QuotaBucketGroup, LendsItsLastToken) {
+  bucket.Refill(kPart, start, start + milliseconds(150));
+  DOUBLES_EQUAL(1, bucket.TakeForLoan(5), 0);
+  DOUBLES_EQUAL(0, bucket.TakeForLoan(5), 0);
+}
+
 // Guards against refused callers that all come back at once and are refused
 // again.
 TEST(QuotaBucketGroup, RefusedCallersComeBackOneAfterAnother) {
