Customers: a resend with a dropped key is not called "not run"

Found by reading the change: a renewal resent under its request id, after its customer's key was taken away, was refused as not run although its first sending may have run. On the users' platform every sending has an id of its own, so nothing changes there. Test: CustomerKeys, AResendWithADroppedKeyIsNotCalledNotRun.

--- a/src/libnode/customers/customer_keys_test.cc
+++ b/src/libnode/customers/customer_keys_test.cc
@@ -68,11 +68,13 @@
   CallId next_call = 1;
   std::optional<PlatformOpId> watch;
 
-  void setup() override {
+  void setup() override { StartNode(true); }
+
+  void StartNode(bool request_id_per_send) {
     NodeIdentity identity;
     identity.node = {"a1", 1};
     identity.rules.settings_source = SettingsSource::kWatch;
-    identity.rules.request_id_per_send = true;
+    identity.rules.request_id_per_send = request_id_per_send;
     identity.rules.announce_port = true;
     node.emplace(identity);
     NoteWatch(node->Start(now));
@@ -218,6 +220,18 @@
   CHECK_EQUAL(401, StatusOf(MakeGet("/b/1", "k1")));
 }
 
+// Guards against "not run" for a renewal that ran before its customer's key was
+// taken away, and that is then resent under the same request id.
+TEST(CustomerKeys, AResendWithADroppedKeyIsNotCalledNotRun) {
+  StartNode(false);
+  SetDocument(MakeDocument(1, {MakeCustomer("c1", "k1")}));
+  HttpRequest renewal = MakeGet("/b/1", "k2");
+  renewal.method = "POST";
+  const AnswerCaller answer = Find<AnswerCaller>(Send(renewal)).value();
+  CHECK_EQUAL(401, answer.response.status);
+  CHECK(FindHeader(answer.response.headers, kVerdictHeader) == "may-have-run");
+}
+
 // Guards against a fleet without customers that suddenly asks for keys.
 TEST(CustomerKeys, WithoutCustomersNoKeyIsNeeded) {
   SetDocument(MakeDocument(1, {}));
--- a/src/libnode/entry/entry_begin.cc
+++ b/src/libnode/entry/entry_begin.cc
@@ -133,7 +133,7 @@
       needs_key ? FindCustomer(request, from_peer) : nullptr;
   if (!parts_.settings.customers().empty() && !nested) {
     if (needs_key && customer == nullptr) {
-      return RefuseUnknownKey(waiter, request, headers.request_id, context);
+      return RefuseUnknownKey(waiter, request, headers, context);
     }
     // The name that the caller stated is not proved by a key.
     headers.tenant = customer != nullptr ? customer->name : kNoCustomer;
@@ -188,18 +188,26 @@
 
 void EntryRole::RefuseUnknownKey(const Waiter& waiter,
                                  const HttpRequest& request,
-                                 const std::string& request_id,
+                                 const CallerHeaders& headers,
                                  Context& context) {
+  // A resend under an idempotency key or request id: an earlier sending may
+  // have run, before the customer's key was taken away.
+  const bool may_be_resend =
+      !context.identity.rules.request_id_per_send &&
+      !IsReadMethod(request.method) &&
+      !(headers.idempotency_key.empty() && headers.request_id.empty());
+  const Verdict verdict =
+      may_be_resend ? Verdict::kMayHaveRun : Verdict::kNotRun;
   const std::string_view key = FindHeader(request.headers, kKeyHeader);
   const std::string detail = key.empty()
                                  ? "the request has no customer's key"
                                  : "no customer holds the key with digest " +
                                        std::string(KeyDigest::Of(key).Short());
-  context.Log(LogLevel::kInfo, "entry",
-              "request=" + request_id +
-                  " outcome=unknown-key verdict=not-run detail=\"" + detail +
-                  "\"");
-  RefuseUnregistered(waiter, Verdict::kNotRun, Reason::kUnknownKey, request_id,
+  context.Log(
+      LogLevel::kInfo, "entry",
+      "request=" + headers.request_id + " outcome=unknown-key verdict=" +
+          std::string(ToString(verdict)) + " detail=\"" + detail + "\"");
+  RefuseUnregistered(waiter, verdict, Reason::kUnknownKey, headers.request_id,
                      detail, context);
 }
 
