Entry: one verdict for requests refused before their key is looked up

The refusal of an unknown key had written the rule of RefuseCaller again. UnregisteredVerdict serves both. A key is digested only where there are customers who could hold it. Behaviour unchanged.

--- a/src/libnode/entry/entry_begin.cc
+++ b/src/libnode/entry/entry_begin.cc
@@ -126,14 +126,13 @@
                               parsed.error().message, context);
   }
   CallerHeaders headers = parsed.value();
+  const Customer* customer = nullptr;
   const bool nested = !headers.context_token.empty();
-  const bool from_peer = waiter.http_call == 0;
-  const bool needs_key = !nested && !(routed && routed->open);
-  const Customer* customer =
-      needs_key ? FindCustomer(request, from_peer) : nullptr;
   if (!parts_.settings.customers().empty() && !nested) {
+    const bool needs_key = !(routed && routed->open);
+    if (needs_key) customer = FindCustomer(request, waiter.http_call == 0);
     if (needs_key && customer == nullptr) {
-      return RefuseUnknownKey(waiter, request, headers, context);
+      return RefuseUnknownKey(waiter, request, headers.request_id, context);
     }
     // The name that the caller stated is not proved by a key.
     headers.tenant = customer != nullptr ? customer->name : kNoCustomer;
@@ -188,27 +187,21 @@
 
 void EntryRole::RefuseUnknownKey(const Waiter& waiter,
                                  const HttpRequest& request,
-                                 const CallerHeaders& headers,
+                                 const std::string& request_id,
                                  Context& context) {
-  // A resend under an idempotency key or request id: an earlier sending may
-  // have run, before the customer's key was taken away.
-  const bool may_be_resend =
-      !context.identity.rules.request_id_per_send &&
-      !IsReadMethod(request.method) &&
-      !(headers.idempotency_key.empty() && headers.request_id.empty());
-  const Verdict verdict =
-      may_be_resend ? Verdict::kMayHaveRun : Verdict::kNotRun;
+  // A renewal may have run before its customer's key was taken away.
+  const Verdict verdict = UnregisteredVerdict(request, context.identity.rules);
   const std::string_view key = FindHeader(request.headers, kKeyHeader);
   const std::string detail = key.empty()
                                  ? "the request has no customer's key"
                                  : "no customer holds the key with digest " +
                                        std::string(KeyDigest::Of(key).Short());
-  context.Log(
-      LogLevel::kInfo, "entry",
-      "request=" + headers.request_id + " outcome=unknown-key verdict=" +
-          std::string(ToString(verdict)) + " detail=\"" + detail + "\"");
-  RefuseUnregistered(waiter, verdict, Reason::kUnknownKey, headers.request_id,
-                     detail, context);
+  context.Log(LogLevel::kInfo, "entry",
+              "request=" + request_id + " outcome=unknown-key verdict=" +
+                  std::string(ToString(verdict)) + " detail=\"" + detail +
+                  "\"");
+  RefuseUnregistered(waiter, verdict, Reason::kUnknownKey, request_id, detail,
+                     context);
 }
 
 Outcome<Call> EntryRole::BuildCall(const HttpRequest& request,
--- a/src/libnode/entry/entry_role.h
+++ b/src/libnode/entry/entry_role.h
@@ -92,7 +92,7 @@
   const Customer* FindCustomer(const HttpRequest& request,
                                bool from_peer) const;
   void RefuseUnknownKey(const Waiter& waiter, const HttpRequest& request,
-                        const CallerHeaders& headers, Context& context);
+                        const std::string& request_id, Context& context);
   Outcome<Call> BuildCall(const HttpRequest& request,
                           const CallerHeaders& headers,
                           const std::optional<MatchedRoute>& routed,
--- a/src/libnode/node_state.cc
+++ b/src/libnode/node_state.cc
@@ -11,15 +11,6 @@
 
 constexpr std::string_view kTicketPath = "/amaranth/v1/ticket";
 
-// Returns whether the request has a key or request id and is not a read. Judged
-// by the method alone: without settings its class is unknown.
-bool IsKeyed(const HttpRequest& request) {
-  const bool named =
-      !FindHeader(request.headers, kIdempotencyKeyHeader).empty() ||
-      !FindHeader(request.headers, kRequestIdHeader).empty();
-  return !IsReadMethod(request.method) && named;
-}
-
 std::string_view KindLabel(const PlatformRequest& request) {
   if (std::holds_alternative<TableWatchSettings>(request)) {
     return "kind=\"watch-settings\"";
@@ -139,10 +130,7 @@
 void NodeState::RefuseCaller(const CallerRequest& event, Reason reason,
                              Context& context) {
   Failure failure;
-  // An earlier request under the same key may have run through another node.
-  const bool may_be_resend =
-      !identity.rules.request_id_per_send && IsKeyed(event.request);
-  failure.verdict = may_be_resend ? Verdict::kMayHaveRun : Verdict::kNotRun;
+  failure.verdict = UnregisteredVerdict(event.request, identity.rules);
   failure.reason = reason;
   failure.retry_after = RetryAfter(0, 0, random);
   context.Emit(AnswerCaller{event.call,
--- a/src/libnode/shared/caller_headers.cc
+++ b/src/libnode/shared/caller_headers.cc
@@ -72,6 +72,16 @@
   return method == "GET" || method == "HEAD" || method == "OPTIONS";
 }
 
+Verdict UnregisteredVerdict(const HttpRequest& request,
+                            const DeploymentRules& rules) {
+  const bool named =
+      !FindHeader(request.headers, kIdempotencyKeyHeader).empty() ||
+      !FindHeader(request.headers, kRequestIdHeader).empty();
+  const bool may_be_resend =
+      !rules.request_id_per_send && !IsReadMethod(request.method) && named;
+  return may_be_resend ? Verdict::kMayHaveRun : Verdict::kNotRun;
+}
+
 bool IsSafeText(std::string_view text) {
   return std::all_of(text.begin(), text.end(), [](char c) {
     return c > ' ' && c < '\x7f' && c != '"' && c != '\\';
--- a/src/libnode/shared/caller_headers.h
+++ b/src/libnode/shared/caller_headers.h
@@ -10,7 +10,9 @@
 
 #include "amaranthroute/http.h"
 #include "amaranthroute/outcome.h"
+#include "amaranthroute/reducer.h"
 #include "amaranthroute/time.h"
+#include "amaranthroute/verdict.h"
 
 namespace amaranth::pvt {
 
@@ -56,6 +58,12 @@
 // Returns whether requests of this method are read-only.
 bool IsReadMethod(std::string_view method);
 
+// Returns the verdict of a request that is refused before its key is looked up:
+// an earlier request under the same idempotency key or request id may have run.
+// Judged by the method alone, since its class may be unknown.
+Verdict UnregisteredVerdict(const HttpRequest& request,
+                            const DeploymentRules& rules);
+
 // Returns whether the text is printable ASCII without spaces, double quotes and
 // backslashes, and so is safe in logs, JSON and metric labels.
 bool IsSafeText(std::string_view text);
