Quotas: homes are chosen once for each view, a home is refilled in one place

Each question to a home hashed and copied the names of all nodes of the data centre twice, at the entry node and at the home. They are kept until the members change. OnTimer had a copy of the refill in FindHome.

--- a/src/libnode/customers/quota_keeper.cc
+++ b/src/libnode/customers/quota_keeper.cc
@@ -211,14 +211,18 @@
     return nullptr;
   }
   Home& home = homes_[customer];
+  Refill(*known, home, now);
+  return &home;
+}
+
+void QuotaKeeper::Refill(const Customer& customer, Home& home, TimePoint now) {
   TimePoint owned_since = view_.changed_at();
-  if (view_.HomeOf(customer) != name_) {
+  if (view_.HomeOf(customer.name) != name_) {
     // The home may be giving out tokens as well, to nodes that reach it.
     owned_since = std::max(owned_since, now - kDeputyTime);
     if (now - home.bucket.refilled() > kDeputyTime) home.bucket = QuotaBucket();
   }
-  home.bucket.Refill(view_.PartOfHome(known->quota), owned_since, now);
-  return &home;
+  home.bucket.Refill(view_.PartOfHome(customer.quota), owned_since, now);
 }
 
 // A call may wait while a loan is under way, or if its own token comes soon.
@@ -325,10 +329,7 @@
   for (auto& [customer, home] : homes_) {
     if (home.waiting.empty()) continue;
     const Customer* known = settings_.customers().Find(customer);
-    if (known != nullptr) {
-      home.bucket.Refill(view_.PartOfHome(known->quota), view_.changed_at(),
-                         context.now);
-    }
+    if (known != nullptr) Refill(*known, home, context.now);
     ServeWaiting(customer, home, context);
     if (!home.waiting.empty()) next_home_timer_ = context.now + kServeInterval;
   }
--- a/src/libnode/customers/quota_keeper.h
+++ b/src/libnode/customers/quota_keeper.h
@@ -110,6 +110,7 @@
 
   // Home.
   Home* FindHome(const std::string& customer, TimePoint now);
+  void Refill(const Customer& customer, Home& home, TimePoint now);
   void Borrow(const std::string& customer, Home& home, Context& context);
   void ServeWaiting(const std::string& customer, Home& home, Context& context);
   static bool MayWait(const Home& home, TimePoint now);
--- a/src/libnode/customers/quota_view.cc
+++ b/src/libnode/customers/quota_view.cc
@@ -48,6 +48,7 @@
   may_serve_ = std::max<size_t>(1, may_serve_);
   const bool changed = !first && up[data_centre_] != Local();
   if (changed) changed_at_ = now;
+  if (first || changed) homes_.clear();
   up_ = std::move(up);
   return changed;
 }
@@ -58,19 +59,16 @@
   return found == up_.end() ? none : found->second;
 }
 
-std::string QuotaView::Choose(const std::vector<std::string>& nodes,
-                              const std::string& customer) {
-  const std::vector<std::string> chosen = RendezvousChoose(nodes, customer, 1);
-  return chosen.empty() ? std::string() : chosen.front();
+std::string QuotaView::HomeOf(const std::string& customer) {
+  const std::vector<std::string>& nodes = HomeAndDeputyOf(customer);
+  return nodes.empty() ? std::string() : nodes.front();
 }
 
-std::string QuotaView::HomeOf(const std::string& customer) const {
-  return Choose(Local(), customer);
-}
-
-std::vector<std::string> QuotaView::HomeAndDeputyOf(
-    const std::string& customer) const {
-  return RendezvousChoose(Local(), customer, 2);
+const std::vector<std::string>& QuotaView::HomeAndDeputyOf(
+    const std::string& customer) {
+  const auto [entry, is_new] = homes_.try_emplace(customer);
+  if (is_new) entry->second = RendezvousChoose(Local(), customer, 2);
+  return entry->second;
 }
 
 std::vector<std::string> QuotaView::OtherHomesOf(
@@ -78,7 +76,7 @@
   std::vector<std::string> homes;
   for (const auto& [data_centre, nodes] : up_) {
     if (data_centre == data_centre_) continue;
-    homes.push_back(Choose(nodes, customer));
+    homes.push_back(RendezvousChoose(nodes, customer, 1).front());
   }
   return homes;
 }
--- a/src/libnode/customers/quota_view.h
+++ b/src/libnode/customers/quota_view.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "amaranthroute/customers.h"
@@ -25,9 +26,10 @@
   bool Refresh(TimePoint now);
 
   // Returns the home of the customer in this data centre.
-  std::string HomeOf(const std::string& customer) const;
-  // Returns the home and the node that stands in for it.
-  std::vector<std::string> HomeAndDeputyOf(const std::string& customer) const;
+  std::string HomeOf(const std::string& customer);
+  // Returns the home and the node that stands in for it. Valid until the next
+  // Refresh.
+  const std::vector<std::string>& HomeAndDeputyOf(const std::string& customer);
   // Returns its homes in the other data centres.
   std::vector<std::string> OtherHomesOf(const std::string& customer) const;
   // Returns the part of the quota that a home in this data centre gives out.
@@ -41,13 +43,14 @@
  private:
   using NodesByDataCentre = std::map<std::string, std::vector<std::string>>;
 
-  static std::string Choose(const std::vector<std::string>& nodes,
-                            const std::string& customer);
   const std::vector<std::string>& Local() const;
 
   const Membership& membership_;
   std::string data_centre_;
   NodesByDataCentre up_;
+  // Home and deputy by customer, since up_ last changed: each request of a
+  // customer with a quota needs them.
+  std::unordered_map<std::string, std::vector<std::string>> homes_;
   // Nodes that may be serving callers, in all data centres.
   size_t may_serve_ = 1;
   TimePoint read_at_{};
