--- a/src/include/amaranthroute/policy/admission_queue.h
+++ b/src/include/amaranthroute/policy/admission_queue.h
@@ -11,7 +11,8 @@
 /// renewals, and one caller with a high rate fills the queue for all others.
 ///
 /// - A higher tier is served strictly first, and replaces a call of a lower
-///   tier when the queue is full.
+///   tier when the queue is full. Within a tier the tier of the class decides
+///   in the same way; what is said of a tier below holds for each such part.
 /// - Within a tier callers are served in turn. When the queue is full, the
 ///   caller with the most waiting calls loses one to a caller with fewer.
 /// - The calls of a caller are served oldest first. Once the oldest call of a
--- a/src/libpolicy/admission_queue.cc
+++ b/src/libpolicy/admission_queue.cc
@@ -207,7 +207,7 @@
     }
     if (busiest_caller == nullptr) continue;
     if (rank == own_rank) {
-      // In the newcomer's own tier only the caller with the most waiting calls
+      // In the newcomer's own rank only the caller with the most waiting calls
       // loses one, and only if it keeps at least as many as the newcomer's
       // caller then has.
       const Lane& own = newcomer.long_work ? ranks_[rank].long_calls
--- a/src/libpolicy/quota_bucket.cc
+++ b/src/libpolicy/quota_bucket.cc
@@ -3,27 +3,20 @@
 #include <algorithm>
 #include <cmath>
 
+#include "libpolicy/seconds.h"
+
 namespace amaranth {
 namespace {
 
 // A part of less than one token could never give out any.
 constexpr double kMinCapacity = 1;
 
-double Seconds(Duration time) {
-  return std::chrono::duration<double>(time).count();
-}
-
-Duration FromSeconds(double seconds) {
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(seconds));
-}
-
 }  // namespace
 
 void QuotaBucket::Refill(const Quota& part, TimePoint owned_since,
                          TimePoint now) {
   const TimePoint since = started_ ? refilled_ : owned_since;
-  const double added = part.rate * std::max(0.0, Seconds(now - since));
+  const double added = part.rate * std::max(0.0, pvt::ToSeconds(now - since));
   const double capacity = std::max(kMinCapacity, part.burst);
   tokens_ = std::min(capacity, tokens_ + added);
   part_ = part;
@@ -49,13 +42,14 @@
 Duration QuotaBucket::TimeToToken() const {
   if (tokens_ >= 1) return Duration(0);
   if (part_.rate <= 0) return kMaxReservation;
-  return std::min(kMaxReservation, FromSeconds((1 - tokens_) / part_.rate));
+  return std::min(kMaxReservation,
+                  pvt::FromSeconds((1 - tokens_) / part_.rate));
 }
 
 Duration QuotaBucket::Reserve(TimePoint now) {
   const TimePoint earliest = now + TimeToToken();
   const Duration step =
-      part_.rate <= 0 ? kMaxReservation : FromSeconds(1 / part_.rate);
+      part_.rate <= 0 ? kMaxReservation : pvt::FromSeconds(1 / part_.rate);
   reserved_until_ =
       std::clamp(reserved_until_ + step, earliest, now + kMaxReservation);
   return reserved_until_ - now;
--- a/src/libpolicy/retry_after.cc
+++ b/src/libpolicy/retry_after.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "libpolicy/seconds.h"
+
 namespace amaranth {
 namespace {
 
@@ -16,8 +18,6 @@
 // A few round trips to a caller; less would make clients resend in a busy loop.
 constexpr Duration kMinRetryWithinTarget = std::chrono::milliseconds(20);
 
-double Seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
-
 }  // namespace
 
 Duration RetryAfter(size_t backlog, double drained_per_second,
@@ -28,20 +28,19 @@
   }
   // Clamped before the jitter: clients with the maximum delay would otherwise
   // resend in step.
-  seconds =
-      std::clamp(seconds, Seconds(kMinRetryAfter), Seconds(kMaxRetryAfter) / 2);
+  seconds = std::clamp(seconds, pvt::ToSeconds(kMinRetryAfter),
+                       pvt::ToSeconds(kMaxRetryAfter) / 2);
   std::uniform_real_distribution<double> jitter(1.0, 2.0);
   seconds *= jitter(random);
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(seconds));
+  return pvt::FromSeconds(seconds);
 }
 
 Duration RetryWithinTarget(Duration target, Duration elapsed,
                            std::mt19937_64& random) {
-  const double left = std::max(0.0, Seconds(target) - Seconds(elapsed));
+  const double left =
+      std::max(0.0, pvt::ToSeconds(target) - pvt::ToSeconds(elapsed));
   std::uniform_real_distribution<double> fraction(kMinFraction, kMaxFraction);
-  const std::chrono::duration<double> delay(left * fraction(random));
-  return std::max(std::chrono::duration_cast<Duration>(delay),
+  return std::max(pvt::FromSeconds(left * fraction(random)),
                   kMinRetryWithinTarget);
 }
 
@@ -56,7 +55,7 @@
   if (first_ == kNever) return 0;
   // At least a tenth of the window: a single call gives no meaningful rate.
   const Duration covered = std::clamp(now - first_, kWindow / 10, kWindow);
-  return static_cast<double>(done_.Total(now)) / Seconds(covered);
+  return static_cast<double>(done_.Total(now)) / pvt::ToSeconds(covered);
 }
 
 }  // namespace amaranth
