Tests: one count of the most events in a window, one search for an effect

Each was written twice: in the tests of rate limits and of quotas (C++ and Python), and in those of deployment rules and of keys. Bounds and assertions are the same.

--- a/src/fuzz/fuzz_settings.cc
+++ b/src/fuzz/fuzz_settings.cc
@@ -5,8 +5,10 @@
 #include "fuzz/require.h"
 #include "libnode/settings/settings_document.h"
 
+namespace {
+
 // Documents are either rejected, or can be sent on to peers.
-static void RequireDocumentCanBeSent(std::string_view text) {
+void RequireDocumentCanBeSent(std::string_view text) {
   const amaranth::Outcome<amaranth::pvt::SettingsDocument> document =
       amaranth::pvt::ParseDocument(text);
   if (!document) return;
@@ -16,6 +18,8 @@
       "settings document is accepted after a round trip");
 }
 
+}  // namespace
+
 // Snapshots come from peers and the object store, changes from operators. They
 // are either rejected, or parse to a settings tree that is equal after a round
 // trip through text. Validate() and Resolve() must not crash on it.
--- a/src/libnode/customers/customer_keys_test.cc
+++ b/src/libnode/customers/customer_keys_test.cc
@@ -8,6 +8,7 @@
 #include <variant>
 
 #include "amaranthroute/reducer.h"
+#include "libnode/fakes/find_effect.h"
 #include "libnode/settings/settings_document.h"
 #include "libnode/shared/caller_headers.h"
 
@@ -37,15 +38,6 @@
   return document;
 }
 
-template <typename T>
-std::optional<T> Find(const Effects& effects) {
-  for (const Effect& effect : effects) {
-    const T* found = std::get_if<T>(&effect);
-    if (found != nullptr) return *found;
-  }
-  return std::nullopt;
-}
-
 HttpRequest MakeGet(const std::string& target, const std::string& key) {
   HttpRequest request;
   request.target = target;
@@ -131,7 +123,7 @@
   int StatusOf(const HttpRequest& request) {
     AnnounceServers();
     const std::optional<AnswerCaller> answer =
-        Find<AnswerCaller>(Send(request));
+        FindEffect<AnswerCaller>(Send(request));
     return answer ? answer->response.status : 0;
   }
 
@@ -142,7 +134,7 @@
 
   HttpRequest RequestAtServer(HttpRequest request) {
     AnnounceServers();
-    return Find<SendServer>(Send(std::move(request))).value().request;
+    return FindEffect<SendServer>(Send(std::move(request))).value().request;
   }
 };
 
@@ -227,7 +219,7 @@
   SetDocument(MakeDocument(1, {MakeCustomer("c1", "k1")}));
   HttpRequest renewal = MakeGet("/b/1", "k2");
   renewal.method = "POST";
-  const AnswerCaller answer = Find<AnswerCaller>(Send(renewal)).value();
+  const AnswerCaller answer = FindEffect<AnswerCaller>(Send(renewal)).value();
   CHECK_EQUAL(401, answer.response.status);
   CHECK(FindHeader(answer.response.headers, kVerdictHeader) == "may-have-run");
 }
--- a/src/libnode/customers/quota_fleet_test.cc
+++ b/src/libnode/customers/quota_fleet_test.cc
@@ -3,14 +3,13 @@
 
 #include <CppUTest/TestHarness.h>
 
-#include <algorithm>
-#include <deque>
 #include <functional>
 #include <map>
 #include <string>
 #include <vector>
 
 #include "libnode/fakes/fake_fleet.h"
+#include "libnode/fakes/most_in_window.h"
 #include "libnode/settings/settings_document.h"
 #include "libnode/shared/caller_headers.h"
 
@@ -135,24 +134,14 @@
     Schedule(customer, rate, length, [this] { return AnyNode(); });
   }
 
-  // Returns the largest number of runs in any window, of those that began at or
-  // after `since`.
-  size_t MostInWindow(const std::string& customer, TimePoint since) {
-    std::deque<TimePoint> window;
-    size_t most = 0;
-    for (const TimePoint at : runs[customer]) {
-      if (at < since) continue;
-      window.push_back(at);
-      while (at - window.front() >= kWindow) window.pop_front();
-      most = std::max(most, window.size());
-    }
-    return most;
+  size_t MostRuns(const std::string& customer, TimePoint since) {
+    return MostInWindow(runs[customer], kWindow, since);
   }
 
   void CheckWithinQuota() {
-    CHECK(double(MostInWindow(kLarge, TimePoint())) <=
+    CHECK(double(MostRuns(kLarge, TimePoint())) <=
           AllowedInWindow(kLargeQuota));
-    CHECK(double(MostInWindow(kSmall, TimePoint())) <=
+    CHECK(double(MostRuns(kSmall, TimePoint())) <=
           AllowedInWindow(kSmallQuota));
   }
 
@@ -253,7 +242,7 @@
   fleet.SetDocument(2, MakeDocument(2, lower));
   const TimePoint in_force = fleet.now() + milliseconds(2500);
   fleet.RunFor(seconds(13));
-  CHECK(double(MostInWindow(kLarge, in_force)) <= AllowedInWindow(lower));
+  CHECK(double(MostRuns(kLarge, in_force)) <= AllowedInWindow(lower));
 }
 
 }  // namespace amaranth::pvt
--- a/src/libnode/deployment_rules_test.cc
+++ b/src/libnode/deployment_rules_test.cc
@@ -8,19 +8,12 @@
 #include <vector>
 
 #include "amaranthroute/reducer.h"
+#include "libnode/fakes/find_effect.h"
 #include "libnode/shared/caller_headers.h"
 
 namespace amaranth::pvt {
 namespace {
 
-std::optional<SendServer> FindSendServer(const Effects& effects) {
-  for (const Effect& effect : effects) {
-    const SendServer* send = std::get_if<SendServer>(&effect);
-    if (send != nullptr) return *send;
-  }
-  return std::nullopt;
-}
-
 HttpRequest MakeAnnouncement(const std::string& server, const char* address) {
   HttpRequest request;
   request.method = "POST";
@@ -90,7 +83,7 @@
   }
 
   SendServer SendNested(const std::string& context) {
-    return *FindSendServer(SendRequest(MakeCall("deep", context)));
+    return *FindEffect<SendServer>(SendRequest(MakeCall("deep", context)));
   }
 };
 
@@ -99,7 +92,8 @@
 // second. This one waits for overloaded services that it calls itself and has
 // four more seconds until its deadline; after a timeout the caller gets a 500.
 TEST(DeploymentRulesGroup, ASlowNestedCallDoesNotTimeOutEarly) {
-  const SendServer front = *FindSendServer(SendRequest(MakeCall("front", "")));
+  const SendServer front =
+      *FindEffect<SendServer>(SendRequest(MakeCall("front", "")));
   const std::string context(FindHeader(front.request.headers, kContextHeader));
   const SendServer first = SendNested(context);
   now += std::chrono::milliseconds(10);
@@ -116,14 +110,16 @@
   Announce(LeaveRequest("gone"));
   now += std::chrono::seconds(1);
   Announce(MakeReadyAnnouncement("gone", 77, 12));
-  CHECK_FALSE(FindSendServer(SendRequest(MakeCall("gone", ""))).has_value());
+  CHECK_FALSE(
+      FindEffect<SendServer>(SendRequest(MakeCall("gone", ""))).has_value());
 }
 
 TEST(DeploymentRulesGroup, ASuccessorOfAServerThatLeftIsUsed) {
   Announce(LeaveRequest("gone"));
   now += std::chrono::seconds(1);
   Announce(MakeReadyAnnouncement("gone", 99, 1));
-  CHECK_TRUE(FindSendServer(SendRequest(MakeCall("gone", ""))).has_value());
+  CHECK_TRUE(
+      FindEffect<SendServer>(SendRequest(MakeCall("gone", ""))).has_value());
 }
 
 }  // namespace amaranth::pvt
--- a/src/libnode/rate_limit_test.cc
+++ b/src/libnode/rate_limit_test.cc
@@ -3,12 +3,12 @@
 
 #include <CppUTest/TestHarness.h>
 
-#include <algorithm>
 #include <map>
 #include <string>
 #include <vector>
 
 #include "libnode/fakes/fake_fleet.h"
+#include "libnode/fakes/most_in_window.h"
 
 namespace amaranth::pvt {
 namespace {
@@ -130,14 +130,7 @@
   }
 
   size_t MostInAWindow(const std::string& server, TimePoint since) {
-    const std::vector<TimePoint>& all = runs[server];
-    size_t most = 0;
-    for (auto first = std::lower_bound(all.begin(), all.end(), since);
-         first != all.end(); ++first) {
-      const auto end = std::lower_bound(first, all.end(), *first + kWindow);
-      most = std::max(most, static_cast<size_t>(end - first));
-    }
-    return most;
+    return MostInWindow(runs[server], kWindow, since);
   }
 };
 
--- a/testsuite/lib/users_platform.py
+++ b/testsuite/lib/users_platform.py
@@ -372,6 +372,17 @@
     return store, nodes, workers
 
 
+def most_in_a_window(times, seconds):
+    """Returns the largest number of `times` in any sliding window."""
+    times = sorted(times)
+    most = first = 0
+    for last, at in enumerate(times):
+        while times[first] <= at - seconds:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
+
+
 class SentRequest:
     def __init__(self, node, attempt):
         self.node, self.attempt = node, attempt
--- a/testsuite/users-platform-customers/run.py
+++ b/testsuite/users-platform-customers/run.py
@@ -36,16 +36,6 @@
                             attempt=f"r{time.monotonic_ns()}", key=key)
 
 
-def most_in_a_window(times):
-    times = sorted(times)
-    most = first = 0
-    for last, at in enumerate(times):
-        while times[first] <= at - WINDOW_SECONDS:
-            first += 1
-        most = max(most, last - first + 1)
-    return most
-
-
 def check_keys(store, nodes, workers):
     config(store, 2, ["k1", "k2"])
     for node in nodes:
@@ -75,7 +65,7 @@
             else:
                 refused.append(answer)
     allowed = (RATE * WINDOW_SECONDS + BURST) * (1 + OVER) + SLACK
-    most = most_in_a_window(served)
+    most = platform.most_in_a_window(served, WINDOW_SECONDS)
     fleet.check(most <= allowed, f"{most} in a window, allowed {allowed}")
     fleet.check(refused, "requests over the quota are refused")
     fleet.check(all(answer.status == 429 for answer in refused),
--- a/testsuite/users-platform-limit/run.py
+++ b/testsuite/users-platform-limit/run.py
@@ -18,20 +18,11 @@
 SETTLE_SECONDS = 0.5
 
 
-def most_in_a_window(server, since):
-    """Returns the most arrivals after `since` in any WINDOW_SECONDS."""
-    times = sorted(at for at, _ in server.arrivals if at >= since)
-    most = first = 0
-    for last, at in enumerate(times):
-        while times[first] <= at - WINDOW_SECONDS:
-            first += 1
-        most = max(most, last - first + 1)
-    return most
-
-
 def check_limit(server, named_at):
     allowed = 1.5 * LIMIT * WINDOW_SECONDS + 5
-    got = most_in_a_window(server, named_at + SETTLE_SECONDS)
+    settled_at = named_at + SETTLE_SECONDS
+    got = platform.most_in_a_window(
+        [at for at, _ in server.arrivals if at >= settled_at], WINDOW_SECONDS)
     fleet.check(got <= allowed,
                 f"{server.name} got {got} requests in {WINDOW_SECONDS} s,"
                 f" allowed {allowed}")
