Settings: confirmations reach a large data centre along a tree

Cause: a node that has not heard for 2 s that its settings are the newest watches the store itself. The watchers' confirmations travelled on probes, one each 500 ms to a node drawn at random, so their age grows with the log of the data centre: with 200 nodes the oldest is over 2 s old.

Ruled out: a longer lifetime (a change would be known later, and the time grows with the fleet all the same); watchers that tell each node (their messages grow with the data centre).

Now the nodes of a data centre form a forest by hash, five roots and four children a node: a confirmation takes at most four hops at 200 nodes and five at 1,600, and each node sends to four others a second. A node whose confirmation is older than 1.2 s asks two roots, so a branch below a dead node is served until it is known to be dead.

ConfirmationsStayFreshInALargeDataCentre fails without it (2 s exceeded with 200 nodes).

PushUrgent no longer spends transmissions of queued records that it then leaves out.

--- a/src/libnode/membership/membership.cc
+++ b/src/libnode/membership/membership.cc
@@ -85,6 +85,7 @@
   if (message.settings_confirmed && on_settings_confirmed) {
     on_settings_confirmed(message.settings_version, *message.settings_confirmed,
                           context);
+    RelayConfirmation(context);
   }
   switch (message.kind) {
     case GossipKind::kPing:
@@ -302,7 +303,10 @@
   const bool was_up = known != nullptr && IsUp(*known);
   if (!table_.Merge(record, context.now)) return;
   ++records_merged_;
-  if (was_up != IsUp(record)) up_peers_stale_ = true;
+  if (was_up != IsUp(record)) {
+    up_peers_stale_ = true;
+    settings_relays_stale_ = true;
+  }
   TrackState(record, context);
   updates_.Add(name, UpPeers().size() + 1);
   if (!stops_new_work) return;
--- a/src/libnode/membership/membership.h
+++ b/src/libnode/membership/membership.h
@@ -16,6 +16,7 @@
 #include "amaranthroute/messages.h"
 #include "libnode/membership/membership_table.h"
 #include "libnode/membership/membership_updates.h"
+#include "libnode/membership/relay_tree.h"
 #include "libnode/shared/context.h"
 
 namespace amaranth::pvt {
@@ -184,11 +185,18 @@
   void Ping(const std::string& name, uint64_t sequence, Context& context);
   GossipMessage BuildMessage(GossipKind kind, uint64_t sequence,
                              const MemberRecord* receiver = nullptr);
+  // Returns a message without records.
+  GossipMessage BuildHeader(GossipKind kind, uint64_t sequence) const;
   void AddRecord(const MemberRecord& record, size_t& size,
                  GossipMessage& message) const;
   void AddQueued(size_t budget, size_t& size, GossipMessage& message);
   void AddQuarantines(size_t& size, GossipMessage& message);
 
+  // membership_relay.cc: confirmations of the settings in this data centre.
+  const RelayTree& SettingsRelays() const;
+  void RelayConfirmation(Context& context);
+  void RequestConfirmation(Context& context);
+
   // membership_sync.cc: anti-entropy by exchange of record buckets.
   void MaybeStartSync(const NodeRef& peer, uint64_t hash, Context& context);
   void StartSync(const std::string& name, const Endpoint& address,
@@ -261,6 +269,11 @@
 
   mutable std::vector<std::string> up_peers_;
   mutable bool up_peers_stale_ = true;
+
+  mutable RelayTree settings_relays_;
+  mutable bool settings_relays_stale_ = true;
+  // When the confirmation that was last relayed was made.
+  TimePoint relayed_confirmation_{};
 };
 
 }  // namespace amaranth::pvt
--- a/src/libnode/membership/membership_dissemination.cc
+++ b/src/libnode/membership/membership_dissemination.cc
@@ -95,8 +95,8 @@
                           BuildMessage(GossipKind::kPing, sequence, record)});
 }
 
-GossipMessage Membership::BuildMessage(GossipKind kind, uint64_t sequence,
-                                       const MemberRecord* receiver) {
+GossipMessage Membership::BuildHeader(GossipKind kind,
+                                      uint64_t sequence) const {
   GossipMessage message;
   message.kind = kind;
   message.from = identity_.node;
@@ -108,6 +108,12 @@
   }
   message.platform_epoch = platform_epoch_;
   message.membership_hash = table_.hash();
+  return message;
+}
+
+GossipMessage Membership::BuildMessage(GossipKind kind, uint64_t sequence,
+                                       const MemberRecord* receiver) {
+  GossipMessage message = BuildHeader(kind, sequence);
   size_t size = kGossipHeaderSize;
   AddRecord(Self(), size, message);
   // A receiver that is considered suspect or dead has to learn of it to refute
@@ -164,8 +170,7 @@
 // costs about 200 KB.
 void Membership::BroadcastQuarantines(Context& context) {
   if (quarantines_to_broadcast_.empty()) return;
-  GossipMessage message = BuildMessage(GossipKind::kAck, 0);
-  message.updates.clear();
+  GossipMessage message = BuildHeader(GossipKind::kAck, 0);
   message.quarantines = std::move(quarantines_to_broadcast_);
   quarantines_to_broadcast_.clear();
   for (const auto& [name, record] : table_.members()) {
@@ -190,9 +195,9 @@
       }
     }
   }
-  GossipMessage message = BuildMessage(GossipKind::kAck, 0);
-  message.updates.clear();
-  size_t size = kGossipHeaderSize + kQuarantinesPerDatagram * 64;
+  GossipMessage message = BuildHeader(GossipKind::kAck, 0);
+  size_t size = kGossipHeaderSize;
+  AddQuarantines(size, message);
   AddRecord(Self(), size, message);
   for (const auto& [name, left] : urgent_pushes_left_) {
     const MemberRecord* record = Find(name);
--- /dev/null
+++ b/src/libnode/membership/relay_tree.cc
@@ -0,0 +1,35 @@
+#include "libnode/membership/relay_tree.h"
+
+#include <algorithm>
+
+#include "amaranthroute/hash.h"
+
+namespace amaranth::pvt {
+
+RelayTree::RelayTree(const std::vector<std::string>& names,
+                     std::string_view key, size_t root_count, size_t fanout)
+    : ranked_(RendezvousChoose(names, key, names.size())),
+      root_count_(std::min(root_count, names.size())),
+      fanout_(fanout) {}
+
+std::vector<std::string> RelayTree::ChildrenOf(const std::string& name) const {
+  const auto found = std::find(ranked_.begin(), ranked_.end(), name);
+  if (found == ranked_.end()) return {};
+  const size_t rank = static_cast<size_t>(found - ranked_.begin());
+  const size_t first = std::min(root_count_ + rank * fanout_, ranked_.size());
+  const size_t last = std::min(first + fanout_, ranked_.size());
+  return {ranked_.begin() + static_cast<std::ptrdiff_t>(first),
+          ranked_.begin() + static_cast<std::ptrdiff_t>(last)};
+}
+
+std::vector<std::string> RelayTree::Roots() const {
+  return {ranked_.begin(),
+          ranked_.begin() + static_cast<std::ptrdiff_t>(root_count_)};
+}
+
+bool RelayTree::IsRoot(const std::string& name) const {
+  const std::vector<std::string> roots = Roots();
+  return std::find(roots.begin(), roots.end(), name) != roots.end();
+}
+
+}  // namespace amaranth::pvt
--- a/src/libnode/settings/settings_store.cc
+++ b/src/libnode/settings/settings_store.cc
@@ -5,26 +5,15 @@
 #include <utility>
 
 #include "amaranthroute/hash.h"
+#include "libnode/shared/settings_watchers.h"
 
 namespace amaranth::pvt {
 
 namespace {
 
 constexpr char kPart[] = "settings";
-constexpr char kDelegateKey[] = "settings-delegates";
 constexpr size_t kDelegateCount = 2;
 
-// Number of nodes of a data centre that watch the platform; the others learn
-// from them. Each change completes every watch, so if all nodes watched, the
-// number of platform calls would grow with the fleet. There are several, since
-// a data centre that loses all of them at once learns of a change up to
-// kConfirmationLifetime later.
-constexpr size_t kWatcherCount = 5;
-// A node that has received no confirmation for this long that the platform
-// holds nothing newer starts a watch of its own. Gossip reaches forty nodes in
-// less time.
-constexpr Duration kConfirmationLifetime = std::chrono::seconds(2);
-
 // A version must be in force on every node within 5 s. Polling every second
 // leaves 4 s for gossip and the transfer of the snapshot.
 constexpr Duration kPollInterval = std::chrono::seconds(1);
@@ -158,7 +147,7 @@
 bool SettingsStore::IsRankedWithin(size_t count) const {
   if (!up_in_data_centre) return true;
   const std::vector<std::string> chosen =
-      RendezvousChoose(up_in_data_centre(), kDelegateKey, count);
+      RendezvousChoose(up_in_data_centre(), kSettingsDelegateKey, count);
   return std::find(chosen.begin(), chosen.end(), identity_.node.name) !=
          chosen.end();
 }
@@ -182,15 +171,16 @@
 
 bool SettingsStore::RecentlyConfirmed(TimePoint now) const {
   return ready_ && confirmed_at_ &&
-         now - *confirmed_at_ < kConfirmationLifetime;
+         now - *confirmed_at_ < kSettingsConfirmationLifetime;
 }
 
 void SettingsStore::WatchUnlessConfirmed(Context& context) {
-  if (RecentlyConfirmed(context.now) && !IsRankedWithin(kWatcherCount)) {
+  if (RecentlyConfirmed(context.now) &&
+      !IsRankedWithin(kSettingsWatcherCount)) {
     // By the time of the next watch the position may belong to an earlier epoch
     // of the platform, and a watch would report that only when it ends.
     watch_position_ = 0;
-    next_poll_ = *confirmed_at_ + kConfirmationLifetime;
+    next_poll_ = *confirmed_at_ + kSettingsConfirmationLifetime;
     return;
   }
   StartWatch(context);
