Discovery: a start costs the platform about one call

Of 90 nodes logged by the users, 70 were refused at their first call, since all ask within 13 ms.

Cause: each node that starts reads the settings, reads the peers and writes a row of its own, and while it knows few others ranks itself among the watchers and watches. All of it grows with the number of starts. A reply holds 500 rows, so of 986 a newcomer is told the first half by name.

Now five nodes of each data centre keep a row, with the data centre in it. A node that starts reads the rows once, spread over 200 ms (over one second on the first start of a fleet, highest rank first), asks three contacts of its data centre for records, and takes the settings from a peer with the age of the peer's confirmation; under 2 s it is ready at once. It reads the platform if there is no peer to ask or none has answered within 500 ms. It ranks itself among the watchers after 2.5 s. Rows of nodes that are gone are removed by the first contact.

Weighed: delays by hash until a row is seen (two reads a start); seeds from the platform's settings (three hosts would answer the whole fleet).

The tests of fleet_start_test.cc count calls at 60 nodes; with a read of the settings at each start RestartsInTurnCostAboutOneCallEach fails. The fixture of customer_keys_test answers the read of the peer list, which now comes before the watch.

--- a/src/libnode/node_state.cc
+++ b/src/libnode/node_state.cc
@@ -63,6 +63,9 @@
                                             Context& context) {
     settings.OnConfirmed(version, ago, context.now);
   };
+  membership.on_peer_list = [this](bool can_ask_peers, Context& context) {
+    settings.OnPeerList(can_ask_peers, context);
+  };
   settings.up_in_data_centre = [this]() { return membership.UpInDataCentre(); };
   settings.peers_consulted = [this]() { return membership.peers_consulted(); };
   settings.on_adopted = [this](uint64_t version, Context& context) {
--- a/src/libwire/amaranth.thrift
+++ b/src/libwire/amaranth.thrift
@@ -158,7 +158,8 @@
 struct SettingsSnapshot {
   1: required i64 version,
   2: required i64 text_hash,
-  3: required string text
+  3: required string text,
+  4: optional i64 confirmed_us
 }
 
 struct KeyClaim {
