Links: one silent link has all others checked

Cause: each silent link was found by the next call that was sent on it, which was lost for two seconds. The number of links grows with the fleet, and the use of each falls.

Now a ping that is not answered for 150 ms has all links of the node pinged. Those that carry no calls are closed after 300 ms without an answer, at the price of a new connection; a link that carries only the peer's calls is left to the peer. A link with calls is closed after 600 ms instead of 1,600 if its peer answers a datagram meanwhile, so that a frozen or starved peer keeps its calls. A node that was paused itself starts the times anew.

With it, of discovery: a node that is alone looks for peers again at each reconnect, and a row that leads to an earlier address of a node is written anew.

--- a/src/libnode/membership/membership.h
+++ b/src/libnode/membership/membership.h
@@ -95,6 +95,16 @@
   // working.
   size_t KnownNodeCount() const { return table_.members().size(); }
 
+  // Sends the member a datagram that it answers.
+  void PingMember(const std::string& name, Context& context) {
+    Ping(name, context.NextId(), context);
+  }
+  // Returns whether a datagram of the member has arrived since `time`.
+  bool HeardSince(const std::string& name, TimePoint time) const {
+    const auto heard = last_heard_.find(name);
+    return heard != last_heard_.end() && heard->second >= time;
+  }
+
   void SetSettingsVersion(uint64_t version);
   // Shares the fingerprint of a request that crashed a server with the fleet.
   void AddQuarantine(const QuarantineRecord& record, Context& context);
@@ -186,6 +196,7 @@
   std::vector<std::string> DepartedMembers(TimePoint now) const;
   void WritePeerRow(Context& context);
   void MaintainPeerRow(Context& context);
+  void SearchPeersIfAlone(Context& context);
   void Reconnect(Context& context);
 
   // membership_dissemination.cc: dissemination.
--- a/src/libnode/membership/membership_discovery.cc
+++ b/src/libnode/membership/membership_discovery.cc
@@ -162,6 +162,13 @@
   if (!peer_row_written_ || removes_rows) ScheduleRowWrite(context.now);
 }
 
+// A node that has lost all its peers looks for them again.
+void Membership::SearchPeersIfAlone(Context& context) {
+  if (!identity_.use_platform || !UpPeers().empty()) return;
+  next_platform_ =
+      std::min(next_platform_, std::max(peer_list_due_, context.now));
+}
+
 void Membership::ScheduleRowWrite(TimePoint at) {
   peer_row_due_ = at;
   row_interval_ = kPlatformInterval;
@@ -225,9 +232,11 @@
   std::vector<PeerRow> own;     // of this data centre
   std::vector<PeerRow> others;  // of other data centres
   bool is_listed = false;
+  bool is_row_outdated = false;  // it leads to an earlier address
   for (PeerRow& row : ParsePeerRows(texts)) {
     if (row.name == identity_.node.name) {
       is_listed = row.address == identity_.peer_address;
+      is_row_outdated = !is_listed;
       continue;
     }
     const bool is_local = row.data_centre == identity_.data_centre;
@@ -235,9 +244,10 @@
   }
   const bool lists_others = !own.empty() || !others.empty();
   is_only_node_ = !lists_others;
+  const bool has_few_contacts = own.size() < kContactsPerDataCentre;
   if (is_listed) {
     peer_row_written_ = true;
-  } else if (own.size() < kContactsPerDataCentre && !peer_row_written_) {
+  } else if (is_row_outdated || (has_few_contacts && !peer_row_written_)) {
     ScheduleRowWrite(context.now);
   }
   // Contacts read the settings themselves, since others will ask them.
--- a/src/libnode/membership/membership_probe.cc
+++ b/src/libnode/membership/membership_probe.cc
@@ -34,6 +34,7 @@
   if (period_count_ % kReconnectPeriods == 0) {
     Reconnect(context);
     MaintainPeerRow(context);
+    SearchPeersIfAlone(context);
   }
   PingDepartedMembers(context);
   const int64_t tenth = kProbePeriod.count() / 10;
--- a/src/libnode/node_state.cc
+++ b/src/libnode/node_state.cc
@@ -86,9 +86,18 @@
   links.awaits_answer = [this](const std::string& peer) {
     return entry.AwaitsAnswerFrom(peer);
   };
+  links.owes_answer = [this](const std::string& peer) {
+    return serving.HasCallsOf(peer);
+  };
   links.on_unresponsive = [this](const std::string& peer, Context& context) {
     entry.OnPeerUnresponsive(peer, context);
   };
+  links.ping_by_datagram = [this](const std::string& peer, Context& context) {
+    membership.PingMember(peer, context);
+  };
+  links.heard_since = [this](const std::string& peer, TimePoint time) {
+    return membership.HeardSince(peer, time);
+  };
   links.on_dropped = [this](const std::string& peer, Context& context) {
     HandlePeerLost(peer, context);
   };
