Settings: a node that starts serves after a sync, not before

Cause: since starts ask few contacts, a node was ready as soon as a peer had sent its settings, also when that contact had no more sync to give and told only of itself. A node that knows nearly nobody takes its part of each quota for far too large.

--- a/src/libnode/settings/settings_store.cc
+++ b/src/libnode/settings/settings_store.cc
@@ -440,9 +440,12 @@
     if (document_.version < head_.version) return;
     StartPeerWait(context.now);
   }
+  // Without the answer of a peer to a sync, this node knows nearly nobody, and
+  // its share of the customers' quotas would be far too large.
+  const bool is_newest =
+      head_known_ || (uses_watch() && RecentlyConfirmed(context.now));
   const bool needs_no_peer =
-      (head_known_ && (!peers_consulted || peers_consulted())) ||
-      (uses_watch() && RecentlyConfirmed(context.now));
+      is_newest && (!peers_consulted || peers_consulted());
   if (!needs_no_peer && context.now < peer_wait_end_) return;
   if (!head_known_ && uses_watch() && document_.version == 0) return;
   const bool highest = document_.version >= HighestVersionSeen();
