--- a/src/amaranthd/options.cc
+++ b/src/amaranthd/options.cc
@@ -29,7 +29,7 @@
   const char* help;
 };
 
-constexpr std::array<Flag, 36> kFlags = {{
+constexpr std::array<Flag, 35> kFlags = {{
     {"Identity", "node-name", "", "NAME",
      "name of this node; must be unique in the fleet"},
     {"Identity", "fleet", "default", "NAME",
@@ -63,9 +63,6 @@
     {"Platform", "rows", "", "IP:PORT",
      "address of the row store, used instead of the table service and object "
      "store; operators write settings there"},
-    {"Deployment", "first-start", "false", "BOOL",
-     "true if the whole fleet starts for the first time: nodes then spread "
-     "their search for peers"},
     {"Deployment", "server-service", "", "NAME",
      "service of this host's backend server; required with --rows"},
     {"Deployment", "announce-period", "500ms", "TIME",
@@ -213,14 +210,6 @@
     return Duration(0);
   }
 
-  bool Boolean(const std::string& flag) {
-    const std::string text = Text(flag);
-    if (text != "true" && text != "false") {
-      AddError(flag, "must be true or false, not '" + text + "'");
-    }
-    return text == "true";
-  }
-
   double Share(const std::string& flag) {
     const std::string text = Text(flag);
     const std::optional<double> share = ParseNumber<double>(text);
@@ -349,7 +338,6 @@
 void ReadDeployment(FlagReader& reader, DaemonOptions& options) {
   DeploymentRules& rules = options.identity.rules;
   options.stop_grace = reader.Time("stop-grace");
-  options.identity.first_start = reader.Boolean("first-start");
   rules.server_lease = reader.Time("announce-period") * kMissedAnnouncements;
   rules.drain_limit = reader.Time("drain") / kDrainPhases;
   rules.fleet_retry_ratio = reader.Share("retry-ratio");
@@ -370,8 +358,8 @@
   // other nodes send during the delay finish within the stop grace, because
   // nearly all of them take less than the rest of it.
   rules.leave_delay = std::chrono::milliseconds(1200);
-  // Callers arrive seconds after the start, so the spread is shorter than the
-  // default.
+  // Such a deployment has tens of nodes rather than 1,600, so the spread can be
+  // shorter than the default.
   rules.peer_row_spread = std::chrono::seconds(1);
 }
 
--- a/src/fuzz/write_corpus.cc
+++ b/src/fuzz/write_corpus.cc
@@ -86,7 +86,7 @@
           LinkPing{1},
           LinkPong{1},
           SettingsRequest{4},
-          SettingsSnapshot{5, 6, "{}", std::nullopt},
+          SettingsSnapshot{5, 6, "{}"},
           ClaimRequest{NodeRef{"n1", 77}, {{1, "key"}}},
           ClaimReply{{{1, true, NodeRef{"n1", 77}, 1}}},
           QuotaRequest{1, "customer", 1, false},
--- a/src/include/amaranthroute/hash.h
+++ b/src/include/amaranthroute/hash.h
@@ -20,9 +20,6 @@
 std::vector<std::string> RendezvousChoose(const std::vector<std::string>& names,
                                           std::string_view key, size_t count);
 
-/// Returns the combined hash of name and `key` by which RendezvousChoose ranks.
-uint64_t RendezvousScore(std::string_view name, std::string_view key);
-
 }  // namespace amaranth
 
 #endif  // AMARANTHROUTE_HASH_H_
--- a/src/include/amaranthroute/messages.h
+++ b/src/include/amaranthroute/messages.h
@@ -165,9 +165,6 @@
   uint64_t version = 0;
   uint64_t text_hash = 0;
   std::string text;
-  /// Time since the platform was known to hold nothing newer, if the sender
-  /// knows it.
-  std::optional<Duration> confirmed;
 };
 
 /// An idempotency key to be claimed for a node.
--- a/src/include/amaranthroute/platform.h
+++ b/src/include/amaranthroute/platform.h
@@ -53,13 +53,10 @@
 
 /// Lists the peer rows of a fleet: peer discovery at start if no seed answers.
 struct TableReadPeers {};
-/// Writes the peer row of this node and removes those of peers that are gone.
+/// Writes the peer row of this node.
 struct TableWritePeer {
   std::string name;
-  std::string address;  ///< "ip:port" of the peer link, space, data centre
-  /// Names of peers whose rows may be removed. They are only a burden to
-  /// readers: a store may leave them.
-  std::vector<std::string> departed;
+  std::string address;  ///< "ip:port" of the peer link
 };
 
 /// Long poll for a settings document that operators maintain outside this
@@ -110,8 +107,7 @@
   /// TableWatchSettings: the settings document; empty if there is none or it
   /// has not changed.
   std::string bytes;
-  /// TableReadPeers: "name=ip:port data-centre" of each peer, the newest row
-  /// first if the platform orders them by age.
+  /// TableReadPeers: "name=ip:port" of each peer.
   std::vector<std::string> peers;
   /// Counts the times that the platform's table came back from a copy, which
   /// lacks the last writes and from which versions are given out again; 0 if
--- a/src/include/amaranthroute/reducer.h
+++ b/src/include/amaranthroute/reducer.h
@@ -59,10 +59,9 @@
   /// Time without an announcement after which a backend server is removed: four
   /// announcement periods, which are 500 ms by default.
   Duration server_lease = std::chrono::seconds(2);
-  /// Period over which the nodes of a fleet that starts for the first time
-  /// spread their calls to the platform's table, and over which those with a
-  /// peer row spread the writes after a restore of the table: 1,600 calls over
-  /// 16 s are 100 per second.
+  /// Period over which the nodes of a fleet that starts all at once spread the
+  /// writes of their peer rows to the platform's table: 1,600 rows over 16 s
+  /// are 100 writes per second.
   Duration peer_row_spread = std::chrono::seconds(16);
   /// Limit on the retries of all nodes together, per service and sliding
   /// window: this share of the requests, plus a fixed number (slack). A slack
@@ -84,9 +83,6 @@
   Endpoint gossip_address;
   std::vector<Endpoint> seeds;  ///< gossip addresses of some nodes
   bool use_platform = true;
-  /// The whole fleet starts for the first time, so no node has peers to find
-  /// yet.
-  bool first_start = false;
   uint64_t random_seed = 1;
   /// Token required for changes by operators; none is required if it is empty.
   std::string operator_token;
--- a/src/libhost/peer_transport_test.cc
+++ b/src/libhost/peer_transport_test.cc
@@ -431,7 +431,7 @@
   limits.max_queue_bytes = 1000;
   TestNode one(io, MakeHello("n1", 1), limits);
   TestNode two(io, MakeHello("n2", 1));
-  SettingsSnapshot snapshot{1, 2, std::string(600, 's'), std::nullopt};
+  SettingsSnapshot snapshot{1, 2, std::string(600, 's')};
   one.transport.Send("n2", two.address(), snapshot);
   one.transport.Send("n2", two.address(), snapshot);
   RunUntil(io, [&] { return !one.unsent.empty() && !two.messages.empty(); });
@@ -444,8 +444,7 @@
   CallForward forward;
   forward.request.headers = {{"X", "a\r\nb"}};
   one.transport.Send("n2", two.address(), forward);
-  SettingsSnapshot snapshot{1, 2, std::string(kMaxFrameBytes, 's'),
-                            std::nullopt};
+  SettingsSnapshot snapshot{1, 2, std::string(kMaxFrameBytes, 's')};
   one.transport.Send("n2", two.address(), snapshot);
   one.transport.Send("n2", two.address(), LinkPing{1});
   RunUntil(io, [&] { return one.unsent.size() == 2 && !two.messages.empty(); });
--- a/src/libnode/customers/customer_keys_test.cc
+++ b/src/libnode/customers/customer_keys_test.cc
@@ -70,22 +70,15 @@
     identity.rules.announce_port = true;
     node.emplace(identity);
     NoteWatch(node->Start(now));
-    RunForOneSecond();
   }
 
-  // Keeps the operation of a watch, and answers reads of the peer list: there
-  // is no other node.
   void NoteWatch(const Effects& effects) {
     for (const Effect& effect : effects) {
       const SendPlatform* send = std::get_if<SendPlatform>(&effect);
-      if (send == nullptr) continue;
-      if (std::holds_alternative<TableWatchSettings>(send->request)) {
-        watch = send->op;
-      } else if (std::holds_alternative<TableReadPeers>(send->request)) {
-        PlatformReply reply;
-        reply.status = PlatformStatus::kOk;
-        NoteWatch(node->Reduce({now, PlatformReplied{send->op, reply}}));
-      }
+      const bool watches =
+          send != nullptr &&
+          std::holds_alternative<TableWatchSettings>(send->request);
+      if (watches) watch = send->op;
     }
   }
 
--- a/src/libnode/fakes/fake_fleet.cc
+++ b/src/libnode/fakes/fake_fleet.cc
@@ -73,10 +73,9 @@
   identity.gossip_address = {host.name, 2};
   identity.use_platform = host.use_platform;
   identity.rules = rules;
-  identity.first_start = first_start;
   identity.random_seed = random_();
   for (const auto& [name, other] : hosts_) {
-    if (use_seeds && name != host.name) identity.seeds.push_back({name, 2});
+    if (name != host.name) identity.seeds.push_back({name, 2});
   }
   host.node = std::make_unique<Node>(identity);
   host.up = true;
@@ -241,13 +240,6 @@
   messages_held_by_cuts_.clear();
 }
 
-void FakeFleet::SilenceLinks(double share) {
-  std::uniform_real_distribution<double> chance(0, 1);
-  for (auto& [key, link] : links_) {
-    if (link.open && chance(random_) < share) link.silent = true;
-  }
-}
-
 bool FakeFleet::IsCut(const std::string& a, const std::string& b) const {
   return cuts_.count(KeyOf(a, b)) > 0;
 }
@@ -284,16 +276,11 @@
       FeedLater(from, delay, PeerSendFailed{effect.peer, effect.message});
       return;
     }
-    // A node to which its peer connects anew closes its open link.
-    if (link.unaware == effect.peer) {
-      FeedLater(effect.peer, Latency(from, effect.peer), PeerLost{from});
-    }
     link = Link();
     link.open = true;
     link.incarnation_a = hosts_.at(key.first).incarnation;
     link.incarnation_b = hosts_.at(key.second).incarnation;
   }
-  if (link.silent) return;
   // A link delivers in order and is closed when either process ends.
   const TimePoint arrival =
       std::max(now_ + Latency(from, effect.peer), link.last);
@@ -304,7 +291,7 @@
   std::function<void()> deliver = [this, key, sent_on, sender, to_name,
                                    message = effect.message] {
     const Link& present = links_[key];
-    const bool same = present.open && !present.silent &&
+    const bool same = present.open &&
                       present.incarnation_a == sent_on.incarnation_a &&
                       present.incarnation_b == sent_on.incarnation_b;
     if (same) Feed(hosts_.at(to_name), PeerReceived{sender, message});
@@ -319,12 +306,10 @@
 void FakeFleet::Execute(Host& host, const ClosePeer& effect) {
   Link& link = links_[KeyOf(host.name, effect.peer)];
   if (!link.open) return;
-  const bool is_noticed = !link.silent && !IsCut(host.name, effect.peer);
   link.open = false;
   link.incarnation_a = 0;
-  if (link.silent) link.unaware = effect.peer;
   FeedLater(host.name, kSameHostLatency, PeerLost{effect.peer});
-  if (is_noticed) {
+  if (!IsCut(host.name, effect.peer)) {
     FeedLater(effect.peer, kSameDataCentreLatency, PeerLost{host.name});
   }
 }
@@ -397,7 +382,7 @@
     return;
   }
   PlatformReply reply = RunPlatform(effect.request);
-  Duration delay = PlatformDelay(effect.request);
+  Duration delay = kPlatformLatency;
   if (platform_mode_ == PlatformMode::kLoseAnswers) {
     reply = PlatformReply();
     delay = kPlatformTimeout;
@@ -405,21 +390,6 @@
   FeedLater(name, delay, PlatformReplied{effect.op, std::move(reply)});
 }
 
-Duration FakeFleet::PlatformDelay(const PlatformRequest& request) const {
-  const auto* watch = std::get_if<TableWatchSettings>(&request);
-  const bool waits = watch != nullptr && watch->after != 0 &&
-                     watch->after >= document_version_;
-  return waits ? kPlatformLatency + watch->wait : kPlatformLatency;
-}
-
-void FakeFleet::RemovePeerRow(const std::string& name) {
-  peer_rows_.erase(std::remove_if(peer_rows_.begin(), peer_rows_.end(),
-                                  [&](const std::string& row) {
-                                    return row.find(name + "=") == 0;
-                                  }),
-                   peer_rows_.end());
-}
-
 PlatformReply FakeFleet::RunPlatform(const PlatformRequest& request) {
   PlatformReply reply;
   reply.status = PlatformStatus::kOk;
@@ -449,12 +419,6 @@
   } else if (const auto* watch = std::get_if<TableWatchSettings>(&request)) {
     reply.version = document_version_;
     if (document_version_ > watch->after) reply.bytes = document_;
-  } else if (std::holds_alternative<TableReadPeers>(request)) {
-    reply.peers = peer_rows_;
-  } else if (const auto* peer = std::get_if<TableWritePeer>(&request)) {
-    RemovePeerRow(peer->name);
-    for (const std::string& name : peer->departed) RemovePeerRow(name);
-    peer_rows_.insert(peer_rows_.begin(), peer->name + "=" + peer->address);
   } else if (const auto* put = std::get_if<ObjectPut>(&request)) {
     objects_[put->name] = put->bytes;
   } else if (const auto* get = std::get_if<ObjectGet>(&request)) {
--- a/src/libnode/fakes/fake_fleet.h
+++ b/src/libnode/fakes/fake_fleet.h
@@ -92,10 +92,8 @@
   FakeFleet(const FakeFleet&) = delete;
   FakeFleet& operator=(const FakeFleet&) = delete;
 
-  // Apply to nodes that are added or restarted afterwards.
+  // Applies to nodes that are added or restarted afterwards.
   DeploymentRules rules;
-  bool use_seeds = true;  // nodes know the addresses of all others
-  bool first_start = false;
 
   // Nodes and servers are named; servers run on their node's host.
   void AddNode(const std::string& name, const std::string& data_centre,
@@ -129,9 +127,6 @@
   // Heal() and lets new connections time out. Neither node is notified.
   void Cut(const std::string& a, const std::string& b);
   void Heal();
-  // Loses what is sent on this share of the open links from now on, without an
-  // error at either end. New links work, and so do datagrams.
-  void SilenceLinks(double share);
   void Stop(const std::string& node);  // planned stop
   // Replaces the settings document that nodes with SettingsSource::kWatch
   // watch. They learn of it when their current watch ends.
@@ -180,9 +175,6 @@
     uint64_t incarnation_a = 0;
     uint64_t incarnation_b = 0;
     TimePoint last{};
-    bool silent = false;
-    // The end that does not know that the other closed the silent link.
-    std::string unaware;
   };
   struct Scheduled {
     TimePoint at{};
@@ -214,9 +206,6 @@
   void Execute(Host& host, const WriteLog& effect);
   void Execute(Host& host, const ExitProcess& effect);
   PlatformReply RunPlatform(const PlatformRequest& request);
-  void RemovePeerRow(const std::string& name);
-  // Returns how long the platform waits before it answers.
-  Duration PlatformDelay(const PlatformRequest& request) const;
   void BreakLinks(const std::string& node);
   Duration Latency(const std::string& a, const std::string& b);
 
@@ -245,7 +234,6 @@
   std::vector<FakeServerRun> runs_;
   PlatformMode platform_mode_ = PlatformMode::kUp;
   std::map<std::string, std::string> rows_;
-  std::vector<std::string> peer_rows_;  // newest first
   std::map<std::string, std::string> objects_;
   uint64_t head_version_ = 0;
   std::string head_object_;
--- a/src/libnode/fakes/membership_fleet.h
+++ b/src/libnode/fakes/membership_fleet.h
@@ -279,7 +279,7 @@
     reply.status =
         platform_up ? PlatformStatus::kOk : PlatformStatus::kUnreachable;
     if (const auto* row = std::get_if<TableWritePeer>(&sent.request)) {
-      if (platform_up) WriteRow(*row);
+      if (platform_up) peer_rows_[row->name] = row->address;
     }
     if (platform_up) {
       reply.epoch = platform_epoch_;
@@ -290,11 +290,6 @@
     Schedule(now_ + max_delay, from, PlatformReplied{sent.op, reply});
   }
 
-  void WriteRow(const TableWritePeer& row) {
-    peer_rows_[row.name] = row.address;
-    for (const std::string& name : row.departed) peer_rows_.erase(name);
-  }
-
   void CheckVersions(Host& host) {
     for (const auto& [name, record] : host.membership->members()) {
       const std::pair<uint64_t, uint64_t> version(record.node.incarnation,
--- a/src/libnode/fakes/settings_fleet.h
+++ b/src/libnode/fakes/settings_fleet.h
@@ -160,10 +160,6 @@
     };
     RunOnNode(name,
               [](SettingsStore& s, Context& context) { s.Start(context); });
-    const bool can_ask_peers = links_up && nodes_.size() > 1;
-    Schedule(node, [can_ask_peers](SettingsStore& s, Context& context) {
-      s.OnPeerList(can_ask_peers, context);
-    });
   }
 
   SettingsStore& at(const std::string& name) { return *nodes_[name].store; }
--- a/src/libnode/membership/membership.cc
+++ b/src/libnode/membership/membership.cc
@@ -48,7 +48,8 @@
       gossip_budget_(kGossipBytesPerSecond, kGossipBurst),
       sync_budget_(kSyncBytesPerSecond, kSyncBurst),
       sync_interval_(kMinSyncInterval),
-      sync_answers_left_(kSyncAnswersPerPeriod) {
+      sync_answers_left_(kSyncAnswersPerPeriod),
+      platform_interval_(kPlatformInterval) {
   MemberRecord self;
   self.node = identity.node;
   self.version = 1;
@@ -62,7 +63,7 @@
 void Membership::Start(Context& context) {
   last_now_ = context.now;
   updates_.Add(identity_.node.name, 1);
-  StartDiscovery(context);
+  DiscoverPeers(context);
   const int64_t offset = std::uniform_int_distribution<int64_t>(
       0, kProbePeriod.count())(context.random);
   next_period_ = context.now + Duration(offset);
--- a/src/libnode/membership/membership.h
+++ b/src/libnode/membership/membership.h
@@ -36,10 +36,6 @@
   std::function<void(uint64_t version, Duration ago, Context&)>
       on_settings_confirmed;
 
-  // Called after an attempt to read the platform's list of peers, with whether
-  // this node may learn the settings from one of them.
-  std::function<void(bool can_ask_peers, Context&)> on_peer_list;
-
   void Start(Context& context);
   void OnGossip(const GossipReceived& received, Context& context);
   void OnSync(const NodeRef& from, const MemberSync& sync, Context& context);
@@ -95,16 +91,6 @@
   // working.
   size_t KnownNodeCount() const { return table_.members().size(); }
 
-  // Sends the member a datagram that it answers.
-  void PingMember(const std::string& name, Context& context) {
-    Ping(name, context.NextId(), context);
-  }
-  // Returns whether a datagram of the member has arrived since `time`.
-  bool HeardSince(const std::string& name, TimePoint time) const {
-    const auto heard = last_heard_.find(name);
-    return heard != last_heard_.end() && heard->second >= time;
-  }
-
   void SetSettingsVersion(uint64_t version);
   // Shares the fingerprint of a request that crashed a server with the fleet.
   void AddQuarantine(const QuarantineRecord& record, Context& context);
@@ -184,22 +170,12 @@
   void OnAck(const GossipMessage& message, Context& context);
   void OnPingRequest(const GossipReceived& received, Context& context);
 
-  // membership_discovery.cc: peer discovery.
+  // membership_dissemination.cc: dissemination and peer discovery.
   static bool IsRandomlyChosen(size_t peers, Context& context);
   void PingDepartedMembers(Context& context);
-  void StartDiscovery(Context& context);
-  Duration FirstListDelay() const;
   void DiscoverPeers(Context& context);
-  void OnPeerList(const std::vector<std::string>& rows, Context& context);
-  void OnPeerListFailed(Context& context);
-  void ScheduleRowWrite(TimePoint at);
-  std::vector<std::string> DepartedMembers(TimePoint now) const;
-  void WritePeerRow(Context& context);
-  void MaintainPeerRow(Context& context);
-  void SearchPeersIfAlone(Context& context);
+  Duration PeerRowDelay() const;
   void Reconnect(Context& context);
-
-  // membership_dissemination.cc: dissemination.
   void ContactDataCentres(Context& context);
   void PushUrgent(Context& context);
   void BroadcastQuarantines(Context& context);
@@ -284,16 +260,12 @@
 
   std::optional<PlatformOpId> read_peers_op_;
   std::optional<PlatformOpId> write_peer_op_;
-  std::set<std::string> removed_rows_;  // members whose rows were removed
-  bool peer_list_read_ = false;         // successfully
-  bool peer_row_written_ = false;       // in the epoch platform_epoch_
-  TimePoint peer_list_due_ = kNever;
-  TimePoint peer_row_due_ = kNever;
-  Duration list_retry_{0};  // after a failed read
-  Duration list_interval_{0};
-  Duration row_interval_{0};
+  bool peer_row_written_ = false;  // in the epoch platform_epoch_
+  // Earliest time to write the peer row.
+  std::optional<TimePoint> peer_row_due_;
   uint64_t platform_epoch_ = 0;  // highest known
   TimePoint next_platform_ = kNever;
+  Duration platform_interval_{0};
 
   mutable std::vector<std::string> up_peers_;
   mutable bool up_peers_stale_ = true;
--- a/src/libnode/membership/membership_dissemination.cc
+++ b/src/libnode/membership/membership_dissemination.cc
@@ -1,13 +1,13 @@
-// Dissemination: contents of datagrams, pushes of urgent changes and contact
-// with other data centres.
+// Dissemination: contents of datagrams, pushes of urgent changes, contact with
+// other data centres, and discovery of peers.
 
 #include <algorithm>
+#include <random>
 #include <utility>
 
 #include "amaranthroute/hash.h"
 #include "libnode/membership/membership.h"
 #include "libnode/membership/membership_limits.h"
-#include "libnode/shared/random_sample.h"
 
 namespace amaranth::pvt {
 
@@ -15,6 +15,48 @@
 
 constexpr char kDelegateKey[] = "membership-delegates";
 constexpr size_t kQuarantinesPerDatagram = 4;
+constexpr size_t kSeedsAtOnce = 5;
+constexpr size_t kMeanReconnectors = 3;
+
+// Returns at most `count` of the names, chosen at random, in random order.
+std::vector<std::string> Sample(const std::vector<std::string>& names,
+                                size_t count, Random& random) {
+  std::vector<std::string> chosen;
+  std::sample(names.begin(), names.end(), std::back_inserter(chosen), count,
+              random);
+  std::shuffle(chosen.begin(), chosen.end(), random);
+  return chosen;
+}
+
+// Parses a "name=ip:port" row of the platform's peer list. Returns false if it
+// is malformed.
+bool ParsePeer(const std::string& row, std::string& name, Endpoint& address) {
+  const size_t equals = row.find('=');
+  const size_t colon = row.rfind(':');
+  if (equals == std::string::npos || colon == std::string::npos ||
+      colon < equals) {
+    return false;
+  }
+  uint32_t port = 0;
+  for (const char c : row.substr(colon + 1)) {
+    if (c < '0' || c > '9' || port > UINT16_MAX) return false;
+    port = port * 10 + static_cast<uint32_t>(c - '0');
+  }
+  if (port == 0 || port > UINT16_MAX) return false;
+  name = row.substr(0, equals);
+  address.ip = row.substr(equals + 1, colon - equals - 1);
+  address.port = static_cast<uint16_t>(port);
+  return true;
+}
+
+bool ListsOtherNode(const std::vector<std::string>& rows,
+                    const std::string& self) {
+  return std::any_of(rows.begin(), rows.end(), [&](const std::string& row) {
+    std::string name;
+    Endpoint address;
+    return ParsePeer(row, name, address) && name != self;
+  });
+}
 
 }  // namespace
 
@@ -31,7 +73,7 @@
 
 std::vector<std::string> Membership::RandomPeers(size_t count,
                                                  Context& context) const {
-  return RandomSample(UpPeers(), count, context.random);
+  return Sample(UpPeers(), count, context.random);
 }
 
 std::vector<std::string> Membership::DelegatesOf(
@@ -196,11 +238,139 @@
         }
       }
     }
-    for (const std::string& name :
-         RandomSample(candidates, 1, context.random)) {
+    for (const std::string& name : Sample(candidates, 1, context.random)) {
       Ping(name, context.NextId(), context);
     }
   }
 }
 
+// Returns true with a probability at which, on average, kMeanReconnectors nodes
+// are chosen among this node and its `peers`.
+bool Membership::IsRandomlyChosen(size_t peers, Context& context) {
+  return std::uniform_int_distribution<size_t>(0, peers)(context.random) <
+         kMeanReconnectors;
+}
+
+// After a partition inside a data centre each half considers the other dead
+// and no longer probes it; without further pings they would never rejoin. Only
+// a few nodes do so each time: if all did, the seeds would have to answer every
+// node of the fleet every two seconds.
+void Membership::Reconnect(Context& context) {
+  const size_t peers = UpPeers().size();
+  const bool alone = peers == 0;
+  if (!IsRandomlyChosen(peers, context) && !alone) return;
+  std::vector<std::string> dead;
+  for (const auto& [name, until] : tombstones_) {
+    const MemberRecord* record = Find(name);
+    if (record != nullptr && record->state == MemberState::kDead) {
+      dead.push_back(name);
+    }
+  }
+  for (const std::string& name : Sample(dead, 1, context.random)) {
+    Ping(name, context.NextId(), context);
+  }
+  std::vector<Endpoint> seeds;
+  std::sample(identity_.seeds.begin(), identity_.seeds.end(),
+              std::back_inserter(seeds), alone ? kSeedsAtOnce : 1,
+              context.random);
+  for (const Endpoint& seed : seeds) {
+    if (seed == identity_.gossip_address) continue;
+    context.Emit(
+        SendGossip{seed, BuildMessage(GossipKind::kPing, context.NextId())});
+  }
+}
+
+// A node that left as planned is often restarted at once, at the same
+// addresses. While the platform is unreachable it may be unable to discover
+// peers, and a node that has left is no longer probed, so its servers would be
+// missing until the platform is back.
+void Membership::PingDepartedMembers(Context& context) {
+  if (tombstones_.empty()) return;
+  const size_t peers = UpPeers().size();
+  for (const auto& [name, until] : tombstones_) {
+    if (context.now >= until - kTombstoneRetention + kReturnPingTime) continue;
+    if (IsRandomlyChosen(peers, context)) Ping(name, context.NextId(), context);
+  }
+}
+
+void Membership::DiscoverPeers(Context& context) {
+  Reconnect(context);
+  next_platform_ = kNever;
+  if (!identity_.use_platform) return;
+  const bool alone = UpPeers().empty();
+  if (!alone && peer_row_written_) return;
+  next_platform_ = context.now + platform_interval_;
+  platform_interval_ = std::min(platform_interval_ * 2, kMaxPlatformInterval);
+  // If a whole region starts at once and each node sends all its operations
+  // immediately, the table gets thousands of operations in one second and can
+  // take a few hundred. So the seeds are asked first, and the row writes are
+  // spread over time by hash.
+  if (!started_) started_ = context.now;
+  if (!peer_row_due_) peer_row_due_ = context.now + PeerRowDelay();
+  const Duration up_for = context.now - *started_;
+  const bool seeds_failed =
+      identity_.seeds.empty() || up_for >= kSeedTimeoutBeforePlatform;
+  const bool row_due = context.now >= *peer_row_due_;
+  if (!peer_row_written_ && !row_due) {
+    next_platform_ = std::min(next_platform_, *peer_row_due_);
+  }
+  if (alone && seeds_failed && !read_peers_op_) {
+    read_peers_op_ = context.NextId();
+    context.Emit(SendPlatform{*read_peers_op_, TableReadPeers{}});
+  }
+  if (!peer_row_written_ && !write_peer_op_ && row_due) {
+    write_peer_op_ = context.NextId();
+    context.Emit(SendPlatform{
+        *write_peer_op_,
+        TableWritePeer{identity_.node.name, ToString(identity_.peer_address)}});
+  }
+}
+
+// Spreads the writes of a fleet that starts, or learns of a new epoch, at once.
+Duration Membership::PeerRowDelay() const {
+  const int64_t spread =
+      std::max<int64_t>(1, identity_.rules.peer_row_spread.count());
+  return Duration(Hash64(identity_.node.name) % static_cast<uint64_t>(spread));
+}
+
+void Membership::OnPlatformEpoch(uint64_t epoch, Context& context) {
+  if (epoch <= platform_epoch_) return;
+  platform_epoch_ = epoch;
+  header_pushes_left_ = kPushRounds;
+  next_push_ = std::min(next_push_, context.now);
+  if (!peer_row_written_) return;
+  context.Log(LogLevel::kInfo, kMembershipPart,
+              "the platform came back from a copy, epoch " +
+                  std::to_string(epoch) + "; writing this node's row again");
+  peer_row_written_ = false;
+  peer_row_due_ = context.now + PeerRowDelay();
+  platform_interval_ = kPlatformInterval;
+  next_platform_ = std::min(next_platform_, *peer_row_due_);
+}
+
+bool Membership::OnPlatformReplied(const PlatformReplied& replied,
+                                   Context& context) {
+  if (write_peer_op_ && *write_peer_op_ == replied.op) {
+    write_peer_op_.reset();
+    const uint64_t epoch = replied.reply.epoch;
+    const bool is_current = epoch == 0 || epoch == platform_epoch_;
+    peer_row_written_ =
+        replied.reply.status == PlatformStatus::kOk && is_current;
+    return true;
+  }
+  if (!read_peers_op_ || *read_peers_op_ != replied.op) return false;
+  read_peers_op_.reset();
+  is_only_node_ = replied.reply.status == PlatformStatus::kOk &&
+                  !ListsOtherNode(replied.reply.peers, identity_.node.name);
+  if (!UpPeers().empty()) return true;
+  for (const std::string& row :
+       Sample(replied.reply.peers, kPeersFromPlatform, context.random)) {
+    std::string name;
+    Endpoint address;
+    if (!ParsePeer(row, name, address) || name == identity_.node.name) continue;
+    StartSync(name, address, context);
+  }
+  return true;
+}
+
 }  // namespace amaranth::pvt
--- a/src/libnode/membership/membership_limits.h
+++ b/src/libnode/membership/membership_limits.h
@@ -97,20 +97,7 @@
 
 inline constexpr Duration kPlatformInterval = std::chrono::seconds(2);
 inline constexpr Duration kMaxPlatformInterval = std::chrono::seconds(16);
-// The first retry of a read of the peer rows, doubled after each further one.
-inline constexpr Duration kFirstListRetry = std::chrono::milliseconds(200);
-// Spreads the reads of nodes that start at the same moment.
-inline constexpr Duration kPeerListSpread = std::chrono::milliseconds(200);
-
-// Nodes of a data centre that keep a row in the platform's table. A starting
-// node asks some of the newest.
-inline constexpr size_t kContactsPerDataCentre = 5;
-inline constexpr size_t kContactCandidates = 8;
-inline constexpr size_t kContactsAsked = 3;
-// A node that started knows its data centre well enough after this time to tell
-// whether it is one of the contacts.
-inline constexpr Duration kContactSettleTime = std::chrono::seconds(5);
-inline constexpr size_t kMaxRowsRemoved = 50;
+inline constexpr size_t kPeersFromPlatform = 5;
 // A seed that is up answers within one or two round trips, so after this time
 // the platform is asked for peers.
 inline constexpr Duration kSeedTimeoutBeforePlatform = std::chrono::seconds(1);
--- a/src/libnode/membership/membership_probe.cc
+++ b/src/libnode/membership/membership_probe.cc
@@ -31,11 +31,7 @@
   RelayConfirmation(context);
   RequestConfirmation(context);
   if (period_count_ % kContactPeriods == 0) ContactDataCentres(context);
-  if (period_count_ % kReconnectPeriods == 0) {
-    Reconnect(context);
-    MaintainPeerRow(context);
-    SearchPeersIfAlone(context);
-  }
+  if (period_count_ % kReconnectPeriods == 0) Reconnect(context);
   PingDepartedMembers(context);
   const int64_t tenth = kProbePeriod.count() / 10;
   const int64_t jitter =
@@ -161,7 +157,6 @@
     updates_.Remove(entry->first);
     urgent_pushes_left_.erase(entry->first);
     last_heard_.erase(entry->first);
-    removed_rows_.erase(entry->first);
     entry = tombstones_.erase(entry);
   }
   for (auto relay = relays_.begin(); relay != relays_.end();) {
--- a/src/libnode/membership/membership_sync.cc
+++ b/src/libnode/membership/membership_sync.cc
@@ -74,18 +74,10 @@
 void Membership::AnswerSync(const NodeRef& from, const MemberSync& sync,
                             Context& context) {
   const MemberRecord* peer = Find(from.name);
-  if (peer == nullptr) return;
   const bool affordable = sync_budget_.Available(context.now) >= kMinSyncBytes;
-  MemberSync answer;
-  if (!affordable || sync_answers_left_ <= 0) {
-    // When many nodes start at once, each asks one of a few contacts. With this
-    // node's record it can gossip and ask for the settings.
-    answer.members.push_back(Self());
-    answer.settings_version = settings_version_;
-    context.Emit(SendPeer{from.name, peer->peer_address, std::move(answer)});
-    return;
-  }
+  if (peer == nullptr || !affordable || sync_answers_left_ <= 0) return;
   --sync_answers_left_;
+  MemberSync answer;
   answer.bucket_hashes = table_.BucketHashes();
   answer.members =
       TrimToBudget(table_.RecordsInDifferingBuckets(sync.bucket_hashes),
--- a/src/libnode/membership/membership_test.cc
+++ b/src/libnode/membership/membership_test.cc
@@ -107,18 +107,6 @@
                        seconds(10)));
 }
 
-// Guards against a node that never looks for peers again: its first list was
-// empty, and the others started later without finding its row.
-TEST(Membership, ANodeThatIsAloneKeepsLookingForPeers) {
-  MembershipFleet fleet(4);
-  fleet.Add("a", "derby");
-  fleet.Run(seconds(40));
-  fleet.platform_up = true;
-  fleet.Add("b", "derby");
-  CHECK(fleet.RunUntil([&] { return fleet.ViewsMatchRunningNodes(); },
-                       seconds(20)));
-}
-
 // Guards against a node that starts and finds no peer, because the platform
 // came back from a copy made before the nodes wrote their rows.
 TEST(Membership, PeerRowsAreWrittenAgainAfterThePlatformWasRestored) {
--- a/src/libnode/membership_settings.cmake
+++ b/src/libnode/membership_settings.cmake
@@ -2,14 +2,13 @@
 set(AMARANTH_MEMBERSHIP_SETTINGS_SOURCES
     membership/membership.cc
     membership/membership_probe.cc
-    membership/membership_discovery.cc
     membership/membership_dissemination.cc
-    membership/membership_relay.cc
     membership/membership_sync.cc
+    membership/membership_relay.cc
     membership/membership_table.cc
     membership/membership_updates.cc
-    membership/relay_tree.cc
     settings/settings_change.cc
+    membership/relay_tree.cc
     settings/settings_definitions.cc
     settings/settings_document.cc
     settings/settings_store.cc
@@ -17,9 +16,9 @@
 set(AMARANTH_MEMBERSHIP_SETTINGS_TESTS
     membership/membership_property_test.cc
     membership/membership_test.cc
+    settings/settings_store_test.cc
     membership/relay_tree_test.cc
     membership/settings_relay_test.cc
-    settings/settings_store_test.cc
     settings/settings_tree_test.cc)
 
 set_source_files_properties(
--- a/src/libnode/node_state.cc
+++ b/src/libnode/node_state.cc
@@ -63,9 +63,6 @@
                                             Context& context) {
     settings.OnConfirmed(version, ago, context.now);
   };
-  membership.on_peer_list = [this](bool can_ask_peers, Context& context) {
-    settings.OnPeerList(can_ask_peers, context);
-  };
   settings.up_in_data_centre = [this]() { return membership.UpInDataCentre(); };
   settings.peers_consulted = [this]() { return membership.peers_consulted(); };
   settings.on_adopted = [this](uint64_t version, Context& context) {
@@ -86,18 +83,9 @@
   links.awaits_answer = [this](const std::string& peer) {
     return entry.AwaitsAnswerFrom(peer);
   };
-  links.owes_answer = [this](const std::string& peer) {
-    return serving.HasCallsOf(peer);
-  };
   links.on_unresponsive = [this](const std::string& peer, Context& context) {
     entry.OnPeerUnresponsive(peer, context);
   };
-  links.ping_by_datagram = [this](const std::string& peer, Context& context) {
-    membership.PingMember(peer, context);
-  };
-  links.heard_since = [this](const std::string& peer, TimePoint time) {
-    return membership.HeardSince(peer, time);
-  };
   links.on_dropped = [this](const std::string& peer, Context& context) {
     HandlePeerLost(peer, context);
   };
--- a/src/libnode/serving/serving_role.cc
+++ b/src/libnode/serving/serving_role.cc
@@ -316,12 +316,6 @@
   }
 }
 
-bool ServingRole::HasCallsOf(const std::string& peer) const {
-  return std::any_of(
-      by_attempt_.begin(), by_attempt_.end(),
-      [&](const auto& attempt) { return attempt.first.first.name == peer; });
-}
-
 Hop ServingRole::TakeHop(uint64_t id) {
   const auto found = hops_.find(id);
   Hop hop = std::move(found->second);
--- a/src/libnode/serving/serving_role.h
+++ b/src/libnode/serving/serving_role.h
@@ -52,8 +52,6 @@
   // dispatched run to completion, unless DeploymentRules::request_id_per_send
   // is set.
   void OnEntryLost(const std::string& peer, Context& context);
-  // Returns whether calls of this entry node wait or run here.
-  bool HasCallsOf(const std::string& peer) const;
   void OnTimer(Context& context);
   TimePoint next_timer() const;
 
--- a/src/libnode/settings/settings_store.cc
+++ b/src/libnode/settings/settings_store.cc
@@ -43,16 +43,6 @@
 constexpr Duration kRequestInterval = std::chrono::milliseconds(300);
 constexpr size_t kPeersPerRequest = 3;
 constexpr size_t kMaxPeers = 16;
-// Where nodes watch the platform, a node that starts asks its peers first, so
-// that a restart of many nodes does not exhaust the platform's read rate. It
-// reads the settings from the platform if the list of peers has not arrived, or
-// no peer has sent a snapshot, within these times.
-constexpr Duration kPeerListTimeout = std::chrono::seconds(1);
-constexpr Duration kPeerSnapshotTimeout = std::chrono::milliseconds(500);
-// A node that starts knows few others and would rank itself among the watchers.
-// It waits this long for its view of the data centre, while others confirm its
-// settings.
-constexpr Duration kViewSettleTime = std::chrono::milliseconds(2500);
 // A node that starts waits this long for its peers: from the platform's reply
 // for the version of any peer, or, without the platform, from the first peer's
 // snapshot for the snapshots of others.
@@ -99,25 +89,13 @@
     return;
   }
   if (uses_watch()) {
-    started_at_ = context.now;
     poll_interval_ = kWatchRetryDelay;
-    next_poll_ = context.now + kPeerListTimeout;
-    if (identity_.first_start) next_poll_ += identity_.rules.peer_row_spread;
+    StartWatch(context);
     return;
   }
   PollHead(context);
 }
 
-void SettingsStore::OnPeerList(bool can_ask_peers, Context& context) {
-  const bool is_starting = uses_watch() && !ready_ && !head_known_ && !op_;
-  if (!is_starting) return;
-  if (can_ask_peers) {
-    next_poll_ = std::min(next_poll_, context.now + kPeerSnapshotTimeout);
-  } else {
-    StartWatch(context);
-  }
-}
-
 void SettingsStore::OnTimer(Context& context) {
   if (context.now >= op_deadline_) OnPlatformFailure(context);
   if (context.now >= next_poll_) {
@@ -192,20 +170,17 @@
 }
 
 bool SettingsStore::RecentlyConfirmed(TimePoint now) const {
-  return document_.version > 0 && confirmed_at_ &&
+  return ready_ && confirmed_at_ &&
          now - *confirmed_at_ < kSettingsConfirmationLifetime;
 }
 
 void SettingsStore::WatchUnlessConfirmed(Context& context) {
-  const TimePoint settled_at = started_at_ + kViewSettleTime;
-  const bool is_watcher =
-      context.now >= settled_at && IsRankedWithin(kSettingsWatcherCount);
-  if (RecentlyConfirmed(context.now) && !is_watcher) {
+  if (RecentlyConfirmed(context.now) &&
+      !IsRankedWithin(kSettingsWatcherCount)) {
     // By the time of the next watch the position may belong to an earlier epoch
     // of the platform, and a watch would report that only when it ends.
     watch_position_ = 0;
     next_poll_ = *confirmed_at_ + kSettingsConfirmationLifetime;
-    if (context.now < settled_at) next_poll_ = std::min(next_poll_, settled_at);
     return;
   }
   StartWatch(context);
@@ -342,8 +317,7 @@
   if (!newer && !no_settings_exist) return;
   context.Emit(
       SendPeer{from.name, address,
-               SettingsSnapshot{document_.version, Hash64(text_), text_,
-                                TimeSinceConfirmed(context.now)}});
+               SettingsSnapshot{document_.version, Hash64(text_), text_}});
 }
 
 void SettingsStore::OnSnapshot(const SettingsSnapshot& snapshot,
@@ -355,10 +329,6 @@
   if (snapshot.version > document_.version) {
     Adopt(std::move(document.value()), snapshot.text, context);
   }
-  if (snapshot.confirmed) {
-    OnConfirmed(snapshot.version, *snapshot.confirmed, context.now);
-    if (!ready_) UpdateReadiness(context);
-  }
 }
 
 void SettingsStore::OnVersionSeen(const std::string& peer,
@@ -393,8 +363,8 @@
     return;
   }
   std::sort(candidates.rbegin(), candidates.rend());
-  const size_t count = std::min(candidates.size(),
-                                ready_ || uses_watch() ? 1 : kPeersPerRequest);
+  const size_t count =
+      std::min(candidates.size(), ready_ ? 1 : kPeersPerRequest);
   for (size_t i = 0; i < count; ++i) {
     PeerVersion& peer = peers_[candidates[i].second];
     peer.requested = true;
@@ -440,12 +410,8 @@
     if (document_.version < head_.version) return;
     StartPeerWait(context.now);
   }
-  // Without the answer of a peer to a sync, this node knows nearly nobody, and
-  // its share of the customers' quotas would be far too large.
-  const bool is_newest =
-      head_known_ || (uses_watch() && RecentlyConfirmed(context.now));
   const bool needs_no_peer =
-      is_newest && (!peers_consulted || peers_consulted());
+      head_known_ && (!peers_consulted || peers_consulted());
   if (!needs_no_peer && context.now < peer_wait_end_) return;
   if (!head_known_ && uses_watch() && document_.version == 0) return;
   const bool highest = document_.version >= HighestVersionSeen();
--- a/src/libnode/settings/settings_store.h
+++ b/src/libnode/settings/settings_store.h
@@ -40,10 +40,6 @@
   std::function<void(uint64_t version, Context&)> on_adopted;
 
   void Start(Context& context);
-  // Where nodes watch the platform: handles the result of the search for peers
-  // after a start. If there is none to ask, the settings are read from the
-  // platform.
-  void OnPeerList(bool can_ask_peers, Context& context);
   void OnTimer(Context& context);
   TimePoint next_timer() const;
   // Returns true if the reply belongs to an operation of this store.
@@ -128,7 +124,6 @@
   std::string text_;  // document_ as sent to peers
   bool ready_ = false;
 
-  TimePoint started_at_{};
   TimePoint next_poll_ = kNever;
   Duration poll_interval_{0};
   std::optional<PlatformOpId> op_;  // reads the head or a snapshot, or watches
--- a/src/libnode/settings/settings_store_test.cc
+++ b/src/libnode/settings/settings_store_test.cc
@@ -397,7 +397,7 @@
   SettingsDocument document;
   document.version = 9;
   fleet.RunOnNode("n0", [&](SettingsStore& s, Context& context) {
-    s.OnSnapshot({9, 1, ToText(document), std::nullopt}, context);
+    s.OnSnapshot({9, 1, ToText(document)}, context);
   });
   CHECK_EQUAL(0u, fleet.at("n0").version());
 }
--- a/src/libplatform/platform_client_test.cc
+++ b/src/libplatform/platform_client_test.cc
@@ -250,7 +250,7 @@
   std::vector<std::string> expected;
   for (int i = 100; i < 350; ++i) {
     const std::string name = "node" + std::to_string(i);
-    CallPlatform(TableWritePeer{name, "127.0.0.1:1", {}});
+    CallPlatform(TableWritePeer{name, "127.0.0.1:1"});
     expected.push_back(name + "=127.0.0.1:1");
   }
   const PlatformReply reply = CallPlatform(TableReadPeers{});
--- a/src/libreplay/event_json.cc
+++ b/src/libreplay/event_json.cc
@@ -241,7 +241,6 @@
           {"gossip_address", ToJson(identity.gossip_address)},
           {"seeds", std::move(seeds)},
           {"use_platform", identity.use_platform},
-          {"first_start", identity.first_start},
           {"random_seed", identity.random_seed},
           {"has_operator_token", !identity.operator_token.empty()},
           {"max_body_bytes", identity.max_body_bytes},
@@ -261,7 +260,6 @@
     identity.seeds.push_back(EndpointFromJson(seed));
   }
   identity.use_platform = json.at("use_platform");
-  identity.first_start = json.value("first_start", false);
   identity.random_seed = json.at("random_seed");
   identity.max_body_bytes = json.at("max_body_bytes");
   identity.max_buffered_bytes = json.at("max_buffered_bytes");
--- a/src/libutil/fields.h
+++ b/src/libutil/fields.h
@@ -61,7 +61,7 @@
 }
 
 inline auto Fields(const SettingsSnapshot& v) {
-  return std::tie(v.version, v.text_hash, v.text, v.confirmed);
+  return std::tie(v.version, v.text_hash, v.text);
 }
 
 inline auto Fields(const KeyClaim& v) { return std::tie(v.claim_id, v.key); }
@@ -131,7 +131,7 @@
 }
 
 inline auto Fields(const TableWritePeer& v) {
-  return std::tie(v.name, v.address, v.departed);
+  return std::tie(v.name, v.address);
 }
 
 inline auto Fields(const ObjectPut& v) { return std::tie(v.name, v.bytes); }
--- a/src/libutil/hash.cc
+++ b/src/libutil/hash.cc
@@ -11,10 +11,6 @@
   return XXH3_64bits_withSeed(bytes.data(), bytes.size(), seed);
 }
 
-uint64_t RendezvousScore(std::string_view name, std::string_view key) {
-  return Hash64(name, Hash64(key));
-}
-
 std::vector<std::string> RendezvousChoose(const std::vector<std::string>& names,
                                           std::string_view key, size_t count) {
   const uint64_t key_hash = Hash64(key);
--- a/src/libwire/amaranth.thrift
+++ b/src/libwire/amaranth.thrift
@@ -158,8 +158,7 @@
 struct SettingsSnapshot {
   1: required i64 version,
   2: required i64 text_hash,
-  3: required string text,
-  4: optional i64 confirmed_us
+  3: required string text
 }
 
 struct KeyClaim {
--- a/src/libwire/from_wire.cc
+++ b/src/libwire/from_wire.cc
@@ -211,14 +211,10 @@
   out.have_version = Unsigned(in.have_version);
 }
 
-void FromWire(wire::SettingsSnapshot& in, SettingsSnapshot& out,
-              RangeCheck& check) {
+void FromWire(wire::SettingsSnapshot& in, SettingsSnapshot& out, RangeCheck&) {
   out.version = Unsigned(in.version);
   out.text_hash = Unsigned(in.text_hash);
   out.text = std::move(in.text);
-  if (in.__isset.confirmed_us) {
-    out.confirmed = check.ToDuration(in.confirmed_us, "confirmed_us");
-  }
 }
 
 void FromWire(wire::ClaimRequest& in, ClaimRequest& out, RangeCheck& check) {
--- a/src/libwire/gen-cpp/amaranth_types.cpp
+++ b/src/libwire/gen-cpp/amaranth_types.cpp
@@ -3316,11 +3316,6 @@
 void SettingsSnapshot::__set_text(const std::string& val) {
   this->text = val;
 }
-
-void SettingsSnapshot::__set_confirmed_us(const int64_t val) {
-  this->confirmed_us = val;
-__isset.confirmed_us = true;
-}
 std::ostream& operator<<(std::ostream& out, const SettingsSnapshot& obj)
 {
   obj.printTo(out);
@@ -3376,14 +3371,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->confirmed_us);
-          this->__isset.confirmed_us = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3419,11 +3406,6 @@
   xfer += oprot->writeString(this->text);
   xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.confirmed_us) {
-    xfer += oprot->writeFieldBegin("confirmed_us", ::apache::thrift::protocol::T_I64, 4);
-    xfer += oprot->writeI64(this->confirmed_us);
-    xfer += oprot->writeFieldEnd();
-  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3434,38 +3416,28 @@
   swap(a.version, b.version);
   swap(a.text_hash, b.text_hash);
   swap(a.text, b.text);
-  swap(a.confirmed_us, b.confirmed_us);
-  swap(a.__isset, b.__isset);
 }
 
 SettingsSnapshot::SettingsSnapshot(const SettingsSnapshot& other84) {
   version = other84.version;
   text_hash = other84.text_hash;
   text = other84.text;
-  confirmed_us = other84.confirmed_us;
-  __isset = other84.__isset;
 }
 SettingsSnapshot::SettingsSnapshot(SettingsSnapshot&& other85) noexcept {
   version = other85.version;
   text_hash = other85.text_hash;
   text = std::move(other85.text);
-  confirmed_us = other85.confirmed_us;
-  __isset = other85.__isset;
 }
 SettingsSnapshot& SettingsSnapshot::operator=(const SettingsSnapshot& other86) {
   version = other86.version;
   text_hash = other86.text_hash;
   text = other86.text;
-  confirmed_us = other86.confirmed_us;
-  __isset = other86.__isset;
   return *this;
 }
 SettingsSnapshot& SettingsSnapshot::operator=(SettingsSnapshot&& other87) noexcept {
   version = other87.version;
   text_hash = other87.text_hash;
   text = std::move(other87.text);
-  confirmed_us = other87.confirmed_us;
-  __isset = other87.__isset;
   return *this;
 }
 void SettingsSnapshot::printTo(std::ostream& out) const {
@@ -3474,7 +3446,6 @@
   out << "version=" << to_string(version);
   out << ", " << "text_hash=" << to_string(text_hash);
   out << ", " << "text=" << to_string(text);
-  out << ", " << "confirmed_us="; (__isset.confirmed_us ? (out << to_string(confirmed_us)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libwire/gen-cpp/amaranth_types.h
+++ b/src/libwire/gen-cpp/amaranth_types.h
@@ -1185,10 +1185,6 @@
 
 std::ostream& operator<<(std::ostream& out, const SettingsRequest& obj);
 
-typedef struct _SettingsSnapshot__isset {
-  _SettingsSnapshot__isset() : confirmed_us(false) {}
-  bool confirmed_us :1;
-} _SettingsSnapshot__isset;
 
 class SettingsSnapshot : public virtual ::apache::thrift::TBase {
  public:
@@ -1200,17 +1196,13 @@
   SettingsSnapshot() noexcept
                    : version(0),
                      text_hash(0),
-                     text(),
-                     confirmed_us(0) {
+                     text() {
   }
 
   virtual ~SettingsSnapshot() noexcept;
   int64_t version;
   int64_t text_hash;
   std::string text;
-  int64_t confirmed_us;
-
-  _SettingsSnapshot__isset __isset;
 
   void __set_version(const int64_t val);
 
@@ -1218,8 +1210,6 @@
 
   void __set_text(const std::string& val);
 
-  void __set_confirmed_us(const int64_t val);
-
   bool operator == (const SettingsSnapshot & rhs) const
   {
     if (!(version == rhs.version))
@@ -1228,10 +1218,6 @@
       return false;
     if (!(text == rhs.text))
       return false;
-    if (__isset.confirmed_us != rhs.__isset.confirmed_us)
-      return false;
-    else if (__isset.confirmed_us && !(confirmed_us == rhs.confirmed_us))
-      return false;
     return true;
   }
   bool operator != (const SettingsSnapshot &rhs) const {
--- a/src/libwire/generators_test.cc
+++ b/src/libwire/generators_test.cc
@@ -22,15 +22,6 @@
   return static_cast<Enum>(*rc::gen::inRange(0, static_cast<int>(last) + 1));
 }
 
-Duration AnyDuration();
-
-SettingsSnapshot AnySnapshot() {
-  SettingsSnapshot snapshot{Any<uint64_t>(), Any<uint64_t>(),
-                            Any<std::string>(), std::nullopt};
-  if (Any<bool>()) snapshot.confirmed = AnyDuration();
-  return snapshot;
-}
-
 Duration AnyDuration() {
   return Duration(*rc::gen::inRange<int64_t>(0, kMaxWireDuration.count() + 1));
 }
@@ -153,7 +144,8 @@
     case 7:
       return SettingsRequest{Any<uint64_t>()};
     case 8:
-      return AnySnapshot();
+      return SettingsSnapshot{Any<uint64_t>(), Any<uint64_t>(),
+                              Any<std::string>()};
     case 9:
       return ClaimRequest{AnyNode(), AnyList(AnyClaim)};
     case 10:
--- a/src/libwire/to_wire.cc
+++ b/src/libwire/to_wire.cc
@@ -29,7 +29,7 @@
 static_assert(kHasFields<LinkPing, 1>);
 static_assert(kHasFields<LinkPong, 1>);
 static_assert(kHasFields<SettingsRequest, 1>);
-static_assert(kHasFields<SettingsSnapshot, 4>);
+static_assert(kHasFields<SettingsSnapshot, 3>);
 static_assert(kHasFields<KeyClaim, 2>);
 static_assert(kHasFields<ClaimRequest, 2>);
 static_assert(kHasFields<ClaimOutcome, 4>);
@@ -234,7 +234,6 @@
   out.version = Signed(in.version);
   out.text_hash = Signed(in.text_hash);
   out.text = in.text;
-  if (in.confirmed) out.__set_confirmed_us(ClampedMicros(*in.confirmed));
 }
 
 void ToWire(const ClaimRequest& in, wire::ClaimRequest& out) {
