--- a/src/libnode/membership/relay_tree.cc
+++ b/src/libnode/membership/relay_tree.cc
@@ -27,9 +27,4 @@
           ranked_.begin() + static_cast<std::ptrdiff_t>(root_count_)};
 }
 
-bool RelayTree::IsRoot(const std::string& name) const {
-  const std::vector<std::string> roots = Roots();
-  return std::find(roots.begin(), roots.end(), name) != roots.end();
-}
-
 }  // namespace amaranth::pvt
--- a/src/libnode/membership/relay_tree.h
+++ b/src/libnode/membership/relay_tree.h
@@ -24,7 +24,6 @@
   // Returns at most `fanout` names; none if `name` is not in the forest.
   std::vector<std::string> ChildrenOf(const std::string& name) const;
   std::vector<std::string> Roots() const;
-  bool IsRoot(const std::string& name) const;
 
  private:
   std::vector<std::string> ranked_;
--- a/src/libnode/membership/relay_tree_test.cc
+++ b/src/libnode/membership/relay_tree_test.cc
@@ -55,8 +55,8 @@
   const RelayTree reversed(names, "key", 5, 4);
   for (const std::string& name : names) {
     CHECK(tree.ChildrenOf(name) == reversed.ChildrenOf(name));
-    CHECK_EQUAL(tree.IsRoot(name), reversed.IsRoot(name));
   }
+  CHECK(tree.Roots() == reversed.Roots());
 }
 
 TEST(RelayTree, UnknownNameHasNoChildren) {
