--- a/src/libnode/serving/serving_results.cc
+++ b/src/libnode/serving/serving_results.cc
@@ -204,11 +204,14 @@
   const std::string& service = server.record().service;
   crash_guard_.OnCrash(fingerprints, context.now);
   stats_.Count("amaranth_server_crashes_total", "service=\"" + service + "\"");
+  const std::string counts =
+      "in_flight=" + std::to_string(in_flight) +
+      " excused=" + std::to_string(in_flight - fingerprints.size());
   records_.Add(context.now, "", "crash",
-               server.record().server + " crashed with " +
-                   std::to_string(in_flight) + " calls in flight");
-  context.Log(LogLevel::kWarning, kPart,
-              "Backend server " + server.record().server + " crashed.");
+               server.record().server + " crashed: " + counts);
+  context.Log(
+      LogLevel::kWarning, kPart,
+      "Backend server " + server.record().server + " crashed. " + counts);
   const std::vector<uint64_t> suspects = crash_guard_.TakeNewSuspects();
   if (suspects.size() <= kMaxGossipedSuspects) {
     for (const uint64_t fingerprint : suspects) {
