--- a/src/libnode/fakes/fake_fleet.h
+++ b/src/libnode/fakes/fake_fleet.h
@@ -50,7 +50,11 @@
   std::vector<std::string> nested;
   // Requests with this body abort the process, which restarts later.
   std::string crash_body;
+  // Before this time they are answered like all others.
+  TimePoint crashes_from{};
   Duration restart_after = std::chrono::seconds(1);
+  // How long after a crash and restart it refuses all requests as not run.
+  Duration refuses_after_restart{0};
   bool failing = false;      // answers 500
   double failing_share = 0;  // share of runs that are answered 500
   // Failed nested calls that the server sends again itself, in total per run.
--- a/src/libnode/fakes/fake_fleet_server.h
+++ b/src/libnode/fakes/fake_fleet_server.h
@@ -16,6 +16,7 @@
   std::string host;
   bool up = true;
   TimePoint started{};
+  TimePoint refuses_until{};
   uint64_t generation = 0;
   uint64_t announcements = 0;  // since the start of the process
   uint32_t busy = 0;
--- a/src/libnode/fakes/fake_servers.cc
+++ b/src/libnode/fakes/fake_servers.cc
@@ -68,7 +68,9 @@
   running->dispatch = effect.dispatch;
   running->request = effect.request;
   host.dispatches[effect.dispatch] = running;
-  if (running->server->queued.size() >= running->server->options.backlog) {
+  const Server& server = *running->server;
+  if (server.queued.size() >= server.options.backlog ||
+      now_ < server.refuses_until) {
     HttpResponse busy;
     busy.status = 503;
     busy.headers = {{"X-Amaranth-Refused", "1"}};
@@ -125,7 +127,8 @@
     if (on_run) on_run(run);
     if (keeps_history_) runs_.push_back(run);
     const std::string& crash = server->options.crash_body;
-    if (!crash.empty() && running->request.body.view() == crash) {
+    if (!crash.empty() && running->request.body.view() == crash &&
+        now_ >= server->options.crashes_from) {
       CrashServer(server);
       return;
     }
@@ -252,6 +255,7 @@
   At(server->options.restart_after, [this, server] {
     server->up = true;
     server->started = now_;
+    server->refuses_until = now_ + server->options.refuses_after_restart;
   });
 }
 
