Serving: a refusal or failure of a server excuses no request of a crash

Cause: the serving node took every complete answer for a proof that its request does not crash servers, also that of a server that refused it without running it (421 of a new process at the address, a full queue) or failed early.

Ruled out: the limit of 16 suspects alone; with it in place the second crash at a node still ends the series. Weighed and not taken: counting a server's own 500 as survival. A server that fails a part of its requests would clear the cause.

--- a/src/libnode/serving/serving_results.cc
+++ b/src/libnode/serving/serving_results.cc
@@ -36,6 +36,14 @@
   return !FindHeader(response.headers, kRefusedHeader).empty();
 }
 
+// Only an answer to a request that was run shows that it does not crash its
+// server. A server that fails, for example one that has just restarted, may
+// answer before it reaches what crashes it.
+bool WasRun(const HttpResponse& response) {
+  return response.status < 500 && response.status != kMisdirectedStatus &&
+         !IsRefusal(response);
+}
+
 std::string_view FitnessLabel(const ServerFitness& fitness) {
   if (fitness.failing) return "failing";
   return fitness.healthy() ? "sound" : "slow";
@@ -66,8 +74,10 @@
   RecordServed(hop, replied.response, context.now);
   const HttpResponse& response = replied.response;
   JudgeResult(hop, response.status >= 500 || IsRefusal(response), context.now);
-  crash_guard_.OnSurvived(hop.context.fingerprint, context.now);
-  answered_.Insert(hop.context.fingerprint, context.now);
+  if (WasRun(response)) {
+    crash_guard_.OnSurvived(hop.context.fingerprint, context.now);
+    answered_.Insert(hop.context.fingerprint, context.now);
+  }
   Answer(hop, replied.response, context);
   const auto found = servers_.find(hop.server);
   if (found == servers_.end()) return;
