Crash evidence: an answer excuses a request only from the next crash after it

What callers saw: a request that was answered well and then began to crash its servers (a new version, other data behind a page) took down one after the other; so did one that a single server of several survives.

Cause: evidence was not ordered in time. One answer within 15 to 30 s outweighed every later crash, suspicion and quarantine at that node, counted there or told by others, in four places.

Now the nodes know when a fingerprint was last in flight at a crash, anywhere. An answer after that excuses it from the next crash; the other nodes are told (a record with no crash counted, kept for 30 s), so an older answer does not excuse it a second time at any of them. A quarantine is no longer overridden by answers. A page that was recently answered is convicted only by a run with no other call in flight: servers may crash together for another reason before it is answered in between.

Weighed, not run: forgetting the answer at each node alone. Each of 24 servers would then be allowed one crash. Older nodes drop the new records, as these count no crash (QuarantineList::Add returned false for them).

--- a/src/include/amaranthroute/messages.h
+++ b/src/include/amaranthroute/messages.h
@@ -246,6 +246,8 @@
 };
 
 /// Numbers of crashes from which a fingerprint is a suspect, or quarantined.
+/// An excused one was in flight at a crash, but had been answered before.
+inline constexpr uint32_t kExcusedCrashes = 0;
 inline constexpr uint32_t kSuspectCrashes = 1;
 inline constexpr uint32_t kQuarantineCrashes = 2;
 
--- a/src/libnode/entry/entry_attempts.cc
+++ b/src/libnode/entry/entry_attempts.cc
@@ -257,14 +257,15 @@
 }
 
 // Quarantines the request when two attempts of this call have lost the
-// connection to a backend server, unless the same request was recently answered
-// here. The serving nodes come to the same result by their own crash windows,
-// but only when the last connection of the crashed server is down. By then this
-// call would already be on its way to a third server.
+// connection to a backend server. The serving nodes come to the same result by
+// their own crash windows, but only when the last connection of the crashed
+// server is down. By then this call would already be on its way to a third
+// server. A request that was recently answered here may be a popular page in
+// flight at two crashes; the serving nodes decide about it.
 void EntryRole::CountCrash(Call& call, Failure& failure, Context& context) {
   ++call.context.suspected_crashes;
   if (call.context.suspected_crashes < kQuarantineCrashes) return;
-  if (answered_.Contains(call.context.fingerprint, context.now)) return;
+  if (answered_.LastAnswer(call.context.fingerprint, context.now)) return;
   parts_.membership.AddQuarantine(
       {call.context.service, call.context.fingerprint, kQuarantineCrashes},
       context);
--- a/src/libnode/entry/entry_begin.cc
+++ b/src/libnode/entry/entry_begin.cc
@@ -425,8 +425,7 @@
 void EntryRole::StartRunning(Call& call, Context& context) {
   call.phase = CallPhase::kRunning;
   if (parts_.membership.IsQuarantined(call.context.service,
-                                      call.context.fingerprint) &&
-      !answered_.Contains(call.context.fingerprint, context.now)) {
+                                      call.context.fingerprint)) {
     Failure failure;
     failure.verdict = Verdict::kNotRun;
     failure.reason = Reason::kQuarantined;
--- a/src/libnode/entry/entry_role.h
+++ b/src/libnode/entry/entry_role.h
@@ -28,7 +28,7 @@
 #include "libnode/shared/context.h"
 #include "libnode/shared/deadline_set.h"
 #include "libnode/shared/outbox.h"
-#include "libnode/shared/recent_set.h"
+#include "libnode/shared/recent_answers.h"
 #include "libnode/shared/records.h"
 #include "libnode/shared/stats.h"
 
@@ -184,7 +184,7 @@
   Parts parts_;
   ServerChoice choice_;
   TypicalServiceTimes typical_service_times_;
-  RecentSet answered_;  // fingerprints of recently answered requests
+  RecentAnswers answered_;
   KeyRegistry keys_;
   Admission admission_;
   std::map<std::string, RetryBudget> retry_budgets_;     // by service
--- a/src/libnode/membership/membership.h
+++ b/src/libnode/membership/membership.h
@@ -102,6 +102,12 @@
   uint32_t CrashesOf(const std::string& service, uint64_t fingerprint) const {
     return quarantines_.CrashesOf(service, fingerprint);
   }
+  // Returns the time of the last crash that the fingerprint is known to have
+  // been in flight at; nullopt if there is none.
+  std::optional<TimePoint> LastCrashOf(const std::string& service,
+                                       uint64_t fingerprint) const {
+    return quarantines_.LastCrashOf(service, fingerprint);
+  }
   std::vector<QuarantineRecord> quarantines() const {
     return quarantines_.All(last_now_);
   }
--- a/src/libnode/membership/membership_updates.cc
+++ b/src/libnode/membership/membership_updates.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 namespace amaranth::pvt {
 
@@ -20,6 +21,17 @@
 // CrashGuard.
 constexpr Duration kSuspectLifetime = std::chrono::minutes(10);
 constexpr Duration kQuarantineLifetime = std::chrono::minutes(30);
+// As long as answers are remembered (RecentAnswers).
+constexpr Duration kExcusedLifetime = std::chrono::seconds(30);
+// Records of one crash arrive over several paths, with different delays. Times
+// closer together than this are not taken for a later crash, so that delays do
+// not keep a record alive.
+constexpr Duration kSameCrash = std::chrono::milliseconds(200);
+
+Duration LifetimeOf(uint32_t crashes) {
+  if (crashes >= kQuarantineCrashes) return kQuarantineLifetime;
+  return crashes >= kSuspectCrashes ? kSuspectLifetime : kExcusedLifetime;
+}
 
 }  // namespace
 
@@ -77,28 +89,40 @@
 
 bool QuarantineList::MakeRoom() {
   if (entries_.size() < kMaxQuarantines) return true;
-  // A crash leaves many suspects. They must not keep out a fingerprint that is
-  // quarantined for repeated crashes.
-  for (auto it = entries_.begin(); it != entries_.end(); ++it) {
-    if (it->second.crashes >= kQuarantineCrashes) continue;
-    entries_.erase(it);
-    return true;
-  }
-  return false;
+  // A crash leaves many suspects and excused fingerprints. They must not keep
+  // out a fingerprint that is quarantined for repeated crashes.
+  const auto least = std::min_element(
+      entries_.begin(), entries_.end(), [](const auto& a, const auto& b) {
+        return std::tie(a.second.crashes, a.second.expires) <
+               std::tie(b.second.crashes, b.second.expires);
+      });
+  if (least->second.crashes >= kQuarantineCrashes) return false;
+  entries_.erase(least);
+  return true;
 }
 
 bool QuarantineList::Add(const QuarantineRecord& record, TimePoint now) {
-  const Key key(record.service, record.fingerprint);
-  const uint32_t known = CrashesOf(record.service, record.fingerprint);
-  if (record.crashes <= known) return false;
-  if (known == 0 && !MakeRoom()) return false;
-  const bool is_quarantined = record.crashes >= kQuarantineCrashes;
-  const Duration lifetime =
-      is_quarantined ? kQuarantineLifetime : kSuspectLifetime;
+  const Duration lifetime = LifetimeOf(record.crashes);
   const bool is_new = record.remaining.count() <= 0;
   const Duration remaining =
       is_new ? lifetime : std::min(lifetime, record.remaining);
-  entries_[key] = Entry{record.crashes, now + remaining};
+  const TimePoint crashed_at = now - (lifetime - remaining);
+  const Key key(record.service, record.fingerprint);
+  const auto found = entries_.find(key);
+  if (found == entries_.end()) {
+    if (!MakeRoom()) return false;
+    entries_[key] = Entry{record.crashes, now + remaining, crashed_at};
+    return true;
+  }
+  Entry& entry = found->second;
+  if (record.crashes > entry.crashes) {
+    entry = Entry{record.crashes, now + remaining,
+                  std::max(entry.last_crash, crashed_at)};
+    return true;
+  }
+  if (crashed_at < entry.last_crash + kSameCrash) return false;
+  entry.last_crash = crashed_at;
+  if (record.crashes == entry.crashes) entry.expires = now + remaining;
   return true;
 }
 
@@ -108,6 +132,13 @@
   }
 }
 
+std::optional<TimePoint> QuarantineList::LastCrashOf(
+    const std::string& service, uint64_t fingerprint) const {
+  const auto found = entries_.find({service, fingerprint});
+  if (found == entries_.end()) return std::nullopt;
+  return found->second.last_crash;
+}
+
 uint32_t QuarantineList::CrashesOf(const std::string& service,
                                    uint64_t fingerprint) const {
   const auto found = entries_.find({service, fingerprint});
--- a/src/libnode/membership/membership_updates.h
+++ b/src/libnode/membership/membership_updates.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -69,14 +70,19 @@
   TimePoint refilled_{};
 };
 
-// Fingerprints of requests that crash servers. The highest crash count of a
-// fingerprint is kept.
+// Fingerprints of requests that were in flight at crashes of servers. The
+// highest crash count of a fingerprint is kept, and the time of its last crash.
 class QuarantineList {
  public:
-  // Returns true if the record was new or raised a crash count.
+  // Returns true if the record was new, raised a crash count or tells of a
+  // later crash.
   bool Add(const QuarantineRecord& record, TimePoint now);
   void Expire(TimePoint now);
   uint32_t CrashesOf(const std::string& service, uint64_t fingerprint) const;
+  // Returns the time of the last known crash, by this node's clock; nullopt if
+  // none is known.
+  std::optional<TimePoint> LastCrashOf(const std::string& service,
+                                       uint64_t fingerprint) const;
   std::vector<QuarantineRecord> All(TimePoint now) const;
   // Returns the next records in round-robin order, so that all are sent
   // repeatedly.
@@ -86,6 +92,7 @@
   struct Entry {
     uint32_t crashes = 0;
     TimePoint expires{};
+    TimePoint last_crash{};
   };
   using Key = std::pair<std::string, uint64_t>;
 
--- a/src/libnode/membership/quarantine_list_test.cc
+++ b/src/libnode/membership/quarantine_list_test.cc
@@ -33,4 +33,33 @@
   CHECK_EQUAL(kQuarantineCrashes, list.CrashesOf("proofing", 9999));
 }
 
+// Guards against an answer from before a crash that clears a request of it: a
+// later crash counts, also as one at which the request was excused.
+TEST(QuarantineList, ALaterCrashIsKept) {
+  CHECK_FALSE(list.LastCrashOf("proofing", 7).has_value());
+  CHECK(list.Add({"proofing", 7, kSuspectCrashes}, start));
+  const TimePoint later = start + std::chrono::seconds(2);
+  CHECK(list.Add({"proofing", 7, kExcusedCrashes}, later));
+  CHECK_EQUAL(kSuspectCrashes, list.CrashesOf("proofing", 7));
+  CHECK(later == *list.LastCrashOf("proofing", 7));
+}
+
+// Guards against gossip that takes the delayed news of a crash for a second
+// one, and so keeps a suspicion alive.
+TEST(QuarantineList, DelayedNewsOfACrashIsNoLaterCrash) {
+  list.Add({"proofing", 7, kSuspectCrashes}, start);
+  const std::vector<QuarantineRecord> sent = list.All(start);
+  const TimePoint arrival = start + std::chrono::milliseconds(100);
+  CHECK_FALSE(list.Add(sent.front(), arrival));
+  CHECK(start == *list.LastCrashOf("proofing", 7));
+}
+
+TEST(QuarantineList, AnExcusedCrashIsForgottenBeforeASuspicion) {
+  list.Add({"proofing", 7, kExcusedCrashes}, start);
+  list.Add({"proofing", 8, kSuspectCrashes}, start);
+  list.Expire(start + std::chrono::seconds(31));
+  CHECK_FALSE(list.LastCrashOf("proofing", 7).has_value());
+  CHECK(list.LastCrashOf("proofing", 8).has_value());
+}
+
 }  // namespace amaranth::pvt
--- a/src/libnode/serving/serving_results.cc
+++ b/src/libnode/serving/serving_results.cc
@@ -200,23 +200,44 @@
   return failure;
 }
 
+std::vector<uint64_t> ServingRole::ExcuseAnswered(
+    const std::string& service, std::vector<uint64_t> in_flight,
+    Context& context) {
+  const bool alone = in_flight.size() == 1;
+  std::vector<uint64_t> suspects;
+  for (const uint64_t fingerprint : in_flight) {
+    if (AnsweredSinceCrash(service, fingerprint, context.now)) {
+      // Excused this once: at the next crash an older answer no longer counts.
+      membership_.AddQuarantine({service, fingerprint, kExcusedCrashes},
+                                context);
+      continue;
+    }
+    // Servers may crash together for another reason, before a popular page is
+    // answered in between: only a run without other calls proves it the cause.
+    if (!alone && answered_.LastAnswer(fingerprint, context.now)) {
+      crash_guard_.Suspect(fingerprint, context.now);
+      membership_.AddQuarantine({service, fingerprint, kSuspectCrashes},
+                                context);
+      continue;
+    }
+    suspects.push_back(fingerprint);
+  }
+  return suspects;
+}
+
 void ServingRole::RecordCrash(LocalServer& server, Context& context) {
-  std::vector<uint64_t> fingerprints =
+  std::vector<uint64_t> in_flight =
       server.crash_window().TakeCrashedFingerprints();
-  if (fingerprints.empty()) return;
-  const size_t in_flight = fingerprints.size();
-  fingerprints.erase(std::remove_if(fingerprints.begin(), fingerprints.end(),
-                                    [&](uint64_t fingerprint) {
-                                      return answered_.Contains(fingerprint,
-                                                                context.now);
-                                    }),
-                     fingerprints.end());
+  if (in_flight.empty()) return;
+  const size_t calls = in_flight.size();
   const std::string& service = server.record().service;
-  crash_guard_.OnCrash(fingerprints, context.now);
+  const std::vector<uint64_t> not_excused =
+      ExcuseAnswered(service, std::move(in_flight), context);
+  crash_guard_.OnCrash(not_excused, context.now);
   stats_.Count("amaranth_server_crashes_total", "service=\"" + service + "\"");
   const std::string counts =
-      "in_flight=" + std::to_string(in_flight) +
-      " excused=" + std::to_string(in_flight - fingerprints.size());
+      "in_flight=" + std::to_string(calls) +
+      " excused=" + std::to_string(calls - not_excused.size());
   records_.Add(context.now, "", "crash",
                server.record().server + " crashed: " + counts);
   context.Log(
--- a/src/libnode/serving/serving_role.cc
+++ b/src/libnode/serving/serving_role.cc
@@ -75,19 +75,33 @@
 CrashGuard::Handling ServingRole::HandlingOf(const Hop& hop,
                                              TimePoint now) const {
   const uint64_t fingerprint = hop.context.fingerprint;
-  if (answered_.Contains(fingerprint, now)) {
-    return CrashGuard::Handling::kNormal;
-  }
-  const uint32_t crashes =
-      membership_.CrashesOf(hop.context.service, fingerprint);
-  if (crashes >= kQuarantineCrashes) return CrashGuard::Handling::kQuarantined;
+  const std::string& service = hop.context.service;
+  const uint32_t crashes = membership_.CrashesOf(service, fingerprint);
   const CrashGuard::Handling local = crash_guard_.HandlingOf(fingerprint, now);
-  const bool suspected_elsewhere =
-      crashes >= kSuspectCrashes || hop.context.suspected_crashes > 0;
-  if (local == CrashGuard::Handling::kNormal && suspected_elsewhere) {
-    return CrashGuard::Handling::kRunAlone;
+  if (crashes >= kQuarantineCrashes ||
+      local == CrashGuard::Handling::kQuarantined) {
+    return CrashGuard::Handling::kQuarantined;
+  }
+  if (AnsweredSinceCrash(service, fingerprint, now)) {
+    return CrashGuard::Handling::kNormal;
   }
-  return local;
+  const bool suspected =
+      local == CrashGuard::Handling::kRunAlone || crashes >= kSuspectCrashes;
+  const bool answered = answered_.LastAnswer(fingerprint, now).has_value();
+  const bool lost_by_this_call = hop.context.suspected_crashes > 0 && !answered;
+  return suspected || lost_by_this_call ? CrashGuard::Handling::kRunAlone
+                                        : CrashGuard::Handling::kNormal;
+}
+
+bool ServingRole::AnsweredSinceCrash(const std::string& service,
+                                     uint64_t fingerprint,
+                                     TimePoint now) const {
+  const std::optional<TimePoint> answer =
+      answered_.LastAnswer(fingerprint, now);
+  if (!answer) return false;
+  const std::optional<TimePoint> crash =
+      membership_.LastCrashOf(service, fingerprint);
+  return !crash || *crash < *answer;
 }
 
 void ServingRole::Admit(Hop hop, Context& context) {
--- a/src/libnode/serving/serving_role.h
+++ b/src/libnode/serving/serving_role.h
@@ -23,7 +23,7 @@
 #include "libnode/shared/context.h"
 #include "libnode/shared/deadline_set.h"
 #include "libnode/shared/outbox.h"
-#include "libnode/shared/recent_set.h"
+#include "libnode/shared/recent_answers.h"
 #include "libnode/shared/records.h"
 #include "libnode/shared/stats.h"
 
@@ -77,6 +77,10 @@
   void AdmitSuspect(Hop hop, LocalServer& server, Context& context);
   void Enqueue(Hop hop, uint32_t level, LocalServer& server, Context& context);
   CrashGuard::Handling HandlingOf(const Hop& hop, TimePoint now) const;
+  // Returns whether the request was recently answered here, after the last
+  // crash that it is known to have been in flight at, at any server.
+  bool AnsweredSinceCrash(const std::string& service, uint64_t fingerprint,
+                          TimePoint now) const;
 
   void DispatchWaiting(LocalServer& server, Context& context);
   void DispatchSuspect(LocalServer& server, Context& context);
@@ -106,6 +110,11 @@
   // Sends a change of the server's fitness to the other nodes.
   void SendFitness(LocalServer& server, Context& context);
   void RecordCrash(LocalServer& server, Context& context);
+  // Returns the suspects among the calls in flight at a crash, and tells the
+  // other nodes which ones are excused.
+  std::vector<uint64_t> ExcuseAnswered(const std::string& service,
+                                       std::vector<uint64_t> in_flight,
+                                       Context& context);
   // Applies what the server reports about itself in an answer.
   void OnNotice(LocalServer& server, const ServerNotice& notice,
                 Context& context);
@@ -143,10 +152,10 @@
   Stats& stats_;
   Records& records_;
   CrashGuard crash_guard_;
-  // Fingerprints that were answered here recently, and are therefore not
-  // suspects. Otherwise a popular page that was in flight at a crash would run
-  // one at a time on every host, and be quarantined at a second crash.
-  RecentSet answered_;
+  // Excuses requests from a crash that comes after their answer. Otherwise a
+  // popular page that was in flight at a crash would run one at a time on every
+  // host, and be quarantined at a second crash.
+  RecentAnswers answered_;
   std::map<std::string, LocalServer> servers_;
   DepartedServers departed_;
   std::map<uint64_t, Hop> hops_;
