Crashes with many calls in flight: the other nodes learn what was in flight

Cause: with more than 16 suspects of a crash no other node was told of any, so each server's first crash was a first crash. Telling all of them as suspects was tried: every node then runs them alone, and requests whose server crashed for another reason are resent once each. Now the other nodes with a server of the service learn that they were in flight. At the next crash, those that were in flight at an earlier one too are the suspects, and the others are not.

--- a/src/include/amaranthroute/messages.h
+++ b/src/include/amaranthroute/messages.h
@@ -246,8 +246,9 @@
 };
 
 /// Numbers of crashes from which a fingerprint is a suspect, or quarantined.
-/// An excused one was in flight at a crash, but had been answered before.
-inline constexpr uint32_t kExcusedCrashes = 0;
+/// One with kInFlightOnly was in flight at a crash without being suspected of
+/// it: it had been answered before, or too many others were in flight with it.
+inline constexpr uint32_t kInFlightOnly = 0;
 inline constexpr uint32_t kSuspectCrashes = 1;
 inline constexpr uint32_t kQuarantineCrashes = 2;
 
--- a/src/libnode/membership/membership.h
+++ b/src/libnode/membership/membership.h
@@ -185,6 +185,9 @@
   void ContactDataCentres(Context& context);
   void PushUrgent(Context& context);
   void BroadcastQuarantines(Context& context);
+  // Returns as many messages without members as the records need.
+  std::vector<GossipMessage> QuarantineDatagrams(
+      const std::vector<QuarantineRecord>& records) const;
   const std::vector<std::string>& UpPeers() const;
   std::vector<std::string> RandomPeers(size_t count, Context& context) const;
   std::vector<std::string> DelegatesOf(const std::string& data_centre) const;
@@ -222,7 +225,7 @@
   MembershipTable table_;
   UpdateQueue updates_;
   QuarantineList quarantines_;
-  // Records of crashes on this host that are still to be sent to every node.
+  // Records of crashes on this host that are still to be sent to other nodes.
   std::vector<QuarantineRecord> quarantines_to_broadcast_;
   uint64_t settings_version_ = 0;
   bool view_verified_ = true;
--- a/src/libnode/membership/membership_dissemination.cc
+++ b/src/libnode/membership/membership_dissemination.cc
@@ -58,6 +58,12 @@
   });
 }
 
+bool HasServerOf(const MemberRecord& record, const std::string& service) {
+  return std::any_of(
+      record.servers.begin(), record.servers.end(),
+      [&](const ServerRecord& server) { return server.service == service; });
+}
+
 }  // namespace
 
 const std::vector<std::string>& Membership::UpPeers() const {
@@ -166,17 +172,54 @@
 // A caller may resend a request that crashed a server within milliseconds, to
 // any node. Gossip between neighbours is slower than that, and each resend that
 // arrives first crashes a backend server. So the node that detected the crash
-// sends every node a datagram itself. Crashes are rare: with 1,600 nodes one
-// costs about 200 KB.
+// sends the records to each node itself. A suspect is of use only to the nodes
+// that may run it, those with a server of its service: a crash with 160 calls
+// in flight costs about 6 KB for each of them.
 void Membership::BroadcastQuarantines(Context& context) {
   if (quarantines_to_broadcast_.empty()) return;
-  GossipMessage message = BuildHeader(GossipKind::kAck, 0);
-  message.quarantines = std::move(quarantines_to_broadcast_);
+  std::vector<QuarantineRecord> quarantined;
+  std::map<std::string, std::vector<QuarantineRecord>> suspects_by_service;
+  for (QuarantineRecord& record : quarantines_to_broadcast_) {
+    std::vector<QuarantineRecord>& group =
+        record.crashes >= kQuarantineCrashes
+            ? quarantined
+            : suspects_by_service[record.service];
+    group.push_back(std::move(record));
+  }
   quarantines_to_broadcast_.clear();
+  const std::vector<GossipMessage> to_all = QuarantineDatagrams(quarantined);
+  std::map<std::string, std::vector<GossipMessage>> to_service;
+  for (const auto& [service, suspects] : suspects_by_service) {
+    to_service[service] = QuarantineDatagrams(suspects);
+  }
   for (const auto& [name, record] : table_.members()) {
     if (name == identity_.node.name || !IsUp(record)) continue;
-    context.Emit(SendGossip{record.gossip_address, message});
+    const auto send = [&](const std::vector<GossipMessage>& datagrams) {
+      for (const GossipMessage& datagram : datagrams) {
+        context.Emit(SendGossip{record.gossip_address, datagram});
+      }
+    };
+    send(to_all);
+    for (const auto& [service, datagrams] : to_service) {
+      if (HasServerOf(record, service)) send(datagrams);
+    }
+  }
+}
+
+std::vector<GossipMessage> Membership::QuarantineDatagrams(
+    const std::vector<QuarantineRecord>& records) const {
+  std::vector<GossipMessage> datagrams;
+  size_t size = kDatagramBudget;
+  for (const QuarantineRecord& record : records) {
+    const size_t more = EncodedSize(record);
+    if (size + more > kDatagramBudget) {
+      datagrams.push_back(BuildHeader(GossipKind::kAck, 0));
+      size = kGossipHeaderSize;
+    }
+    datagrams.back().quarantines.push_back(record);
+    size += more;
   }
+  return datagrams;
 }
 
 // Probes alone reach one member per period, which is too slow for changes that
--- a/src/libnode/membership/membership_updates.cc
+++ b/src/libnode/membership/membership_updates.cc
@@ -22,7 +22,7 @@
 constexpr Duration kSuspectLifetime = std::chrono::minutes(10);
 constexpr Duration kQuarantineLifetime = std::chrono::minutes(30);
 // As long as answers are remembered (RecentAnswers).
-constexpr Duration kExcusedLifetime = std::chrono::seconds(30);
+constexpr Duration kInFlightOnlyLifetime = std::chrono::seconds(30);
 // Records of one crash arrive over several paths, with different delays. Times
 // closer together than this are not taken for a later crash, so that delays do
 // not keep a record alive.
@@ -30,7 +30,7 @@
 
 Duration LifetimeOf(uint32_t crashes) {
   if (crashes >= kQuarantineCrashes) return kQuarantineLifetime;
-  return crashes >= kSuspectCrashes ? kSuspectLifetime : kExcusedLifetime;
+  return crashes >= kSuspectCrashes ? kSuspectLifetime : kInFlightOnlyLifetime;
 }
 
 }  // namespace
@@ -89,8 +89,9 @@
 
 bool QuarantineList::MakeRoom() {
   if (entries_.size() < kMaxQuarantines) return true;
-  // A crash leaves many suspects and excused fingerprints. They must not keep
-  // out a fingerprint that is quarantined for repeated crashes.
+  // A crash leaves many fingerprints that are only suspects, or not even that.
+  // They must not keep out a fingerprint that is quarantined for repeated
+  // crashes.
   const auto least = std::min_element(
       entries_.begin(), entries_.end(), [](const auto& a, const auto& b) {
         return std::tie(a.second.crashes, a.second.expires) <
--- a/src/libnode/membership/quarantine_list_test.cc
+++ b/src/libnode/membership/quarantine_list_test.cc
@@ -34,12 +34,12 @@
 }
 
 // Guards against an answer from before a crash that clears a request of it: a
-// later crash counts, also as one at which the request was excused.
+// later crash counts, also one of which the request was not suspected.
 TEST(QuarantineList, ALaterCrashIsKept) {
   CHECK_FALSE(list.LastCrashOf("proofing", 7).has_value());
   CHECK(list.Add({"proofing", 7, kSuspectCrashes}, start));
   const TimePoint later = start + std::chrono::seconds(2);
-  CHECK(list.Add({"proofing", 7, kExcusedCrashes}, later));
+  CHECK(list.Add({"proofing", 7, kInFlightOnly}, later));
   CHECK_EQUAL(kSuspectCrashes, list.CrashesOf("proofing", 7));
   CHECK(later == *list.LastCrashOf("proofing", 7));
 }
@@ -54,8 +54,8 @@
   CHECK(start == *list.LastCrashOf("proofing", 7));
 }
 
-TEST(QuarantineList, AnExcusedCrashIsForgottenBeforeASuspicion) {
-  list.Add({"proofing", 7, kExcusedCrashes}, start);
+TEST(QuarantineList, ACrashWithoutSuspicionIsForgottenFirst) {
+  list.Add({"proofing", 7, kInFlightOnly}, start);
   list.Add({"proofing", 8, kSuspectCrashes}, start);
   list.Expire(start + std::chrono::seconds(31));
   CHECK_FALSE(list.LastCrashOf("proofing", 7).has_value());
--- a/src/libnode/serving/serving_results.cc
+++ b/src/libnode/serving/serving_results.cc
@@ -14,10 +14,10 @@
 
 constexpr const char* kPart = "serving";
 
-// If a crash has more suspects than this, they are not gossiped to the other
-// nodes: gossip must stay small, and the entry nodes still mark their own
-// retries.
-constexpr size_t kMaxGossipedSuspects = 16;
+// Suspects are run alone by every node. If a crash leaves more of them than
+// this, the other nodes only learn that they were in flight: running so many
+// alone would take most of the throughput of the remaining servers.
+constexpr size_t kMaxToldSuspects = 16;
 
 // Another server at the address answers this.
 constexpr int kMisdirectedStatus = 421;
@@ -208,8 +208,7 @@
   for (const uint64_t fingerprint : in_flight) {
     if (AnsweredSinceCrash(service, fingerprint, context.now)) {
       // Excused this once: at the next crash an older answer no longer counts.
-      membership_.AddQuarantine({service, fingerprint, kExcusedCrashes},
-                                context);
+      membership_.AddQuarantine({service, fingerprint, kInFlightOnly}, context);
       continue;
     }
     // Servers may crash together for another reason, before a popular page is
@@ -225,14 +224,31 @@
   return suspects;
 }
 
+std::vector<uint64_t> ServingRole::KeepThoseOfEarlierCrashes(
+    const std::string& service, const std::vector<uint64_t>& suspects,
+    Context& context) {
+  std::vector<uint64_t> repeated;
+  std::vector<uint64_t> first_time;
+  for (const uint64_t fingerprint : suspects) {
+    const bool known =
+        membership_.LastCrashOf(service, fingerprint).has_value();
+    (known ? repeated : first_time).push_back(fingerprint);
+  }
+  if (repeated.empty()) return first_time;
+  for (const uint64_t fingerprint : first_time) {
+    membership_.AddQuarantine({service, fingerprint, kInFlightOnly}, context);
+  }
+  return repeated;
+}
+
 void ServingRole::RecordCrash(LocalServer& server, Context& context) {
   std::vector<uint64_t> in_flight =
       server.crash_window().TakeCrashedFingerprints();
   if (in_flight.empty()) return;
   const size_t calls = in_flight.size();
   const std::string& service = server.record().service;
-  const std::vector<uint64_t> not_excused =
-      ExcuseAnswered(service, std::move(in_flight), context);
+  const std::vector<uint64_t> not_excused = KeepThoseOfEarlierCrashes(
+      service, ExcuseAnswered(service, std::move(in_flight), context), context);
   crash_guard_.OnCrash(not_excused, context.now);
   stats_.Count("amaranth_server_crashes_total", "service=\"" + service + "\"");
   const std::string counts =
@@ -244,11 +260,10 @@
       LogLevel::kWarning, kPart,
       "Backend server " + server.record().server + " crashed. " + counts);
   const std::vector<uint64_t> suspects = crash_guard_.TakeNewSuspects();
-  if (suspects.size() <= kMaxGossipedSuspects) {
-    for (const uint64_t fingerprint : suspects) {
-      membership_.AddQuarantine({service, fingerprint, kSuspectCrashes},
-                                context);
-    }
+  const uint32_t told =
+      suspects.size() <= kMaxToldSuspects ? kSuspectCrashes : kInFlightOnly;
+  for (const uint64_t fingerprint : suspects) {
+    membership_.AddQuarantine({service, fingerprint, told}, context);
   }
   for (const uint64_t fingerprint : crash_guard_.TakeNewlyQuarantined()) {
     membership_.AddQuarantine({service, fingerprint, kQuarantineCrashes},
--- a/src/libnode/serving/serving_role.h
+++ b/src/libnode/serving/serving_role.h
@@ -115,6 +115,11 @@
   std::vector<uint64_t> ExcuseAnswered(const std::string& service,
                                        std::vector<uint64_t> in_flight,
                                        Context& context);
+  // Returns those of the suspects that were in flight at an earlier crash too,
+  // at any server; all of them if none was.
+  std::vector<uint64_t> KeepThoseOfEarlierCrashes(
+      const std::string& service, const std::vector<uint64_t>& suspects,
+      Context& context);
   // Applies what the server reports about itself in an answer.
   void OnNotice(LocalServer& server, const ServerNotice& notice,
                 Context& context);
