Suspects: one that has survived is not run alone again

Cause: the time of the last crash at which a request was in flight also decided whether it runs alone, so a page that had been a suspect once ran alone at every node after each later crash, even where it was excused. And calls that waited to run alone went on doing so, one after the other, after the first of them was answered; further ones were refused as the 16 places were taken.

Now only a suspicion decides, by its own time, and waiting calls are queued as ordinary ones once their request was answered.

--- a/src/libnode/membership/membership.h
+++ b/src/libnode/membership/membership.h
@@ -108,6 +108,12 @@
                                        uint64_t fingerprint) const {
     return quarantines_.LastCrashOf(service, fingerprint);
   }
+  // Returns the time of the last crash of which the fingerprint was suspected
+  // at any node; nullopt if it is no suspect.
+  std::optional<TimePoint> SuspectedAt(const std::string& service,
+                                       uint64_t fingerprint) const {
+    return quarantines_.SuspectedAt(service, fingerprint);
+  }
   std::vector<QuarantineRecord> quarantines() const {
     return quarantines_.All(last_now_);
   }
--- a/src/libnode/membership/membership_updates.cc
+++ b/src/libnode/membership/membership_updates.cc
@@ -112,18 +112,22 @@
   const auto found = entries_.find(key);
   if (found == entries_.end()) {
     if (!MakeRoom()) return false;
-    entries_[key] = Entry{record.crashes, now + remaining, crashed_at};
+    entries_[key] =
+        Entry{record.crashes, now + remaining, crashed_at, crashed_at};
     return true;
   }
   Entry& entry = found->second;
   if (record.crashes > entry.crashes) {
     entry = Entry{record.crashes, now + remaining,
-                  std::max(entry.last_crash, crashed_at)};
+                  std::max(entry.last_crash, crashed_at), crashed_at};
     return true;
   }
   if (crashed_at < entry.last_crash + kSameCrash) return false;
   entry.last_crash = crashed_at;
-  if (record.crashes == entry.crashes) entry.expires = now + remaining;
+  if (record.crashes == entry.crashes) {
+    entry.expires = now + remaining;
+    entry.suspected = crashed_at;
+  }
   return true;
 }
 
@@ -140,6 +144,15 @@
   return found->second.last_crash;
 }
 
+std::optional<TimePoint> QuarantineList::SuspectedAt(
+    const std::string& service, uint64_t fingerprint) const {
+  const auto found = entries_.find({service, fingerprint});
+  const bool suspect =
+      found != entries_.end() && found->second.crashes >= kSuspectCrashes;
+  if (!suspect) return std::nullopt;
+  return found->second.suspected;
+}
+
 uint32_t QuarantineList::CrashesOf(const std::string& service,
                                    uint64_t fingerprint) const {
   const auto found = entries_.find({service, fingerprint});
--- a/src/libnode/membership/membership_updates.h
+++ b/src/libnode/membership/membership_updates.h
@@ -83,6 +83,10 @@
   // none is known.
   std::optional<TimePoint> LastCrashOf(const std::string& service,
                                        uint64_t fingerprint) const;
+  // Returns the time of the last crash of which the fingerprint was suspected;
+  // nullopt if it is no suspect.
+  std::optional<TimePoint> SuspectedAt(const std::string& service,
+                                       uint64_t fingerprint) const;
   std::vector<QuarantineRecord> All(TimePoint now) const;
   // Returns the next records in round-robin order, so that all are sent
   // repeatedly.
@@ -93,6 +97,7 @@
     uint32_t crashes = 0;
     TimePoint expires{};
     TimePoint last_crash{};
+    TimePoint suspected{};  // if it is a suspect
   };
   using Key = std::pair<std::string, uint64_t>;
 
--- a/src/libnode/serving/serving_role.cc
+++ b/src/libnode/serving/serving_role.cc
@@ -76,21 +76,21 @@
                                              TimePoint now) const {
   const uint64_t fingerprint = hop.context.fingerprint;
   const std::string& service = hop.context.service;
-  const uint32_t crashes = membership_.CrashesOf(service, fingerprint);
   const CrashGuard::Handling local = crash_guard_.HandlingOf(fingerprint, now);
-  if (crashes >= kQuarantineCrashes ||
-      local == CrashGuard::Handling::kQuarantined) {
+  if (local == CrashGuard::Handling::kQuarantined ||
+      membership_.IsQuarantined(service, fingerprint)) {
     return CrashGuard::Handling::kQuarantined;
   }
-  if (AnsweredSinceCrash(service, fingerprint, now)) {
-    return CrashGuard::Handling::kNormal;
-  }
-  const bool suspected =
-      local == CrashGuard::Handling::kRunAlone || crashes >= kSuspectCrashes;
-  const bool answered = answered_.LastAnswer(fingerprint, now).has_value();
-  const bool lost_by_this_call = hop.context.suspected_crashes > 0 && !answered;
-  return suspected || lost_by_this_call ? CrashGuard::Handling::kRunAlone
-                                        : CrashGuard::Handling::kNormal;
+  if (local == CrashGuard::Handling::kRunAlone) return local;
+  const std::optional<TimePoint> answer =
+      answered_.LastAnswer(fingerprint, now);
+  const std::optional<TimePoint> suspected =
+      membership_.SuspectedAt(service, fingerprint);
+  const bool lost_by_this_call = hop.context.suspected_crashes > 0;
+  const bool run_alone = answer ? suspected && *answer <= *suspected
+                                : suspected.has_value() || lost_by_this_call;
+  return run_alone ? CrashGuard::Handling::kRunAlone
+                   : CrashGuard::Handling::kNormal;
 }
 
 bool ServingRole::AnsweredSinceCrash(const std::string& service,
@@ -207,7 +207,7 @@
 
 void ServingRole::DispatchSuspect(LocalServer& server, Context& context) {
   if (server.suspect_in_flight) return;
-  RefuseQuarantined(server, context);
+  ReviewWaitingSuspects(server, context);
   if (server.waiting_suspects.empty()) {
     server.paused_since = kNever;
     return;
@@ -227,16 +227,23 @@
   Dispatch(hop, server, context);
 }
 
-void ServingRole::RefuseQuarantined(LocalServer& server, Context& context) {
-  std::deque<uint64_t>& waiting = server.waiting_suspects;
-  while (!waiting.empty()) {
-    const Hop& hop = hops_.at(waiting.front());
-    if (HandlingOf(hop, context.now) != CrashGuard::Handling::kQuarantined) {
-      return;
+void ServingRole::ReviewWaitingSuspects(LocalServer& server, Context& context) {
+  const std::deque<uint64_t> waiting = std::move(server.waiting_suspects);
+  server.waiting_suspects.clear();
+  for (const uint64_t id : waiting) {
+    const CrashGuard::Handling handling = HandlingOf(hops_.at(id), context.now);
+    if (handling == CrashGuard::Handling::kRunAlone) {
+      server.waiting_suspects.push_back(id);
+      continue;
+    }
+    Hop hop = TakeHop(id);
+    if (handling == CrashGuard::Handling::kQuarantined) {
+      Refuse(hop, Reason::kQuarantined, context);
+      continue;
     }
-    waiting.pop_front();
-    const Hop refused = TakeHop(hop.id);
-    Refuse(refused, Reason::kQuarantined, context);
+    hop.state = HopState::kQueued;
+    const uint32_t level = hop.context.level;
+    Enqueue(std::move(hop), level, server, context);
   }
 }
 
--- a/src/libnode/serving/serving_role.h
+++ b/src/libnode/serving/serving_role.h
@@ -84,7 +84,9 @@
 
   void DispatchWaiting(LocalServer& server, Context& context);
   void DispatchSuspect(LocalServer& server, Context& context);
-  void RefuseQuarantined(LocalServer& server, Context& context);
+  // Refuses waiting suspects that are quarantined by now, and queues those that
+  // were cleared by an answer to another call as ordinary calls.
+  void ReviewWaitingSuspects(LocalServer& server, Context& context);
   static void EndPause(LocalServer& server, TimePoint now);
   void Dispatch(Hop& hop, LocalServer& server, Context& context);
   HttpRequest RequestFor(const Hop& hop, TimePoint now) const;
