Serving: a queued call is checked again before it starts

What callers saw: calls that were queued before their request was known to crash servers crashed further ones when they left the queue.

Cause: whether a request is a suspect or quarantined was asked when a call arrives, not when it starts, up to seconds later under overload. Class of fault: an observation kept after a later one has contradicted it.

--- a/src/libnode/poison_request_test.cc
+++ b/src/libnode/poison_request_test.cc
@@ -32,6 +32,8 @@
 constexpr size_t kCrashesToRecognise = 3;
 constexpr Duration kRecognitionTime = std::chrono::seconds(3);
 constexpr size_t kMaxLateRuns = 3;
+// Time in which the news of a crash reaches all nodes.
+constexpr Duration kNewsDelay = std::chrono::milliseconds(50);
 
 }  // namespace
 
@@ -114,11 +116,10 @@
     crashes.clear();
   }
 
-  // Returns the runs that begin later than kRecognitionTime after the third
-  // crash.
-  size_t LateRuns() const {
+  // Returns the runs that begin later than `allowed` after the third crash.
+  size_t LateRuns(Duration allowed = kRecognitionTime) const {
     if (crashes.size() < kCrashesToRecognise) return 0;
-    const TimePoint limit = crashes[kCrashesToRecognise - 1] + kRecognitionTime;
+    const TimePoint limit = crashes[kCrashesToRecognise - 1] + allowed;
     return static_cast<size_t>(
         std::count_if(poison_runs.begin(), poison_runs.end(),
                       [&](TimePoint at) { return at > limit; }));
@@ -233,4 +234,24 @@
   CHECK(crashes.size() <= kCrashesToRecognise);
 }
 
+// Guards against calls that were queued before their request was quarantined
+// and crash one server after another when they leave the queue.
+TEST(PoisonRequests, QueuedCallsOfAQuarantinedRequestAreNotRun) {
+  constexpr int kManyHosts = 12;
+  constexpr int kQueuedAtEachHost = 10;
+  FakeServerOptions server = MakeServer();
+  server.slots = 2;
+  server.service_time = std::chrono::milliseconds(20);
+  StartFleet(server, kManyHosts);
+  for (int burst = 0; burst < 6; ++burst)
+    SendOrdinary(kAttackLength, kManyHosts);
+  for (int i = 0; i < kManyHosts * kQueuedAtEachHost; ++i) {
+    fleet.At(std::chrono::seconds(2) + std::chrono::microseconds(200) * i,
+             [this, i] { SendPoison(Host(i % kManyHosts)); });
+  }
+  fleet.RunFor(kAttackLength + kSettleTime);
+  CHECK(crashes.size() >= kCrashesToRecognise);
+  CHECK_EQUAL(0u, LateRuns(kNewsDelay));
+}
+
 }  // namespace amaranth::pvt
--- a/src/libnode/serving/serving_role.cc
+++ b/src/libnode/serving/serving_role.cc
@@ -121,7 +121,6 @@
     return Refuse(hop, Reason::kQuarantined, context);
   }
   if (handling == CrashGuard::Handling::kRunAlone) {
-    crash_guard_.Suspect(hop.context.fingerprint, context.now);
     return AdmitSuspect(std::move(hop), server, context);
   }
 
@@ -140,6 +139,7 @@
   if (server.waiting_suspects.size() >= kMaxWaitingSuspects) {
     return Refuse(hop, Reason::kQueueFull, context);
   }
+  crash_guard_.Suspect(hop.context.fingerprint, context.now);
   hop.state = HopState::kSuspect;
   server.waiting_suspects.push_back(hop.id);
   queue_deadlines_.Add(hop.deadline, hop.id);
@@ -201,7 +201,19 @@
       return;
     }
     server.shedder().OnQueueDelay(oldest_wait, context.now);
-    Dispatch(hops_.at(next->id), server, context);
+    Hop& hop = hops_.at(next->id);
+    const CrashGuard::Handling handling = HandlingOf(hop, context.now);
+    if (handling == CrashGuard::Handling::kNormal) {
+      Dispatch(hop, server, context);
+      continue;
+    }
+    // Nodes have learned of crashes while it was queued.
+    const Hop removed = TakeHop(next->id);
+    if (handling == CrashGuard::Handling::kQuarantined) {
+      Refuse(removed, Reason::kQuarantined, context);
+    } else {
+      AdmitSuspect(removed, server, context);
+    }
   }
 }
 
