Members: a node that joins learns quarantines before suspects

Cause: the records of a sync were taken in turn from all fingerprints. With many suspects a restarted node could run a quarantined request that it did not know yet. Fingerprints that were only in flight are told at the crash and left out of gossip and syncs, so that they take no room there.

Evidence: QuarantineList, ANodeThatJoinsLearnsQuarantinesFirst (300 suspects and one quarantine, 64 records in a sync); it needs the new function and does not compile without it. The crash line tells the number of suspects.

--- a/src/libnode/membership/membership_dissemination.cc
+++ b/src/libnode/membership/membership_dissemination.cc
@@ -2,6 +2,7 @@
 // other data centres, and discovery of peers.
 
 #include <algorithm>
+#include <map>
 #include <random>
 #include <utility>
 
@@ -64,6 +65,13 @@
       [&](const ServerRecord& server) { return server.service == service; });
 }
 
+void SendAll(const std::vector<GossipMessage>& datagrams,
+             const Endpoint& address, Context& context) {
+  for (const GossipMessage& datagram : datagrams) {
+    context.Emit(SendGossip{address, datagram});
+  }
+}
+
 }  // namespace
 
 const std::vector<std::string>& Membership::UpPeers() const {
@@ -194,14 +202,11 @@
   }
   for (const auto& [name, record] : table_.members()) {
     if (name == identity_.node.name || !IsUp(record)) continue;
-    const auto send = [&](const std::vector<GossipMessage>& datagrams) {
-      for (const GossipMessage& datagram : datagrams) {
-        context.Emit(SendGossip{record.gossip_address, datagram});
-      }
-    };
-    send(to_all);
+    SendAll(to_all, record.gossip_address, context);
     for (const auto& [service, datagrams] : to_service) {
-      if (HasServerOf(record, service)) send(datagrams);
+      if (HasServerOf(record, service)) {
+        SendAll(datagrams, record.gossip_address, context);
+      }
     }
   }
 }
--- a/src/libnode/membership/membership_sync.cc
+++ b/src/libnode/membership/membership_sync.cc
@@ -82,7 +82,8 @@
   answer.members =
       TrimToBudget(table_.RecordsInDifferingBuckets(sync.bucket_hashes),
                    peer->data_centre, context);
-  answer.quarantines = quarantines_.Next(kQuarantinesPerSync, last_now_);
+  answer.quarantines =
+      quarantines_.QuarantinedFirst(kQuarantinesPerSync, last_now_);
   answer.settings_version = settings_version_;
   context.Emit(SendPeer{from.name, peer->peer_address, std::move(answer)});
 }
--- a/src/libnode/membership/membership_updates.cc
+++ b/src/libnode/membership/membership_updates.cc
@@ -172,7 +172,14 @@
 
 std::vector<QuarantineRecord> QuarantineList::Next(size_t count,
                                                    TimePoint now) {
-  const std::vector<QuarantineRecord> all = All(now);
+  std::vector<QuarantineRecord> all = All(now);
+  // Nodes that do not hear of a crash at once have no use for fingerprints that
+  // were only in flight, and there are many of them.
+  all.erase(std::remove_if(all.begin(), all.end(),
+                           [](const QuarantineRecord& record) {
+                             return record.crashes < kSuspectCrashes;
+                           }),
+            all.end());
   std::vector<QuarantineRecord> records;
   for (size_t i = 0; i < std::min(count, all.size()); ++i) {
     records.push_back(all[position_++ % all.size()]);
@@ -180,4 +187,16 @@
   return records;
 }
 
+std::vector<QuarantineRecord> QuarantineList::QuarantinedFirst(size_t count,
+                                                               TimePoint now) {
+  std::vector<QuarantineRecord> records = Next(entries_.size(), now);
+  std::stable_partition(records.begin(), records.end(),
+                        [](const QuarantineRecord& record) {
+                          return record.crashes >= kQuarantineCrashes;
+                        });
+  if (records.size() > count) records.resize(count);
+  position_ += records.size();
+  return records;
+}
+
 }  // namespace amaranth::pvt
--- a/src/libnode/membership/membership_updates.h
+++ b/src/libnode/membership/membership_updates.h
@@ -88,9 +88,12 @@
   std::optional<TimePoint> SuspectedAt(const std::string& service,
                                        uint64_t fingerprint) const;
   std::vector<QuarantineRecord> All(TimePoint now) const;
-  // Returns the next records in round-robin order, so that all are sent
-  // repeatedly.
+  // Returns the next suspects and quarantined fingerprints in round-robin
+  // order, so that all are sent repeatedly.
   std::vector<QuarantineRecord> Next(size_t count, TimePoint now);
+  // Returns up to `count` records for a node that may know none: the
+  // quarantined ones, then suspects in round-robin order.
+  std::vector<QuarantineRecord> QuarantinedFirst(size_t count, TimePoint now);
 
  private:
   struct Entry {
--- a/src/libnode/membership/quarantine_list_test.cc
+++ b/src/libnode/membership/quarantine_list_test.cc
@@ -62,4 +62,26 @@
   CHECK(list.LastCrashOf("proofing", 8).has_value());
 }
 
+// Guards against a restarted node that lets a quarantined request through
+// because suspects fill the sync from which it learns of it.
+TEST(QuarantineList, ANodeThatJoinsLearnsQuarantinesFirst) {
+  constexpr uint64_t kQuarantined = 1'000;
+  constexpr size_t kRecords = 64;
+  for (uint64_t fingerprint = 1; fingerprint <= 300; ++fingerprint) {
+    list.Add({"proofing", fingerprint, kSuspectCrashes}, start);
+    list.Add({"imagery", fingerprint, kInFlightOnly}, start);
+  }
+  list.Add({"proofing", kQuarantined, kQuarantineCrashes}, start);
+  const std::vector<QuarantineRecord> sent =
+      list.QuarantinedFirst(kRecords, start);
+  CHECK_EQUAL(kRecords, sent.size());
+  CHECK_EQUAL(kQuarantined, sent.front().fingerprint);
+}
+
+// Guards against gossip of many fingerprints that no node is to run otherwise.
+TEST(QuarantineList, GossipLeavesOutWhatWasOnlyInFlight) {
+  list.Add({"proofing", 7, kInFlightOnly}, start);
+  CHECK(list.Next(4, start).empty());
+}
+
 }  // namespace amaranth::pvt
--- a/src/libnode/serving/serving_results.cc
+++ b/src/libnode/serving/serving_results.cc
@@ -201,7 +201,7 @@
 }
 
 std::vector<uint64_t> ServingRole::ExcuseAnswered(
-    const std::string& service, std::vector<uint64_t> in_flight,
+    const std::string& service, const std::vector<uint64_t>& in_flight,
     Context& context) {
   const bool alone = in_flight.size() == 1;
   std::vector<uint64_t> suspects;
@@ -242,27 +242,25 @@
 }
 
 void ServingRole::RecordCrash(LocalServer& server, Context& context) {
-  std::vector<uint64_t> in_flight =
+  const std::vector<uint64_t> in_flight =
       server.crash_window().TakeCrashedFingerprints();
   if (in_flight.empty()) return;
-  const size_t calls = in_flight.size();
   const std::string& service = server.record().service;
-  const std::vector<uint64_t> not_excused = KeepThoseOfEarlierCrashes(
-      service, ExcuseAnswered(service, std::move(in_flight), context), context);
-  crash_guard_.OnCrash(not_excused, context.now);
+  const std::vector<uint64_t> suspects = KeepThoseOfEarlierCrashes(
+      service, ExcuseAnswered(service, in_flight, context), context);
+  crash_guard_.OnCrash(suspects, context.now);
   stats_.Count("amaranth_server_crashes_total", "service=\"" + service + "\"");
-  const std::string counts =
-      "in_flight=" + std::to_string(calls) +
-      " excused=" + std::to_string(calls - not_excused.size());
+  const std::string counts = "in_flight=" + std::to_string(in_flight.size()) +
+                             " suspects=" + std::to_string(suspects.size());
   records_.Add(context.now, "", "crash",
                server.record().server + " crashed: " + counts);
   context.Log(
       LogLevel::kWarning, kPart,
       "Backend server " + server.record().server + " crashed. " + counts);
-  const std::vector<uint64_t> suspects = crash_guard_.TakeNewSuspects();
+  const std::vector<uint64_t> new_suspects = crash_guard_.TakeNewSuspects();
   const uint32_t told =
-      suspects.size() <= kMaxToldSuspects ? kSuspectCrashes : kInFlightOnly;
-  for (const uint64_t fingerprint : suspects) {
+      new_suspects.size() <= kMaxToldSuspects ? kSuspectCrashes : kInFlightOnly;
+  for (const uint64_t fingerprint : new_suspects) {
     membership_.AddQuarantine({service, fingerprint, told}, context);
   }
   for (const uint64_t fingerprint : crash_guard_.TakeNewlyQuarantined()) {
--- a/src/libnode/serving/serving_role.h
+++ b/src/libnode/serving/serving_role.h
@@ -115,7 +115,7 @@
   // Returns the suspects among the calls in flight at a crash, and tells the
   // other nodes which ones are excused.
   std::vector<uint64_t> ExcuseAnswered(const std::string& service,
-                                       std::vector<uint64_t> in_flight,
+                                       const std::vector<uint64_t>& in_flight,
                                        Context& context);
   // Returns those of the suspects that were in flight at an earlier crash too,
   // at any server; all of them if none was.
