--- a/src/libnode/serving/serving_results.cc
+++ b/src/libnode/serving/serving_results.cc
@@ -39,7 +39,7 @@
 // Only an answer to a request that was run shows that it does not crash its
 // server. A server that fails, for example one that has just restarted, may
 // answer before it reaches what crashes it.
-bool WasRun(const HttpResponse& response) {
+bool RanWithoutFailure(const HttpResponse& response) {
   return response.status < 500 && response.status != kMisdirectedStatus &&
          !IsRefusal(response);
 }
@@ -74,7 +74,7 @@
   RecordServed(hop, replied.response, context.now);
   const HttpResponse& response = replied.response;
   JudgeResult(hop, response.status >= 500 || IsRefusal(response), context.now);
-  if (WasRun(response)) {
+  if (RanWithoutFailure(response)) {
     crash_guard_.OnSurvived(hop.context.fingerprint, context.now);
     answered_.Insert(hop.context.fingerprint, context.now);
   }
