--- a/src/libnode/poison_request_test.cc
+++ b/src/libnode/poison_request_test.cc
@@ -23,8 +23,8 @@
 // Eight callers that send four times a second each.
 constexpr Duration kPoisonPeriod = std::chrono::milliseconds(31);
 constexpr Duration kSlowPoisonPeriod = std::chrono::milliseconds(700);
-// Service time with which more calls are in flight at each server than one
-// datagram holds.
+// Service time with which more calls are in flight at each server than a crash
+// may leave for the other nodes to know them as suspects.
 constexpr Duration kManyInFlight = std::chrono::milliseconds(400);
 constexpr Duration kRestartTime = std::chrono::milliseconds(1200);
 // The users' rule for a request that crashes its servers: runs that begin
