--- a/src/libnode/fakes/fake_fleet.cc
+++ b/src/libnode/fakes/fake_fleet.cc
@@ -12,7 +12,6 @@
 constexpr Duration kSameDataCentreLatency{200};
 constexpr Duration kOtherDataCentreLatency{1000};
 constexpr Duration kConnectTimeout = std::chrono::seconds(1);
-constexpr Duration kPlatformLatency = std::chrono::milliseconds(5);
 constexpr Duration kPlatformTimeout = std::chrono::milliseconds(800);
 constexpr Duration kAnnouncePeriod = std::chrono::milliseconds(500);
 
@@ -265,6 +264,7 @@
   const std::string from = host.name;
   const auto peer = hosts_.find(effect.peer);
   if (peer == hosts_.end()) return;
+  if (silent_links_.count(from) + silent_links_.count(effect.peer) > 0) return;
   Host& to = peer->second;
   const LinkKey key = KeyOf(from, effect.peer);
   Link& link = links_[key];
@@ -322,7 +322,8 @@
   if (chance(random_) < datagram_loss_) return;
   const int copies = chance(random_) < datagram_duplicates_ ? 2 : 1;
   for (int i = 0; i < copies; ++i) {
-    FeedLater(to, Latency(from, to), GossipReceived{{from, 2}, effect.message});
+    FeedLater(to, Latency(from, to) + datagram_delay_,
+              GossipReceived{{from, 2}, effect.message});
   }
 }
 
@@ -369,7 +370,9 @@
   Kill(host.name);
 }
 
-void FakeFleet::Execute(Host&, const WriteLog&) {}
+void FakeFleet::Execute(Host& host, const WriteLog& effect) {
+  if (on_log) on_log(host.name, effect);
+}
 void FakeFleet::Execute(Host&, const DropIdleConnections&) {}
 
 void FakeFleet::Execute(Host& host, const SendPlatform& effect) {
@@ -378,11 +381,16 @@
   if (platform_mode_ == PlatformMode::kDown) {
     PlatformReply reply;
     reply.status = PlatformStatus::kUnreachable;
-    FeedLater(name, kPlatformLatency, PlatformReplied{effect.op, reply});
+    FeedLater(name, platform_latency_, PlatformReplied{effect.op, reply});
     return;
   }
+  if (platform_silent_to_.count(name) > 0) return;
+  const auto* watch = std::get_if<TableWatchSettings>(&effect.request);
+  if (watch != nullptr && platform_mode_ == PlatformMode::kUp) {
+    return StartWatch(host, effect.op, *watch);
+  }
   PlatformReply reply = RunPlatform(effect.request);
-  Duration delay = kPlatformLatency;
+  Duration delay = platform_latency_;
   if (platform_mode_ == PlatformMode::kLoseAnswers) {
     reply = PlatformReply();
     delay = kPlatformTimeout;
@@ -390,6 +398,52 @@
   FeedLater(name, delay, PlatformReplied{effect.op, std::move(reply)});
 }
 
+// Answers at once if the document is newer than the position of the watch;
+// otherwise when it changes, or at the end of the wait.
+void FakeFleet::StartWatch(const Host& host, PlatformOpId op,
+                           const TableWatchSettings& request) {
+  ++watches_by_node_[host.name];
+  const OpenWatch watch{host.name, host.incarnation, op};
+  if (request.after < document_version_) {
+    AnswerWatch(watch, request.after);
+    return;
+  }
+  open_watches_.push_back(watch);
+  At(request.wait, [this, watch, after = request.after] {
+    const auto found = std::find_if(
+        open_watches_.begin(), open_watches_.end(), [&](const OpenWatch& open) {
+          return open.node == watch.node && open.op == watch.op &&
+                 open.incarnation == watch.incarnation;
+        });
+    if (found == open_watches_.end()) return;
+    open_watches_.erase(found);
+    AnswerWatch(watch, after);
+  });
+}
+
+void FakeFleet::AnswerWatch(const OpenWatch& watch, uint64_t after) {
+  if (platform_silent_to_.count(watch.node) > 0) return;
+  const PlatformReply reply = RunPlatform(TableWatchSettings{after});
+  At(platform_latency_, [this, watch, reply] {
+    Host& host = hosts_.at(watch.node);
+    if (host.incarnation != watch.incarnation) return;
+    Feed(host, PlatformReplied{watch.op, reply});
+  });
+}
+
+void FakeFleet::SetDocument(uint64_t version, std::string text) {
+  const uint64_t before = document_version_;
+  document_version_ = version;
+  document_ = std::move(text);
+  for (const OpenWatch& watch : std::exchange(open_watches_, {})) {
+    AnswerWatch(watch, before);
+  }
+}
+
+void FakeFleet::SilencePlatformFor(const std::string& node) {
+  platform_silent_to_.insert(node);
+}
+
 PlatformReply FakeFleet::RunPlatform(const PlatformRequest& request) {
   PlatformReply reply;
   reply.status = PlatformStatus::kOk;
--- a/src/libnode/fakes/fake_fleet.h
+++ b/src/libnode/fakes/fake_fleet.h
@@ -133,14 +133,23 @@
   void Heal();
   void Stop(const std::string& node);  // planned stop
   // Replaces the settings document that nodes with SettingsSource::kWatch
-  // watch. They learn of it when their current watch ends.
-  void SetDocument(uint64_t version, std::string text) {
-    document_version_ = version;
-    document_ = std::move(text);
-  }
+  // watch, which answers their open watches.
+  void SetDocument(uint64_t version, std::string text);
   void SetPlatform(PlatformMode mode) { platform_mode_ = mode; }
+  // The platform answers nothing more to the node, also no open watch.
+  void SilencePlatformFor(const std::string& node);
+  void AnswerPlatformCallsOf(const std::string& node) {
+    platform_silent_to_.erase(node);
+  }
   void SetDatagramLoss(double share) { datagram_loss_ = share; }
   void SetDatagramDuplicates(double share) { datagram_duplicates_ = share; }
+  // Sets the time from a platform call to its answer.
+  void SetPlatformLatency(Duration latency) { platform_latency_ = latency; }
+  // Adds to the latency of every datagram.
+  void SetDatagramDelay(Duration delay) { datagram_delay_ = delay; }
+  // Loses the messages on all peer links of the node, in both directions; its
+  // datagrams arrive.
+  void SilenceLinksOf(const std::string& node) { silent_links_.insert(node); }
   void SetServiceTime(const std::string& server, Duration service_time);
   void SetFailingShare(const std::string& server, double share);
   void SetRateLimit(const std::string& server, std::optional<double> limit);
@@ -155,6 +164,12 @@
   std::mt19937_64& random() { return random_; }
   // Returns the number of platform reads and writes so far.
   uint64_t platform_operations() const { return platform_operations_; }
+  // Returns how many watches of the settings document each node has started.
+  const std::map<std::string, uint64_t>& watches_by_node() const {
+    return watches_by_node_;
+  }
+  // Called for each line that a node logs.
+  std::function<void(const std::string& node, const WriteLog&)> on_log;
   HttpResponse CallOperatorApi(const std::string& node, HttpRequest request);
 
  private:
@@ -174,6 +189,11 @@
     std::vector<std::shared_ptr<Server>> servers;
     uint64_t wake = 0;
   };
+  struct OpenWatch {
+    std::string node;
+    uint64_t incarnation = 0;
+    PlatformOpId op = 0;
+  };
   struct Link {
     bool open = false;
     uint64_t incarnation_a = 0;
@@ -210,6 +230,10 @@
   void Execute(Host& host, const WriteLog& effect);
   void Execute(Host& host, const ExitProcess& effect);
   PlatformReply RunPlatform(const PlatformRequest& request);
+  void StartWatch(const Host& host, PlatformOpId op,
+                  const TableWatchSettings& request);
+  // Answers the watch unless the node has ended since or gets no answers.
+  void AnswerWatch(const OpenWatch& watch, uint64_t after);
   void BreakLinks(const std::string& node);
   Duration Latency(const std::string& a, const std::string& b);
 
@@ -244,9 +268,15 @@
   std::map<std::string, uint64_t> changes_;
   uint64_t document_version_ = 0;
   std::string document_;
+  std::vector<OpenWatch> open_watches_;
+  std::map<std::string, uint64_t> watches_by_node_;
+  std::set<std::string> platform_silent_to_;
+  std::set<std::string> silent_links_;
   uint64_t platform_operations_ = 0;
   double datagram_loss_ = 0;
   double datagram_duplicates_ = 0;
+  Duration datagram_delay_{0};
+  Duration platform_latency_ = std::chrono::milliseconds(5);
 };
 
 // Returns a caller's request with its headers set.
