--- a/src/amaranthd/options.cc
+++ b/src/amaranthd/options.cc
@@ -29,7 +29,7 @@
   const char* help;
 };
 
-constexpr std::array<Flag, 35> kFlags = {{
+constexpr std::array<Flag, 36> kFlags = {{
     {"Identity", "node-name", "", "NAME",
      "name of this node; must be unique in the fleet"},
     {"Identity", "fleet", "default", "NAME",
@@ -71,6 +71,9 @@
      "how long a leaving backend server accepts calls; 0 for no limit"},
     {"Deployment", "stop-grace", "0s", "TIME",
      "time after which a stopping node is killed; 0 for never"},
+    {"Deployment", "settings-bound", "2s", "TIME",
+     "time within which settings that the platform has acknowledged are in "
+     "force on every node that reaches it; used with --rows"},
     {"Deployment", "retry-ratio", "0", "SHARE",
      "retries of all nodes per request of a service; 0 lets each node use its "
      "own ratio"},
@@ -335,11 +338,18 @@
 // when the drain begins, the second for calls that run by then.
 constexpr int kDrainPhases = 2;
 
+// Below this, the calls that the bound requires would be a load of their own.
+constexpr Duration kMinSettingsBound = std::chrono::milliseconds(500);
+
 void ReadDeployment(FlagReader& reader, DaemonOptions& options) {
   DeploymentRules& rules = options.identity.rules;
   options.stop_grace = reader.Time("stop-grace");
   rules.server_lease = reader.Time("announce-period") * kMissedAnnouncements;
   rules.drain_limit = reader.Time("drain") / kDrainPhases;
+  rules.settings_bound = reader.Time("settings-bound");
+  if (rules.settings_bound < kMinSettingsBound) {
+    reader.AddError("settings-bound", "must be at least 500ms");
+  }
   rules.fleet_retry_ratio = reader.Share("retry-ratio");
   rules.fleet_retry_slack = static_cast<uint32_t>(reader.Number("retry-slack"));
   rules.fleet_retry_window = reader.Time("retry-window");
--- a/src/amaranthd/options_test.cc
+++ b/src/amaranthd/options_test.cc
@@ -62,6 +62,19 @@
   CHECK_EQUAL(1'000'000u, max_buffered_bytes_with("1"));
 }
 
+// Guards against a deployment whose bound for settings is not the one that the
+// nodes keep.
+TEST(Options, TheBoundOfSettingsIsTakenFromTheDeployment) {
+  const auto parse_bound = [this](const char* bound) {
+    return Parse(
+        {"--node-name", "n1", "--data-centre", "d", "--settings-bound", bound});
+  };
+  CHECK(parse_bound("2500ms").options.identity.rules.settings_bound ==
+        std::chrono::milliseconds(2500));
+  CHECK(HasErrorFor(parse_bound("100ms"), "settings-bound"));
+  CHECK(HasErrorFor(parse_bound("soon"), "settings-bound"));
+}
+
 TEST(Options, AllErrorsAreReportedTogether) {
   const ParsedOptions parsed =
       Parse({"--node-name", "bad name", "--ip", "localhost", "--caller-port",
--- a/src/include/amaranthroute/messages.h
+++ b/src/include/amaranthroute/messages.h
@@ -296,9 +296,9 @@
   std::string target;       ///< kPingRequest: name of the node to probe
   Endpoint target_address;  ///< kPingRequest
   uint64_t settings_version = 0;
-  /// Time since the platform was last known to have nothing newer than
+  /// Latest time at which the platform is known to have had nothing newer than
   /// `settings_version`; nullopt if the sender does not know.
-  std::optional<Duration> settings_confirmed;
+  std::optional<PlatformTime> settings_confirmed_at;
   /// Highest PlatformReply::epoch known to the sender.
   uint64_t platform_epoch = 0;
   uint64_t membership_hash = 0;
--- a/src/include/amaranthroute/platform.h
+++ b/src/include/amaranthroute/platform.h
@@ -113,6 +113,8 @@
   /// lacks the last writes and from which versions are given out again; 0 if
   /// the platform does not report it.
   uint64_t epoch = 0;
+  /// TableWatchSettings: what the platform's clock showed when it answered.
+  PlatformTime clock{};
 };
 
 bool operator==(const TableClaimRows& a, const TableClaimRows& b);
--- a/src/include/amaranthroute/reducer.h
+++ b/src/include/amaranthroute/reducer.h
@@ -59,6 +59,10 @@
   /// Time without an announcement after which a backend server is removed: four
   /// announcement periods, which are 500 ms by default.
   Duration server_lease = std::chrono::seconds(2);
+  /// Time within which a settings document that the platform has acknowledged
+  /// must be in force on every node that reaches the platform. Used with
+  /// SettingsSource::kWatch.
+  Duration settings_bound = std::chrono::seconds(2);
   /// Period over which the nodes of a fleet that starts all at once spread the
   /// writes of their peer rows to the platform's table: 1,600 rows over 16 s
   /// are 100 writes per second.
--- a/src/include/amaranthroute/time.h
+++ b/src/include/amaranthroute/time.h
@@ -29,6 +29,19 @@
 /// A point in time that is never reached, used where no deadline is set.
 inline constexpr TimePoint kNever = TimePoint::max();
 
+/// The steady clock of the platform, which it names in its replies. All nodes
+/// refer to the same clock, so its times may be sent to other nodes.
+struct PlatformClock {
+  using duration = Duration;
+  using rep = Duration::rep;
+  using period = Duration::period;
+  using time_point = std::chrono::time_point<PlatformClock, Duration>;
+  static constexpr bool is_steady = true;
+};
+
+/// A point in time on the platform's clock, in microseconds.
+using PlatformTime = PlatformClock::time_point;
+
 /// Converts microseconds since the start of the clock to a TimePoint.
 inline TimePoint FromMicros(int64_t micros) {
   return TimePoint(Duration(micros));
--- a/src/libnode/fakes/fake_fleet.cc
+++ b/src/libnode/fakes/fake_fleet.cc
@@ -12,6 +12,8 @@
 constexpr Duration kSameDataCentreLatency{200};
 constexpr Duration kOtherDataCentreLatency{1000};
 constexpr Duration kConnectTimeout = std::chrono::seconds(1);
+constexpr PlatformTime kPlatformClockStart =
+    PlatformTime(std::chrono::hours(100));
 constexpr Duration kPlatformTimeout = std::chrono::milliseconds(800);
 constexpr Duration kAnnouncePeriod = std::chrono::milliseconds(500);
 
@@ -472,6 +474,7 @@
     }
   } else if (const auto* watch = std::get_if<TableWatchSettings>(&request)) {
     reply.version = document_version_;
+    reply.clock = kPlatformClockStart + (now_ - TimePoint());
     if (document_version_ > watch->after) reply.bytes = document_;
   } else if (const auto* put = std::get_if<ObjectPut>(&request)) {
     objects_[put->name] = put->bytes;
--- a/src/libnode/fakes/settings_fleet.h
+++ b/src/libnode/fakes/settings_fleet.h
@@ -17,6 +17,7 @@
 #include <utility>
 #include <vector>
 
+#include "amaranthroute/hash.h"
 #include "libnode/settings/settings_store.h"
 
 namespace amaranth::pvt {
@@ -150,11 +151,8 @@
     node.max_version = 0;
     node.heard_peer = false;
     node.store = std::make_unique<SettingsStore>(node.identity);
-    node.store->up_in_data_centre = [this] {
-      std::vector<std::string> names;
-      for (const auto& [other, unused] : nodes_) names.push_back(other);
-      return names;
-    };
+    node.store->rank_in_data_centre = [this, name] { return RankOf(name); };
+    node.store->on_confirmed = [this, name](Context&) { Confirm(name); };
     node.store->peers_consulted = [this, name] {
       return nodes_.size() == 1 || nodes_[name].heard_peer;
     };
@@ -299,6 +297,7 @@
       replied.reply.status = PlatformStatus::kOk;
       replied.reply.version = position_;
       replied.reply.epoch = epoch_;
+      replied.reply.clock = PlatformTime(now_.time_since_epoch());
       const bool is_newer = watch.after < document_position_;
       if (is_newer) replied.reply.bytes = ToText(document);
     }
@@ -386,8 +385,8 @@
       if (other->first == name) continue;
       node.heard_peer = true;
       const uint64_t version = other->second.store->version();
-      const std::optional<Duration> confirmed =
-          other->second.store->TimeSinceConfirmed(now_);
+      const std::optional<PlatformTime> confirmed =
+          other->second.store->confirmed_at();
       RunOnNode(name, [&](SettingsStore& s, Context& context) {
         s.OnVersionSeen(other->first, other->second.identity.peer_address,
                         version, context);
@@ -396,6 +395,32 @@
     }
   }
 
+  DataCentreRank RankOf(const std::string& name) const {
+    std::vector<std::string> names;
+    for (const auto& [other, unused] : nodes_) names.push_back(other);
+    const std::vector<std::string> ranked =
+        RendezvousChoose(names, kSettingsDelegateKey, names.size());
+    const auto found = std::find(ranked.begin(), ranked.end(), name);
+    return {static_cast<size_t>(found - ranked.begin()), ranked.size()};
+  }
+
+  // Sends a node's version and confirmation to all others.
+  void Confirm(const std::string& name) {
+    if (!links_up) return;
+    const SettingsStore& store = *nodes_[name].store;
+    const uint64_t version = store.version();
+    const Endpoint address = nodes_[name].identity.peer_address;
+    const std::optional<PlatformTime> at = store.confirmed_at();
+    if (!at) return;
+    for (const auto& [other, node] : nodes_) {
+      if (other == name) continue;
+      Schedule(node, [=](SettingsStore& s, Context& context) {
+        s.OnVersionSeen(name, address, version, context);
+        s.OnConfirmed(version, *at, context.now);
+      });
+    }
+  }
+
   Duration RandomDelay() {
     return Duration(
         std::uniform_int_distribution<int64_t>(1'000, 60'000)(random_));
--- a/src/libnode/membership/membership.cc
+++ b/src/libnode/membership/membership.cc
@@ -82,9 +82,12 @@
   }
   HandleSettingsVersion(message.from.name, message.settings_version, context);
   OnPlatformEpoch(message.platform_epoch, context);
-  if (message.settings_confirmed && on_settings_confirmed) {
-    on_settings_confirmed(message.settings_version, *message.settings_confirmed,
-                          context);
+  // Times of an earlier epoch may have been shown by another clock.
+  const bool is_current_epoch = message.platform_epoch == platform_epoch_;
+  if (message.settings_confirmed_at && is_current_epoch &&
+      on_settings_confirmed) {
+    on_settings_confirmed(message.settings_version,
+                          *message.settings_confirmed_at, context);
     RelayConfirmation(context);
   }
   switch (message.kind) {
@@ -233,6 +236,7 @@
   MemberRecord self = Self();
   if (self.state == MemberState::kLeft) return;
   self.state = MemberState::kLeft;
+  settings_relays_stale_ = true;
   ChangeSelf(std::move(self), true, context);
   PushUrgent(context);
 }
--- a/src/libnode/membership/membership.h
+++ b/src/libnode/membership/membership.h
@@ -18,6 +18,7 @@
 #include "libnode/membership/membership_updates.h"
 #include "libnode/membership/relay_tree.h"
 #include "libnode/shared/context.h"
+#include "libnode/shared/settings_watchers.h"
 
 namespace amaranth::pvt {
 
@@ -29,12 +30,15 @@
   // every report while this node holds no settings.
   std::function<void(const std::string& peer, uint64_t version, Context&)>
       on_settings_version;
-  // `settings_confirmed` returns how long ago this node's settings were known
-  // to be the newest; it is sent to peers. `on_settings_confirmed` is called
-  // with the same figure received from a peer.
-  std::function<std::optional<Duration>(TimePoint now)> settings_confirmed;
-  std::function<void(uint64_t version, Duration ago, Context&)>
+  // `settings_confirmed_at` returns the latest time, on the platform's clock,
+  // at which this node's settings were known to be the newest; it is sent to
+  // peers. `on_settings_confirmed` is called with the same time received from a
+  // peer.
+  std::function<std::optional<PlatformTime>()> settings_confirmed_at;
+  std::function<void(uint64_t version, PlatformTime at, Context&)>
       on_settings_confirmed;
+  // Called when the platform's epoch rises.
+  std::function<void(uint64_t epoch, Context&)> on_platform_epoch;
 
   void Start(Context& context);
   void OnGossip(const GossipReceived& received, Context& context);
@@ -82,6 +86,15 @@
   // included. All nodes choose the same delegates from them by hash.
   std::vector<std::string> UpInDataCentre() const;
 
+  // Returns this node's rank among them, by which the nodes that watch the
+  // settings for the others are chosen.
+  DataCentreRank SettingsRank() const;
+  // Sends a confirmation of the settings that this node has got from the
+  // platform itself to the others of its data centre.
+  void AnnounceConfirmation(Context& context);
+  // Asks others of this data centre for a newer confirmation.
+  void RequestConfirmation(Context& context);
+
   // Returns when this node learned that the member had died or left; nullopt if
   // it is up or unknown.
   std::optional<TimePoint> DownSince(const std::string& node_name) const;
@@ -209,8 +222,9 @@
 
   // membership_relay.cc: confirmations of the settings in this data centre.
   const RelayTree& SettingsRelays() const;
+  // Sends the latest confirmation to this node's children in the tree, if it is
+  // newer than the last one sent.
   void RelayConfirmation(Context& context);
-  void RequestConfirmation(Context& context);
 
   // membership_sync.cc: anti-entropy by exchange of record buckets.
   void MaybeStartSync(const NodeRef& peer, uint64_t hash, Context& context);
@@ -287,8 +301,8 @@
 
   mutable RelayTree settings_relays_;
   mutable bool settings_relays_stale_ = true;
-  // When the confirmation that was last relayed was made.
-  TimePoint relayed_confirmation_{};
+  mutable size_t settings_rank_ = 0;  // in settings_relays_
+  PlatformTime relayed_confirmation_{};
 };
 
 }  // namespace amaranth::pvt
--- a/src/libnode/membership/membership_dissemination.cc
+++ b/src/libnode/membership/membership_dissemination.cc
@@ -117,8 +117,8 @@
   message.from_address = identity_.gossip_address;
   message.sequence = sequence;
   message.settings_version = settings_version_;
-  if (settings_confirmed) {
-    message.settings_confirmed = settings_confirmed(last_now_);
+  if (settings_confirmed_at) {
+    message.settings_confirmed_at = settings_confirmed_at();
   }
   message.platform_epoch = platform_epoch_;
   message.membership_hash = table_.hash();
@@ -384,6 +384,8 @@
 void Membership::OnPlatformEpoch(uint64_t epoch, Context& context) {
   if (epoch <= platform_epoch_) return;
   platform_epoch_ = epoch;
+  relayed_confirmation_ = PlatformTime();
+  if (on_platform_epoch) on_platform_epoch(epoch, context);
   header_pushes_left_ = kPushRounds;
   next_push_ = std::min(next_push_, context.now);
   if (!peer_row_written_) return;
--- a/src/libnode/membership/membership_limits.h
+++ b/src/libnode/membership/membership_limits.h
@@ -54,14 +54,9 @@
 inline constexpr int kOwnPushRounds = 5;
 
 // Confirmations that the settings in force are the newest are passed on along a
-// tree. A node passes one on if it is this much newer than the last: at a
-// watcher every second period. One that is older than kConfirmationRequestAge
-// is asked for, in time for the answer to arrive before
-// kSettingsConfirmationLifetime ends.
+// tree (settings_watchers.h has the times). A node asks this many others for
+// one that it misses.
 inline constexpr size_t kRelayFanout = 4;
-inline constexpr Duration kMinRelayStep = std::chrono::milliseconds(600);
-inline constexpr Duration kConfirmationRequestAge =
-    std::chrono::milliseconds(1200);
 inline constexpr size_t kConfirmationRequests = 2;
 
 inline constexpr uint64_t kContactPeriods = 2;    // other data centres: 1 s
--- a/src/libnode/membership/membership_probe.cc
+++ b/src/libnode/membership/membership_probe.cc
@@ -28,8 +28,6 @@
   DropExpired(context);
   StartProbe(context);
   PingSuspects(context);
-  RelayConfirmation(context);
-  RequestConfirmation(context);
   if (period_count_ % kContactPeriods == 0) ContactDataCentres(context);
   if (period_count_ % kReconnectPeriods == 0) Reconnect(context);
   PingDepartedMembers(context);
--- a/src/libnode/membership/membership_relay.cc
+++ b/src/libnode/membership/membership_relay.cc
@@ -1,4 +1,4 @@
-// Confirmations of the settings: those nodes of a data centre that watch the
+// Confirmations of the settings: the nodes of a data centre that call the
 // platform know that the settings in force are the newest, and tell all others.
 
 #include <algorithm>
@@ -14,21 +14,27 @@
   if (settings_relays_stale_) {
     settings_relays_ = RelayTree(UpInDataCentre(), kSettingsDelegateKey,
                                  kSettingsWatcherCount, kRelayFanout);
+    settings_rank_ = settings_relays_.RankOf(identity_.node.name);
     settings_relays_stale_ = false;
   }
   return settings_relays_;
 }
 
+DataCentreRank Membership::SettingsRank() const {
+  const size_t nodes = SettingsRelays().size();
+  return {settings_rank_, nodes};
+}
+
 // Confirmations also ride on every datagram, but probes take a number of rounds
 // that grows with the data centre: with 200 nodes they arrive too old, and the
-// nodes that miss them watch the platform themselves.
+// nodes that miss them read the platform themselves.
 void Membership::RelayConfirmation(Context& context) {
-  if (!settings_confirmed) return;
-  const std::optional<Duration> age = settings_confirmed(context.now);
-  if (!age || *age >= kSettingsConfirmationLifetime) return;
-  const TimePoint confirmed = context.now - *age;
-  if (confirmed < relayed_confirmation_ + kMinRelayStep) return;
-  relayed_confirmation_ = confirmed;
+  if (!settings_confirmed_at) return;
+  const std::optional<PlatformTime> confirmed = settings_confirmed_at();
+  if (!confirmed) return;
+  const SettingsWatchTimes times(identity_.rules.settings_bound);
+  if (*confirmed < relayed_confirmation_ + times.RelayStep()) return;
+  relayed_confirmation_ = *confirmed;
   const GossipMessage message = BuildHeader(GossipKind::kAck, 0);
   for (const std::string& child :
        SettingsRelays().ChildrenOf(identity_.node.name)) {
@@ -36,21 +42,36 @@
   }
 }
 
+// The roots of the tree get it from each other. A node further down calls the
+// platform because it has heard nothing from them, so it also sends to their
+// children: the roots may be down.
+void Membership::AnnounceConfirmation(Context& context) {
+  const RelayTree& tree = SettingsRelays();
+  const size_t receivers = settings_rank_ < kSettingsWatcherCount
+                               ? kSettingsWatcherCount
+                               : kSettingsWatcherCount * (1 + kRelayFanout);
+  const bool is_reader =
+      settings_rank_ < kSettingsWatcherCount + kSettingsStandbyCount;
+  if (is_reader) {
+    const GossipMessage message = BuildHeader(GossipKind::kAck, 0);
+    for (const std::string& name : tree.First(receivers)) {
+      if (name == identity_.node.name) continue;
+      context.Emit(SendGossip{Find(name)->gossip_address, message});
+    }
+  }
+  RelayConfirmation(context);
+}
+
 // If a relay above this node is down, its branch is cut off from the tree until
 // it is known to be dead, so a node whose confirmation gets old asks the roots.
 void Membership::RequestConfirmation(Context& context) {
-  if (!settings_confirmed) return;
-  const std::optional<Duration> age = settings_confirmed(context.now);
-  const bool is_due = age && *age >= kConfirmationRequestAge &&
-                      *age < kSettingsConfirmationLifetime;
-  if (!is_due) return;
   std::vector<std::string> roots = SettingsRelays().Roots();
   std::shuffle(roots.begin(), roots.end(), context.random);
   size_t asked = 0;
-  for (const std::string& root : roots) {
-    if (root == identity_.node.name) continue;
+  for (const std::string& name : roots) {
+    if (name == identity_.node.name) continue;
     if (++asked > kConfirmationRequests) return;
-    context.Emit(SendGossip{Find(root)->gossip_address,
+    context.Emit(SendGossip{Find(name)->gossip_address,
                             BuildHeader(GossipKind::kPing, context.NextId())});
   }
 }
--- a/src/libnode/membership/relay_tree.h
+++ b/src/libnode/membership/relay_tree.h
@@ -23,7 +23,12 @@
 
   // Returns at most `fanout` names; none if `name` is not in the forest.
   std::vector<std::string> ChildrenOf(const std::string& name) const;
-  std::vector<std::string> Roots() const;
+  std::vector<std::string> Roots() const { return First(root_count_); }
+  // Returns at most `count` names, in the order of ranks.
+  std::vector<std::string> First(size_t count) const;
+  // Returns size() if `name` is not in the forest.
+  size_t RankOf(const std::string& name) const;
+  size_t size() const { return ranked_.size(); }
 
  private:
   std::vector<std::string> ranked_;
--- a/src/libnode/membership_settings.cmake
+++ b/src/libnode/membership_settings.cmake
@@ -11,11 +11,13 @@
     membership/relay_tree.cc
     settings/settings_definitions.cc
     settings/settings_document.cc
+    settings/settings_freshness.cc
     settings/settings_store.cc
     settings/settings_tree.cc)
 set(AMARANTH_MEMBERSHIP_SETTINGS_TESTS
     membership/membership_property_test.cc
     membership/membership_test.cc
+    settings/settings_freshness_test.cc
     settings/settings_store_test.cc
     membership/relay_tree_test.cc
     membership/settings_relay_test.cc
--- a/src/libnode/node_state.cc
+++ b/src/libnode/node_state.cc
@@ -56,14 +56,23 @@
     if (member == nullptr) return;
     settings.OnVersionSeen(peer, member->peer_address, version, context);
   };
-  membership.settings_confirmed = [this](TimePoint now) {
-    return settings.TimeSinceConfirmed(now);
+  membership.settings_confirmed_at = [this]() {
+    return settings.confirmed_at();
   };
-  membership.on_settings_confirmed = [this](uint64_t version, Duration ago,
+  membership.on_settings_confirmed = [this](uint64_t version, PlatformTime at,
                                             Context& context) {
-    settings.OnConfirmed(version, ago, context.now);
+    settings.OnConfirmed(version, at, context.now);
+  };
+  membership.on_platform_epoch = [this](uint64_t epoch, Context& context) {
+    settings.OnPlatformEpoch(epoch, context);
+  };
+  settings.rank_in_data_centre = [this]() { return membership.SettingsRank(); };
+  settings.on_confirmed = [this](Context& context) {
+    membership.AnnounceConfirmation(context);
+  };
+  settings.on_confirmation_wanted = [this](Context& context) {
+    membership.RequestConfirmation(context);
   };
-  settings.up_in_data_centre = [this]() { return membership.UpInDataCentre(); };
   settings.peers_consulted = [this]() { return membership.peers_consulted(); };
   settings.on_adopted = [this](uint64_t version, Context& context) {
     membership.SetSettingsVersion(version);
--- a/src/libnode/settings/settings_store.cc
+++ b/src/libnode/settings/settings_store.cc
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include "amaranthroute/hash.h"
-#include "libnode/shared/settings_watchers.h"
 
 namespace amaranth::pvt {
 
@@ -23,21 +22,18 @@
 constexpr Duration kMaxPollInterval = std::chrono::seconds(8);
 constexpr Duration kOperationTimeout = std::chrono::seconds(3);
 
-// Delay before a failed watch is restarted, doubled after each further failure
-// up to kMaxWatchRetryDelay. A changed document must be in force within two
-// seconds, but the retries of a whole fleet must not use up the platform's rate
-// limits when it recovers.
+// Time from the start of a failed watch or read to the next, doubled after each
+// further failure up to kMaxWatchRetryDelay. A changed document must be in
+// force soon after the platform has recovered, but the retries of a whole fleet
+// must not use up its rate limits then.
 constexpr Duration kWatchRetryDelay = std::chrono::milliseconds(200);
 constexpr Duration kMaxWatchRetryDelay = std::chrono::milliseconds(1600);
 // A watch that ends sooner than this without a change did not wait; restarting
 // it at once would be a busy loop over the network.
 constexpr Duration kMinWatchDuration = std::chrono::milliseconds(100);
-// How long the platform holds a watch while nothing changes. An answer may be
-// lost on a connection that stays open, so an open watch is no proof that a
-// change would be received. Such a watch is given up kWatchReplyTimeout later:
-// soon enough for a change that the platform acknowledges three seconds after
-// it has recovered to be in force two seconds later.
+// How long the platform holds the watch of a node that is not ready yet.
 constexpr Duration kWatchWait = std::chrono::seconds(2);
+// A watch that is not answered this long after its wait is given up.
 constexpr Duration kWatchReplyTimeout = std::chrono::milliseconds(1500);
 
 constexpr Duration kRequestInterval = std::chrono::milliseconds(300);
@@ -80,7 +76,9 @@
 }  // namespace
 
 SettingsStore::SettingsStore(const NodeIdentity& identity)
-    : identity_(identity), poll_interval_(kPollInterval) {}
+    : identity_(identity),
+      poll_interval_(kPollInterval),
+      times_(identity.rules.settings_bound) {}
 
 void SettingsStore::Start(Context& context) {
   if (!identity_.use_platform) {
@@ -90,7 +88,7 @@
   }
   if (uses_watch()) {
     poll_interval_ = kWatchRetryDelay;
-    StartWatch(context);
+    WatchUntilReady(context);
     return;
   }
   PollHead(context);
@@ -100,7 +98,7 @@
   if (context.now >= op_deadline_) OnPlatformFailure(context);
   if (context.now >= next_poll_) {
     if (uses_watch()) {
-      WatchUnlessConfirmed(context);
+      ReviewWatch(context);
     } else {
       PollHead(context);
     }
@@ -144,46 +142,91 @@
   return true;
 }
 
-bool SettingsStore::IsRankedWithin(size_t count) const {
-  if (!up_in_data_centre) return true;
-  const std::vector<std::string> chosen =
-      RendezvousChoose(up_in_data_centre(), kSettingsDelegateKey, count);
-  return std::find(chosen.begin(), chosen.end(), identity_.node.name) !=
-         chosen.end();
+DataCentreRank SettingsStore::Rank() const {
+  return rank_in_data_centre ? rank_in_data_centre() : DataCentreRank();
 }
 
-bool SettingsStore::IsDelegate() const {
-  return IsRankedWithin(kDelegateCount);
+bool SettingsStore::IsDelegate() const { return Rank().rank < kDelegateCount; }
+
+void SettingsStore::OnConfirmed(uint64_t version, PlatformTime at,
+                                TimePoint now) {
+  if (version > document_.version || document_.version == 0) return;
+  freshness_.OnConfirmed(at, now);
 }
 
-void SettingsStore::OnConfirmed(uint64_t version, Duration ago, TimePoint now) {
-  if (version > document_.version) return;
-  if (!confirmed_at_ || *confirmed_at_ < now - ago) confirmed_at_ = now - ago;
+void SettingsStore::OnPlatformEpoch(uint64_t epoch, Context& context) {
+  if (epoch <= platform_epoch_) return;
+  platform_epoch_ = epoch;
+  freshness_.Forget();
+  if (uses_watch()) next_poll_ = std::min(next_poll_, context.now);
 }
 
-std::optional<Duration> SettingsStore::TimeSinceConfirmed(TimePoint now) const {
-  const bool watching =
-      uses_watch() && op_ && head_known_ && !platform_failing_;
-  if (watching) return Duration(0);
-  if (!confirmed_at_) return std::nullopt;
-  return now - *confirmed_at_;
+void SettingsStore::ReviewWatch(Context& context) {
+  if (!ready_) return WatchUntilReady(context);
+  const DataCentreRank rank = Rank();
+  const Duration read_age = times_.ReadAge(rank.rank);
+  const std::optional<Duration> age = freshness_.Age(context.now);
+  if (!age || *age >= read_age) return ReadDocument(age, context);
+  const TimePoint read_due = context.now + (read_age - *age);
+  next_poll_ = read_due;
+  if (op_) return;
+  if (rank.rank < kSettingsWatcherCount) {
+    if (context.now >= next_attempt_) {
+      return StartWatch(WatchWait(rank, context.now), context);
+    }
+    next_poll_ = std::min(next_attempt_, read_due);
+    return;
+  }
+  // By the time of the next watch the position may belong to an earlier epoch
+  // of the platform, and a watch would report that only when it ends.
+  watch_position_ = 0;
+  const Duration request_age = times_.RequestAge();
+  if (*age < request_age) {
+    next_poll_ = context.now + (request_age - *age);
+    return;
+  }
+  if (on_confirmation_wanted) on_confirmation_wanted(context);
+  next_poll_ = std::min(read_due, context.now + times_.RequestInterval());
 }
 
-bool SettingsStore::RecentlyConfirmed(TimePoint now) const {
-  return ready_ && confirmed_at_ &&
-         now - *confirmed_at_ < kSettingsConfirmationLifetime;
+void SettingsStore::WatchUntilReady(Context& context) {
+  next_poll_ = kNever;
+  if (op_) return;
+  if (context.now < next_attempt_) {
+    next_poll_ = next_attempt_;
+    return;
+  }
+  StartWatch(kWatchWait, context);
 }
 
-void SettingsStore::WatchUnlessConfirmed(Context& context) {
-  if (RecentlyConfirmed(context.now) &&
-      !IsRankedWithin(kSettingsWatcherCount)) {
-    // By the time of the next watch the position may belong to an earlier epoch
-    // of the platform, and a watch would report that only when it ends.
-    watch_position_ = 0;
-    next_poll_ = *confirmed_at_ + kSettingsConfirmationLifetime;
+void SettingsStore::ReadDocument(std::optional<Duration> age,
+                                 Context& context) {
+  next_poll_ = std::max(next_attempt_, context.now);
+  const bool is_reading = op_ && watch_wait_ == Duration(0);
+  if (is_reading) {
+    next_poll_ = kNever;  // until its reply or its deadline
     return;
   }
-  StartWatch(context);
+  if (context.now < next_attempt_) return;
+  context.Log(LogLevel::kInfo, kPart,
+              "reading the settings, last confirmed " +
+                  (age ? std::to_string(ToMillis(*age)) + " ms ago" : "never"));
+  op_.reset();
+  watch_position_ = 0;
+  StartWatch(Duration(0), context);
+}
+
+Duration SettingsStore::WatchWait(const DataCentreRank& rank,
+                                  TimePoint now) const {
+  const size_t watchers = std::min(rank.nodes, kSettingsWatcherCount);
+  const Duration slot = times_.Slot(watchers);
+  const Duration period = slot * static_cast<int64_t>(watchers);
+  const std::optional<PlatformTime> clock = freshness_.ClockAt(now);
+  if (!clock) return period;
+  const Duration end = slot * static_cast<int64_t>(rank.rank);
+  const Duration elapsed = clock->time_since_epoch() % period;
+  const Duration wait = (end - elapsed + period) % period;
+  return wait < times_.ShortestWatch(watchers) ? wait + period : wait;
 }
 
 void SettingsStore::PollHead(Context& context) {
@@ -227,37 +270,30 @@
   Adopt(std::move(document.value()), reply.bytes, context);
 }
 
-void SettingsStore::StartWatch(Context& context) {
-  next_poll_ = kNever;
-  if (op_) return;
+void SettingsStore::StartWatch(Duration wait, Context& context) {
+  if (watch_position_ == 0) wait = Duration(0);
   op_ = context.NextId();
-  op_deadline_ = context.now + kWatchWait + kWatchReplyTimeout;
   watch_started_at_ = context.now;
-  context.Emit(
-      SendPlatform{*op_, TableWatchSettings{watch_position_, kWatchWait}});
+  watch_wait_ = wait;
+  op_deadline_ =
+      context.now + (wait > Duration(0) ? wait + kWatchReplyTimeout
+                                        : times_.ReadTimeout(failures_));
+  context.Emit(SendPlatform{*op_, TableWatchSettings{watch_position_, wait}});
 }
 
 void SettingsStore::OnWatchReply(const PlatformReply& reply, Context& context) {
-  if (Failed(reply)) {
+  const bool is_outdated = reply.epoch != 0 && reply.epoch < platform_epoch_;
+  if (Failed(reply) || is_outdated) {
     OnPlatformFailure(context);
     return;
   }
   NotePlatformSuccess(context);
   poll_interval_ = kWatchRetryDelay;
+  failures_ = 0;
   const bool read_again = IsPositionObsolete(reply);
-  watch_position_ = read_again ? 0 : reply.version;
+  const bool is_readable = TakeDocument(reply, context);
+  watch_position_ = read_again || !is_readable ? 0 : reply.version;
   if (reply.epoch != 0) watch_epoch_ = reply.epoch;
-  if (!reply.bytes.empty()) {
-    Outcome<SettingsDocument> document = ParseDocument(reply.bytes);
-    if (document) {
-      Adopt(std::move(document.value()), reply.bytes, context);
-    } else {
-      context.Log(LogLevel::kError, kPart,
-                  "settings document cannot be parsed, version " +
-                      std::to_string(document_.version) +
-                      " stays in force: " + document.error().message);
-    }
-  }
   // An empty table does not make the node ready, since the operators' first
   // document is still to be written.
   head_known_ = document_.version > 0;
@@ -265,15 +301,41 @@
     context.Log(LogLevel::kWarning, kPart,
                 "the platform came back from a copy, epoch " +
                     std::to_string(reply.epoch) + "; reading the settings");
-    StartWatch(context);
+    StartWatch(Duration(0), context);
     return;
   }
   const bool waited = context.now - watch_started_at_ >= kMinWatchDuration;
-  if (waited || !reply.bytes.empty()) {
-    WatchUnlessConfirmed(context);
-  } else {
-    next_poll_ = context.now + Jittered(poll_interval_, context);
+  if (!is_readable) {
+    next_attempt_ = context.now + Jittered(kMaxWatchRetryDelay, context);
+  } else if (!waited && reply.bytes.empty()) {
+    next_attempt_ = context.now + Jittered(poll_interval_, context);
   }
+  if (is_readable) Confirm(reply, context);
+  ReviewWatch(context);
+}
+
+bool SettingsStore::TakeDocument(const PlatformReply& reply, Context& context) {
+  if (reply.bytes.empty()) return true;
+  Outcome<SettingsDocument> document = ParseDocument(reply.bytes);
+  if (document) {
+    Adopt(std::move(document.value()), reply.bytes, context);
+    return true;
+  }
+  context.Log(LogLevel::kError, kPart,
+              "settings document cannot be parsed, version " +
+                  std::to_string(document_.version) +
+                  " stays in force: " + document.error().message);
+  return false;
+}
+
+void SettingsStore::Confirm(const PlatformReply& reply, Context& context) {
+  // A watch without news was answered at the end of its wait.
+  const TimePoint wait_end = watch_started_at_ + watch_wait_;
+  const bool waited = reply.bytes.empty() && context.now >= wait_end;
+  freshness_.OnPlatformClock(reply.clock, waited ? wait_end : watch_started_at_,
+                             context.now);
+  freshness_.OnConfirmed(reply.clock, context.now);
+  if (on_confirmed) on_confirmed(context);
 }
 
 void SettingsStore::NotePlatformSuccess(Context& context) {
@@ -295,7 +357,10 @@
     // A read from position 0 is answered at once, whereas a watch would take
     // seconds to show that the platform has recovered.
     watch_position_ = 0;
-    next_poll_ = context.now + Jittered(poll_interval_, context);
+    ++failures_;
+    next_attempt_ = std::max(
+        context.now, watch_started_at_ + Jittered(poll_interval_, context));
+    next_poll_ = next_attempt_;
     poll_interval_ = std::min(poll_interval_ * 2, kMaxWatchRetryDelay);
     return;
   }
@@ -422,6 +487,7 @@
 
 void SettingsStore::BecomeReady(Context& context, const char* source) {
   ready_ = true;
+  if (uses_watch()) next_poll_ = std::min(next_poll_, context.now);
   peer_wait_end_ = kNever;
   newer_version_wait_end_ = kNever;
   context.Log(LogLevel::kInfo, kPart,
--- a/src/libnode/settings/settings_store.h
+++ b/src/libnode/settings/settings_store.h
@@ -18,7 +18,9 @@
 #include "amaranthroute/settings.h"
 #include "libnode/settings/settings_change.h"
 #include "libnode/settings/settings_document.h"
+#include "libnode/settings/settings_freshness.h"
 #include "libnode/shared/context.h"
+#include "libnode/shared/settings_watchers.h"
 
 namespace amaranth::pvt {
 
@@ -28,16 +30,20 @@
   SettingsStore(const SettingsStore&) = delete;
   SettingsStore& operator=(const SettingsStore&) = delete;
 
-  // Returns the nodes of this data centre that are up, including this one. The
-  // delegates that poll the platform's head, and the watchers, are chosen from
-  // them by hash.
-  std::function<std::vector<std::string>()> up_in_data_centre;
+  // Returns the rank of this node among the nodes of its data centre that are
+  // up. The delegates that poll the platform's head, and the watchers, are the
+  // first of them.
+  std::function<DataCentreRank()> rank_in_data_centre;
   // Returns whether a peer has reported its version, or there is no peer to do
   // so. Until then a node that starts waits briefly before it becomes ready
   // with the platform's version: the platform may have come back from a copy.
   std::function<bool()> peers_consulted;
   // Called after a new version has come into force.
   std::function<void(uint64_t version, Context&)> on_adopted;
+  // Called after the platform itself has confirmed this node's settings.
+  std::function<void(Context&)> on_confirmed;
+  // Called when the last confirmation is old enough to ask other nodes.
+  std::function<void(Context&)> on_confirmation_wanted;
 
   void Start(Context& context);
   void OnTimer(Context& context);
@@ -55,12 +61,17 @@
   void OnVersionSeen(const std::string& peer, const Endpoint& address,
                      uint64_t version, Context& context);
 
-  // Used where nodes watch the platform: records a peer's report that `ago`
-  // before now the platform was known to hold nothing newer than `version`.
-  void OnConfirmed(uint64_t version, Duration ago, TimePoint now);
-  // Returns how long ago this node knew that the platform held nothing newer
-  // than version(); empty if it never did.
-  std::optional<Duration> TimeSinceConfirmed(TimePoint now) const;
+  // Used where nodes watch the platform: records a peer's report that the
+  // platform held nothing newer than `version` when its clock showed `at`.
+  void OnConfirmed(uint64_t version, PlatformTime at, TimePoint now);
+  // Returns the latest moment at which the platform is known to have held
+  // nothing newer than version(); nullopt if none is known.
+  std::optional<PlatformTime> confirmed_at() const {
+    return freshness_.confirmed_at();
+  }
+  // Records a higher epoch of the platform, as PlatformReply::epoch.
+  // Confirmations of an earlier one say nothing about it.
+  void OnPlatformEpoch(uint64_t epoch, Context& context);
 
   // Queues an operator's change. It is answered exactly once, possibly later,
   // by AnswerCaller with a JSON body.
@@ -85,17 +96,24 @@
     bool requested = false;
   };
 
-  // True if this node is among the `count` nodes of its data centre that rank
-  // first by rendezvous hashing.
-  bool IsRankedWithin(size_t count) const;
+  DataCentreRank Rank() const;
   bool IsDelegate() const;
   void PollHead(Context& context);
-  void StartWatch(Context& context);
-  // Starts a watch, unless this node is not a watcher and a recent confirmation
-  // shows that the watchers are working.
-  void WatchUnlessConfirmed(Context& context);
-  bool RecentlyConfirmed(TimePoint now) const;
+  // Decides whether this node reads or watches the platform now, and sets the
+  // time of the next decision.
+  void ReviewWatch(Context& context);
+  void WatchUntilReady(Context& context);
+  // Reads the document, in place of an open watch, unless a read is under way.
+  void ReadDocument(std::optional<Duration> age, Context& context);
+  // Watches from the last position for `wait`; reads if there is none.
+  void StartWatch(Duration wait, Context& context);
+  // Returns how long this watcher's next watch is to wait: until its slot on
+  // the platform's clock, so that the watchers' replies are spread over time.
+  Duration WatchWait(const DataCentreRank& rank, TimePoint now) const;
   void OnWatchReply(const PlatformReply& reply, Context& context);
+  // Returns false if the reply has a document that cannot be read.
+  bool TakeDocument(const PlatformReply& reply, Context& context);
+  void Confirm(const PlatformReply& reply, Context& context);
   // Returns whether the position of the last watch belongs to another epoch of
   // the platform than its reply, so that changes may have been skipped.
   bool IsPositionObsolete(const PlatformReply& reply) const {
@@ -125,7 +143,10 @@
   bool ready_ = false;
 
   TimePoint next_poll_ = kNever;
+  // With a watch: earliest time of the next call.
+  TimePoint next_attempt_{};
   Duration poll_interval_{0};
+  int failures_ = 0;                // of watches and reads, in a row
   std::optional<PlatformOpId> op_;  // reads the head or a snapshot, or watches
   bool op_reads_object_ = false;
   TimePoint op_deadline_ = kNever;
@@ -138,8 +159,10 @@
   uint64_t watch_position_ = 0;
   uint64_t watch_epoch_ = 0;
   TimePoint watch_started_at_{};
-  // Latest time of a confirmation that peers reported.
-  std::optional<TimePoint> confirmed_at_;
+  Duration watch_wait_{0};       // 0 for a read
+  uint64_t platform_epoch_ = 0;  // highest known
+  SettingsWatchTimes times_;
+  SettingsFreshness freshness_;
   SettingsHead head_;
 
   // Peers with a newer version; while this node is not ready, and does not
--- a/src/libreplay/event_json.cc
+++ b/src/libreplay/event_json.cc
@@ -93,7 +93,8 @@
           {"version", reply.version},
           {"bytes", EncodeBase64(reply.bytes)},
           {"peers", reply.peers},
-          {"epoch", reply.epoch}};
+          {"epoch", reply.epoch},
+          {"clock_us", reply.clock.time_since_epoch().count()}};
 }
 
 PlatformReply PlatformReplyFromJson(const Json& json) {
@@ -104,6 +105,7 @@
   reply.bytes = BytesFromJson(json.at("bytes"));
   reply.peers = json.at("peers").get<std::vector<std::string>>();
   reply.epoch = json.value("epoch", uint64_t{0});
+  reply.clock = PlatformTime(Duration(json.value("clock_us", int64_t{0})));
   return reply;
 }
 
--- a/src/libutil/duration_text.cc
+++ b/src/libutil/duration_text.cc
@@ -6,15 +6,13 @@
 namespace amaranth::pvt {
 namespace {
 
-constexpr double kMaxSeconds = 86'400;
-
 Error Invalid(std::string_view text, const char* problem) {
   return {ErrorCode::kInvalid, "'" + std::string(text) + "' " + problem};
 }
 
 }  // namespace
 
-Outcome<Duration> ParseDuration(std::string_view text) {
+Outcome<Duration> ParseDuration(std::string_view text, Duration max) {
   double number = 0;
   const char* end = text.data() + text.size();
   const std::from_chars_result read = std::from_chars(text.data(), end, number);
@@ -23,7 +21,8 @@
     return Invalid(text, "is not a duration");
   }
   const double seconds = unit == "s" ? number : number / 1000;
-  if (!(seconds >= 0 && seconds <= kMaxSeconds)) {
+  const double max_seconds = std::chrono::duration<double>(max).count();
+  if (!(seconds >= 0 && seconds <= max_seconds)) {
     return Invalid(text, "is out of range");
   }
   return std::chrono::duration_cast<Duration>(
--- a/src/libutil/duration_text.h
+++ b/src/libutil/duration_text.h
@@ -10,9 +10,10 @@
 
 namespace amaranth::pvt {
 
-// Parses a number with the unit ms or s, such as "1500ms" or "2.5s", up to one
-// day. Errors: kInvalid.
-Outcome<Duration> ParseDuration(std::string_view text);
+// Parses a number with the unit ms or s, such as "1500ms" or "2.5s", up to
+// `max`. Errors: kInvalid.
+Outcome<Duration> ParseDuration(std::string_view text,
+                                Duration max = std::chrono::hours(24));
 
 }  // namespace amaranth::pvt
 
--- a/src/libutil/fields.h
+++ b/src/libutil/fields.h
@@ -109,7 +109,7 @@
 
 inline auto Fields(const GossipMessage& v) {
   return std::tie(v.kind, v.from, v.from_address, v.sequence, v.target,
-                  v.target_address, v.settings_version, v.settings_confirmed,
+                  v.target_address, v.settings_version, v.settings_confirmed_at,
                   v.platform_epoch, v.membership_hash, v.updates,
                   v.quarantines);
 }
@@ -139,7 +139,8 @@
 inline auto Fields(const ObjectGet& v) { return std::tie(v.name); }
 
 inline auto Fields(const PlatformReply& v) {
-  return std::tie(v.status, v.holders, v.version, v.bytes, v.peers, v.epoch);
+  return std::tie(v.status, v.holders, v.version, v.bytes, v.peers, v.epoch,
+                  v.clock);
 }
 
 inline auto Fields(const TableClaimRows::Row& v) {
--- a/src/libutil/print.h
+++ b/src/libutil/print.h
@@ -22,6 +22,9 @@
 inline void Print(std::ostream& out, TimePoint t) {
   out << ToMicros(t) << "us";
 }
+inline void Print(std::ostream& out, PlatformTime t) {
+  out << t.time_since_epoch().count() << "us";
+}
 inline void Print(std::ostream& out, Duration d) { out << d.count() << "us"; }
 inline void Print(std::ostream& out, double value) { out << value; }
 
--- a/src/libwire/amaranth.thrift
+++ b/src/libwire/amaranth.thrift
@@ -245,6 +245,7 @@
   8: required i64 membership_hash,
   9: required list<MemberRecord> updates,
   10: required list<QuarantineRecord> quarantines,
-  11: optional i64 settings_confirmed_us,
-  12: optional i64 platform_epoch
+  // 11 was the age of the confirmation, which is not comparable between nodes.
+  12: optional i64 platform_epoch,
+  13: optional i64 settings_confirmed_at_us  // on the platform's clock
 }
--- a/src/libwire/from_wire.cc
+++ b/src/libwire/from_wire.cc
@@ -258,9 +258,9 @@
   FromWire(in.target_address, out.target_address, check);
   out.settings_version = Unsigned(in.settings_version);
   out.membership_hash = Unsigned(in.membership_hash);
-  if (in.__isset.settings_confirmed_us) {
-    out.settings_confirmed =
-        check.ToDuration(in.settings_confirmed_us, "settings_confirmed_us");
+  if (in.__isset.settings_confirmed_at_us) {
+    out.settings_confirmed_at = PlatformTime(Duration(check.Narrow<int64_t>(
+        in.settings_confirmed_at_us, "settings_confirmed_at_us")));
   }
   if (in.__isset.platform_epoch) {
     out.platform_epoch = Unsigned(in.platform_epoch);
--- a/src/libwire/gen-cpp/amaranth_types.cpp
+++ b/src/libwire/gen-cpp/amaranth_types.cpp
@@ -5431,15 +5431,15 @@
   this->quarantines = val;
 }
 
-void Gossip::__set_settings_confirmed_us(const int64_t val) {
-  this->settings_confirmed_us = val;
-__isset.settings_confirmed_us = true;
-}
-
 void Gossip::__set_platform_epoch(const int64_t val) {
   this->platform_epoch = val;
 __isset.platform_epoch = true;
 }
+
+void Gossip::__set_settings_confirmed_at_us(const int64_t val) {
+  this->settings_confirmed_at_us = val;
+__isset.settings_confirmed_at_us = true;
+}
 std::ostream& operator<<(std::ostream& out, const Gossip& obj)
 {
   obj.printTo(out);
@@ -5582,18 +5582,18 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 11:
+      case 12:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->settings_confirmed_us);
-          this->__isset.settings_confirmed_us = true;
+          xfer += iprot->readI64(this->platform_epoch);
+          this->__isset.platform_epoch = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 12:
+      case 13:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->platform_epoch);
-          this->__isset.platform_epoch = true;
+          xfer += iprot->readI64(this->settings_confirmed_at_us);
+          this->__isset.settings_confirmed_at_us = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -5691,16 +5691,16 @@
   }
   xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.settings_confirmed_us) {
-    xfer += oprot->writeFieldBegin("settings_confirmed_us", ::apache::thrift::protocol::T_I64, 11);
-    xfer += oprot->writeI64(this->settings_confirmed_us);
-    xfer += oprot->writeFieldEnd();
-  }
   if (this->__isset.platform_epoch) {
     xfer += oprot->writeFieldBegin("platform_epoch", ::apache::thrift::protocol::T_I64, 12);
     xfer += oprot->writeI64(this->platform_epoch);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.settings_confirmed_at_us) {
+    xfer += oprot->writeFieldBegin("settings_confirmed_at_us", ::apache::thrift::protocol::T_I64, 13);
+    xfer += oprot->writeI64(this->settings_confirmed_at_us);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5718,8 +5718,8 @@
   swap(a.membership_hash, b.membership_hash);
   swap(a.updates, b.updates);
   swap(a.quarantines, b.quarantines);
-  swap(a.settings_confirmed_us, b.settings_confirmed_us);
   swap(a.platform_epoch, b.platform_epoch);
+  swap(a.settings_confirmed_at_us, b.settings_confirmed_at_us);
   swap(a.__isset, b.__isset);
 }
 
@@ -5734,8 +5734,8 @@
   membership_hash = other176.membership_hash;
   updates = other176.updates;
   quarantines = other176.quarantines;
-  settings_confirmed_us = other176.settings_confirmed_us;
   platform_epoch = other176.platform_epoch;
+  settings_confirmed_at_us = other176.settings_confirmed_at_us;
   __isset = other176.__isset;
 }
 Gossip::Gossip(Gossip&& other177) noexcept {
@@ -5749,8 +5749,8 @@
   membership_hash = other177.membership_hash;
   updates = std::move(other177.updates);
   quarantines = std::move(other177.quarantines);
-  settings_confirmed_us = other177.settings_confirmed_us;
   platform_epoch = other177.platform_epoch;
+  settings_confirmed_at_us = other177.settings_confirmed_at_us;
   __isset = other177.__isset;
 }
 Gossip& Gossip::operator=(const Gossip& other178) {
@@ -5764,8 +5764,8 @@
   membership_hash = other178.membership_hash;
   updates = other178.updates;
   quarantines = other178.quarantines;
-  settings_confirmed_us = other178.settings_confirmed_us;
   platform_epoch = other178.platform_epoch;
+  settings_confirmed_at_us = other178.settings_confirmed_at_us;
   __isset = other178.__isset;
   return *this;
 }
@@ -5780,8 +5780,8 @@
   membership_hash = other179.membership_hash;
   updates = std::move(other179.updates);
   quarantines = std::move(other179.quarantines);
-  settings_confirmed_us = other179.settings_confirmed_us;
   platform_epoch = other179.platform_epoch;
+  settings_confirmed_at_us = other179.settings_confirmed_at_us;
   __isset = other179.__isset;
   return *this;
 }
@@ -5798,8 +5798,8 @@
   out << ", " << "membership_hash=" << to_string(membership_hash);
   out << ", " << "updates=" << to_string(updates);
   out << ", " << "quarantines=" << to_string(quarantines);
-  out << ", " << "settings_confirmed_us="; (__isset.settings_confirmed_us ? (out << to_string(settings_confirmed_us)) : (out << "<null>"));
   out << ", " << "platform_epoch="; (__isset.platform_epoch ? (out << to_string(platform_epoch)) : (out << "<null>"));
+  out << ", " << "settings_confirmed_at_us="; (__isset.settings_confirmed_at_us ? (out << to_string(settings_confirmed_at_us)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libwire/gen-cpp/amaranth_types.h
+++ b/src/libwire/gen-cpp/amaranth_types.h
@@ -1827,9 +1827,9 @@
 std::ostream& operator<<(std::ostream& out, const MemberSync& obj);
 
 typedef struct _Gossip__isset {
-  _Gossip__isset() : settings_confirmed_us(false), platform_epoch(false) {}
-  bool settings_confirmed_us :1;
+  _Gossip__isset() : platform_epoch(false), settings_confirmed_at_us(false) {}
   bool platform_epoch :1;
+  bool settings_confirmed_at_us :1;
 } _Gossip__isset;
 
 class Gossip : public virtual ::apache::thrift::TBase {
@@ -1845,8 +1845,8 @@
            target(),
            settings_version(0),
            membership_hash(0),
-           settings_confirmed_us(0),
-           platform_epoch(0) {
+           platform_epoch(0),
+           settings_confirmed_at_us(0) {
   }
 
   virtual ~Gossip() noexcept;
@@ -1860,8 +1860,8 @@
   int64_t membership_hash;
   std::vector<MemberRecord>  updates;
   std::vector<QuarantineRecord>  quarantines;
-  int64_t settings_confirmed_us;
   int64_t platform_epoch;
+  int64_t settings_confirmed_at_us;
 
   _Gossip__isset __isset;
 
@@ -1885,10 +1885,10 @@
 
   void __set_quarantines(const std::vector<QuarantineRecord> & val);
 
-  void __set_settings_confirmed_us(const int64_t val);
-
   void __set_platform_epoch(const int64_t val);
 
+  void __set_settings_confirmed_at_us(const int64_t val);
+
   bool operator == (const Gossip & rhs) const
   {
     if (!(kind == rhs.kind))
@@ -1911,14 +1911,14 @@
       return false;
     if (!(quarantines == rhs.quarantines))
       return false;
-    if (__isset.settings_confirmed_us != rhs.__isset.settings_confirmed_us)
-      return false;
-    else if (__isset.settings_confirmed_us && !(settings_confirmed_us == rhs.settings_confirmed_us))
-      return false;
     if (__isset.platform_epoch != rhs.__isset.platform_epoch)
       return false;
     else if (__isset.platform_epoch && !(platform_epoch == rhs.platform_epoch))
       return false;
+    if (__isset.settings_confirmed_at_us != rhs.__isset.settings_confirmed_at_us)
+      return false;
+    else if (__isset.settings_confirmed_at_us && !(settings_confirmed_at_us == rhs.settings_confirmed_at_us))
+      return false;
     return true;
   }
   bool operator != (const Gossip &rhs) const {
--- a/src/libwire/to_wire.cc
+++ b/src/libwire/to_wire.cc
@@ -277,8 +277,9 @@
   ToWire(in.target_address, out.target_address);
   out.settings_version = Signed(in.settings_version);
   out.membership_hash = Signed(in.membership_hash);
-  if (in.settings_confirmed) {
-    out.__set_settings_confirmed_us(ClampedMicros(*in.settings_confirmed));
+  if (in.settings_confirmed_at) {
+    out.__set_settings_confirmed_at_us(
+        in.settings_confirmed_at->time_since_epoch().count());
   }
   if (in.platform_epoch > 0) {
     out.__set_platform_epoch(Signed(in.platform_epoch));
--- a/testsuite/lib/users_platform.py
+++ b/testsuite/lib/users_platform.py
@@ -4,6 +4,7 @@
 """
 
 import base64
+import collections
 import http.client
 import http.server
 import json
@@ -66,17 +67,24 @@
         self._rows = {}
         self._version = 1
         self._lost_watches = 0
+        self._started = time.monotonic()
+        self._silent_to = set()
+        self.watches = collections.Counter()  # by name of the address
+        self.address = self.address_for("")
+
+    def address_for(self, name):
+        """Opens an address of its own, whose calls are counted under `name`
+        and can be silenced."""
         store = self
 
         class Handler(_Handler):
             def do_GET(self):
-                store.read(self)
+                store.read(self, name)
 
             def do_POST(self):
                 store.write(self)
 
-        self.server = _Server(Handler)
-        self.address = self.server.address
+        return _Server(Handler).address
 
     def put(self, table, key, value):
         with self._changed:
@@ -97,13 +105,17 @@
                  "ver": version}
                 for (of, key), (value, version) in sorted(self._rows.items())
                 if of == table and version > after]
-        return {"rows": rows, "ver": self._version, "now": "1ms",
+        return {"rows": rows, "ver": self._version, "now": self._now(),
                 "hasMore": False}
 
+    def _now(self):
+        return f"{int((time.monotonic() - self._started) * 1000)}ms"
+
     def _headers(self):
         return [("Store-Era", str(self.era))]
 
-    def read(self, call):
+    def read(self, call, name=""):
+        self._keep_silent(name)
         if self.unavailable:
             return call.answer(503, headers=self._headers())
         path, _, text = call.path.partition("?")
@@ -112,12 +124,21 @@
         table = query["table"]
         wait = int(query.get("waitMs", 0)) / 1000
         if path.endswith("rows-feed"):
-            return self._feed(call, table, after, wait)
+            self.watches[name] += 1
+            return self._feed(call, name, table, after, wait)
         with self._changed:
             reply = self._rows_after(table, 0)
         return call.answer_json(200, reply, self._headers())
 
-    def _feed(self, call, table, after, wait):
+    def _keep_silent(self, name):
+        if name in self._silent_to:
+            threading.Event().wait(LOST_ANSWER_SECONDS)
+
+    def silence(self, names):
+        """Answers no call, and no open watch, at the addresses of `names`."""
+        self._silent_to = set(names)
+
+    def _feed(self, call, name, table, after, wait):
         with self._changed:
             if after > self._version:
                 return call.answer(410, headers=self._headers())
@@ -129,6 +150,7 @@
                 wait)
             restored, was_lost = self.era != era, self._lost_watches != lost
             reply = self._rows_after(table, after)
+        self._keep_silent(name)
         if was_lost:
             threading.Event().wait(LOST_ANSWER_SECONDS)
         if restored or was_lost:
@@ -145,7 +167,7 @@
         for row in body["upserts"]:
             self.put(row["table"], row["key"], row["value"])
         self.writes += 1
-        return call.answer_json(200, {"ver": self._version, "now": "1ms"},
+        return call.answer_json(200, {"ver": self._version, "now": self._now()},
                                 self._headers())
 
     def keys(self, table):
@@ -321,11 +343,11 @@
         "--retry-window", f"{RETRY_WINDOW_SECONDS}s", "--log-format", "json"]
 
 
-def start_node(run, name, store, service, extra_flags=()):
+def start_node(run, name, store, service, extra_flags=(), address=None):
     """Starts a node on the users' platform. It becomes ready once it has read
     the configuration from the store."""
     return fleet.Process(run, name, "src/amaranthd/amaranthd",
-                         [*node_flags(name, store.address, service),
+                         [*node_flags(name, address or store.address, service),
                           *extra_flags])
 
 
