Settings: a document that cannot be decoded is no confirmation

What callers would see: a configuration that this build refuses by mistake, or a row that cannot be decoded, stays unseen until the next change. Cause: the adapter answered it like an unchanged document, and skipped a malformed row without a log line, so the node took silence for the newest settings and moved its position on. Same class as the late changes; not known to have occurred.

The reply says now that its document is invalid.

--- a/src/include/amaranthroute/platform.h
+++ b/src/include/amaranthroute/platform.h
@@ -115,6 +115,9 @@
   uint64_t epoch = 0;
   /// TableWatchSettings: what the platform's clock showed when it answered.
   PlatformTime clock{};
+  /// TableWatchSettings: there is a newer settings document, but it cannot be
+  /// decoded, so `bytes` is empty.
+  bool is_document_invalid = false;
 };
 
 bool operator==(const TableClaimRows& a, const TableClaimRows& b);
--- a/src/libnode/fakes/settings_fleet.h
+++ b/src/libnode/fakes/settings_fleet.h
@@ -107,6 +107,7 @@
   void WriteDocument(uint64_t version) {
     document_version = version;
     document_position_ = ++position_;
+    document_invalid_ = false;
     std::vector<Watch> waiting;
     for (const Watch& watch : std::exchange(open_watches_, {})) {
       if (watch.after < document_position_) {
@@ -134,6 +135,18 @@
   // get neither an answer nor an error.
   void LoseOpenWatches() { open_watches_.clear(); }
 
+  // Replaces the document by one that cannot be decoded, until the next
+  // WriteDocument.
+  void InvalidateDocument() {
+    document_position_ = ++position_;
+    document_invalid_ = true;
+  }
+
+  // Garbles the document in the answers of all open watches.
+  void GarbleOpenWatches() {
+    for (Watch& watch : open_watches_) watch.garbled = true;
+  }
+
   void Kill(const std::string& name) { nodes_.erase(name); }
 
   void Add(const std::string& name) {
@@ -233,6 +246,7 @@
     uint64_t incarnation = 0;
     PlatformOpId op = 0;
     uint64_t after = 0;
+    bool garbled = false;
   };
   struct Pending {
     TimePoint at;
@@ -299,7 +313,11 @@
       replied.reply.epoch = epoch_;
       replied.reply.clock = PlatformTime(now_.time_since_epoch());
       const bool is_newer = watch.after < document_position_;
-      if (is_newer) replied.reply.bytes = ToText(document);
+      replied.reply.is_document_invalid = is_newer && document_invalid_;
+      if (is_newer && !document_invalid_) {
+        replied.reply.bytes = ToText(document);
+      }
+      if (is_newer && watch.garbled) replied.reply.bytes.resize(1);
     }
     Schedule(found->second, [replied](SettingsStore& s, Context& context) {
       s.OnPlatformReplied(replied, context);
@@ -437,6 +455,7 @@
   uint64_t position_ = 1;
   uint64_t document_position_ = 1;
   uint64_t epoch_ = 1;
+  bool document_invalid_ = false;
 };
 
 }  // namespace amaranth::pvt
--- a/src/libnode/settings/settings_store.cc
+++ b/src/libnode/settings/settings_store.cc
@@ -314,6 +314,7 @@
 }
 
 bool SettingsStore::TakeDocument(const PlatformReply& reply, Context& context) {
+  if (reply.is_document_invalid) return false;
   if (reply.bytes.empty()) return true;
   Outcome<SettingsDocument> document = ParseDocument(reply.bytes);
   if (document) {
--- a/src/libnode/settings/settings_store_test.cc
+++ b/src/libnode/settings/settings_store_test.cc
@@ -172,6 +172,26 @@
   }
 }
 
+// Guards against a change that stays unseen until the next one because the
+// document in the answers could not be read.
+TEST(WatchedSettings, AChangeThatCouldNotBeReadIsReadAgain) {
+  StartFleet();
+  fleet.GarbleOpenWatches();
+  fleet.WriteDocument(2);
+  CHECK(InForceWithin(2, kChangeBound));
+}
+
+// The same for a document that the deployment's adapter cannot decode.
+TEST(WatchedSettings, AnInvalidDocumentIsNoConfirmation) {
+  StartFleet(1);
+  const PlatformTime confirmed = *fleet.at("n0").confirmed_at();
+  fleet.InvalidateDocument();
+  fleet.RunFor(seconds(5));
+  CHECK(*fleet.at("n0").confirmed_at() < confirmed + milliseconds(1500));
+  fleet.WriteDocument(2);
+  CHECK(InForceWithin(2, kChangeBound));
+}
+
 // Guards against a change that is skipped because a watch was open while the
 // platform came back from a copy: its position is above that of the change.
 TEST(WatchedSettings, ChangeAfterARestoreIsNotSkippedByAnOpenWatch) {
--- a/src/libreplay/event_json.cc
+++ b/src/libreplay/event_json.cc
@@ -94,7 +94,8 @@
           {"bytes", EncodeBase64(reply.bytes)},
           {"peers", reply.peers},
           {"epoch", reply.epoch},
-          {"clock_us", reply.clock.time_since_epoch().count()}};
+          {"clock_us", reply.clock.time_since_epoch().count()},
+          {"document_invalid", reply.is_document_invalid}};
 }
 
 PlatformReply PlatformReplyFromJson(const Json& json) {
@@ -106,6 +107,7 @@
   reply.peers = json.at("peers").get<std::vector<std::string>>();
   reply.epoch = json.value("epoch", uint64_t{0});
   reply.clock = PlatformTime(Duration(json.value("clock_us", int64_t{0})));
+  reply.is_document_invalid = json.value("document_invalid", false);
   return reply;
 }
 
--- a/src/libutil/fields.h
+++ b/src/libutil/fields.h
@@ -140,7 +140,7 @@
 
 inline auto Fields(const PlatformReply& v) {
   return std::tie(v.status, v.holders, v.version, v.bytes, v.peers, v.epoch,
-                  v.clock);
+                  v.clock, v.is_document_invalid);
 }
 
 inline auto Fields(const TableClaimRows::Row& v) {
