Settings: logs name the source of a version and the age of its confirmation

The line of a version said nothing of where it came from, so a change that a watcher missed looked like one that reached the node late. It names the source and how long ago the node's settings were last confirmed; reads are counted apart from watches.

--- a/src/libnode/node_state.cc
+++ b/src/libnode/node_state.cc
@@ -12,8 +12,9 @@
 constexpr std::string_view kTicketPath = "/amaranth/v1/ticket";
 
 std::string_view KindLabel(const PlatformRequest& request) {
-  if (std::holds_alternative<TableWatchSettings>(request)) {
-    return "kind=\"watch-settings\"";
+  if (const auto* watch = std::get_if<TableWatchSettings>(&request)) {
+    return watch->after == 0 ? "kind=\"read-settings\""
+                             : "kind=\"watch-settings\"";
   }
   if (std::holds_alternative<TableReadHead>(request)) {
     return "kind=\"read-head\"";
--- a/src/libnode/settings/settings_store.cc
+++ b/src/libnode/settings/settings_store.cc
@@ -54,6 +54,10 @@
          reply.status == PlatformStatus::kUnknown;
 }
 
+std::string DescribeAge(std::optional<Duration> age) {
+  return age ? std::to_string(ToMillis(*age)) + " ms ago" : "never";
+}
+
 // Returns a random duration between 0.9 and 1.1 of `interval`, so that nodes do
 // not poll in lockstep.
 Duration Jittered(Duration interval, Context& context) {
@@ -208,8 +212,7 @@
   }
   if (context.now < next_attempt_) return;
   context.Log(LogLevel::kInfo, kPart,
-              "reading the settings, last confirmed " +
-                  (age ? std::to_string(ToMillis(*age)) + " ms ago" : "never"));
+              "reading the settings, last confirmed " + DescribeAge(age));
   op_.reset();
   watch_position_ = 0;
   StartWatch(Duration(0), context);
@@ -266,7 +269,7 @@
                 "settings snapshot " + head_.object + " cannot be parsed");
     return;
   }
-  Adopt(std::move(document.value()), reply.bytes, context);
+  Adopt(std::move(document.value()), reply.bytes, "the platform", context);
 }
 
 void SettingsStore::StartWatch(Duration wait, Context& context) {
@@ -318,7 +321,7 @@
   if (reply.bytes.empty()) return true;
   Outcome<SettingsDocument> document = ParseDocument(reply.bytes);
   if (document) {
-    Adopt(std::move(document.value()), reply.bytes, context);
+    Adopt(std::move(document.value()), reply.bytes, "the platform", context);
     return true;
   }
   context.Log(LogLevel::kError, kPart,
@@ -392,7 +395,7 @@
   if (!document || document.value().version != snapshot.version) return;
   if (!ready_) StartPeerWait(context.now);
   if (snapshot.version > document_.version) {
-    Adopt(std::move(document.value()), snapshot.text, context);
+    Adopt(std::move(document.value()), snapshot.text, "a peer", context);
   }
 }
 
@@ -447,7 +450,7 @@
 }
 
 void SettingsStore::Adopt(SettingsDocument document, std::string text,
-                          Context& context) {
+                          const char* source, Context& context) {
   if (document.version <= document_.version) return;
   document_ = std::move(document);
   text_ = std::move(text);
@@ -455,8 +458,13 @@
     const bool still_ahead = peer->second.version > document_.version;
     peer = still_ahead ? std::next(peer) : peers_.erase(peer);
   }
+  const std::string confirmed =
+      uses_watch()
+          ? ", last confirmed " + DescribeAge(freshness_.Age(context.now))
+          : "";
   context.Log(LogLevel::kInfo, kPart,
-              "version " + std::to_string(document_.version) + " in force");
+              "version " + std::to_string(document_.version) +
+                  " in force, from " + source + confirmed);
   if (on_adopted) on_adopted(document_.version, context);
   if (!ready_) UpdateReadiness(context);
 }
@@ -525,7 +533,8 @@
     running_change_->on_accepted = [this](SettingsDocument document,
                                           std::string text,
                                           Context& accepted_context) {
-      Adopt(std::move(document), std::move(text), accepted_context);
+      Adopt(std::move(document), std::move(text), "a change made here",
+            accepted_context);
     };
     running_change_->Start(context);
     if (running_change_->finished()) running_change_.reset();
--- a/src/libnode/settings/settings_store.h
+++ b/src/libnode/settings/settings_store.h
@@ -129,7 +129,9 @@
   void OnPlatformFailure(Context& context);
   void RequestSnapshots(Context& context);
   uint64_t HighestVersionSeen() const;
-  void Adopt(SettingsDocument document, std::string text, Context& context);
+  // `source` says for the log where the document comes from.
+  void Adopt(SettingsDocument document, std::string text, const char* source,
+             Context& context);
   void UpdateReadiness(Context& context);
   // Starts the wait for peers' versions at a start, unless it has begun.
   void StartPeerWait(TimePoint now);
