Settings: a watcher without answers retries once a round while others confirm

It is needed by nobody while confirmations of the other watchers arrive, so it waits for its next slot then. When they stay away its age makes it read as before.

--- a/src/libnode/settings/settings_store.cc
+++ b/src/libnode/settings/settings_store.cc
@@ -175,10 +175,16 @@
   next_poll_ = read_due;
   if (op_) return;
   if (rank.rank < kSettingsWatcherCount) {
-    if (context.now >= next_attempt_) {
+    // While the other watchers confirm, one that gets no answers tries again
+    // when its next slot ends.
+    const TimePoint watch_due =
+        failures_ == 0
+            ? next_attempt_
+            : std::max(next_attempt_, watch_started_at_ + WatchPeriod(rank));
+    if (context.now >= watch_due) {
       return StartWatch(WatchWait(rank, context.now), context);
     }
-    next_poll_ = std::min(next_attempt_, read_due);
+    next_poll_ = std::min(watch_due, read_due);
     return;
   }
   // By the time of the next watch the position may belong to an earlier epoch
@@ -218,11 +224,15 @@
   StartWatch(Duration(0), context);
 }
 
+Duration SettingsStore::WatchPeriod(const DataCentreRank& rank) const {
+  const size_t watchers = std::min(rank.nodes, kSettingsWatcherCount);
+  return times_.Slot() * static_cast<int64_t>(watchers);
+}
+
 Duration SettingsStore::WatchWait(const DataCentreRank& rank,
                                   TimePoint now) const {
-  const size_t watchers = std::min(rank.nodes, kSettingsWatcherCount);
   const Duration slot = times_.Slot();
-  const Duration period = slot * static_cast<int64_t>(watchers);
+  const Duration period = WatchPeriod(rank);
   const std::optional<PlatformTime> clock = freshness_.ClockAt(now);
   if (!clock) return period;
   const Duration end = slot * static_cast<int64_t>(rank.rank);
--- a/src/libnode/settings/settings_store.h
+++ b/src/libnode/settings/settings_store.h
@@ -107,6 +107,8 @@
   void ReadDocument(std::optional<Duration> age, Context& context);
   // Watches from the last position for `wait`; reads if there is none.
   void StartWatch(Duration wait, Context& context);
+  // Returns the time in which each watcher has one slot.
+  Duration WatchPeriod(const DataCentreRank& rank) const;
   // Returns how long this watcher's next watch is to wait: until its slot on
   // the platform's clock, so that the watchers' replies are spread over time.
   Duration WatchWait(const DataCentreRank& rank, TimePoint now) const;
