--- a/src/include/amaranthroute/messages.h
+++ b/src/include/amaranthroute/messages.h
@@ -29,6 +29,9 @@
 };
 inline constexpr int kTierCount = 4;
 
+/// Value of CallContext::admit_share if all requests are admitted.
+inline constexpr uint16_t kFullAdmitShare = 1024;
+
 /// Metadata of a call, passed on to its nested calls.
 struct CallContext {
   std::string request_id;  ///< of the caller's request, the same at every hop
@@ -55,6 +58,59 @@
   uint32_t level = 0;
   /// Of the request's class. Orders requests of the same tier.
   Tier class_tier = Tier::kStandard;
+  /// Share of the requests like this one that the entry node admitted, in
+  /// 1/kFullAdmitShare. One call stands for kFullAdmitShare / admit_share
+  /// offered calls.
+  uint16_t admit_share = kFullAdmitShare;
+  /// Base-2 logarithm of the slot time that the request needs at its bottleneck
+  /// service, see policy/rank_demand.h; 0 to 7.
+  uint8_t cost_bucket = 0;
+  /// Time left until the request's latency target, or its deadline, less the
+  /// time that it still needs without waiting; negative if it cannot be met.
+  /// nullopt if unknown.
+  std::optional<Duration> target_slack = std::nullopt;
+  std::optional<Duration> deadline_slack = std::nullopt;
+  /// Calls of the request that were answered before this one; at most 255.
+  uint8_t calls_done = 0;
+};
+
+/// Why a nested call failed, as the nodes between it and the entry node of its
+/// request pass it on.
+enum class FailureCause : uint8_t {
+  kNone = 0,
+  kNoRoom = 1,       ///< the service is short of capacity
+  kRefusing = 2,     ///< backend servers refuse calls whatever their load is
+  kUnreachable = 3,  ///< no backend server, or the path to it failed
+  kBroken = 4,       ///< a backend server failed the call
+};
+
+/// What one call cost at one service: its own slot, or the slots of its nested
+/// calls there.
+struct ServiceCost {
+  std::string service;
+  uint32_t calls = 0;
+  uint32_t slot_us = 0;  ///< sum of the calls' service times, in microseconds
+};
+
+/// Load of a service that is short of capacity or refuses calls, as its serving
+/// nodes measure it.
+struct ServicePressure {
+  std::string service;
+  /// Cut of the positions that are admitted, in 1/256 of a position; 0 admits
+  /// all. See policy/rank_demand.h.
+  uint32_t cut_x256 = 0;
+  /// Share of the calls that the servers did not refuse, in percent.
+  uint8_t success_percent = 100;
+  /// Share of the calls of the answered call's customer that are admitted at
+  /// the position of the cut, in 1/kFullAdmitShare; nullopt if all customers
+  /// share alike.
+  std::optional<uint16_t> customer_share = std::nullopt;
+};
+
+/// The nested call that made a call fail.
+struct FailedBelow {
+  std::string service;
+  FailureCause cause = FailureCause::kNone;
 };
 
 /// Load of one backend server. Each answer carries one.
@@ -130,6 +186,13 @@
   /// repeats them, too.
   bool made_calls = false;
   CallTimes times;
+  /// Costs of this call and its nested calls, by service. Empty if the call was
+  /// not served, or nobody uses them.
+  std::vector<ServiceCost> costs;
+  /// Services at or below the called one that are short of capacity or refuse
+  /// calls.
+  std::vector<ServicePressure> pressures;
+  FailedBelow failed_below;
 };
 
 /// Cancels an attempt because the caller disconnected or the deadline passed.
@@ -156,6 +219,17 @@
   uint64_t sequence = 0;
 };
 
+/// Asks a serving node for the load of one of its backend servers.
+struct LoadProbe {
+  uint64_t id = 0;
+  std::string server;
+};
+/// Answers a LoadProbe. `load.server` is empty if the node has no such server.
+struct LoadProbeReply {
+  uint64_t id = 0;
+  LoadReport load;
+};
+
 /// Requests the settings snapshot of a peer if it is newer than `have_version`.
 struct SettingsRequest {
   uint64_t have_version = 0;
@@ -277,8 +351,8 @@
 using PeerMessage =
     std::variant<Hello, CallForward, CallAnswer, CallCancel, HomeForward,
                  LinkPing, LinkPong, SettingsRequest, SettingsSnapshot,
-                 ClaimRequest, ClaimReply, QuotaRequest, QuotaReply,
-                 MemberSync>;
+                 ClaimRequest, ClaimReply, QuotaRequest, QuotaReply, LoadProbe,
+                 LoadProbeReply, MemberSync>;
 
 /// Kind of a gossip datagram (SWIM).
 enum class GossipKind : uint8_t {
@@ -326,6 +400,11 @@
 bool operator==(const ClaimReply& a, const ClaimReply& b);
 bool operator==(const QuotaRequest& a, const QuotaRequest& b);
 bool operator==(const QuotaReply& a, const QuotaReply& b);
+bool operator==(const ServiceCost& a, const ServiceCost& b);
+bool operator==(const ServicePressure& a, const ServicePressure& b);
+bool operator==(const FailedBelow& a, const FailedBelow& b);
+bool operator==(const LoadProbe& a, const LoadProbe& b);
+bool operator==(const LoadProbeReply& a, const LoadProbeReply& b);
 bool operator==(const ServerRecord& a, const ServerRecord& b);
 bool operator==(const MemberRecord& a, const MemberRecord& b);
 bool operator==(const QuarantineRecord& a, const QuarantineRecord& b);
@@ -334,6 +413,7 @@
 
 std::string_view ToString(Tier tier);
 std::string_view ToString(MemberState state);
+std::string_view ToString(FailureCause cause);
 std::ostream& operator<<(std::ostream& out, const PeerMessage& message);
 std::ostream& operator<<(std::ostream& out, const GossipMessage& message);
 std::ostream& operator<<(std::ostream& out, const MemberRecord& member);
--- a/src/include/amaranthroute/policy/admission_queue.h
+++ b/src/include/amaranthroute/policy/admission_queue.h
@@ -32,6 +32,7 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <map>
 #include <optional>
@@ -64,12 +65,15 @@
   Duration expected{0};
   /// Orders the calls of one tier.
   Tier class_tier = Tier::kStandard;
+  /// CallContext::cost_bucket; does not affect the order.
+  uint8_t cost_bucket = 0;
 
   friend bool operator==(const QueuedCall& a, const QueuedCall& b) {
     return a.id == b.id && a.tier == b.tier && a.level == b.level &&
            a.caller_key == b.caller_key && a.long_work == b.long_work &&
            a.enqueued == b.enqueued && a.deadline == b.deadline &&
-           a.expected == b.expected && a.class_tier == b.class_tier;
+           a.expected == b.expected && a.class_tier == b.class_tier &&
+           a.cost_bucket == b.cost_bucket;
   }
   friend bool operator!=(const QueuedCall& a, const QueuedCall& b) {
     return !(a == b);
@@ -155,6 +159,8 @@
                    std::vector<QueuedCall>& expired);
 
   size_t size() const;
+  /// Calls `visit` for each waiting call, in no particular order.
+  void ForEach(const std::function<void(const QueuedCall&)>& visit) const;
   /// Returns the age of the oldest waiting call, zero if none. Excludes long
   /// work while it waits for a slot of its own share. Input of
   /// Shedder::OnQueueDelay.
--- a/src/include/amaranthroute/settings.h
+++ b/src/include/amaranthroute/settings.h
@@ -37,6 +37,12 @@
   kThroughput,  ///< from the throughput of the server, see SlotSearch
 };
 
+/// Order in which a backend server's queue serves the calls of one rank.
+enum class QueueOrder {
+  kAge,    ///< by turns of callers, see AdmissionQueue
+  kSlack,  ///< by progress and slack of the request, see AdmissionQueue
+};
+
 /// All settings as they apply to a request class. See SettingDefinitions for
 /// their ranges and meaning.
 struct EffectiveSettings {
@@ -57,6 +63,12 @@
   double target_goodput = 0.97;
   Duration target_p99{0};  ///< 0: no target
   Duration drain_timeout = std::chrono::milliseconds(30000);
+  bool rank_admission = false;
+  bool retry_reservations = false;
+  bool customer_fairness = false;
+  bool load_probes = false;
+  bool feasibility_check = false;
+  QueueOrder queue_order = QueueOrder::kAge;
 
   friend bool operator==(const EffectiveSettings& a,
                          const EffectiveSettings& b);
--- a/src/libnode/entry/admission.h
+++ b/src/libnode/entry/admission.h
@@ -20,6 +20,10 @@
 
 class Admission {
  public:
+  // Returns the table key of a call's service and class. Callers choose class
+  // names, but only calls of known services get here.
+  static std::string ClassKey(const Call& call);
+
   // Sets the shedding level of a request at its entry node. With `by_cost`,
   // requests that make nested calls are shed first within each tier.
   void AssignLevel(Call& call, bool by_cost, TimePoint now);
@@ -59,10 +63,6 @@
   // one of the least important tier; if there is none, `own` itself.
   ClassWindow& WindowToShrink(ClassWindow& own);
 
-  // Returns the table key of a call's service and class. Callers choose class
-  // names, but only calls of known services get here.
-  static std::string ClassKey(const Call& call);
-
   DownstreamThresholds thresholds_;
   // By service and tier.
   std::map<std::pair<std::string, Tier>, CallerShares> caller_shares_;
--- a/src/libnode/entry/entry_attempts.cc
+++ b/src/libnode/entry/entry_attempts.cc
@@ -159,6 +159,7 @@
   const bool answered = answer.failure.reason == Reason::kNone;
   if (answered) ++call.arrivals;
   if (answer.made_calls) admission_.RecordNestedCalls(call);
+  RecordBottlenecks(call, answer, context.now);
   call.waited += WaitTime(attempt, answer.times, context.now);
   const bool failed_after_dispatch =
       !answered && answer.failure.verdict != Verdict::kNotRun;
@@ -190,6 +191,22 @@
   FinishWithResponse(call, answer.response, context);
 }
 
+void EntryRole::RecordBottlenecks(const Call& call, const CallAnswer& answer,
+                                  TimePoint now) {
+  bottlenecks_.OnAnswer(answer, now);
+  if (call.is_root) {
+    if (!answer.costs.empty()) {
+      bottlenecks_.OnServed(Admission::ClassKey(call), answer.costs, now);
+    }
+    return;
+  }
+  // The costs of a nested call belong to the request that made it.
+  Hop* hop = parts_.serving.FindHop(call.parent_hop);
+  if (hop == nullptr) return;
+  AddCosts(hop->nested_costs, answer.costs);
+  bottlenecks_.AddReported(answer, now, hop->nested_pressures);
+}
+
 void EntryRole::RecordLoad(const Call& call, const CallAnswer& answer,
                            Context& context) {
   const LoadReport& load = answer.load;
--- a/src/libnode/entry/entry_begin.cc
+++ b/src/libnode/entry/entry_begin.cc
@@ -1,6 +1,7 @@
 // Handles a request until its first attempt.
 
 #include <algorithm>
+#include <cmath>
 
 #include "amaranthroute/hash.h"
 #include "amaranthroute/policy/retry_after.h"
@@ -285,6 +286,8 @@
   call_context.tier = parent.tier;
   call_context.class_tier = parent.class_tier;
   call_context.level = parent.level;
+  call_context.admit_share = parent.admit_share;
+  call_context.cost_bucket = parent.cost_bucket;
   call_context.depth = static_cast<uint8_t>(parent.depth + 1);
   // A route sets for its own calls whether they may be retried and their
   // deadline, independently of the request that they belong to.
@@ -385,6 +388,29 @@
   }
 }
 
+bool EntryRole::AdmitByRank(Call& call, Failure& refusal, Context& context) {
+  const EffectiveSettings& settings =
+      parts_.settings.Resolve(call.context.service, call.context.request_class);
+  if (!call.is_root || !settings.rank_admission) return true;
+  const AdmitDecision decision =
+      bottlenecks_.Decide(Admission::ClassKey(call), call.context, context.now);
+  if (decision.service.empty()) return true;
+  call.context.cost_bucket = decision.cost_bucket;
+  std::uniform_real_distribution<double> draw(0, 1);
+  const bool admitted = draw(context.random) < decision.share;
+  parts_.stats.Count("amaranth_rank_admission_total",
+                     "service=\"" + decision.service + "\",class=\"" +
+                         call.call_class + "\",outcome=\"" +
+                         (admitted ? "admitted" : "refused") + "\"");
+  if (admitted) {
+    call.context.admit_share =
+        static_cast<uint16_t>(std::lround(decision.share * kFullAdmitShare));
+    return true;
+  }
+  refusal.detail = DetailOf(decision);
+  return false;
+}
+
 uint64_t EntryRole::Register(Call call) {
   const uint64_t id = call.id;
   deadlines_.Add(call.deadline, id);
@@ -414,6 +440,7 @@
     refusal.detail = "a service of this call chain is overloaded";
     return false;
   }
+  if (!AdmitByRank(call, refusal, context)) return false;
   if (!context.identity.rules.admit_at_edge) return true;
   if (admission_.TryEnterWindow(call, context.random)) return true;
   parts_.stats.Count("amaranth_window_full_total",
--- a/src/libnode/entry/entry_role.h
+++ b/src/libnode/entry/entry_role.h
@@ -10,10 +10,12 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "amaranthroute/event.h"
 #include "amaranthroute/policy/fleet_retry_share.h"
 #include "amaranthroute/policy/retry_budget.h"
+#include "libnode/bottleneck/bottleneck_state.h"
 #include "libnode/customers/quota_keeper.h"
 #include "libnode/entry/admission.h"
 #include "libnode/entry/call.h"
@@ -113,6 +115,8 @@
   static bool SkipsAdmission(const Call& call, const Context& context);
   // If it returns false, `refusal` says why.
   bool TryAdmit(Call& call, Failure& refusal, Context& context);
+  // Admits a request by its rank at the service that is short of capacity.
+  bool AdmitByRank(Call& call, Failure& refusal, Context& context);
   uint64_t Register(Call call);
   void StartRunning(Call& call, Context& context);
   // Takes a token of the customer's quota. Returns false if the call is over
@@ -150,6 +154,10 @@
   FleetRetryShare& FleetShareOf(const std::string& service,
                                 const DeploymentRules& rules);
   void CountCrash(Call& call, Failure& failure, Context& context);
+  // Records what an answer reports of the services below the call, and passes
+  // it on to the hop that made the call.
+  void RecordBottlenecks(const Call& call, const CallAnswer& answer,
+                         TimePoint now);
   void RecordLoad(const Call& call, const CallAnswer& answer, Context& context);
   // Passes the shedding threshold that a nested call meets up to the hop that
   // made it.
@@ -187,6 +195,7 @@
   RecentAnswers answered_;
   KeyRegistry keys_;
   Admission admission_;
+  BottleneckState bottlenecks_;
   std::map<std::string, RetryBudget> retry_budgets_;     // by service
   std::map<std::string, FleetRetryShare> fleet_shares_;  // by service
   std::map<std::string, Duration> retry_after_;          // by service and class
--- a/src/libnode/serving/hop.h
+++ b/src/libnode/serving/hop.h
@@ -7,8 +7,10 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "amaranthroute/messages.h"
+#include "amaranthroute/policy/cost_profile.h"
 #include "libnode/shared/credit_ledger.h"
 
 namespace amaranth::pvt {
@@ -53,6 +55,10 @@
   Duration nested_time{0};
   // Sum of the queueing times of the ended nested calls.
   Duration nested_wait_time{0};
+  // Costs of the nested calls that were served, and of their nested calls.
+  std::vector<ServiceCost> nested_costs;
+  // Services that answers to nested calls reported as short of capacity.
+  std::vector<ServicePressure> nested_pressures;
   // Verdicts of failed nested calls, by fingerprint. If the backend server
   // repeats one, that is a retry and needs a retry credit.
   std::map<uint64_t, Verdict> failed_nested;
--- a/src/libnode/serving/local_server.cc
+++ b/src/libnode/serving/local_server.cc
@@ -131,6 +131,31 @@
   return uses_slot_search_ ? slot_search_.limit() : latency_limit_.limit();
 }
 
+void LocalServer::OnOffered(const Hop& hop, TimePoint now) {
+  const CallContext& call = hop.context;
+  Duration cost = ExpectedService({call.request_class, call.depth});
+  if (cost == Duration::zero()) cost = hop.typical_service_time;
+  if (cost == Duration::zero()) cost = expected_service_;
+  rank_demand_.OnArrival(
+      PositionOf(call.tier, call.class_tier, call.cost_bucket), cost,
+      call.admit_share, now);
+}
+
+double LocalServer::Cut(TimePoint now) {
+  if (rank_demand_.WindowIsOver(now)) {
+    std::vector<WaitingWork> waiting;
+    waiting.reserve(queue_.size());
+    queue_.ForEach([&](const QueuedCall& call) {
+      const Duration cost =
+          call.expected > Duration::zero() ? call.expected : expected_service_;
+      waiting.push_back(
+          {PositionOf(call.tier, call.class_tier, call.cost_bucket), cost});
+    });
+    rank_demand_.Close(UsableSlots(), waiting, now);
+  }
+  return rank_demand_.cut();
+}
+
 void LocalServer::OnServed(Duration service_time, TimePoint now) {
   // With a rate limit, the number of slots does not affect the throughput.
   if (uses_slot_search_ && !rate_gate_.limit()) {
--- a/src/libnode/serving/local_server.h
+++ b/src/libnode/serving/local_server.h
@@ -13,6 +13,7 @@
 #include "amaranthroute/policy/admission_queue.h"
 #include "amaranthroute/policy/concurrency_limit.h"
 #include "amaranthroute/policy/long_work.h"
+#include "amaranthroute/policy/rank_demand.h"
 #include "amaranthroute/policy/rate_gate.h"
 #include "amaranthroute/policy/retry_after.h"
 #include "amaranthroute/policy/server_judge.h"
@@ -20,6 +21,7 @@
 #include "amaranthroute/policy/slot_search.h"
 #include "amaranthroute/settings.h"
 #include "libnode/serving/crash_window.h"
+#include "libnode/serving/hop.h"
 #include "libnode/serving/load_window.h"
 
 namespace amaranth::pvt {
@@ -89,6 +91,11 @@
   CrashWindow& crash_window() { return crash_window_; }
   LoadWindow& load() { return load_; }
   ServerJudge& judge() { return judge_; }
+  RankDemand& rank_demand() { return rank_demand_; }
+  // Records a call that arrived, and what it stands for.
+  void OnOffered(const Hop& hop, TimePoint now);
+  // Returns the cut of the offered load, see RankDemand.
+  double Cut(TimePoint now);
 
   // Ids of hops that are suspected of a crash and wait to run. Each runs with
   // no other call in flight, so that a second crash identifies the one that
@@ -142,6 +149,7 @@
   CrashWindow crash_window_;
   LoadWindow load_;
   ServerJudge judge_;
+  RankDemand rank_demand_;
   std::map<uint64_t, Dispatch> dispatches_;
   int long_in_flight_ = 0;
   Duration expected_service_{0};
--- a/src/libnode/serving/serving_results.cc
+++ b/src/libnode/serving/serving_results.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "libnode/bottleneck/bottleneck_state.h"
 #include "libnode/serving/serving_role.h"
 #include "libnode/shared/answers.h"
 #include "libnode/shared/durations.h"
@@ -331,6 +332,24 @@
   SendAnswer(hop, std::move(answer), context);
 }
 
+void ServingRole::AddBottlenecks(const Hop& hop, bool served, TimePoint now,
+                                 CallAnswer& answer) {
+  const EffectiveSettings& settings =
+      settings_.Resolve(hop.context.service, hop.context.request_class);
+  if (!settings.rank_admission && !settings.feasibility_check) return;
+  if (served) {
+    answer.costs = hop.nested_costs;
+    AddCosts(answer.costs, {{hop.context.service, 1, answer.load.own_us}});
+  }
+  answer.pressures = hop.nested_pressures;
+  const auto found = servers_.find(hop.server);
+  if (found == servers_.end()) return;
+  ServicePressure own;
+  own.service = hop.context.service;
+  own.cut_x256 = ToWireCut(found->second.Cut(now));
+  if (own.cut_x256 > 0) answer.pressures.push_back(std::move(own));
+}
+
 void ServingRole::SendAnswer(const Hop& hop, CallAnswer answer,
                              Context& context) {
   answer.attempt = hop.attempt;
@@ -343,6 +362,7 @@
   if (served) answer.load.own_us = ToWireMicros(hop.ServiceTime(context.now));
   answer.load.downstream_threshold = hop.downstream_threshold;
   answer.made_calls = hop.nested_calls > 0;
+  AddBottlenecks(hop, served, context.now, answer);
   answer.times.held_us = ToWireMicros(context.now - hop.arrived);
   answer.times.waited_us = ToWireMicros(hop.WaitTime(context.now));
   outbox_.Send(hop.entry.name, hop.entry_address, std::move(answer), context);
--- a/src/libnode/serving/serving_role.cc
+++ b/src/libnode/serving/serving_role.cc
@@ -17,6 +17,10 @@
 // the next pause, or is refused as not run at its deadline.
 constexpr Duration kMaxPause = std::chrono::milliseconds(200);
 
+// A call that enters the mesh at its server and can wait for this long needs no
+// precedence: its wait is longer than any that a queue holds.
+constexpr Duration kAmpleSlack = std::chrono::seconds(1);
+
 // How long the answer to a non-idempotent call is awaited past its deadline.
 constexpr Duration kLateAnswerGrace = std::chrono::seconds(5);
 
@@ -126,6 +130,7 @@
 
   const uint32_t level = hop.context.level;
   server.shedder().OnArrival(level, context.now);
+  server.OnOffered(hop, context.now);
   const bool admitted_at_edge =
       context.identity.rules.admit_at_edge && hop.context.depth > 0;
   if (!admitted_at_edge && !server.shedder().Admits(level, context.now)) {
@@ -157,8 +162,8 @@
   // Calls that enter the mesh at this service are queued one tier of classes
   // higher: such a request spends all of its time here, a nested call only a
   // part of it.
-  const bool direct =
-      context.identity.rules.admit_at_edge && hop.context.depth == 0;
+  const bool direct = context.identity.rules.admit_at_edge &&
+                      hop.context.depth == 0 && !CanWait(hop);
   if (direct && queued.class_tier != Tier::kCritical) {
     const bool from_customer =
         !FindHeader(hop.request.headers, kCustomerHeader).empty();
@@ -168,6 +173,7 @@
   }
   queued.level = level;
   queued.caller_key = hop.context.caller_key;
+  queued.cost_bucket = hop.context.cost_bucket;
   queued.long_work = hop.context.long_work;
   queued.enqueued = context.now;
   queued.deadline = hop.deadline;
@@ -184,6 +190,13 @@
   hops_.emplace(hop.id, std::move(hop));
 }
 
+bool ServingRole::CanWait(const Hop& hop) const {
+  const EffectiveSettings& settings =
+      settings_.Resolve(hop.context.service, hop.context.request_class);
+  return settings.rank_admission &&
+         settings.target_p99 - hop.typical_service_time > kAmpleSlack;
+}
+
 void ServingRole::DispatchWaiting(LocalServer& server, Context& context) {
   DispatchSuspect(server, context);
   while (server.MayStart(context.now) && !server.OrdinaryPaused()) {
@@ -197,7 +210,10 @@
                            server.LongWorkAllowed(), expired);
     RefuseAll(expired, Reason::kDeadline, context);
     if (!next) {
-      if (server.queue().size() == 0) server.shedder().OnIdle(context.now);
+      if (server.queue().size() == 0) {
+        server.shedder().OnIdle(context.now);
+        server.rank_demand().OnIdle();
+      }
       return;
     }
     server.shedder().OnQueueDelay(oldest_wait, context.now);
--- a/src/libnode/serving/serving_role.h
+++ b/src/libnode/serving/serving_role.h
@@ -76,6 +76,9 @@
   void Admit(Hop hop, Context& context);
   void AdmitSuspect(Hop hop, LocalServer& server, Context& context);
   void Enqueue(Hop hop, uint32_t level, LocalServer& server, Context& context);
+  // Returns whether the latency target of the call's class leaves ample time to
+  // wait for a slot.
+  bool CanWait(const Hop& hop) const;
   CrashGuard::Handling HandlingOf(const Hop& hop, TimePoint now) const;
   // Returns whether the request was recently answered here, after the last
   // crash that it is known to have been in flight at, at any server.
@@ -99,6 +102,10 @@
   void Fail(const Hop& hop, Failure failure, Context& context);
   void Answer(const Hop& hop, HttpResponse response, Context& context);
   void SendAnswer(const Hop& hop, CallAnswer answer, Context& context);
+  // Adds the costs of the call, and the services that are short of capacity, if
+  // a setting uses them.
+  void AddBottlenecks(const Hop& hop, bool served, TimePoint now,
+                      CallAnswer& answer);
   Duration RetryAfterFor(const std::string& server, Context& context);
 
   static CallKind KindOf(const Hop& hop);
--- a/src/libnode/settings/settings_definitions.cc
+++ b/src/libnode/settings/settings_definitions.cc
@@ -282,6 +282,89 @@
        [](EffectiveSettings& s, const std::string& v) {
          s.drain_timeout = ToMilliseconds(v);
        }},
+      {"rank_admission",
+       SettingType::kFlag,
+       "",
+       0,
+       0,
+       {},
+       "false",
+       SettingScope::kService,
+       "Admit requests at their entry node by rank and by what they cost at "
+       "the service that is short of capacity.",
+       "design: docs/design/rank-admission.md",
+       [](EffectiveSettings& s, const std::string& v) {
+         s.rank_admission = v == "true";
+       }},
+      {"retry_reservations",
+       SettingType::kFlag,
+       "",
+       0,
+       0,
+       {},
+       "false",
+       SettingScope::kService,
+       "Keep capacity for callers that were told when to return.",
+       "design: docs/design/retry-reservations.md",
+       [](EffectiveSettings& s, const std::string& v) {
+         s.retry_reservations = v == "true";
+       }},
+      {"customer_fairness",
+       SettingType::kFlag,
+       "",
+       0,
+       0,
+       {},
+       "false",
+       SettingScope::kService,
+       "Divide what a rank gets at a service that is short of capacity "
+       "among customers. Needs rank_admission.",
+       "design: docs/design/customer-fairness.md",
+       [](EffectiveSettings& s, const std::string& v) {
+         s.customer_fairness = v == "true";
+       }},
+      {"load_probes",
+       SettingType::kFlag,
+       "",
+       0,
+       0,
+       {},
+       "false",
+       SettingScope::kService,
+       "Ask backend servers' nodes for their load when recent reports are "
+       "missing.",
+       "design: docs/design/load-probes.md",
+       [](EffectiveSettings& s, const std::string& v) {
+         s.load_probes = v == "true";
+       }},
+      {"feasibility_check",
+       SettingType::kFlag,
+       "",
+       0,
+       0,
+       {},
+       "false",
+       SettingScope::kService,
+       "Refuse requests that are not idempotent and have hardly any chance "
+       "to end because a service below refuses its calls.",
+       "design: docs/design/feasibility.md",
+       [](EffectiveSettings& s, const std::string& v) {
+         s.feasibility_check = v == "true";
+       }},
+      {"queue_order",
+       SettingType::kChoice,
+       "",
+       0,
+       0,
+       {"age", "slack"},
+       "age",
+       SettingScope::kService,
+       "Order of the calls of one rank in a backend server's queue: by age and "
+       "callers' turns, or by progress and slack of their requests.",
+       "design: docs/design/feasibility.md",
+       [](EffectiveSettings& s, const std::string& v) {
+         s.queue_order = v == "slack" ? QueueOrder::kSlack : QueueOrder::kAge;
+       }},
   };
 }
 
--- a/src/libpolicy/admission_queue.cc
+++ b/src/libpolicy/admission_queue.cc
@@ -97,6 +97,11 @@
   }
 }
 
+void AdmissionQueue::ForEach(
+    const std::function<void(const QueuedCall&)>& visit) const {
+  for (const auto& [id, place] : places_) visit(*place);
+}
+
 size_t AdmissionQueue::size() const { return places_.size(); }
 
 Duration AdmissionQueue::oldest_wait(TimePoint now) const {
--- a/src/libutil/fields.h
+++ b/src/libutil/fields.h
@@ -16,10 +16,11 @@
 namespace amaranth::pvt {
 
 inline auto Fields(const CallContext& v) {
-  return std::tie(v.request_id, v.mesh, v.service, v.request_class, v.tenant,
-                  v.caller_key, v.tier, v.idempotent, v.long_work, v.depth,
-                  v.remaining, v.retry_credits, v.fingerprint,
-                  v.suspected_crashes, v.level, v.class_tier);
+  return std::tie(
+      v.request_id, v.mesh, v.service, v.request_class, v.tenant, v.caller_key,
+      v.tier, v.idempotent, v.long_work, v.depth, v.remaining, v.retry_credits,
+      v.fingerprint, v.suspected_crashes, v.level, v.class_tier, v.admit_share,
+      v.cost_bucket, v.target_slack, v.deadline_slack, v.calls_done);
 }
 
 inline auto Fields(const LoadReport& v) {
@@ -43,9 +44,26 @@
 
 inline auto Fields(const CallAnswer& v) {
   return std::tie(v.attempt, v.entry_incarnation, v.response, v.failure,
-                  v.credits_returned, v.load, v.made_calls, v.times);
+                  v.credits_returned, v.load, v.made_calls, v.times, v.costs,
+                  v.pressures, v.failed_below);
 }
 
+inline auto Fields(const ServiceCost& v) {
+  return std::tie(v.service, v.calls, v.slot_us);
+}
+
+inline auto Fields(const ServicePressure& v) {
+  return std::tie(v.service, v.cut_x256, v.success_percent, v.customer_share);
+}
+
+inline auto Fields(const FailedBelow& v) {
+  return std::tie(v.service, v.cause);
+}
+
+inline auto Fields(const LoadProbe& v) { return std::tie(v.id, v.server); }
+
+inline auto Fields(const LoadProbeReply& v) { return std::tie(v.id, v.load); }
+
 inline auto Fields(const CallCancel& v) { return std::tie(v.attempt); }
 
 inline auto Fields(const HomeForward& v) {
@@ -241,6 +259,13 @@
 inline const char* TypeName(const ClaimReply&) { return "ClaimReply"; }
 inline const char* TypeName(const QuotaRequest&) { return "QuotaRequest"; }
 inline const char* TypeName(const QuotaReply&) { return "QuotaReply"; }
+inline const char* TypeName(const ServiceCost&) { return "ServiceCost"; }
+inline const char* TypeName(const ServicePressure&) {
+  return "ServicePressure";
+}
+inline const char* TypeName(const FailedBelow&) { return "FailedBelow"; }
+inline const char* TypeName(const LoadProbe&) { return "LoadProbe"; }
+inline const char* TypeName(const LoadProbeReply&) { return "LoadProbeReply"; }
 inline const char* TypeName(const ServerFitness&) { return "ServerFitness"; }
 inline const char* TypeName(const ServerRecord&) { return "ServerRecord"; }
 inline const char* TypeName(const MemberRecord&) { return "MemberRecord"; }
--- a/src/libutil/messages.cc
+++ b/src/libutil/messages.cc
@@ -77,6 +77,26 @@
   return pvt::Fields(a) == pvt::Fields(b);
 }
 
+bool operator==(const ServiceCost& a, const ServiceCost& b) {
+  return pvt::Fields(a) == pvt::Fields(b);
+}
+
+bool operator==(const ServicePressure& a, const ServicePressure& b) {
+  return pvt::Fields(a) == pvt::Fields(b);
+}
+
+bool operator==(const FailedBelow& a, const FailedBelow& b) {
+  return pvt::Fields(a) == pvt::Fields(b);
+}
+
+bool operator==(const LoadProbe& a, const LoadProbe& b) {
+  return pvt::Fields(a) == pvt::Fields(b);
+}
+
+bool operator==(const LoadProbeReply& a, const LoadProbeReply& b) {
+  return pvt::Fields(a) == pvt::Fields(b);
+}
+
 bool operator==(const ServerRecord& a, const ServerRecord& b) {
   return pvt::Fields(a) == pvt::Fields(b);
 }
@@ -97,6 +117,22 @@
   return pvt::Fields(a) == pvt::Fields(b);
 }
 
+std::string_view ToString(FailureCause cause) {
+  switch (cause) {
+    case FailureCause::kNone:
+      return "none";
+    case FailureCause::kNoRoom:
+      return "no-room";
+    case FailureCause::kRefusing:
+      return "refusing";
+    case FailureCause::kUnreachable:
+      return "unreachable";
+    case FailureCause::kBroken:
+      return "broken";
+  }
+  return "unknown";
+}
+
 std::string_view ToString(Tier tier) {
   switch (tier) {
     case Tier::kBackground:
--- a/src/libwire/amaranth.thrift
+++ b/src/libwire/amaranth.thrift
@@ -24,7 +24,9 @@
   MEMBER_SYNC = 12,
   GOSSIP = 13,
   QUOTA_REQUEST = 14,
-  QUOTA_REPLY = 15
+  QUOTA_REPLY = 15,
+  LOAD_PROBE = 16,
+  LOAD_PROBE_REPLY = 17
 }
 
 struct Envelope {
@@ -84,7 +86,30 @@
   13: required i64 fingerprint,
   14: required i32 suspected_crashes,
   15: required i64 level,
-  16: optional i32 class_tier
+  16: optional i32 class_tier,
+  17: optional i32 admit_share,
+  18: optional i32 cost_bucket,
+  19: optional i64 target_slack_us,
+  20: optional i64 deadline_slack_us,
+  21: optional i32 calls_done
+}
+
+struct ServiceCost {
+  1: required string service_name,
+  2: required i64 calls,
+  3: required i64 slot_us
+}
+
+struct ServicePressure {
+  1: required string service_name,
+  2: required i64 cut_x256,
+  3: optional i32 success_percent,
+  4: optional i32 customer_share
+}
+
+struct FailedBelow {
+  1: required string service_name,
+  2: required i32 cause
 }
 
 struct LoadReport {
@@ -129,7 +154,10 @@
   5: required i32 credits_returned,
   6: required LoadReport load,
   7: optional bool made_calls,
-  8: optional CallTimes times
+  8: optional CallTimes times,
+  9: optional list<ServiceCost> costs,
+  10: optional list<ServicePressure> pressures,
+  11: optional FailedBelow failed_below
 }
 
 struct CallCancel {
@@ -197,6 +225,16 @@
   5: required bool loan
 }
 
+struct LoadProbe {
+  1: required i64 id,
+  2: required string server
+}
+
+struct LoadProbeReply {
+  1: required i64 id,
+  2: required LoadReport load
+}
+
 struct ServerRecord {
   1: required string server,
   2: required string service_name,
--- a/src/libwire/check.cc
+++ b/src/libwire/check.cc
@@ -54,6 +54,11 @@
   if (!IsValidHeaderList(response.headers)) {
     return Invalid("too many response header fields, or an invalid one");
   }
+  const size_t longest =
+      std::max(message.costs.size(), message.pressures.size());
+  if (longest > static_cast<size_t>(kMaxListElements)) {
+    return Invalid("list exceeds the element limit");
+  }
   return boost::outcome_v2::success();
 }
 
--- a/src/libwire/convert.h
+++ b/src/libwire/convert.h
@@ -37,6 +37,8 @@
   }
 
   Duration ToDuration(int64_t micros, std::string_view field);
+  // The same for a duration that may be negative.
+  Duration ToSlack(int64_t micros, std::string_view field);
   // Returns a rate, which must be finite and not negative.
   double ToRate(double per_second, std::string_view field) {
     const bool valid = std::isfinite(per_second) && per_second >= 0;
@@ -71,6 +73,8 @@
 void ToWire(const ClaimReply& in, wire::ClaimReply& out);
 void ToWire(const QuotaRequest& in, wire::QuotaRequest& out);
 void ToWire(const QuotaReply& in, wire::QuotaReply& out);
+void ToWire(const LoadProbe& in, wire::LoadProbe& out);
+void ToWire(const LoadProbeReply& in, wire::LoadProbeReply& out);
 void ToWire(const MemberSync& in, wire::MemberSync& out);
 void ToWire(const GossipMessage& in, wire::Gossip& out);
 
@@ -90,6 +94,8 @@
 void FromWire(wire::ClaimReply& in, ClaimReply& out, RangeCheck& check);
 void FromWire(wire::QuotaRequest& in, QuotaRequest& out, RangeCheck& check);
 void FromWire(wire::QuotaReply& in, QuotaReply& out, RangeCheck& check);
+void FromWire(wire::LoadProbe& in, LoadProbe& out, RangeCheck& check);
+void FromWire(wire::LoadProbeReply& in, LoadProbeReply& out, RangeCheck& check);
 void FromWire(wire::MemberSync& in, MemberSync& out, RangeCheck& check);
 void FromWire(wire::Gossip& in, GossipMessage& out, RangeCheck& check);
 
--- a/src/libwire/from_wire.cc
+++ b/src/libwire/from_wire.cc
@@ -10,6 +10,12 @@
   return fits ? Duration(micros) : Reject<Duration>(field);
 }
 
+Duration RangeCheck::ToSlack(int64_t micros, std::string_view field) {
+  const int64_t limit = kMaxWireDuration.count();
+  const bool fits = micros >= -limit && micros <= limit;
+  return fits ? Duration(micros) : Reject<Duration>(field);
+}
+
 namespace {
 
 uint64_t Unsigned(int64_t value) { return static_cast<uint64_t>(value); }
@@ -75,6 +81,42 @@
   if (in.__isset.class_tier) {
     out.class_tier = check.ToEnum(in.class_tier, Tier::kCritical, "class_tier");
   }
+  if (in.__isset.admit_share) {
+    out.admit_share = check.Narrow<uint16_t>(in.admit_share, "admit_share");
+  }
+  if (in.__isset.cost_bucket) {
+    out.cost_bucket = check.Narrow<uint8_t>(in.cost_bucket, "cost_bucket");
+  }
+  if (in.__isset.target_slack_us) {
+    out.target_slack = check.ToSlack(in.target_slack_us, "target_slack_us");
+  }
+  if (in.__isset.deadline_slack_us) {
+    out.deadline_slack =
+        check.ToSlack(in.deadline_slack_us, "deadline_slack_us");
+  }
+  if (in.__isset.calls_done) {
+    out.calls_done = check.Narrow<uint8_t>(in.calls_done, "calls_done");
+  }
+}
+
+void FromWire(wire::ServiceCost& in, ServiceCost& out, RangeCheck& check) {
+  out.service = std::move(in.service_name);
+  out.calls = check.Narrow<uint32_t>(in.calls, "calls");
+  out.slot_us = check.Narrow<uint32_t>(in.slot_us, "slot_us");
+}
+
+void FromWire(wire::ServicePressure& in, ServicePressure& out,
+              RangeCheck& check) {
+  out.service = std::move(in.service_name);
+  out.cut_x256 = check.Narrow<uint32_t>(in.cut_x256, "cut_x256");
+  if (in.__isset.success_percent) {
+    out.success_percent =
+        check.Narrow<uint8_t>(in.success_percent, "success_percent");
+  }
+  if (in.__isset.customer_share) {
+    out.customer_share =
+        check.Narrow<uint16_t>(in.customer_share, "customer_share");
+  }
 }
 
 void FromWire(wire::LoadReport& in, LoadReport& out, RangeCheck& check) {
@@ -186,6 +228,13 @@
     out.times.waited_us =
         check.Narrow<uint32_t>(in.times.waited_us, "waited_us");
   }
+  if (in.__isset.costs) FromWireList(in.costs, out.costs, check);
+  if (in.__isset.pressures) FromWireList(in.pressures, out.pressures, check);
+  if (in.__isset.failed_below) {
+    out.failed_below.service = std::move(in.failed_below.service_name);
+    out.failed_below.cause =
+        check.ToEnum(in.failed_below.cause, FailureCause::kBroken, "cause");
+  }
 }
 
 void FromWire(wire::CallCancel& in, CallCancel& out, RangeCheck&) {
@@ -241,6 +290,17 @@
   out.loan = in.loan;
 }
 
+void FromWire(wire::LoadProbe& in, LoadProbe& out, RangeCheck&) {
+  out.id = Unsigned(in.id);
+  out.server = std::move(in.server);
+}
+
+void FromWire(wire::LoadProbeReply& in, LoadProbeReply& out,
+              RangeCheck& check) {
+  out.id = Unsigned(in.id);
+  FromWire(in.load, out.load, check);
+}
+
 void FromWire(wire::MemberSync& in, MemberSync& out, RangeCheck& check) {
   out.reply_wanted = in.reply_wanted;
   FromWireList(in.members, out.members, check);
--- a/src/libwire/gen-cpp/amaranth_types.cpp
+++ b/src/libwire/gen-cpp/amaranth_types.cpp
@@ -28,7 +28,9 @@
   MessageKind::MEMBER_SYNC,
   MessageKind::GOSSIP,
   MessageKind::QUOTA_REQUEST,
-  MessageKind::QUOTA_REPLY
+  MessageKind::QUOTA_REPLY,
+  MessageKind::LOAD_PROBE,
+  MessageKind::LOAD_PROBE_REPLY
 };
 const char* _kMessageKindNames[] = {
   "HELLO",
@@ -45,9 +47,11 @@
   "MEMBER_SYNC",
   "GOSSIP",
   "QUOTA_REQUEST",
-  "QUOTA_REPLY"
+  "QUOTA_REPLY",
+  "LOAD_PROBE",
+  "LOAD_PROBE_REPLY"
 };
-const std::map<int, const char*> _MessageKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(15, _kMessageKindValues, _kMessageKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _MessageKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(17, _kMessageKindValues, _kMessageKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const MessageKind::type& val) {
   std::map<int, const char*>::const_iterator it = _MessageKind_VALUES_TO_NAMES.find(val);
@@ -1195,6 +1199,31 @@
   this->class_tier = val;
 __isset.class_tier = true;
 }
+
+void CallContext::__set_admit_share(const int32_t val) {
+  this->admit_share = val;
+__isset.admit_share = true;
+}
+
+void CallContext::__set_cost_bucket(const int32_t val) {
+  this->cost_bucket = val;
+__isset.cost_bucket = true;
+}
+
+void CallContext::__set_target_slack_us(const int64_t val) {
+  this->target_slack_us = val;
+__isset.target_slack_us = true;
+}
+
+void CallContext::__set_deadline_slack_us(const int64_t val) {
+  this->deadline_slack_us = val;
+__isset.deadline_slack_us = true;
+}
+
+void CallContext::__set_calls_done(const int32_t val) {
+  this->calls_done = val;
+__isset.calls_done = true;
+}
 std::ostream& operator<<(std::ostream& out, const CallContext& obj)
 {
   obj.printTo(out);
@@ -1366,6 +1395,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->admit_share);
+          this->__isset.admit_share = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->cost_bucket);
+          this->__isset.cost_bucket = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->target_slack_us);
+          this->__isset.target_slack_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->deadline_slack_us);
+          this->__isset.deadline_slack_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->calls_done);
+          this->__isset.calls_done = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1478,6 +1547,31 @@
     xfer += oprot->writeI32(this->class_tier);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.admit_share) {
+    xfer += oprot->writeFieldBegin("admit_share", ::apache::thrift::protocol::T_I32, 17);
+    xfer += oprot->writeI32(this->admit_share);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.cost_bucket) {
+    xfer += oprot->writeFieldBegin("cost_bucket", ::apache::thrift::protocol::T_I32, 18);
+    xfer += oprot->writeI32(this->cost_bucket);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.target_slack_us) {
+    xfer += oprot->writeFieldBegin("target_slack_us", ::apache::thrift::protocol::T_I64, 19);
+    xfer += oprot->writeI64(this->target_slack_us);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.deadline_slack_us) {
+    xfer += oprot->writeFieldBegin("deadline_slack_us", ::apache::thrift::protocol::T_I64, 20);
+    xfer += oprot->writeI64(this->deadline_slack_us);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.calls_done) {
+    xfer += oprot->writeFieldBegin("calls_done", ::apache::thrift::protocol::T_I32, 21);
+    xfer += oprot->writeI32(this->calls_done);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1501,6 +1595,11 @@
   swap(a.suspected_crashes, b.suspected_crashes);
   swap(a.level, b.level);
   swap(a.class_tier, b.class_tier);
+  swap(a.admit_share, b.admit_share);
+  swap(a.cost_bucket, b.cost_bucket);
+  swap(a.target_slack_us, b.target_slack_us);
+  swap(a.deadline_slack_us, b.deadline_slack_us);
+  swap(a.calls_done, b.calls_done);
   swap(a.__isset, b.__isset);
 }
 
@@ -1521,6 +1620,11 @@
   suspected_crashes = other40.suspected_crashes;
   level = other40.level;
   class_tier = other40.class_tier;
+  admit_share = other40.admit_share;
+  cost_bucket = other40.cost_bucket;
+  target_slack_us = other40.target_slack_us;
+  deadline_slack_us = other40.deadline_slack_us;
+  calls_done = other40.calls_done;
   __isset = other40.__isset;
 }
 CallContext::CallContext(CallContext&& other41) noexcept {
@@ -1540,6 +1644,11 @@
   suspected_crashes = other41.suspected_crashes;
   level = other41.level;
   class_tier = other41.class_tier;
+  admit_share = other41.admit_share;
+  cost_bucket = other41.cost_bucket;
+  target_slack_us = other41.target_slack_us;
+  deadline_slack_us = other41.deadline_slack_us;
+  calls_done = other41.calls_done;
   __isset = other41.__isset;
 }
 CallContext& CallContext::operator=(const CallContext& other42) {
@@ -1559,6 +1668,11 @@
   suspected_crashes = other42.suspected_crashes;
   level = other42.level;
   class_tier = other42.class_tier;
+  admit_share = other42.admit_share;
+  cost_bucket = other42.cost_bucket;
+  target_slack_us = other42.target_slack_us;
+  deadline_slack_us = other42.deadline_slack_us;
+  calls_done = other42.calls_done;
   __isset = other42.__isset;
   return *this;
 }
@@ -1579,6 +1693,11 @@
   suspected_crashes = other43.suspected_crashes;
   level = other43.level;
   class_tier = other43.class_tier;
+  admit_share = other43.admit_share;
+  cost_bucket = other43.cost_bucket;
+  target_slack_us = other43.target_slack_us;
+  deadline_slack_us = other43.deadline_slack_us;
+  calls_done = other43.calls_done;
   __isset = other43.__isset;
   return *this;
 }
@@ -1601,6 +1720,461 @@
   out << ", " << "suspected_crashes=" << to_string(suspected_crashes);
   out << ", " << "level=" << to_string(level);
   out << ", " << "class_tier="; (__isset.class_tier ? (out << to_string(class_tier)) : (out << "<null>"));
+  out << ", " << "admit_share="; (__isset.admit_share ? (out << to_string(admit_share)) : (out << "<null>"));
+  out << ", " << "cost_bucket="; (__isset.cost_bucket ? (out << to_string(cost_bucket)) : (out << "<null>"));
+  out << ", " << "target_slack_us="; (__isset.target_slack_us ? (out << to_string(target_slack_us)) : (out << "<null>"));
+  out << ", " << "deadline_slack_us="; (__isset.deadline_slack_us ? (out << to_string(deadline_slack_us)) : (out << "<null>"));
+  out << ", " << "calls_done="; (__isset.calls_done ? (out << to_string(calls_done)) : (out << "<null>"));
+  out << ")";
+}
+
+
+ServiceCost::~ServiceCost() noexcept {
+}
+
+
+void ServiceCost::__set_service_name(const std::string& val) {
+  this->service_name = val;
+}
+
+void ServiceCost::__set_calls(const int64_t val) {
+  this->calls = val;
+}
+
+void ServiceCost::__set_slot_us(const int64_t val) {
+  this->slot_us = val;
+}
+std::ostream& operator<<(std::ostream& out, const ServiceCost& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ServiceCost::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_service_name = false;
+  bool isset_calls = false;
+  bool isset_slot_us = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_name);
+          isset_service_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->calls);
+          isset_calls = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->slot_us);
+          isset_slot_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_service_name)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_calls)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_slot_us)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t ServiceCost::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ServiceCost");
+
+  xfer += oprot->writeFieldBegin("service_name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->service_name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("calls", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->calls);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slot_us", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->slot_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ServiceCost &a, ServiceCost &b) {
+  using ::std::swap;
+  swap(a.service_name, b.service_name);
+  swap(a.calls, b.calls);
+  swap(a.slot_us, b.slot_us);
+}
+
+ServiceCost::ServiceCost(const ServiceCost& other44) {
+  service_name = other44.service_name;
+  calls = other44.calls;
+  slot_us = other44.slot_us;
+}
+ServiceCost::ServiceCost(ServiceCost&& other45) noexcept {
+  service_name = std::move(other45.service_name);
+  calls = other45.calls;
+  slot_us = other45.slot_us;
+}
+ServiceCost& ServiceCost::operator=(const ServiceCost& other46) {
+  service_name = other46.service_name;
+  calls = other46.calls;
+  slot_us = other46.slot_us;
+  return *this;
+}
+ServiceCost& ServiceCost::operator=(ServiceCost&& other47) noexcept {
+  service_name = std::move(other47.service_name);
+  calls = other47.calls;
+  slot_us = other47.slot_us;
+  return *this;
+}
+void ServiceCost::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ServiceCost(";
+  out << "service_name=" << to_string(service_name);
+  out << ", " << "calls=" << to_string(calls);
+  out << ", " << "slot_us=" << to_string(slot_us);
+  out << ")";
+}
+
+
+ServicePressure::~ServicePressure() noexcept {
+}
+
+
+void ServicePressure::__set_service_name(const std::string& val) {
+  this->service_name = val;
+}
+
+void ServicePressure::__set_cut_x256(const int64_t val) {
+  this->cut_x256 = val;
+}
+
+void ServicePressure::__set_success_percent(const int32_t val) {
+  this->success_percent = val;
+__isset.success_percent = true;
+}
+
+void ServicePressure::__set_customer_share(const int32_t val) {
+  this->customer_share = val;
+__isset.customer_share = true;
+}
+std::ostream& operator<<(std::ostream& out, const ServicePressure& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ServicePressure::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_service_name = false;
+  bool isset_cut_x256 = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_name);
+          isset_service_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->cut_x256);
+          isset_cut_x256 = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->success_percent);
+          this->__isset.success_percent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->customer_share);
+          this->__isset.customer_share = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_service_name)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_cut_x256)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t ServicePressure::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ServicePressure");
+
+  xfer += oprot->writeFieldBegin("service_name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->service_name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("cut_x256", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->cut_x256);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.success_percent) {
+    xfer += oprot->writeFieldBegin("success_percent", ::apache::thrift::protocol::T_I32, 3);
+    xfer += oprot->writeI32(this->success_percent);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.customer_share) {
+    xfer += oprot->writeFieldBegin("customer_share", ::apache::thrift::protocol::T_I32, 4);
+    xfer += oprot->writeI32(this->customer_share);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ServicePressure &a, ServicePressure &b) {
+  using ::std::swap;
+  swap(a.service_name, b.service_name);
+  swap(a.cut_x256, b.cut_x256);
+  swap(a.success_percent, b.success_percent);
+  swap(a.customer_share, b.customer_share);
+  swap(a.__isset, b.__isset);
+}
+
+ServicePressure::ServicePressure(const ServicePressure& other48) {
+  service_name = other48.service_name;
+  cut_x256 = other48.cut_x256;
+  success_percent = other48.success_percent;
+  customer_share = other48.customer_share;
+  __isset = other48.__isset;
+}
+ServicePressure::ServicePressure(ServicePressure&& other49) noexcept {
+  service_name = std::move(other49.service_name);
+  cut_x256 = other49.cut_x256;
+  success_percent = other49.success_percent;
+  customer_share = other49.customer_share;
+  __isset = other49.__isset;
+}
+ServicePressure& ServicePressure::operator=(const ServicePressure& other50) {
+  service_name = other50.service_name;
+  cut_x256 = other50.cut_x256;
+  success_percent = other50.success_percent;
+  customer_share = other50.customer_share;
+  __isset = other50.__isset;
+  return *this;
+}
+ServicePressure& ServicePressure::operator=(ServicePressure&& other51) noexcept {
+  service_name = std::move(other51.service_name);
+  cut_x256 = other51.cut_x256;
+  success_percent = other51.success_percent;
+  customer_share = other51.customer_share;
+  __isset = other51.__isset;
+  return *this;
+}
+void ServicePressure::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ServicePressure(";
+  out << "service_name=" << to_string(service_name);
+  out << ", " << "cut_x256=" << to_string(cut_x256);
+  out << ", " << "success_percent="; (__isset.success_percent ? (out << to_string(success_percent)) : (out << "<null>"));
+  out << ", " << "customer_share="; (__isset.customer_share ? (out << to_string(customer_share)) : (out << "<null>"));
+  out << ")";
+}
+
+
+FailedBelow::~FailedBelow() noexcept {
+}
+
+
+void FailedBelow::__set_service_name(const std::string& val) {
+  this->service_name = val;
+}
+
+void FailedBelow::__set_cause(const int32_t val) {
+  this->cause = val;
+}
+std::ostream& operator<<(std::ostream& out, const FailedBelow& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t FailedBelow::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_service_name = false;
+  bool isset_cause = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_name);
+          isset_service_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->cause);
+          isset_cause = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_service_name)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_cause)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t FailedBelow::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("FailedBelow");
+
+  xfer += oprot->writeFieldBegin("service_name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->service_name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("cause", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->cause);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(FailedBelow &a, FailedBelow &b) {
+  using ::std::swap;
+  swap(a.service_name, b.service_name);
+  swap(a.cause, b.cause);
+}
+
+FailedBelow::FailedBelow(const FailedBelow& other52) {
+  service_name = other52.service_name;
+  cause = other52.cause;
+}
+FailedBelow::FailedBelow(FailedBelow&& other53) noexcept {
+  service_name = std::move(other53.service_name);
+  cause = other53.cause;
+}
+FailedBelow& FailedBelow::operator=(const FailedBelow& other54) {
+  service_name = other54.service_name;
+  cause = other54.cause;
+  return *this;
+}
+FailedBelow& FailedBelow::operator=(FailedBelow&& other55) noexcept {
+  service_name = std::move(other55.service_name);
+  cause = other55.cause;
+  return *this;
+}
+void FailedBelow::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "FailedBelow(";
+  out << "service_name=" << to_string(service_name);
+  out << ", " << "cause=" << to_string(cause);
   out << ")";
 }
 
@@ -1878,62 +2452,62 @@
   swap(a.__isset, b.__isset);
 }
 
-LoadReport::LoadReport(const LoadReport& other44) {
-  server = other44.server;
-  in_flight = other44.in_flight;
-  limit = other44.limit;
-  queued = other44.queued;
-  shed_threshold = other44.shed_threshold;
-  downstream_threshold = other44.downstream_threshold;
-  turn_us = other44.turn_us;
-  own_us = other44.own_us;
-  leaving = other44.leaving;
-  started_ms = other44.started_ms;
-  rate_limit = other44.rate_limit;
-  __isset = other44.__isset;
-}
-LoadReport::LoadReport(LoadReport&& other45) noexcept {
-  server = std::move(other45.server);
-  in_flight = other45.in_flight;
-  limit = other45.limit;
-  queued = other45.queued;
-  shed_threshold = other45.shed_threshold;
-  downstream_threshold = other45.downstream_threshold;
-  turn_us = other45.turn_us;
-  own_us = other45.own_us;
-  leaving = other45.leaving;
-  started_ms = other45.started_ms;
-  rate_limit = other45.rate_limit;
-  __isset = other45.__isset;
-}
-LoadReport& LoadReport::operator=(const LoadReport& other46) {
-  server = other46.server;
-  in_flight = other46.in_flight;
-  limit = other46.limit;
-  queued = other46.queued;
-  shed_threshold = other46.shed_threshold;
-  downstream_threshold = other46.downstream_threshold;
-  turn_us = other46.turn_us;
-  own_us = other46.own_us;
-  leaving = other46.leaving;
-  started_ms = other46.started_ms;
-  rate_limit = other46.rate_limit;
-  __isset = other46.__isset;
+LoadReport::LoadReport(const LoadReport& other56) {
+  server = other56.server;
+  in_flight = other56.in_flight;
+  limit = other56.limit;
+  queued = other56.queued;
+  shed_threshold = other56.shed_threshold;
+  downstream_threshold = other56.downstream_threshold;
+  turn_us = other56.turn_us;
+  own_us = other56.own_us;
+  leaving = other56.leaving;
+  started_ms = other56.started_ms;
+  rate_limit = other56.rate_limit;
+  __isset = other56.__isset;
+}
+LoadReport::LoadReport(LoadReport&& other57) noexcept {
+  server = std::move(other57.server);
+  in_flight = other57.in_flight;
+  limit = other57.limit;
+  queued = other57.queued;
+  shed_threshold = other57.shed_threshold;
+  downstream_threshold = other57.downstream_threshold;
+  turn_us = other57.turn_us;
+  own_us = other57.own_us;
+  leaving = other57.leaving;
+  started_ms = other57.started_ms;
+  rate_limit = other57.rate_limit;
+  __isset = other57.__isset;
+}
+LoadReport& LoadReport::operator=(const LoadReport& other58) {
+  server = other58.server;
+  in_flight = other58.in_flight;
+  limit = other58.limit;
+  queued = other58.queued;
+  shed_threshold = other58.shed_threshold;
+  downstream_threshold = other58.downstream_threshold;
+  turn_us = other58.turn_us;
+  own_us = other58.own_us;
+  leaving = other58.leaving;
+  started_ms = other58.started_ms;
+  rate_limit = other58.rate_limit;
+  __isset = other58.__isset;
   return *this;
 }
-LoadReport& LoadReport::operator=(LoadReport&& other47) noexcept {
-  server = std::move(other47.server);
-  in_flight = other47.in_flight;
-  limit = other47.limit;
-  queued = other47.queued;
-  shed_threshold = other47.shed_threshold;
-  downstream_threshold = other47.downstream_threshold;
-  turn_us = other47.turn_us;
-  own_us = other47.own_us;
-  leaving = other47.leaving;
-  started_ms = other47.started_ms;
-  rate_limit = other47.rate_limit;
-  __isset = other47.__isset;
+LoadReport& LoadReport::operator=(LoadReport&& other59) noexcept {
+  server = std::move(other59.server);
+  in_flight = other59.in_flight;
+  limit = other59.limit;
+  queued = other59.queued;
+  shed_threshold = other59.shed_threshold;
+  downstream_threshold = other59.downstream_threshold;
+  turn_us = other59.turn_us;
+  own_us = other59.own_us;
+  leaving = other59.leaving;
+  started_ms = other59.started_ms;
+  rate_limit = other59.rate_limit;
+  __isset = other59.__isset;
   return *this;
 }
 void LoadReport::printTo(std::ostream& out) const {
@@ -2071,26 +2645,26 @@
   swap(a.data_centre, b.data_centre);
 }
 
-Hello::Hello(const Hello& other48) {
-  node = other48.node;
-  fleet = other48.fleet;
-  data_centre = other48.data_centre;
+Hello::Hello(const Hello& other60) {
+  node = other60.node;
+  fleet = other60.fleet;
+  data_centre = other60.data_centre;
 }
-Hello::Hello(Hello&& other49) noexcept {
-  node = std::move(other49.node);
-  fleet = std::move(other49.fleet);
-  data_centre = std::move(other49.data_centre);
+Hello::Hello(Hello&& other61) noexcept {
+  node = std::move(other61.node);
+  fleet = std::move(other61.fleet);
+  data_centre = std::move(other61.data_centre);
 }
-Hello& Hello::operator=(const Hello& other50) {
-  node = other50.node;
-  fleet = other50.fleet;
-  data_centre = other50.data_centre;
+Hello& Hello::operator=(const Hello& other62) {
+  node = other62.node;
+  fleet = other62.fleet;
+  data_centre = other62.data_centre;
   return *this;
 }
-Hello& Hello::operator=(Hello&& other51) noexcept {
-  node = std::move(other51.node);
-  fleet = std::move(other51.fleet);
-  data_centre = std::move(other51.data_centre);
+Hello& Hello::operator=(Hello&& other63) noexcept {
+  node = std::move(other63.node);
+  fleet = std::move(other63.fleet);
+  data_centre = std::move(other63.data_centre);
   return *this;
 }
 void Hello::printTo(std::ostream& out) const {
@@ -2279,42 +2853,42 @@
   swap(a.__isset, b.__isset);
 }
 
-CallForward::CallForward(const CallForward& other52) {
-  attempt = other52.attempt;
-  server = other52.server;
-  context = other52.context;
-  request = other52.request;
-  usual_us = other52.usual_us;
-  rate_limit = other52.rate_limit;
-  __isset = other52.__isset;
-}
-CallForward::CallForward(CallForward&& other53) noexcept {
-  attempt = other53.attempt;
-  server = std::move(other53.server);
-  context = std::move(other53.context);
-  request = std::move(other53.request);
-  usual_us = other53.usual_us;
-  rate_limit = other53.rate_limit;
-  __isset = other53.__isset;
-}
-CallForward& CallForward::operator=(const CallForward& other54) {
-  attempt = other54.attempt;
-  server = other54.server;
-  context = other54.context;
-  request = other54.request;
-  usual_us = other54.usual_us;
-  rate_limit = other54.rate_limit;
-  __isset = other54.__isset;
+CallForward::CallForward(const CallForward& other64) {
+  attempt = other64.attempt;
+  server = other64.server;
+  context = other64.context;
+  request = other64.request;
+  usual_us = other64.usual_us;
+  rate_limit = other64.rate_limit;
+  __isset = other64.__isset;
+}
+CallForward::CallForward(CallForward&& other65) noexcept {
+  attempt = other65.attempt;
+  server = std::move(other65.server);
+  context = std::move(other65.context);
+  request = std::move(other65.request);
+  usual_us = other65.usual_us;
+  rate_limit = other65.rate_limit;
+  __isset = other65.__isset;
+}
+CallForward& CallForward::operator=(const CallForward& other66) {
+  attempt = other66.attempt;
+  server = other66.server;
+  context = other66.context;
+  request = other66.request;
+  usual_us = other66.usual_us;
+  rate_limit = other66.rate_limit;
+  __isset = other66.__isset;
   return *this;
 }
-CallForward& CallForward::operator=(CallForward&& other55) noexcept {
-  attempt = other55.attempt;
-  server = std::move(other55.server);
-  context = std::move(other55.context);
-  request = std::move(other55.request);
-  usual_us = other55.usual_us;
-  rate_limit = other55.rate_limit;
-  __isset = other55.__isset;
+CallForward& CallForward::operator=(CallForward&& other67) noexcept {
+  attempt = other67.attempt;
+  server = std::move(other67.server);
+  context = std::move(other67.context);
+  request = std::move(other67.request);
+  usual_us = other67.usual_us;
+  rate_limit = other67.rate_limit;
+  __isset = other67.__isset;
   return *this;
 }
 void CallForward::printTo(std::ostream& out) const {
@@ -2427,22 +3001,22 @@
   swap(a.waited_us, b.waited_us);
 }
 
-CallTimes::CallTimes(const CallTimes& other56) noexcept {
-  held_us = other56.held_us;
-  waited_us = other56.waited_us;
+CallTimes::CallTimes(const CallTimes& other68) noexcept {
+  held_us = other68.held_us;
+  waited_us = other68.waited_us;
 }
-CallTimes::CallTimes(CallTimes&& other57) noexcept {
-  held_us = other57.held_us;
-  waited_us = other57.waited_us;
+CallTimes::CallTimes(CallTimes&& other69) noexcept {
+  held_us = other69.held_us;
+  waited_us = other69.waited_us;
 }
-CallTimes& CallTimes::operator=(const CallTimes& other58) noexcept {
-  held_us = other58.held_us;
-  waited_us = other58.waited_us;
+CallTimes& CallTimes::operator=(const CallTimes& other70) noexcept {
+  held_us = other70.held_us;
+  waited_us = other70.waited_us;
   return *this;
 }
-CallTimes& CallTimes::operator=(CallTimes&& other59) noexcept {
-  held_us = other59.held_us;
-  waited_us = other59.waited_us;
+CallTimes& CallTimes::operator=(CallTimes&& other71) noexcept {
+  held_us = other71.held_us;
+  waited_us = other71.waited_us;
   return *this;
 }
 void CallTimes::printTo(std::ostream& out) const {
@@ -2491,6 +3065,21 @@
   this->times = val;
 __isset.times = true;
 }
+
+void CallAnswer::__set_costs(const std::vector<ServiceCost> & val) {
+  this->costs = val;
+__isset.costs = true;
+}
+
+void CallAnswer::__set_pressures(const std::vector<ServicePressure> & val) {
+  this->pressures = val;
+__isset.pressures = true;
+}
+
+void CallAnswer::__set_failed_below(const FailedBelow& val) {
+  this->failed_below = val;
+__isset.failed_below = true;
+}
 std::ostream& operator<<(std::ostream& out, const CallAnswer& obj)
 {
   obj.printTo(out);
@@ -2589,6 +3178,54 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->costs.clear();
+            uint32_t _size72;
+            ::apache::thrift::protocol::TType _etype75;
+            xfer += iprot->readListBegin(_etype75, _size72);
+            this->costs.resize(_size72);
+            uint32_t _i76;
+            for (_i76 = 0; _i76 < _size72; ++_i76)
+            {
+              xfer += this->costs[_i76].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.costs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->pressures.clear();
+            uint32_t _size77;
+            ::apache::thrift::protocol::TType _etype80;
+            xfer += iprot->readListBegin(_etype80, _size77);
+            this->pressures.resize(_size77);
+            uint32_t _i81;
+            for (_i81 = 0; _i81 < _size77; ++_i81)
+            {
+              xfer += this->pressures[_i81].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.pressures = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->failed_below.read(iprot);
+          this->__isset.failed_below = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2652,6 +3289,37 @@
     xfer += this->times.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.costs) {
+    xfer += oprot->writeFieldBegin("costs", ::apache::thrift::protocol::T_LIST, 9);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->costs.size()));
+      std::vector<ServiceCost> ::const_iterator _iter82;
+      for (_iter82 = this->costs.begin(); _iter82 != this->costs.end(); ++_iter82)
+      {
+        xfer += (*_iter82).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.pressures) {
+    xfer += oprot->writeFieldBegin("pressures", ::apache::thrift::protocol::T_LIST, 10);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->pressures.size()));
+      std::vector<ServicePressure> ::const_iterator _iter83;
+      for (_iter83 = this->pressures.begin(); _iter83 != this->pressures.end(); ++_iter83)
+      {
+        xfer += (*_iter83).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.failed_below) {
+    xfer += oprot->writeFieldBegin("failed_below", ::apache::thrift::protocol::T_STRUCT, 11);
+    xfer += this->failed_below.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2667,53 +3335,68 @@
   swap(a.load, b.load);
   swap(a.made_calls, b.made_calls);
   swap(a.times, b.times);
+  swap(a.costs, b.costs);
+  swap(a.pressures, b.pressures);
+  swap(a.failed_below, b.failed_below);
   swap(a.__isset, b.__isset);
 }
 
-CallAnswer::CallAnswer(const CallAnswer& other60) {
-  attempt = other60.attempt;
-  entry_incarnation = other60.entry_incarnation;
-  response = other60.response;
-  failure = other60.failure;
-  credits_returned = other60.credits_returned;
-  load = other60.load;
-  made_calls = other60.made_calls;
-  times = other60.times;
-  __isset = other60.__isset;
-}
-CallAnswer::CallAnswer(CallAnswer&& other61) noexcept {
-  attempt = other61.attempt;
-  entry_incarnation = other61.entry_incarnation;
-  response = std::move(other61.response);
-  failure = std::move(other61.failure);
-  credits_returned = other61.credits_returned;
-  load = std::move(other61.load);
-  made_calls = other61.made_calls;
-  times = std::move(other61.times);
-  __isset = other61.__isset;
-}
-CallAnswer& CallAnswer::operator=(const CallAnswer& other62) {
-  attempt = other62.attempt;
-  entry_incarnation = other62.entry_incarnation;
-  response = other62.response;
-  failure = other62.failure;
-  credits_returned = other62.credits_returned;
-  load = other62.load;
-  made_calls = other62.made_calls;
-  times = other62.times;
-  __isset = other62.__isset;
+CallAnswer::CallAnswer(const CallAnswer& other84) {
+  attempt = other84.attempt;
+  entry_incarnation = other84.entry_incarnation;
+  response = other84.response;
+  failure = other84.failure;
+  credits_returned = other84.credits_returned;
+  load = other84.load;
+  made_calls = other84.made_calls;
+  times = other84.times;
+  costs = other84.costs;
+  pressures = other84.pressures;
+  failed_below = other84.failed_below;
+  __isset = other84.__isset;
+}
+CallAnswer::CallAnswer(CallAnswer&& other85) noexcept {
+  attempt = other85.attempt;
+  entry_incarnation = other85.entry_incarnation;
+  response = std::move(other85.response);
+  failure = std::move(other85.failure);
+  credits_returned = other85.credits_returned;
+  load = std::move(other85.load);
+  made_calls = other85.made_calls;
+  times = std::move(other85.times);
+  costs = std::move(other85.costs);
+  pressures = std::move(other85.pressures);
+  failed_below = std::move(other85.failed_below);
+  __isset = other85.__isset;
+}
+CallAnswer& CallAnswer::operator=(const CallAnswer& other86) {
+  attempt = other86.attempt;
+  entry_incarnation = other86.entry_incarnation;
+  response = other86.response;
+  failure = other86.failure;
+  credits_returned = other86.credits_returned;
+  load = other86.load;
+  made_calls = other86.made_calls;
+  times = other86.times;
+  costs = other86.costs;
+  pressures = other86.pressures;
+  failed_below = other86.failed_below;
+  __isset = other86.__isset;
   return *this;
 }
-CallAnswer& CallAnswer::operator=(CallAnswer&& other63) noexcept {
-  attempt = other63.attempt;
-  entry_incarnation = other63.entry_incarnation;
-  response = std::move(other63.response);
-  failure = std::move(other63.failure);
-  credits_returned = other63.credits_returned;
-  load = std::move(other63.load);
-  made_calls = other63.made_calls;
-  times = std::move(other63.times);
-  __isset = other63.__isset;
+CallAnswer& CallAnswer::operator=(CallAnswer&& other87) noexcept {
+  attempt = other87.attempt;
+  entry_incarnation = other87.entry_incarnation;
+  response = std::move(other87.response);
+  failure = std::move(other87.failure);
+  credits_returned = other87.credits_returned;
+  load = std::move(other87.load);
+  made_calls = other87.made_calls;
+  times = std::move(other87.times);
+  costs = std::move(other87.costs);
+  pressures = std::move(other87.pressures);
+  failed_below = std::move(other87.failed_below);
+  __isset = other87.__isset;
   return *this;
 }
 void CallAnswer::printTo(std::ostream& out) const {
@@ -2727,6 +3410,9 @@
   out << ", " << "load=" << to_string(load);
   out << ", " << "made_calls="; (__isset.made_calls ? (out << to_string(made_calls)) : (out << "<null>"));
   out << ", " << "times="; (__isset.times ? (out << to_string(times)) : (out << "<null>"));
+  out << ", " << "costs="; (__isset.costs ? (out << to_string(costs)) : (out << "<null>"));
+  out << ", " << "pressures="; (__isset.pressures ? (out << to_string(pressures)) : (out << "<null>"));
+  out << ", " << "failed_below="; (__isset.failed_below ? (out << to_string(failed_below)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2808,18 +3494,18 @@
   swap(a.attempt, b.attempt);
 }
 
-CallCancel::CallCancel(const CallCancel& other64) noexcept {
-  attempt = other64.attempt;
+CallCancel::CallCancel(const CallCancel& other88) noexcept {
+  attempt = other88.attempt;
 }
-CallCancel::CallCancel(CallCancel&& other65) noexcept {
-  attempt = other65.attempt;
+CallCancel::CallCancel(CallCancel&& other89) noexcept {
+  attempt = other89.attempt;
 }
-CallCancel& CallCancel::operator=(const CallCancel& other66) noexcept {
-  attempt = other66.attempt;
+CallCancel& CallCancel::operator=(const CallCancel& other90) noexcept {
+  attempt = other90.attempt;
   return *this;
 }
-CallCancel& CallCancel::operator=(CallCancel&& other67) noexcept {
-  attempt = other67.attempt;
+CallCancel& CallCancel::operator=(CallCancel&& other91) noexcept {
+  attempt = other91.attempt;
   return *this;
 }
 void CallCancel::printTo(std::ostream& out) const {
@@ -2967,30 +3653,30 @@
   swap(a.remaining_us, b.remaining_us);
 }
 
-HomeForward::HomeForward(const HomeForward& other68) {
-  attempt = other68.attempt;
-  home_incarnation = other68.home_incarnation;
-  request = other68.request;
-  remaining_us = other68.remaining_us;
+HomeForward::HomeForward(const HomeForward& other92) {
+  attempt = other92.attempt;
+  home_incarnation = other92.home_incarnation;
+  request = other92.request;
+  remaining_us = other92.remaining_us;
 }
-HomeForward::HomeForward(HomeForward&& other69) noexcept {
-  attempt = other69.attempt;
-  home_incarnation = other69.home_incarnation;
-  request = std::move(other69.request);
-  remaining_us = other69.remaining_us;
+HomeForward::HomeForward(HomeForward&& other93) noexcept {
+  attempt = other93.attempt;
+  home_incarnation = other93.home_incarnation;
+  request = std::move(other93.request);
+  remaining_us = other93.remaining_us;
 }
-HomeForward& HomeForward::operator=(const HomeForward& other70) {
-  attempt = other70.attempt;
-  home_incarnation = other70.home_incarnation;
-  request = other70.request;
-  remaining_us = other70.remaining_us;
+HomeForward& HomeForward::operator=(const HomeForward& other94) {
+  attempt = other94.attempt;
+  home_incarnation = other94.home_incarnation;
+  request = other94.request;
+  remaining_us = other94.remaining_us;
   return *this;
 }
-HomeForward& HomeForward::operator=(HomeForward&& other71) noexcept {
-  attempt = other71.attempt;
-  home_incarnation = other71.home_incarnation;
-  request = std::move(other71.request);
-  remaining_us = other71.remaining_us;
+HomeForward& HomeForward::operator=(HomeForward&& other95) noexcept {
+  attempt = other95.attempt;
+  home_incarnation = other95.home_incarnation;
+  request = std::move(other95.request);
+  remaining_us = other95.remaining_us;
   return *this;
 }
 void HomeForward::printTo(std::ostream& out) const {
@@ -3081,18 +3767,18 @@
   swap(a.sequence, b.sequence);
 }
 
-LinkPing::LinkPing(const LinkPing& other72) noexcept {
-  sequence = other72.sequence;
+LinkPing::LinkPing(const LinkPing& other96) noexcept {
+  sequence = other96.sequence;
 }
-LinkPing::LinkPing(LinkPing&& other73) noexcept {
-  sequence = other73.sequence;
+LinkPing::LinkPing(LinkPing&& other97) noexcept {
+  sequence = other97.sequence;
 }
-LinkPing& LinkPing::operator=(const LinkPing& other74) noexcept {
-  sequence = other74.sequence;
+LinkPing& LinkPing::operator=(const LinkPing& other98) noexcept {
+  sequence = other98.sequence;
   return *this;
 }
-LinkPing& LinkPing::operator=(LinkPing&& other75) noexcept {
-  sequence = other75.sequence;
+LinkPing& LinkPing::operator=(LinkPing&& other99) noexcept {
+  sequence = other99.sequence;
   return *this;
 }
 void LinkPing::printTo(std::ostream& out) const {
@@ -3180,18 +3866,18 @@
   swap(a.sequence, b.sequence);
 }
 
-LinkPong::LinkPong(const LinkPong& other76) noexcept {
-  sequence = other76.sequence;
+LinkPong::LinkPong(const LinkPong& other100) noexcept {
+  sequence = other100.sequence;
 }
-LinkPong::LinkPong(LinkPong&& other77) noexcept {
-  sequence = other77.sequence;
+LinkPong::LinkPong(LinkPong&& other101) noexcept {
+  sequence = other101.sequence;
 }
-LinkPong& LinkPong::operator=(const LinkPong& other78) noexcept {
-  sequence = other78.sequence;
+LinkPong& LinkPong::operator=(const LinkPong& other102) noexcept {
+  sequence = other102.sequence;
   return *this;
 }
-LinkPong& LinkPong::operator=(LinkPong&& other79) noexcept {
-  sequence = other79.sequence;
+LinkPong& LinkPong::operator=(LinkPong&& other103) noexcept {
+  sequence = other103.sequence;
   return *this;
 }
 void LinkPong::printTo(std::ostream& out) const {
@@ -3279,18 +3965,18 @@
   swap(a.have_version, b.have_version);
 }
 
-SettingsRequest::SettingsRequest(const SettingsRequest& other80) noexcept {
-  have_version = other80.have_version;
+SettingsRequest::SettingsRequest(const SettingsRequest& other104) noexcept {
+  have_version = other104.have_version;
 }
-SettingsRequest::SettingsRequest(SettingsRequest&& other81) noexcept {
-  have_version = other81.have_version;
+SettingsRequest::SettingsRequest(SettingsRequest&& other105) noexcept {
+  have_version = other105.have_version;
 }
-SettingsRequest& SettingsRequest::operator=(const SettingsRequest& other82) noexcept {
-  have_version = other82.have_version;
+SettingsRequest& SettingsRequest::operator=(const SettingsRequest& other106) noexcept {
+  have_version = other106.have_version;
   return *this;
 }
-SettingsRequest& SettingsRequest::operator=(SettingsRequest&& other83) noexcept {
-  have_version = other83.have_version;
+SettingsRequest& SettingsRequest::operator=(SettingsRequest&& other107) noexcept {
+  have_version = other107.have_version;
   return *this;
 }
 void SettingsRequest::printTo(std::ostream& out) const {
@@ -3418,26 +4104,26 @@
   swap(a.text, b.text);
 }
 
-SettingsSnapshot::SettingsSnapshot(const SettingsSnapshot& other84) {
-  version = other84.version;
-  text_hash = other84.text_hash;
-  text = other84.text;
+SettingsSnapshot::SettingsSnapshot(const SettingsSnapshot& other108) {
+  version = other108.version;
+  text_hash = other108.text_hash;
+  text = other108.text;
 }
-SettingsSnapshot::SettingsSnapshot(SettingsSnapshot&& other85) noexcept {
-  version = other85.version;
-  text_hash = other85.text_hash;
-  text = std::move(other85.text);
+SettingsSnapshot::SettingsSnapshot(SettingsSnapshot&& other109) noexcept {
+  version = other109.version;
+  text_hash = other109.text_hash;
+  text = std::move(other109.text);
 }
-SettingsSnapshot& SettingsSnapshot::operator=(const SettingsSnapshot& other86) {
-  version = other86.version;
-  text_hash = other86.text_hash;
-  text = other86.text;
+SettingsSnapshot& SettingsSnapshot::operator=(const SettingsSnapshot& other110) {
+  version = other110.version;
+  text_hash = other110.text_hash;
+  text = other110.text;
   return *this;
 }
-SettingsSnapshot& SettingsSnapshot::operator=(SettingsSnapshot&& other87) noexcept {
-  version = other87.version;
-  text_hash = other87.text_hash;
-  text = std::move(other87.text);
+SettingsSnapshot& SettingsSnapshot::operator=(SettingsSnapshot&& other111) noexcept {
+  version = other111.version;
+  text_hash = other111.text_hash;
+  text = std::move(other111.text);
   return *this;
 }
 void SettingsSnapshot::printTo(std::ostream& out) const {
@@ -3547,22 +4233,22 @@
   swap(a.key, b.key);
 }
 
-KeyClaim::KeyClaim(const KeyClaim& other88) {
-  claim_id = other88.claim_id;
-  key = other88.key;
+KeyClaim::KeyClaim(const KeyClaim& other112) {
+  claim_id = other112.claim_id;
+  key = other112.key;
 }
-KeyClaim::KeyClaim(KeyClaim&& other89) noexcept {
-  claim_id = other89.claim_id;
-  key = std::move(other89.key);
+KeyClaim::KeyClaim(KeyClaim&& other113) noexcept {
+  claim_id = other113.claim_id;
+  key = std::move(other113.key);
 }
-KeyClaim& KeyClaim::operator=(const KeyClaim& other90) {
-  claim_id = other90.claim_id;
-  key = other90.key;
+KeyClaim& KeyClaim::operator=(const KeyClaim& other114) {
+  claim_id = other114.claim_id;
+  key = other114.key;
   return *this;
 }
-KeyClaim& KeyClaim::operator=(KeyClaim&& other91) noexcept {
-  claim_id = other91.claim_id;
-  key = std::move(other91.key);
+KeyClaim& KeyClaim::operator=(KeyClaim&& other115) noexcept {
+  claim_id = other115.claim_id;
+  key = std::move(other115.key);
   return *this;
 }
 void KeyClaim::printTo(std::ostream& out) const {
@@ -3627,14 +4313,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->claims.clear();
-            uint32_t _size92;
-            ::apache::thrift::protocol::TType _etype95;
-            xfer += iprot->readListBegin(_etype95, _size92);
-            this->claims.resize(_size92);
-            uint32_t _i96;
-            for (_i96 = 0; _i96 < _size92; ++_i96)
+            uint32_t _size116;
+            ::apache::thrift::protocol::TType _etype119;
+            xfer += iprot->readListBegin(_etype119, _size116);
+            this->claims.resize(_size116);
+            uint32_t _i120;
+            for (_i120 = 0; _i120 < _size116; ++_i120)
             {
-              xfer += this->claims[_i96].read(iprot);
+              xfer += this->claims[_i120].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3671,10 +4357,10 @@
   xfer += oprot->writeFieldBegin("claims", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->claims.size()));
-    std::vector<KeyClaim> ::const_iterator _iter97;
-    for (_iter97 = this->claims.begin(); _iter97 != this->claims.end(); ++_iter97)
+    std::vector<KeyClaim> ::const_iterator _iter121;
+    for (_iter121 = this->claims.begin(); _iter121 != this->claims.end(); ++_iter121)
     {
-      xfer += (*_iter97).write(oprot);
+      xfer += (*_iter121).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3691,22 +4377,22 @@
   swap(a.claims, b.claims);
 }
 
-ClaimRequest::ClaimRequest(const ClaimRequest& other98) {
-  holder = other98.holder;
-  claims = other98.claims;
+ClaimRequest::ClaimRequest(const ClaimRequest& other122) {
+  holder = other122.holder;
+  claims = other122.claims;
 }
-ClaimRequest::ClaimRequest(ClaimRequest&& other99) noexcept {
-  holder = std::move(other99.holder);
-  claims = std::move(other99.claims);
+ClaimRequest::ClaimRequest(ClaimRequest&& other123) noexcept {
+  holder = std::move(other123.holder);
+  claims = std::move(other123.claims);
 }
-ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other100) {
-  holder = other100.holder;
-  claims = other100.claims;
+ClaimRequest& ClaimRequest::operator=(const ClaimRequest& other124) {
+  holder = other124.holder;
+  claims = other124.claims;
   return *this;
 }
-ClaimRequest& ClaimRequest::operator=(ClaimRequest&& other101) noexcept {
-  holder = std::move(other101.holder);
-  claims = std::move(other101.claims);
+ClaimRequest& ClaimRequest::operator=(ClaimRequest&& other125) noexcept {
+  holder = std::move(other125.holder);
+  claims = std::move(other125.claims);
   return *this;
 }
 void ClaimRequest::printTo(std::ostream& out) const {
@@ -3855,30 +4541,30 @@
   swap(a.holder_claim_id, b.holder_claim_id);
 }
 
-ClaimOutcome::ClaimOutcome(const ClaimOutcome& other102) {
-  claim_id = other102.claim_id;
-  known = other102.known;
-  holder = other102.holder;
-  holder_claim_id = other102.holder_claim_id;
+ClaimOutcome::ClaimOutcome(const ClaimOutcome& other126) {
+  claim_id = other126.claim_id;
+  known = other126.known;
+  holder = other126.holder;
+  holder_claim_id = other126.holder_claim_id;
 }
-ClaimOutcome::ClaimOutcome(ClaimOutcome&& other103) noexcept {
-  claim_id = other103.claim_id;
-  known = other103.known;
-  holder = std::move(other103.holder);
-  holder_claim_id = other103.holder_claim_id;
+ClaimOutcome::ClaimOutcome(ClaimOutcome&& other127) noexcept {
+  claim_id = other127.claim_id;
+  known = other127.known;
+  holder = std::move(other127.holder);
+  holder_claim_id = other127.holder_claim_id;
 }
-ClaimOutcome& ClaimOutcome::operator=(const ClaimOutcome& other104) {
-  claim_id = other104.claim_id;
-  known = other104.known;
-  holder = other104.holder;
-  holder_claim_id = other104.holder_claim_id;
+ClaimOutcome& ClaimOutcome::operator=(const ClaimOutcome& other128) {
+  claim_id = other128.claim_id;
+  known = other128.known;
+  holder = other128.holder;
+  holder_claim_id = other128.holder_claim_id;
   return *this;
 }
-ClaimOutcome& ClaimOutcome::operator=(ClaimOutcome&& other105) noexcept {
-  claim_id = other105.claim_id;
-  known = other105.known;
-  holder = std::move(other105.holder);
-  holder_claim_id = other105.holder_claim_id;
+ClaimOutcome& ClaimOutcome::operator=(ClaimOutcome&& other129) noexcept {
+  claim_id = other129.claim_id;
+  known = other129.known;
+  holder = std::move(other129.holder);
+  holder_claim_id = other129.holder_claim_id;
   return *this;
 }
 void ClaimOutcome::printTo(std::ostream& out) const {
@@ -3932,14 +4618,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->outcomes.clear();
-            uint32_t _size106;
-            ::apache::thrift::protocol::TType _etype109;
-            xfer += iprot->readListBegin(_etype109, _size106);
-            this->outcomes.resize(_size106);
-            uint32_t _i110;
-            for (_i110 = 0; _i110 < _size106; ++_i110)
+            uint32_t _size130;
+            ::apache::thrift::protocol::TType _etype133;
+            xfer += iprot->readListBegin(_etype133, _size130);
+            this->outcomes.resize(_size130);
+            uint32_t _i134;
+            for (_i134 = 0; _i134 < _size130; ++_i134)
             {
-              xfer += this->outcomes[_i110].read(iprot);
+              xfer += this->outcomes[_i134].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3970,10 +4656,10 @@
   xfer += oprot->writeFieldBegin("outcomes", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->outcomes.size()));
-    std::vector<ClaimOutcome> ::const_iterator _iter111;
-    for (_iter111 = this->outcomes.begin(); _iter111 != this->outcomes.end(); ++_iter111)
+    std::vector<ClaimOutcome> ::const_iterator _iter135;
+    for (_iter135 = this->outcomes.begin(); _iter135 != this->outcomes.end(); ++_iter135)
     {
-      xfer += (*_iter111).write(oprot);
+      xfer += (*_iter135).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3989,18 +4675,18 @@
   swap(a.outcomes, b.outcomes);
 }
 
-ClaimReply::ClaimReply(const ClaimReply& other112) {
-  outcomes = other112.outcomes;
+ClaimReply::ClaimReply(const ClaimReply& other136) {
+  outcomes = other136.outcomes;
 }
-ClaimReply::ClaimReply(ClaimReply&& other113) noexcept {
-  outcomes = std::move(other113.outcomes);
+ClaimReply::ClaimReply(ClaimReply&& other137) noexcept {
+  outcomes = std::move(other137.outcomes);
 }
-ClaimReply& ClaimReply::operator=(const ClaimReply& other114) {
-  outcomes = other114.outcomes;
+ClaimReply& ClaimReply::operator=(const ClaimReply& other138) {
+  outcomes = other138.outcomes;
   return *this;
 }
-ClaimReply& ClaimReply::operator=(ClaimReply&& other115) noexcept {
-  outcomes = std::move(other115.outcomes);
+ClaimReply& ClaimReply::operator=(ClaimReply&& other139) noexcept {
+  outcomes = std::move(other139.outcomes);
   return *this;
 }
 void ClaimReply::printTo(std::ostream& out) const {
@@ -4148,30 +4834,30 @@
   swap(a.loan, b.loan);
 }
 
-QuotaRequest::QuotaRequest(const QuotaRequest& other116) {
-  id = other116.id;
-  customer = other116.customer;
-  tokens = other116.tokens;
-  loan = other116.loan;
+QuotaRequest::QuotaRequest(const QuotaRequest& other140) {
+  id = other140.id;
+  customer = other140.customer;
+  tokens = other140.tokens;
+  loan = other140.loan;
 }
-QuotaRequest::QuotaRequest(QuotaRequest&& other117) noexcept {
-  id = other117.id;
-  customer = std::move(other117.customer);
-  tokens = other117.tokens;
-  loan = other117.loan;
+QuotaRequest::QuotaRequest(QuotaRequest&& other141) noexcept {
+  id = other141.id;
+  customer = std::move(other141.customer);
+  tokens = other141.tokens;
+  loan = other141.loan;
 }
-QuotaRequest& QuotaRequest::operator=(const QuotaRequest& other118) {
-  id = other118.id;
-  customer = other118.customer;
-  tokens = other118.tokens;
-  loan = other118.loan;
+QuotaRequest& QuotaRequest::operator=(const QuotaRequest& other142) {
+  id = other142.id;
+  customer = other142.customer;
+  tokens = other142.tokens;
+  loan = other142.loan;
   return *this;
 }
-QuotaRequest& QuotaRequest::operator=(QuotaRequest&& other119) noexcept {
-  id = other119.id;
-  customer = std::move(other119.customer);
-  tokens = other119.tokens;
-  loan = other119.loan;
+QuotaRequest& QuotaRequest::operator=(QuotaRequest&& other143) noexcept {
+  id = other143.id;
+  customer = std::move(other143.customer);
+  tokens = other143.tokens;
+  loan = other143.loan;
   return *this;
 }
 void QuotaRequest::printTo(std::ostream& out) const {
@@ -4342,34 +5028,34 @@
   swap(a.loan, b.loan);
 }
 
-QuotaReply::QuotaReply(const QuotaReply& other120) {
-  id = other120.id;
-  customer = other120.customer;
-  tokens = other120.tokens;
-  retry_after_us = other120.retry_after_us;
-  loan = other120.loan;
-}
-QuotaReply::QuotaReply(QuotaReply&& other121) noexcept {
-  id = other121.id;
-  customer = std::move(other121.customer);
-  tokens = other121.tokens;
-  retry_after_us = other121.retry_after_us;
-  loan = other121.loan;
-}
-QuotaReply& QuotaReply::operator=(const QuotaReply& other122) {
-  id = other122.id;
-  customer = other122.customer;
-  tokens = other122.tokens;
-  retry_after_us = other122.retry_after_us;
-  loan = other122.loan;
+QuotaReply::QuotaReply(const QuotaReply& other144) {
+  id = other144.id;
+  customer = other144.customer;
+  tokens = other144.tokens;
+  retry_after_us = other144.retry_after_us;
+  loan = other144.loan;
+}
+QuotaReply::QuotaReply(QuotaReply&& other145) noexcept {
+  id = other145.id;
+  customer = std::move(other145.customer);
+  tokens = other145.tokens;
+  retry_after_us = other145.retry_after_us;
+  loan = other145.loan;
+}
+QuotaReply& QuotaReply::operator=(const QuotaReply& other146) {
+  id = other146.id;
+  customer = other146.customer;
+  tokens = other146.tokens;
+  retry_after_us = other146.retry_after_us;
+  loan = other146.loan;
   return *this;
 }
-QuotaReply& QuotaReply::operator=(QuotaReply&& other123) noexcept {
-  id = other123.id;
-  customer = std::move(other123.customer);
-  tokens = other123.tokens;
-  retry_after_us = other123.retry_after_us;
-  loan = other123.loan;
+QuotaReply& QuotaReply::operator=(QuotaReply&& other147) noexcept {
+  id = other147.id;
+  customer = std::move(other147.customer);
+  tokens = other147.tokens;
+  retry_after_us = other147.retry_after_us;
+  loan = other147.loan;
   return *this;
 }
 void QuotaReply::printTo(std::ostream& out) const {
@@ -4384,6 +5070,254 @@
 }
 
 
+LoadProbe::~LoadProbe() noexcept {
+}
+
+
+void LoadProbe::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void LoadProbe::__set_server(const std::string& val) {
+  this->server = val;
+}
+std::ostream& operator<<(std::ostream& out, const LoadProbe& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LoadProbe::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_id = false;
+  bool isset_server = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          isset_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->server);
+          isset_server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_id)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_server)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t LoadProbe::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LoadProbe");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LoadProbe &a, LoadProbe &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.server, b.server);
+}
+
+LoadProbe::LoadProbe(const LoadProbe& other148) {
+  id = other148.id;
+  server = other148.server;
+}
+LoadProbe::LoadProbe(LoadProbe&& other149) noexcept {
+  id = other149.id;
+  server = std::move(other149.server);
+}
+LoadProbe& LoadProbe::operator=(const LoadProbe& other150) {
+  id = other150.id;
+  server = other150.server;
+  return *this;
+}
+LoadProbe& LoadProbe::operator=(LoadProbe&& other151) noexcept {
+  id = other151.id;
+  server = std::move(other151.server);
+  return *this;
+}
+void LoadProbe::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LoadProbe(";
+  out << "id=" << to_string(id);
+  out << ", " << "server=" << to_string(server);
+  out << ")";
+}
+
+
+LoadProbeReply::~LoadProbeReply() noexcept {
+}
+
+
+void LoadProbeReply::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void LoadProbeReply::__set_load(const LoadReport& val) {
+  this->load = val;
+}
+std::ostream& operator<<(std::ostream& out, const LoadProbeReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LoadProbeReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_id = false;
+  bool isset_load = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          isset_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->load.read(iprot);
+          isset_load = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_id)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_load)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t LoadProbeReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LoadProbeReply");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("load", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->load.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LoadProbeReply &a, LoadProbeReply &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.load, b.load);
+}
+
+LoadProbeReply::LoadProbeReply(const LoadProbeReply& other152) {
+  id = other152.id;
+  load = other152.load;
+}
+LoadProbeReply::LoadProbeReply(LoadProbeReply&& other153) noexcept {
+  id = other153.id;
+  load = std::move(other153.load);
+}
+LoadProbeReply& LoadProbeReply::operator=(const LoadProbeReply& other154) {
+  id = other154.id;
+  load = other154.load;
+  return *this;
+}
+LoadProbeReply& LoadProbeReply::operator=(LoadProbeReply&& other155) noexcept {
+  id = other155.id;
+  load = std::move(other155.load);
+  return *this;
+}
+void LoadProbeReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LoadProbeReply(";
+  out << "id=" << to_string(id);
+  out << ", " << "load=" << to_string(load);
+  out << ")";
+}
+
+
 ServerRecord::~ServerRecord() noexcept {
 }
 
@@ -4599,50 +5533,50 @@
   swap(a.__isset, b.__isset);
 }
 
-ServerRecord::ServerRecord(const ServerRecord& other124) {
-  server = other124.server;
-  service_name = other124.service_name;
-  address = other124.address;
-  slots = other124.slots;
-  draining = other124.draining;
-  failing = other124.failing;
-  slowdown = other124.slowdown;
-  started_ms = other124.started_ms;
-  __isset = other124.__isset;
-}
-ServerRecord::ServerRecord(ServerRecord&& other125) noexcept {
-  server = std::move(other125.server);
-  service_name = std::move(other125.service_name);
-  address = std::move(other125.address);
-  slots = other125.slots;
-  draining = other125.draining;
-  failing = other125.failing;
-  slowdown = other125.slowdown;
-  started_ms = other125.started_ms;
-  __isset = other125.__isset;
-}
-ServerRecord& ServerRecord::operator=(const ServerRecord& other126) {
-  server = other126.server;
-  service_name = other126.service_name;
-  address = other126.address;
-  slots = other126.slots;
-  draining = other126.draining;
-  failing = other126.failing;
-  slowdown = other126.slowdown;
-  started_ms = other126.started_ms;
-  __isset = other126.__isset;
+ServerRecord::ServerRecord(const ServerRecord& other156) {
+  server = other156.server;
+  service_name = other156.service_name;
+  address = other156.address;
+  slots = other156.slots;
+  draining = other156.draining;
+  failing = other156.failing;
+  slowdown = other156.slowdown;
+  started_ms = other156.started_ms;
+  __isset = other156.__isset;
+}
+ServerRecord::ServerRecord(ServerRecord&& other157) noexcept {
+  server = std::move(other157.server);
+  service_name = std::move(other157.service_name);
+  address = std::move(other157.address);
+  slots = other157.slots;
+  draining = other157.draining;
+  failing = other157.failing;
+  slowdown = other157.slowdown;
+  started_ms = other157.started_ms;
+  __isset = other157.__isset;
+}
+ServerRecord& ServerRecord::operator=(const ServerRecord& other158) {
+  server = other158.server;
+  service_name = other158.service_name;
+  address = other158.address;
+  slots = other158.slots;
+  draining = other158.draining;
+  failing = other158.failing;
+  slowdown = other158.slowdown;
+  started_ms = other158.started_ms;
+  __isset = other158.__isset;
   return *this;
 }
-ServerRecord& ServerRecord::operator=(ServerRecord&& other127) noexcept {
-  server = std::move(other127.server);
-  service_name = std::move(other127.service_name);
-  address = std::move(other127.address);
-  slots = other127.slots;
-  draining = other127.draining;
-  failing = other127.failing;
-  slowdown = other127.slowdown;
-  started_ms = other127.started_ms;
-  __isset = other127.__isset;
+ServerRecord& ServerRecord::operator=(ServerRecord&& other159) noexcept {
+  server = std::move(other159.server);
+  service_name = std::move(other159.service_name);
+  address = std::move(other159.address);
+  slots = other159.slots;
+  draining = other159.draining;
+  failing = other159.failing;
+  slowdown = other159.slowdown;
+  started_ms = other159.started_ms;
+  __isset = other159.__isset;
   return *this;
 }
 void ServerRecord::printTo(std::ostream& out) const {
@@ -4791,14 +5725,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size128;
-            ::apache::thrift::protocol::TType _etype131;
-            xfer += iprot->readListBegin(_etype131, _size128);
-            this->servers.resize(_size128);
-            uint32_t _i132;
-            for (_i132 = 0; _i132 < _size128; ++_i132)
+            uint32_t _size160;
+            ::apache::thrift::protocol::TType _etype163;
+            xfer += iprot->readListBegin(_etype163, _size160);
+            this->servers.resize(_size160);
+            uint32_t _i164;
+            for (_i164 = 0; _i164 < _size160; ++_i164)
             {
-              xfer += this->servers[_i132].read(iprot);
+              xfer += this->servers[_i164].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4871,10 +5805,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<ServerRecord> ::const_iterator _iter133;
-    for (_iter133 = this->servers.begin(); _iter133 != this->servers.end(); ++_iter133)
+    std::vector<ServerRecord> ::const_iterator _iter165;
+    for (_iter165 = this->servers.begin(); _iter165 != this->servers.end(); ++_iter165)
     {
-      xfer += (*_iter133).write(oprot);
+      xfer += (*_iter165).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4897,46 +5831,46 @@
   swap(a.servers, b.servers);
 }
 
-MemberRecord::MemberRecord(const MemberRecord& other134) {
-  node = other134.node;
-  version = other134.version;
-  state = other134.state;
-  data_centre = other134.data_centre;
-  region = other134.region;
-  peer_address = other134.peer_address;
-  gossip_address = other134.gossip_address;
-  servers = other134.servers;
-}
-MemberRecord::MemberRecord(MemberRecord&& other135) noexcept {
-  node = std::move(other135.node);
-  version = other135.version;
-  state = other135.state;
-  data_centre = std::move(other135.data_centre);
-  region = std::move(other135.region);
-  peer_address = std::move(other135.peer_address);
-  gossip_address = std::move(other135.gossip_address);
-  servers = std::move(other135.servers);
-}
-MemberRecord& MemberRecord::operator=(const MemberRecord& other136) {
-  node = other136.node;
-  version = other136.version;
-  state = other136.state;
-  data_centre = other136.data_centre;
-  region = other136.region;
-  peer_address = other136.peer_address;
-  gossip_address = other136.gossip_address;
-  servers = other136.servers;
+MemberRecord::MemberRecord(const MemberRecord& other166) {
+  node = other166.node;
+  version = other166.version;
+  state = other166.state;
+  data_centre = other166.data_centre;
+  region = other166.region;
+  peer_address = other166.peer_address;
+  gossip_address = other166.gossip_address;
+  servers = other166.servers;
+}
+MemberRecord::MemberRecord(MemberRecord&& other167) noexcept {
+  node = std::move(other167.node);
+  version = other167.version;
+  state = other167.state;
+  data_centre = std::move(other167.data_centre);
+  region = std::move(other167.region);
+  peer_address = std::move(other167.peer_address);
+  gossip_address = std::move(other167.gossip_address);
+  servers = std::move(other167.servers);
+}
+MemberRecord& MemberRecord::operator=(const MemberRecord& other168) {
+  node = other168.node;
+  version = other168.version;
+  state = other168.state;
+  data_centre = other168.data_centre;
+  region = other168.region;
+  peer_address = other168.peer_address;
+  gossip_address = other168.gossip_address;
+  servers = other168.servers;
   return *this;
 }
-MemberRecord& MemberRecord::operator=(MemberRecord&& other137) noexcept {
-  node = std::move(other137.node);
-  version = other137.version;
-  state = other137.state;
-  data_centre = std::move(other137.data_centre);
-  region = std::move(other137.region);
-  peer_address = std::move(other137.peer_address);
-  gossip_address = std::move(other137.gossip_address);
-  servers = std::move(other137.servers);
+MemberRecord& MemberRecord::operator=(MemberRecord&& other169) noexcept {
+  node = std::move(other169.node);
+  version = other169.version;
+  state = other169.state;
+  data_centre = std::move(other169.data_centre);
+  region = std::move(other169.region);
+  peer_address = std::move(other169.peer_address);
+  gossip_address = std::move(other169.gossip_address);
+  servers = std::move(other169.servers);
   return *this;
 }
 void MemberRecord::printTo(std::ostream& out) const {
@@ -5091,30 +6025,30 @@
   swap(a.remaining_us, b.remaining_us);
 }
 
-QuarantineRecord::QuarantineRecord(const QuarantineRecord& other138) {
-  service_name = other138.service_name;
-  fingerprint = other138.fingerprint;
-  crashes = other138.crashes;
-  remaining_us = other138.remaining_us;
+QuarantineRecord::QuarantineRecord(const QuarantineRecord& other170) {
+  service_name = other170.service_name;
+  fingerprint = other170.fingerprint;
+  crashes = other170.crashes;
+  remaining_us = other170.remaining_us;
 }
-QuarantineRecord::QuarantineRecord(QuarantineRecord&& other139) noexcept {
-  service_name = std::move(other139.service_name);
-  fingerprint = other139.fingerprint;
-  crashes = other139.crashes;
-  remaining_us = other139.remaining_us;
+QuarantineRecord::QuarantineRecord(QuarantineRecord&& other171) noexcept {
+  service_name = std::move(other171.service_name);
+  fingerprint = other171.fingerprint;
+  crashes = other171.crashes;
+  remaining_us = other171.remaining_us;
 }
-QuarantineRecord& QuarantineRecord::operator=(const QuarantineRecord& other140) {
-  service_name = other140.service_name;
-  fingerprint = other140.fingerprint;
-  crashes = other140.crashes;
-  remaining_us = other140.remaining_us;
+QuarantineRecord& QuarantineRecord::operator=(const QuarantineRecord& other172) {
+  service_name = other172.service_name;
+  fingerprint = other172.fingerprint;
+  crashes = other172.crashes;
+  remaining_us = other172.remaining_us;
   return *this;
 }
-QuarantineRecord& QuarantineRecord::operator=(QuarantineRecord&& other141) noexcept {
-  service_name = std::move(other141.service_name);
-  fingerprint = other141.fingerprint;
-  crashes = other141.crashes;
-  remaining_us = other141.remaining_us;
+QuarantineRecord& QuarantineRecord::operator=(QuarantineRecord&& other173) noexcept {
+  service_name = std::move(other173.service_name);
+  fingerprint = other173.fingerprint;
+  crashes = other173.crashes;
+  remaining_us = other173.remaining_us;
   return *this;
 }
 void QuarantineRecord::printTo(std::ostream& out) const {
@@ -5196,14 +6130,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size142;
-            ::apache::thrift::protocol::TType _etype145;
-            xfer += iprot->readListBegin(_etype145, _size142);
-            this->members.resize(_size142);
-            uint32_t _i146;
-            for (_i146 = 0; _i146 < _size142; ++_i146)
+            uint32_t _size174;
+            ::apache::thrift::protocol::TType _etype177;
+            xfer += iprot->readListBegin(_etype177, _size174);
+            this->members.resize(_size174);
+            uint32_t _i178;
+            for (_i178 = 0; _i178 < _size174; ++_i178)
             {
-              xfer += this->members[_i146].read(iprot);
+              xfer += this->members[_i178].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5216,14 +6150,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quarantines.clear();
-            uint32_t _size147;
-            ::apache::thrift::protocol::TType _etype150;
-            xfer += iprot->readListBegin(_etype150, _size147);
-            this->quarantines.resize(_size147);
-            uint32_t _i151;
-            for (_i151 = 0; _i151 < _size147; ++_i151)
+            uint32_t _size179;
+            ::apache::thrift::protocol::TType _etype182;
+            xfer += iprot->readListBegin(_etype182, _size179);
+            this->quarantines.resize(_size179);
+            uint32_t _i183;
+            for (_i183 = 0; _i183 < _size179; ++_i183)
             {
-              xfer += this->quarantines[_i151].read(iprot);
+              xfer += this->quarantines[_i183].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5244,14 +6178,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->bucket_hashes.clear();
-            uint32_t _size152;
-            ::apache::thrift::protocol::TType _etype155;
-            xfer += iprot->readListBegin(_etype155, _size152);
-            this->bucket_hashes.resize(_size152);
-            uint32_t _i156;
-            for (_i156 = 0; _i156 < _size152; ++_i156)
+            uint32_t _size184;
+            ::apache::thrift::protocol::TType _etype187;
+            xfer += iprot->readListBegin(_etype187, _size184);
+            this->bucket_hashes.resize(_size184);
+            uint32_t _i188;
+            for (_i188 = 0; _i188 < _size184; ++_i188)
             {
-              xfer += iprot->readI32(this->bucket_hashes[_i156]);
+              xfer += iprot->readI32(this->bucket_hashes[_i188]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5294,10 +6228,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<MemberRecord> ::const_iterator _iter157;
-    for (_iter157 = this->members.begin(); _iter157 != this->members.end(); ++_iter157)
+    std::vector<MemberRecord> ::const_iterator _iter189;
+    for (_iter189 = this->members.begin(); _iter189 != this->members.end(); ++_iter189)
     {
-      xfer += (*_iter157).write(oprot);
+      xfer += (*_iter189).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5306,10 +6240,10 @@
   xfer += oprot->writeFieldBegin("quarantines", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantines.size()));
-    std::vector<QuarantineRecord> ::const_iterator _iter158;
-    for (_iter158 = this->quarantines.begin(); _iter158 != this->quarantines.end(); ++_iter158)
+    std::vector<QuarantineRecord> ::const_iterator _iter190;
+    for (_iter190 = this->quarantines.begin(); _iter190 != this->quarantines.end(); ++_iter190)
     {
-      xfer += (*_iter158).write(oprot);
+      xfer += (*_iter190).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5322,10 +6256,10 @@
   xfer += oprot->writeFieldBegin("bucket_hashes", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->bucket_hashes.size()));
-    std::vector<int32_t> ::const_iterator _iter159;
-    for (_iter159 = this->bucket_hashes.begin(); _iter159 != this->bucket_hashes.end(); ++_iter159)
+    std::vector<int32_t> ::const_iterator _iter191;
+    for (_iter191 = this->bucket_hashes.begin(); _iter191 != this->bucket_hashes.end(); ++_iter191)
     {
-      xfer += oprot->writeI32((*_iter159));
+      xfer += oprot->writeI32((*_iter191));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5345,34 +6279,34 @@
   swap(a.bucket_hashes, b.bucket_hashes);
 }
 
-MemberSync::MemberSync(const MemberSync& other160) {
-  reply_wanted = other160.reply_wanted;
-  members = other160.members;
-  quarantines = other160.quarantines;
-  settings_version = other160.settings_version;
-  bucket_hashes = other160.bucket_hashes;
-}
-MemberSync::MemberSync(MemberSync&& other161) noexcept {
-  reply_wanted = other161.reply_wanted;
-  members = std::move(other161.members);
-  quarantines = std::move(other161.quarantines);
-  settings_version = other161.settings_version;
-  bucket_hashes = std::move(other161.bucket_hashes);
-}
-MemberSync& MemberSync::operator=(const MemberSync& other162) {
-  reply_wanted = other162.reply_wanted;
-  members = other162.members;
-  quarantines = other162.quarantines;
-  settings_version = other162.settings_version;
-  bucket_hashes = other162.bucket_hashes;
+MemberSync::MemberSync(const MemberSync& other192) {
+  reply_wanted = other192.reply_wanted;
+  members = other192.members;
+  quarantines = other192.quarantines;
+  settings_version = other192.settings_version;
+  bucket_hashes = other192.bucket_hashes;
+}
+MemberSync::MemberSync(MemberSync&& other193) noexcept {
+  reply_wanted = other193.reply_wanted;
+  members = std::move(other193.members);
+  quarantines = std::move(other193.quarantines);
+  settings_version = other193.settings_version;
+  bucket_hashes = std::move(other193.bucket_hashes);
+}
+MemberSync& MemberSync::operator=(const MemberSync& other194) {
+  reply_wanted = other194.reply_wanted;
+  members = other194.members;
+  quarantines = other194.quarantines;
+  settings_version = other194.settings_version;
+  bucket_hashes = other194.bucket_hashes;
   return *this;
 }
-MemberSync& MemberSync::operator=(MemberSync&& other163) noexcept {
-  reply_wanted = other163.reply_wanted;
-  members = std::move(other163.members);
-  quarantines = std::move(other163.quarantines);
-  settings_version = other163.settings_version;
-  bucket_hashes = std::move(other163.bucket_hashes);
+MemberSync& MemberSync::operator=(MemberSync&& other195) noexcept {
+  reply_wanted = other195.reply_wanted;
+  members = std::move(other195.members);
+  quarantines = std::move(other195.quarantines);
+  settings_version = other195.settings_version;
+  bucket_hashes = std::move(other195.bucket_hashes);
   return *this;
 }
 void MemberSync::printTo(std::ostream& out) const {
@@ -5546,14 +6480,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->updates.clear();
-            uint32_t _size164;
-            ::apache::thrift::protocol::TType _etype167;
-            xfer += iprot->readListBegin(_etype167, _size164);
-            this->updates.resize(_size164);
-            uint32_t _i168;
-            for (_i168 = 0; _i168 < _size164; ++_i168)
+            uint32_t _size196;
+            ::apache::thrift::protocol::TType _etype199;
+            xfer += iprot->readListBegin(_etype199, _size196);
+            this->updates.resize(_size196);
+            uint32_t _i200;
+            for (_i200 = 0; _i200 < _size196; ++_i200)
             {
-              xfer += this->updates[_i168].read(iprot);
+              xfer += this->updates[_i200].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5566,14 +6500,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quarantines.clear();
-            uint32_t _size169;
-            ::apache::thrift::protocol::TType _etype172;
-            xfer += iprot->readListBegin(_etype172, _size169);
-            this->quarantines.resize(_size169);
-            uint32_t _i173;
-            for (_i173 = 0; _i173 < _size169; ++_i173)
+            uint32_t _size201;
+            ::apache::thrift::protocol::TType _etype204;
+            xfer += iprot->readListBegin(_etype204, _size201);
+            this->quarantines.resize(_size201);
+            uint32_t _i205;
+            for (_i205 = 0; _i205 < _size201; ++_i205)
             {
-              xfer += this->quarantines[_i173].read(iprot);
+              xfer += this->quarantines[_i205].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5670,10 +6604,10 @@
   xfer += oprot->writeFieldBegin("updates", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->updates.size()));
-    std::vector<MemberRecord> ::const_iterator _iter174;
-    for (_iter174 = this->updates.begin(); _iter174 != this->updates.end(); ++_iter174)
+    std::vector<MemberRecord> ::const_iterator _iter206;
+    for (_iter206 = this->updates.begin(); _iter206 != this->updates.end(); ++_iter206)
     {
-      xfer += (*_iter174).write(oprot);
+      xfer += (*_iter206).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5682,10 +6616,10 @@
   xfer += oprot->writeFieldBegin("quarantines", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantines.size()));
-    std::vector<QuarantineRecord> ::const_iterator _iter175;
-    for (_iter175 = this->quarantines.begin(); _iter175 != this->quarantines.end(); ++_iter175)
+    std::vector<QuarantineRecord> ::const_iterator _iter207;
+    for (_iter207 = this->quarantines.begin(); _iter207 != this->quarantines.end(); ++_iter207)
     {
-      xfer += (*_iter175).write(oprot);
+      xfer += (*_iter207).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5723,66 +6657,66 @@
   swap(a.__isset, b.__isset);
 }
 
-Gossip::Gossip(const Gossip& other176) {
-  kind = other176.kind;
-  source = other176.source;
-  source_address = other176.source_address;
-  sequence = other176.sequence;
-  target = other176.target;
-  target_address = other176.target_address;
-  settings_version = other176.settings_version;
-  membership_hash = other176.membership_hash;
-  updates = other176.updates;
-  quarantines = other176.quarantines;
-  platform_epoch = other176.platform_epoch;
-  settings_confirmed_at_us = other176.settings_confirmed_at_us;
-  __isset = other176.__isset;
-}
-Gossip::Gossip(Gossip&& other177) noexcept {
-  kind = other177.kind;
-  source = std::move(other177.source);
-  source_address = std::move(other177.source_address);
-  sequence = other177.sequence;
-  target = std::move(other177.target);
-  target_address = std::move(other177.target_address);
-  settings_version = other177.settings_version;
-  membership_hash = other177.membership_hash;
-  updates = std::move(other177.updates);
-  quarantines = std::move(other177.quarantines);
-  platform_epoch = other177.platform_epoch;
-  settings_confirmed_at_us = other177.settings_confirmed_at_us;
-  __isset = other177.__isset;
-}
-Gossip& Gossip::operator=(const Gossip& other178) {
-  kind = other178.kind;
-  source = other178.source;
-  source_address = other178.source_address;
-  sequence = other178.sequence;
-  target = other178.target;
-  target_address = other178.target_address;
-  settings_version = other178.settings_version;
-  membership_hash = other178.membership_hash;
-  updates = other178.updates;
-  quarantines = other178.quarantines;
-  platform_epoch = other178.platform_epoch;
-  settings_confirmed_at_us = other178.settings_confirmed_at_us;
-  __isset = other178.__isset;
+Gossip::Gossip(const Gossip& other208) {
+  kind = other208.kind;
+  source = other208.source;
+  source_address = other208.source_address;
+  sequence = other208.sequence;
+  target = other208.target;
+  target_address = other208.target_address;
+  settings_version = other208.settings_version;
+  membership_hash = other208.membership_hash;
+  updates = other208.updates;
+  quarantines = other208.quarantines;
+  platform_epoch = other208.platform_epoch;
+  settings_confirmed_at_us = other208.settings_confirmed_at_us;
+  __isset = other208.__isset;
+}
+Gossip::Gossip(Gossip&& other209) noexcept {
+  kind = other209.kind;
+  source = std::move(other209.source);
+  source_address = std::move(other209.source_address);
+  sequence = other209.sequence;
+  target = std::move(other209.target);
+  target_address = std::move(other209.target_address);
+  settings_version = other209.settings_version;
+  membership_hash = other209.membership_hash;
+  updates = std::move(other209.updates);
+  quarantines = std::move(other209.quarantines);
+  platform_epoch = other209.platform_epoch;
+  settings_confirmed_at_us = other209.settings_confirmed_at_us;
+  __isset = other209.__isset;
+}
+Gossip& Gossip::operator=(const Gossip& other210) {
+  kind = other210.kind;
+  source = other210.source;
+  source_address = other210.source_address;
+  sequence = other210.sequence;
+  target = other210.target;
+  target_address = other210.target_address;
+  settings_version = other210.settings_version;
+  membership_hash = other210.membership_hash;
+  updates = other210.updates;
+  quarantines = other210.quarantines;
+  platform_epoch = other210.platform_epoch;
+  settings_confirmed_at_us = other210.settings_confirmed_at_us;
+  __isset = other210.__isset;
   return *this;
 }
-Gossip& Gossip::operator=(Gossip&& other179) noexcept {
-  kind = other179.kind;
-  source = std::move(other179.source);
-  source_address = std::move(other179.source_address);
-  sequence = other179.sequence;
-  target = std::move(other179.target);
-  target_address = std::move(other179.target_address);
-  settings_version = other179.settings_version;
-  membership_hash = other179.membership_hash;
-  updates = std::move(other179.updates);
-  quarantines = std::move(other179.quarantines);
-  platform_epoch = other179.platform_epoch;
-  settings_confirmed_at_us = other179.settings_confirmed_at_us;
-  __isset = other179.__isset;
+Gossip& Gossip::operator=(Gossip&& other211) noexcept {
+  kind = other211.kind;
+  source = std::move(other211.source);
+  source_address = std::move(other211.source_address);
+  sequence = other211.sequence;
+  target = std::move(other211.target);
+  target_address = std::move(other211.target_address);
+  settings_version = other211.settings_version;
+  membership_hash = other211.membership_hash;
+  updates = std::move(other211.updates);
+  quarantines = std::move(other211.quarantines);
+  platform_epoch = other211.platform_epoch;
+  settings_confirmed_at_us = other211.settings_confirmed_at_us;
+  __isset = other211.__isset;
   return *this;
 }
 void Gossip::printTo(std::ostream& out) const {
--- a/src/libwire/gen-cpp/amaranth_types.h
+++ b/src/libwire/gen-cpp/amaranth_types.h
@@ -37,7 +37,9 @@
     MEMBER_SYNC = 12,
     GOSSIP = 13,
     QUOTA_REQUEST = 14,
-    QUOTA_REPLY = 15
+    QUOTA_REPLY = 15,
+    LOAD_PROBE = 16,
+    LOAD_PROBE_REPLY = 17
   };
 };
 
@@ -63,6 +65,12 @@
 
 class CallContext;
 
+class ServiceCost;
+
+class ServicePressure;
+
+class FailedBelow;
+
 class LoadReport;
 
 class Hello;
@@ -97,6 +105,10 @@
 
 class QuotaReply;
 
+class LoadProbe;
+
+class LoadProbeReply;
+
 class ServerRecord;
 
 class MemberRecord;
@@ -457,8 +469,13 @@
 std::ostream& operator<<(std::ostream& out, const Failure& obj);
 
 typedef struct _CallContext__isset {
-  _CallContext__isset() : class_tier(false) {}
+  _CallContext__isset() : class_tier(false), admit_share(false), cost_bucket(false), target_slack_us(false), deadline_slack_us(false), calls_done(false) {}
   bool class_tier :1;
+  bool admit_share :1;
+  bool cost_bucket :1;
+  bool target_slack_us :1;
+  bool deadline_slack_us :1;
+  bool calls_done :1;
 } _CallContext__isset;
 
 class CallContext : public virtual ::apache::thrift::TBase {
@@ -484,7 +501,12 @@
                 fingerprint(0),
                 suspected_crashes(0),
                 level(0),
-                class_tier(0) {
+                class_tier(0),
+                admit_share(0),
+                cost_bucket(0),
+                target_slack_us(0),
+                deadline_slack_us(0),
+                calls_done(0) {
   }
 
   virtual ~CallContext() noexcept;
@@ -504,6 +526,11 @@
   int32_t suspected_crashes;
   int64_t level;
   int32_t class_tier;
+  int32_t admit_share;
+  int32_t cost_bucket;
+  int64_t target_slack_us;
+  int64_t deadline_slack_us;
+  int32_t calls_done;
 
   _CallContext__isset __isset;
 
@@ -539,6 +566,16 @@
 
   void __set_class_tier(const int32_t val);
 
+  void __set_admit_share(const int32_t val);
+
+  void __set_cost_bucket(const int32_t val);
+
+  void __set_target_slack_us(const int64_t val);
+
+  void __set_deadline_slack_us(const int64_t val);
+
+  void __set_calls_done(const int32_t val);
+
   bool operator == (const CallContext & rhs) const
   {
     if (!(request_id == rhs.request_id))
@@ -575,6 +612,26 @@
       return false;
     else if (__isset.class_tier && !(class_tier == rhs.class_tier))
       return false;
+    if (__isset.admit_share != rhs.__isset.admit_share)
+      return false;
+    else if (__isset.admit_share && !(admit_share == rhs.admit_share))
+      return false;
+    if (__isset.cost_bucket != rhs.__isset.cost_bucket)
+      return false;
+    else if (__isset.cost_bucket && !(cost_bucket == rhs.cost_bucket))
+      return false;
+    if (__isset.target_slack_us != rhs.__isset.target_slack_us)
+      return false;
+    else if (__isset.target_slack_us && !(target_slack_us == rhs.target_slack_us))
+      return false;
+    if (__isset.deadline_slack_us != rhs.__isset.deadline_slack_us)
+      return false;
+    else if (__isset.deadline_slack_us && !(deadline_slack_us == rhs.deadline_slack_us))
+      return false;
+    if (__isset.calls_done != rhs.__isset.calls_done)
+      return false;
+    else if (__isset.calls_done && !(calls_done == rhs.calls_done))
+      return false;
     return true;
   }
   bool operator != (const CallContext &rhs) const {
@@ -593,6 +650,170 @@
 
 std::ostream& operator<<(std::ostream& out, const CallContext& obj);
 
+
+class ServiceCost : public virtual ::apache::thrift::TBase {
+ public:
+
+  ServiceCost(const ServiceCost&);
+  ServiceCost(ServiceCost&&) noexcept;
+  ServiceCost& operator=(const ServiceCost&);
+  ServiceCost& operator=(ServiceCost&&) noexcept;
+  ServiceCost() noexcept
+              : service_name(),
+                calls(0),
+                slot_us(0) {
+  }
+
+  virtual ~ServiceCost() noexcept;
+  std::string service_name;
+  int64_t calls;
+  int64_t slot_us;
+
+  void __set_service_name(const std::string& val);
+
+  void __set_calls(const int64_t val);
+
+  void __set_slot_us(const int64_t val);
+
+  bool operator == (const ServiceCost & rhs) const
+  {
+    if (!(service_name == rhs.service_name))
+      return false;
+    if (!(calls == rhs.calls))
+      return false;
+    if (!(slot_us == rhs.slot_us))
+      return false;
+    return true;
+  }
+  bool operator != (const ServiceCost &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ServiceCost & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ServiceCost &a, ServiceCost &b);
+
+std::ostream& operator<<(std::ostream& out, const ServiceCost& obj);
+
+typedef struct _ServicePressure__isset {
+  _ServicePressure__isset() : success_percent(false), customer_share(false) {}
+  bool success_percent :1;
+  bool customer_share :1;
+} _ServicePressure__isset;
+
+class ServicePressure : public virtual ::apache::thrift::TBase {
+ public:
+
+  ServicePressure(const ServicePressure&);
+  ServicePressure(ServicePressure&&) noexcept;
+  ServicePressure& operator=(const ServicePressure&);
+  ServicePressure& operator=(ServicePressure&&) noexcept;
+  ServicePressure() noexcept
+                  : service_name(),
+                    cut_x256(0),
+                    success_percent(0),
+                    customer_share(0) {
+  }
+
+  virtual ~ServicePressure() noexcept;
+  std::string service_name;
+  int64_t cut_x256;
+  int32_t success_percent;
+  int32_t customer_share;
+
+  _ServicePressure__isset __isset;
+
+  void __set_service_name(const std::string& val);
+
+  void __set_cut_x256(const int64_t val);
+
+  void __set_success_percent(const int32_t val);
+
+  void __set_customer_share(const int32_t val);
+
+  bool operator == (const ServicePressure & rhs) const
+  {
+    if (!(service_name == rhs.service_name))
+      return false;
+    if (!(cut_x256 == rhs.cut_x256))
+      return false;
+    if (__isset.success_percent != rhs.__isset.success_percent)
+      return false;
+    else if (__isset.success_percent && !(success_percent == rhs.success_percent))
+      return false;
+    if (__isset.customer_share != rhs.__isset.customer_share)
+      return false;
+    else if (__isset.customer_share && !(customer_share == rhs.customer_share))
+      return false;
+    return true;
+  }
+  bool operator != (const ServicePressure &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ServicePressure & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ServicePressure &a, ServicePressure &b);
+
+std::ostream& operator<<(std::ostream& out, const ServicePressure& obj);
+
+
+class FailedBelow : public virtual ::apache::thrift::TBase {
+ public:
+
+  FailedBelow(const FailedBelow&);
+  FailedBelow(FailedBelow&&) noexcept;
+  FailedBelow& operator=(const FailedBelow&);
+  FailedBelow& operator=(FailedBelow&&) noexcept;
+  FailedBelow() noexcept
+              : service_name(),
+                cause(0) {
+  }
+
+  virtual ~FailedBelow() noexcept;
+  std::string service_name;
+  int32_t cause;
+
+  void __set_service_name(const std::string& val);
+
+  void __set_cause(const int32_t val);
+
+  bool operator == (const FailedBelow & rhs) const
+  {
+    if (!(service_name == rhs.service_name))
+      return false;
+    if (!(cause == rhs.cause))
+      return false;
+    return true;
+  }
+  bool operator != (const FailedBelow &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const FailedBelow & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(FailedBelow &a, FailedBelow &b);
+
+std::ostream& operator<<(std::ostream& out, const FailedBelow& obj);
+
 typedef struct _LoadReport__isset {
   _LoadReport__isset() : turn_us(false), own_us(false), leaving(false), started_ms(false), rate_limit(false) {}
   bool turn_us :1;
@@ -886,9 +1107,12 @@
 std::ostream& operator<<(std::ostream& out, const CallTimes& obj);
 
 typedef struct _CallAnswer__isset {
-  _CallAnswer__isset() : made_calls(false), times(false) {}
+  _CallAnswer__isset() : made_calls(false), times(false), costs(false), pressures(false), failed_below(false) {}
   bool made_calls :1;
   bool times :1;
+  bool costs :1;
+  bool pressures :1;
+  bool failed_below :1;
 } _CallAnswer__isset;
 
 class CallAnswer : public virtual ::apache::thrift::TBase {
@@ -914,6 +1138,9 @@
   LoadReport load;
   bool made_calls;
   CallTimes times;
+  std::vector<ServiceCost>  costs;
+  std::vector<ServicePressure>  pressures;
+  FailedBelow failed_below;
 
   _CallAnswer__isset __isset;
 
@@ -933,6 +1160,12 @@
 
   void __set_times(const CallTimes& val);
 
+  void __set_costs(const std::vector<ServiceCost> & val);
+
+  void __set_pressures(const std::vector<ServicePressure> & val);
+
+  void __set_failed_below(const FailedBelow& val);
+
   bool operator == (const CallAnswer & rhs) const
   {
     if (!(attempt == rhs.attempt))
@@ -955,6 +1188,18 @@
       return false;
     else if (__isset.times && !(times == rhs.times))
       return false;
+    if (__isset.costs != rhs.__isset.costs)
+      return false;
+    else if (__isset.costs && !(costs == rhs.costs))
+      return false;
+    if (__isset.pressures != rhs.__isset.pressures)
+      return false;
+    else if (__isset.pressures && !(pressures == rhs.pressures))
+      return false;
+    if (__isset.failed_below != rhs.__isset.failed_below)
+      return false;
+    else if (__isset.failed_below && !(failed_below == rhs.failed_below))
+      return false;
     return true;
   }
   bool operator != (const CallAnswer &rhs) const {
@@ -1538,6 +1783,95 @@
 
 std::ostream& operator<<(std::ostream& out, const QuotaReply& obj);
 
+
+class LoadProbe : public virtual ::apache::thrift::TBase {
+ public:
+
+  LoadProbe(const LoadProbe&);
+  LoadProbe(LoadProbe&&) noexcept;
+  LoadProbe& operator=(const LoadProbe&);
+  LoadProbe& operator=(LoadProbe&&) noexcept;
+  LoadProbe() noexcept
+            : id(0),
+              server() {
+  }
+
+  virtual ~LoadProbe() noexcept;
+  int64_t id;
+  std::string server;
+
+  void __set_id(const int64_t val);
+
+  void __set_server(const std::string& val);
+
+  bool operator == (const LoadProbe & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(server == rhs.server))
+      return false;
+    return true;
+  }
+  bool operator != (const LoadProbe &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LoadProbe & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LoadProbe &a, LoadProbe &b);
+
+std::ostream& operator<<(std::ostream& out, const LoadProbe& obj);
+
+
+class LoadProbeReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  LoadProbeReply(const LoadProbeReply&);
+  LoadProbeReply(LoadProbeReply&&) noexcept;
+  LoadProbeReply& operator=(const LoadProbeReply&);
+  LoadProbeReply& operator=(LoadProbeReply&&) noexcept;
+  LoadProbeReply() noexcept
+                 : id(0) {
+  }
+
+  virtual ~LoadProbeReply() noexcept;
+  int64_t id;
+  LoadReport load;
+
+  void __set_id(const int64_t val);
+
+  void __set_load(const LoadReport& val);
+
+  bool operator == (const LoadProbeReply & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(load == rhs.load))
+      return false;
+    return true;
+  }
+  bool operator != (const LoadProbeReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LoadProbeReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LoadProbeReply &a, LoadProbeReply &b);
+
+std::ostream& operator<<(std::ostream& out, const LoadProbeReply& obj);
+
 typedef struct _ServerRecord__isset {
   _ServerRecord__isset() : failing(false), slowdown(false), started_ms(false) {}
   bool failing :1;
--- a/src/libwire/generators_test.cc
+++ b/src/libwire/generators_test.cc
@@ -55,6 +55,25 @@
           Any<bool>(), Any<std::string>()};
 }
 
+std::optional<Duration> AnySlack() {
+  if (Any<bool>()) return std::nullopt;
+  return Any<bool>() ? AnyDuration() : -AnyDuration();
+}
+
+ServiceCost AnyCost() { return {AnyName(), Any<uint32_t>(), Any<uint32_t>()}; }
+
+ServicePressure AnyPressure() {
+  ServicePressure pressure{AnyName(), Any<uint32_t>(), Any<uint8_t>()};
+  if (Any<bool>()) pressure.customer_share = Any<uint16_t>();
+  return pressure;
+}
+
+FailedBelow AnyFailedBelow() {
+  const FailureCause cause = AnyEnum(FailureCause::kBroken);
+  if (cause == FailureCause::kNone) return {};
+  return {AnyName(), cause};
+}
+
 CallContext AnyContext() {
   CallContext context;
   context.request_id = Any<std::string>();
@@ -73,6 +92,11 @@
   context.suspected_crashes = Any<uint8_t>();
   context.level = Any<uint32_t>();
   context.class_tier = AnyEnum(Tier::kCritical);
+  context.admit_share = Any<uint16_t>();
+  context.cost_bucket = Any<uint8_t>();
+  context.target_slack = AnySlack();
+  context.deadline_slack = AnySlack();
+  context.calls_done = Any<uint8_t>();
   return context;
 }
 
@@ -129,9 +153,10 @@
       return CallForward{Any<uint64_t>(), AnyName(),       AnyContext(),
                          AnyRequest(),    Any<uint32_t>(), AnyRateLimit()};
     case 2:
-      return CallAnswer{Any<uint64_t>(), Any<uint64_t>(), AnyResponse(),
-                        AnyFailure(),    Any<uint16_t>(), AnyLoad(),
-                        Any<bool>(),     AnyTimes()};
+      return CallAnswer{Any<uint64_t>(),      Any<uint64_t>(), AnyResponse(),
+                        AnyFailure(),         Any<uint16_t>(), AnyLoad(),
+                        Any<bool>(),          AnyTimes(),      AnyList(AnyCost),
+                        AnyList(AnyPressure), AnyFailedBelow()};
     case 3:
       return CallCancel{Any<uint64_t>()};
     case 4:
@@ -156,6 +181,10 @@
     case 12:
       return QuotaReply{Any<uint64_t>(), Any<std::string>(), Any<uint32_t>(),
                         AnyDuration(), Any<bool>()};
+    case 13:
+      return LoadProbe{Any<uint64_t>(), AnyName()};
+    case 14:
+      return LoadProbeReply{Any<uint64_t>(), AnyLoad()};
     default:
       return AnySync();
   }
--- a/src/libwire/to_wire.cc
+++ b/src/libwire/to_wire.cc
@@ -18,12 +18,12 @@
     std::tuple_size_v<decltype(Fields(std::declval<const Message&>()))> ==
     count;
 
-static_assert(kHasFields<CallContext, 16>);
+static_assert(kHasFields<CallContext, 21>);
 static_assert(kHasFields<LoadReport, 11>);
 static_assert(kHasFields<Hello, 3>);
 static_assert(kHasFields<CallForward, 6>);
 static_assert(kHasFields<CallTimes, 2>);
-static_assert(kHasFields<CallAnswer, 8>);
+static_assert(kHasFields<CallAnswer, 11>);
 static_assert(kHasFields<CallCancel, 1>);
 static_assert(kHasFields<HomeForward, 4>);
 static_assert(kHasFields<LinkPing, 1>);
@@ -36,6 +36,11 @@
 static_assert(kHasFields<ClaimReply, 1>);
 static_assert(kHasFields<QuotaRequest, 4>);
 static_assert(kHasFields<QuotaReply, 5>);
+static_assert(kHasFields<ServiceCost, 3>);
+static_assert(kHasFields<ServicePressure, 4>);
+static_assert(kHasFields<FailedBelow, 2>);
+static_assert(kHasFields<LoadProbe, 2>);
+static_assert(kHasFields<LoadProbeReply, 2>);
 static_assert(kHasFields<ServerRecord, 7>);
 static_assert(kHasFields<MemberRecord, 8>);
 static_assert(kHasFields<QuarantineRecord, 4>);
@@ -109,6 +114,26 @@
   out.suspected_crashes = in.suspected_crashes;
   out.level = in.level;
   if (in.class_tier != in.tier) out.__set_class_tier(ToNumber(in.class_tier));
+  if (in.admit_share != kFullAdmitShare) out.__set_admit_share(in.admit_share);
+  if (in.cost_bucket > 0) out.__set_cost_bucket(in.cost_bucket);
+  if (in.target_slack) out.__set_target_slack_us(in.target_slack->count());
+  if (in.deadline_slack) {
+    out.__set_deadline_slack_us(in.deadline_slack->count());
+  }
+  if (in.calls_done > 0) out.__set_calls_done(in.calls_done);
+}
+
+void ToWire(const ServiceCost& in, wire::ServiceCost& out) {
+  out.service_name = in.service;
+  out.calls = in.calls;
+  out.slot_us = in.slot_us;
+}
+
+void ToWire(const ServicePressure& in, wire::ServicePressure& out) {
+  out.service_name = in.service;
+  out.cut_x256 = in.cut_x256;
+  if (in.success_percent != 100) out.__set_success_percent(in.success_percent);
+  if (in.customer_share) out.__set_customer_share(*in.customer_share);
 }
 
 void ToWire(const LoadReport& in, wire::LoadReport& out) {
@@ -205,6 +230,20 @@
     times.waited_us = in.times.waited_us;
     out.__set_times(times);
   }
+  if (!in.costs.empty()) {
+    out.__isset.costs = true;
+    ToWireList(in.costs, out.costs);
+  }
+  if (!in.pressures.empty()) {
+    out.__isset.pressures = true;
+    ToWireList(in.pressures, out.pressures);
+  }
+  if (in.failed_below.cause != FailureCause::kNone) {
+    wire::FailedBelow failed_below;
+    failed_below.service_name = in.failed_below.service;
+    failed_below.cause = ToNumber(in.failed_below.cause);
+    out.__set_failed_below(failed_below);
+  }
 }
 
 void ToWire(const CallCancel& in, wire::CallCancel& out) {
@@ -260,6 +299,16 @@
   out.loan = in.loan;
 }
 
+void ToWire(const LoadProbe& in, wire::LoadProbe& out) {
+  out.id = Signed(in.id);
+  out.server = in.server;
+}
+
+void ToWire(const LoadProbeReply& in, wire::LoadProbeReply& out) {
+  out.id = Signed(in.id);
+  ToWire(in.load, out.load);
+}
+
 void ToWire(const MemberSync& in, wire::MemberSync& out) {
   out.reply_wanted = in.reply_wanted;
   ToWireList(in.members, out.members);
