Rank admission: mean of shares, finer cost steps, slot time without waits

Cause: the mean of a cut of 0 and one that refuses half of a position refused nothing there; requests of 170 and 252 ms were in one bucket; a service whose calls waited below it reported a shortage of its own. Change: shares are averaged by position, buckets are steps of 1.414, offered work counts slot time without the waits of nested calls.

--- a/src/include/amaranthroute/policy/rank_admission.h
+++ b/src/include/amaranthroute/policy/rank_admission.h
@@ -9,6 +9,7 @@
 /// others, without a coordinator. What a service reported on the answer to a
 /// request of one class applies to the requests of all classes that need it.
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -60,7 +61,8 @@
   /// short of capacity.
   void OnReport(const std::string& service, double cut, TimePoint now);
 
-  /// Returns the cut of `service`, decayed; 0 if there is no recent report.
+  /// Returns the mean cut of `service`, decayed; 0 if there is no recent
+  /// report.
   double CutOf(const std::string& service, TimePoint now) const;
 
   /// Returns what is admitted of the requests of a class that enter at
@@ -70,11 +72,20 @@
                        Tier tier, Tier class_tier, TimePoint now) const;
 
  private:
+  // The mean over the servers of a service. Shares are averaged, not cuts: the
+  // mean of a cut of 0 and one that refuses half of a position would refuse
+  // nothing there.
   struct Report {
+    Report() { shares.fill(1); }
+    std::array<double, kPositions> shares;
     double cut = 0;
     TimePoint updated{};
   };
 
+  // Returns the part of a report of this age that still counts.
+  static double WeightAt(Duration age);
+  double ShareOf(const Report& report, int position, TimePoint now) const;
+
   // Takes the decision by one service if it admits less than `decision`.
   void Restrict(const std::string& service, double slot_us, Tier tier,
                 Tier class_tier, TimePoint now, AdmitDecision& decision) const;
--- a/src/include/amaranthroute/policy/rank_demand.h
+++ b/src/include/amaranthroute/policy/rank_demand.h
@@ -27,8 +27,9 @@
 
 namespace amaranth {
 
-/// Costs of requests are compared in steps of a factor of two.
+/// Costs of requests are compared in steps of a factor of kCostStep.
 inline constexpr int kCostBuckets = 8;
+inline constexpr double kCostStep = 1.414;
 /// Slot time, in microseconds, up to which a request is in the cheapest bucket.
 inline constexpr double kCheapestBucketMicros = 64'000;
 /// Number of ranks: tier, then tier of the class.
--- a/src/libnode/bottleneck/bottleneck_state.cc
+++ b/src/libnode/bottleneck/bottleneck_state.cc
@@ -41,17 +41,14 @@
   }
 }
 
-void BottleneckState::AddReported(
-    const CallAnswer& answer, TimePoint now,
-    std::vector<ServicePressure>& pressures) const {
+void BottleneckState::AddReported(const CallAnswer& answer,
+                                  std::vector<ServicePressure>& pressures) {
   for (const ServicePressure& reported : answer.pressures) {
-    ServicePressure pressure = reported;
-    pressure.cut_x256 = ToWireCut(admission_.CutOf(reported.service, now));
     ServicePressure* known = FindPressure(pressures, reported.service);
     if (known != nullptr) {
-      *known = pressure;
+      *known = reported;
     } else if (pressures.size() < kMaxPressures) {
-      pressures.push_back(pressure);
+      pressures.push_back(reported);
     }
   }
 }
--- a/src/libnode/bottleneck/bottleneck_state.h
+++ b/src/libnode/bottleneck/bottleneck_state.h
@@ -33,10 +33,11 @@
   }
 
   // Adds the services that an answer to a nested call reports as short to
-  // `pressures`, which go upstream with the answer to its parent. They are
-  // passed on as this node's mean over the servers of each service.
-  void AddReported(const CallAnswer& answer, TimePoint now,
-                   std::vector<ServicePressure>& pressures) const;
+  // `pressures`, which go upstream with the answer to its parent. The newest
+  // report of a service is passed on as it is: each request is a sample of the
+  // servers that requests meet.
+  static void AddReported(const CallAnswer& answer,
+                          std::vector<ServicePressure>& pressures);
 
  private:
   CostProfiles profiles_;
--- a/src/libnode/entry/entry_attempts.cc
+++ b/src/libnode/entry/entry_attempts.cc
@@ -204,7 +204,7 @@
   Hop* hop = parts_.serving.FindHop(call.parent_hop);
   if (hop == nullptr) return;
   AddCosts(hop->nested_costs, answer.costs);
-  bottlenecks_.AddReported(answer, now, hop->nested_pressures);
+  BottleneckState::AddReported(answer, hop->nested_pressures);
 }
 
 void EntryRole::RecordLoad(const Call& call, const CallAnswer& answer,
--- a/src/libnode/serving/local_server.cc
+++ b/src/libnode/serving/local_server.cc
@@ -133,7 +133,7 @@
 
 void LocalServer::OnOffered(const Hop& hop, TimePoint now) {
   const CallContext& call = hop.context;
-  Duration cost = ExpectedService({call.request_class, call.depth});
+  Duration cost = SlotTime({call.request_class, call.depth});
   if (cost == Duration::zero()) cost = hop.typical_service_time;
   if (cost == Duration::zero()) cost = expected_service_;
   rank_demand_.OnArrival(
@@ -174,8 +174,8 @@
 }
 
 void LocalServer::OnEnded(uint64_t dispatch, const CallKind& kind,
-                          Duration latency, Duration service_time, bool failed,
-                          TimePoint now) {
+                          Duration latency, Duration service_time,
+                          Duration nested_wait, bool failed, TimePoint now) {
   const auto found = dispatches_.find(dispatch);
   if (found == dispatches_.end()) return;
   const bool is_long = found->second.is_long;
@@ -199,6 +199,8 @@
   if ((!failed || latency >= expected_of_kind) && HasRoomFor(kind)) {
     expected_by_kind_[kind] =
         MovingAverage(expected_of_kind, latency, kServiceTimeWeight);
+    slot_time_by_kind_[kind] = MovingAverage(
+        SlotTime(kind), latency - nested_wait, kServiceTimeWeight);
   }
   shedder_.OnServiceTime(expected_service_);
 }
@@ -213,6 +215,11 @@
   return found == expected_by_kind_.end() ? Duration::zero() : found->second;
 }
 
+Duration LocalServer::SlotTime(const CallKind& kind) const {
+  const auto found = slot_time_by_kind_.find(kind);
+  return found == slot_time_by_kind_.end() ? Duration::zero() : found->second;
+}
+
 std::vector<std::pair<uint64_t, uint64_t>> LocalServer::InFlight() const {
   std::vector<std::pair<uint64_t, uint64_t>> result;
   result.reserve(dispatches_.size());
--- a/src/libnode/serving/local_server.h
+++ b/src/libnode/serving/local_server.h
@@ -68,8 +68,14 @@
                     Duration waited, TimePoint now);
   // Records the end of a dispatch, by an answer or without one (`failed`).
   // `service_time` is `latency` without the time spent in nested calls.
+  // `nested_wait` is the part of it that nested calls waited.
   void OnEnded(uint64_t dispatch, const CallKind& kind, Duration latency,
-               Duration service_time, bool failed, TimePoint now);
+               Duration service_time, Duration nested_wait, bool failed,
+               TimePoint now);
+  // Returns the mean time for which a call of this kind holds a slot, without
+  // the waits of its nested calls; 0 before the first sample. Those waits are
+  // caused by the services below, which report their own shortage.
+  Duration SlotTime(const CallKind& kind) const;
   // Records that the server served a call that is not long work and was neither
   // refused nor answered with an error.
   void OnServed(Duration service_time, TimePoint now);
@@ -154,6 +160,7 @@
   int long_in_flight_ = 0;
   Duration expected_service_{0};
   std::map<CallKind, Duration> expected_by_kind_;
+  std::map<CallKind, Duration> slot_time_by_kind_;
 };
 
 }  // namespace amaranth::pvt
--- a/src/libnode/serving/serving_results.cc
+++ b/src/libnode/serving/serving_results.cc
@@ -58,7 +58,9 @@
   if (found == servers_.end()) return hop;
   LocalServer& server = found->second;
   server.OnEnded(id, KindOf(hop), context.now - hop.dispatched,
-                 hop.ServiceTime(context.now), failed, context.now);
+                 hop.ServiceTime(context.now),
+                 std::min(hop.nested_wait_time, hop.nested_time), failed,
+                 context.now);
   if (hop.is_suspect) EndPause(server, context.now);
   return hop;
 }
--- a/src/libpolicy/rank_admission.cc
+++ b/src/libpolicy/rank_admission.cc
@@ -5,48 +5,63 @@
 
 namespace amaranth {
 
+double RankAdmission::WeightAt(Duration age) {
+  if (age <= kDecayDelay) return 1;
+  const double decayed = static_cast<double>((age - kDecayDelay).count()) /
+                         static_cast<double>(kDecayTime.count());
+  return std::max(0.0, 1 - decayed);
+}
+
 void RankAdmission::OnReport(const std::string& service, double cut,
                              TimePoint now) {
   const auto found = reports_.find(service);
-  if (found == reports_.end()) {
-    if (cut <= 0 || reports_.size() >= kMaxServices) return;
-    reports_[service] = {cut, now};
+  if (found == reports_.end() &&
+      (cut <= 0 || reports_.size() >= kMaxServices)) {
     return;
   }
-  Report& report = found->second;
-  const double current = CutOf(service, now);
+  Report& report = found == reports_.end() ? reports_[service] : found->second;
+  const double kept = WeightAt(now - report.updated);
   const double elapsed = static_cast<double>((now - report.updated).count()) /
                          static_cast<double>(kAveragingTime.count());
-  report.cut = current + (1 - std::exp(-elapsed)) * (cut - current);
+  const double weight = 1 - std::exp(-elapsed);
+  for (int position = 0; position < kPositions; ++position) {
+    double& share = report.shares[static_cast<size_t>(position)];
+    const double current = 1 - kept * (1 - share);
+    share = current + weight * (AdmittedShare(cut, position) - current);
+  }
+  report.cut = kept * report.cut + weight * (cut - kept * report.cut);
   report.updated = now;
 }
 
 double RankAdmission::CutOf(const std::string& service, TimePoint now) const {
   const auto found = reports_.find(service);
   if (found == reports_.end()) return 0;
-  const Report& report = found->second;
-  const Duration age = now - report.updated;
-  if (age <= kDecayDelay) return report.cut;
-  const double decayed = static_cast<double>((age - kDecayDelay).count()) /
-                         static_cast<double>(kDecayTime.count());
-  return report.cut * std::max(0.0, 1 - decayed);
+  return found->second.cut * WeightAt(now - found->second.updated);
+}
+
+double RankAdmission::ShareOf(const Report& report, int position,
+                              TimePoint now) const {
+  const double share = report.shares[static_cast<size_t>(position)];
+  return 1 - WeightAt(now - report.updated) * (1 - share);
 }
 
 void RankAdmission::Restrict(const std::string& service, double slot_us,
                              Tier tier, Tier class_tier, TimePoint now,
                              AdmitDecision& decision) const {
-  const double cut = CutOf(service, now);
-  if (cut <= 0) return;
+  const auto found = reports_.find(service);
+  if (found == reports_.end()) return;
+  const Report& report = found->second;
   const uint8_t bucket = CostBucketOf(slot_us);
   const double share = std::max(
-      AdmittedShare(cut, PositionOf(tier, class_tier, bucket)), kMinShare);
+      ShareOf(report, PositionOf(tier, class_tier, bucket), now), kMinShare);
   const bool is_first = decision.service.empty();
   if (!is_first && share >= decision.share) return;
+  if (WeightAt(now - report.updated) <= 0) return;
   decision.share = share;
   decision.cost_bucket = bucket;
   decision.service = service;
-  decision.cut = cut;
-  decision.age = now - reports_.at(service).updated;
+  decision.cut = report.cut;
+  decision.age = now - report.updated;
 }
 
 AdmitDecision RankAdmission::Decide(const std::string& service,
--- a/src/libpolicy/rank_demand.cc
+++ b/src/libpolicy/rank_demand.cc
@@ -16,7 +16,8 @@
 uint8_t CostBucketOf(double slot_us) {
   if (slot_us <= kCheapestBucketMicros) return 0;
   const int bucket =
-      1 + static_cast<int>(std::log2(slot_us / kCheapestBucketMicros));
+      1 + static_cast<int>(std::log(slot_us / kCheapestBucketMicros) /
+                           std::log(kCostStep));
   return static_cast<uint8_t>(std::min(bucket, kCostBuckets - 1));
 }
 
