Remove the load probes

The serving node itself does not see such a stall in time: its mean service time moves by a tenth a call. A part that buys nothing stays out.

--- a/src/include/amaranthroute/messages.h
+++ b/src/include/amaranthroute/messages.h
@@ -219,17 +219,6 @@
   uint64_t sequence = 0;
 };
 
-/// Asks a serving node for the load of one of its backend servers.
-struct LoadProbe {
-  uint64_t id = 0;
-  std::string server;
-};
-/// Answers a LoadProbe. `load.server` is empty if the node has no such server.
-struct LoadProbeReply {
-  uint64_t id = 0;
-  LoadReport load;
-};
-
 /// Requests the settings snapshot of a peer if it is newer than `have_version`.
 struct SettingsRequest {
   uint64_t have_version = 0;
@@ -351,8 +340,8 @@
 using PeerMessage =
     std::variant<Hello, CallForward, CallAnswer, CallCancel, HomeForward,
                  LinkPing, LinkPong, SettingsRequest, SettingsSnapshot,
-                 ClaimRequest, ClaimReply, QuotaRequest, QuotaReply, LoadProbe,
-                 LoadProbeReply, MemberSync>;
+                 ClaimRequest, ClaimReply, QuotaRequest, QuotaReply,
+                 MemberSync>;
 
 /// Kind of a gossip datagram (SWIM).
 enum class GossipKind : uint8_t {
@@ -403,8 +392,6 @@
 bool operator==(const ServiceCost& a, const ServiceCost& b);
 bool operator==(const ServicePressure& a, const ServicePressure& b);
 bool operator==(const FailedBelow& a, const FailedBelow& b);
-bool operator==(const LoadProbe& a, const LoadProbe& b);
-bool operator==(const LoadProbeReply& a, const LoadProbeReply& b);
 bool operator==(const ServerRecord& a, const ServerRecord& b);
 bool operator==(const MemberRecord& a, const MemberRecord& b);
 bool operator==(const QuarantineRecord& a, const QuarantineRecord& b);
--- a/src/include/amaranthroute/settings.h
+++ b/src/include/amaranthroute/settings.h
@@ -66,7 +66,6 @@
   bool rank_admission = false;
   bool retry_reservations = false;
   bool customer_fairness = false;
-  bool load_probes = false;
   bool feasibility_check = false;
   QueueOrder queue_order = QueueOrder::kAge;
 
--- a/src/libnode/settings/settings_definitions.cc
+++ b/src/libnode/settings/settings_definitions.cc
@@ -323,20 +323,6 @@
        [](EffectiveSettings& s, const std::string& v) {
          s.customer_fairness = v == "true";
        }},
-      {"load_probes",
-       SettingType::kFlag,
-       "",
-       0,
-       0,
-       {},
-       "false",
-       SettingScope::kService,
-       "Ask backend servers' nodes for their load when recent reports are "
-       "missing.",
-       "design: docs/design/load-probes.md",
-       [](EffectiveSettings& s, const std::string& v) {
-         s.load_probes = v == "true";
-       }},
       {"feasibility_check",
        SettingType::kFlag,
        "",
--- a/src/libnode/settings/settings_tree.cc
+++ b/src/libnode/settings/settings_tree.cc
@@ -241,13 +241,13 @@
 
 bool operator==(const EffectiveSettings& a, const EffectiveSettings& b) {
   const auto fields = [](const EffectiveSettings& v) {
-    return std::tie(
-        v.tier, v.deadline, v.idempotent, v.retry_credits, v.retry_ratio,
-        v.long_work, v.long_work_share, v.queue_capacity, v.queue_target,
-        v.concurrency, v.fixed_limit, v.spill_share, v.max_eject_share,
-        v.slow_start, v.target_goodput, v.target_p99, v.drain_timeout,
-        v.rank_admission, v.retry_reservations, v.customer_fairness,
-        v.load_probes, v.feasibility_check, v.queue_order);
+    return std::tie(v.tier, v.deadline, v.idempotent, v.retry_credits,
+                    v.retry_ratio, v.long_work, v.long_work_share,
+                    v.queue_capacity, v.queue_target, v.concurrency,
+                    v.fixed_limit, v.spill_share, v.max_eject_share,
+                    v.slow_start, v.target_goodput, v.target_p99,
+                    v.drain_timeout, v.rank_admission, v.retry_reservations,
+                    v.customer_fairness, v.feasibility_check, v.queue_order);
   };
   return fields(a) == fields(b);
 }
--- a/src/libutil/fields.h
+++ b/src/libutil/fields.h
@@ -60,10 +60,6 @@
   return std::tie(v.service, v.cause);
 }
 
-inline auto Fields(const LoadProbe& v) { return std::tie(v.id, v.server); }
-
-inline auto Fields(const LoadProbeReply& v) { return std::tie(v.id, v.load); }
-
 inline auto Fields(const CallCancel& v) { return std::tie(v.attempt); }
 
 inline auto Fields(const HomeForward& v) {
@@ -264,8 +260,6 @@
   return "ServicePressure";
 }
 inline const char* TypeName(const FailedBelow&) { return "FailedBelow"; }
-inline const char* TypeName(const LoadProbe&) { return "LoadProbe"; }
-inline const char* TypeName(const LoadProbeReply&) { return "LoadProbeReply"; }
 inline const char* TypeName(const ServerFitness&) { return "ServerFitness"; }
 inline const char* TypeName(const ServerRecord&) { return "ServerRecord"; }
 inline const char* TypeName(const MemberRecord&) { return "MemberRecord"; }
--- a/src/libutil/messages.cc
+++ b/src/libutil/messages.cc
@@ -89,14 +89,6 @@
   return pvt::Fields(a) == pvt::Fields(b);
 }
 
-bool operator==(const LoadProbe& a, const LoadProbe& b) {
-  return pvt::Fields(a) == pvt::Fields(b);
-}
-
-bool operator==(const LoadProbeReply& a, const LoadProbeReply& b) {
-  return pvt::Fields(a) == pvt::Fields(b);
-}
-
 bool operator==(const ServerRecord& a, const ServerRecord& b) {
   return pvt::Fields(a) == pvt::Fields(b);
 }
--- a/src/libwire/amaranth.thrift
+++ b/src/libwire/amaranth.thrift
@@ -24,9 +24,7 @@
   MEMBER_SYNC = 12,
   GOSSIP = 13,
   QUOTA_REQUEST = 14,
-  QUOTA_REPLY = 15,
-  LOAD_PROBE = 16,
-  LOAD_PROBE_REPLY = 17
+  QUOTA_REPLY = 15
 }
 
 struct Envelope {
@@ -225,16 +223,6 @@
   5: required bool loan
 }
 
-struct LoadProbe {
-  1: required i64 id,
-  2: required string server
-}
-
-struct LoadProbeReply {
-  1: required i64 id,
-  2: required LoadReport load
-}
-
 struct ServerRecord {
   1: required string server,
   2: required string service_name,
--- a/src/libwire/codec.cc
+++ b/src/libwire/codec.cc
@@ -92,16 +92,6 @@
   static constexpr int32_t kKind = MessageKind::QUOTA_REPLY;
 };
 template <>
-struct WireTraits<LoadProbe> {
-  using Type = wire::LoadProbe;
-  static constexpr int32_t kKind = MessageKind::LOAD_PROBE;
-};
-template <>
-struct WireTraits<LoadProbeReply> {
-  using Type = wire::LoadProbeReply;
-  static constexpr int32_t kKind = MessageKind::LOAD_PROBE_REPLY;
-};
-template <>
 struct WireTraits<MemberSync> {
   using Type = wire::MemberSync;
   static constexpr int32_t kKind = MessageKind::MEMBER_SYNC;
--- a/src/libwire/convert.h
+++ b/src/libwire/convert.h
@@ -73,8 +73,6 @@
 void ToWire(const ClaimReply& in, wire::ClaimReply& out);
 void ToWire(const QuotaRequest& in, wire::QuotaRequest& out);
 void ToWire(const QuotaReply& in, wire::QuotaReply& out);
-void ToWire(const LoadProbe& in, wire::LoadProbe& out);
-void ToWire(const LoadProbeReply& in, wire::LoadProbeReply& out);
 void ToWire(const MemberSync& in, wire::MemberSync& out);
 void ToWire(const GossipMessage& in, wire::Gossip& out);
 
@@ -94,8 +92,6 @@
 void FromWire(wire::ClaimReply& in, ClaimReply& out, RangeCheck& check);
 void FromWire(wire::QuotaRequest& in, QuotaRequest& out, RangeCheck& check);
 void FromWire(wire::QuotaReply& in, QuotaReply& out, RangeCheck& check);
-void FromWire(wire::LoadProbe& in, LoadProbe& out, RangeCheck& check);
-void FromWire(wire::LoadProbeReply& in, LoadProbeReply& out, RangeCheck& check);
 void FromWire(wire::MemberSync& in, MemberSync& out, RangeCheck& check);
 void FromWire(wire::Gossip& in, GossipMessage& out, RangeCheck& check);
 
--- a/src/libwire/from_wire.cc
+++ b/src/libwire/from_wire.cc
@@ -290,17 +290,6 @@
   out.loan = in.loan;
 }
 
-void FromWire(wire::LoadProbe& in, LoadProbe& out, RangeCheck&) {
-  out.id = Unsigned(in.id);
-  out.server = std::move(in.server);
-}
-
-void FromWire(wire::LoadProbeReply& in, LoadProbeReply& out,
-              RangeCheck& check) {
-  out.id = Unsigned(in.id);
-  FromWire(in.load, out.load, check);
-}
-
 void FromWire(wire::MemberSync& in, MemberSync& out, RangeCheck& check) {
   out.reply_wanted = in.reply_wanted;
   FromWireList(in.members, out.members, check);
--- a/src/libwire/gen-cpp/amaranth_types.cpp
+++ b/src/libwire/gen-cpp/amaranth_types.cpp
@@ -28,9 +28,7 @@
   MessageKind::MEMBER_SYNC,
   MessageKind::GOSSIP,
   MessageKind::QUOTA_REQUEST,
-  MessageKind::QUOTA_REPLY,
-  MessageKind::LOAD_PROBE,
-  MessageKind::LOAD_PROBE_REPLY
+  MessageKind::QUOTA_REPLY
 };
 const char* _kMessageKindNames[] = {
   "HELLO",
@@ -47,11 +45,9 @@
   "MEMBER_SYNC",
   "GOSSIP",
   "QUOTA_REQUEST",
-  "QUOTA_REPLY",
-  "LOAD_PROBE",
-  "LOAD_PROBE_REPLY"
+  "QUOTA_REPLY"
 };
-const std::map<int, const char*> _MessageKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(17, _kMessageKindValues, _kMessageKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _MessageKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(15, _kMessageKindValues, _kMessageKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const MessageKind::type& val) {
   std::map<int, const char*>::const_iterator it = _MessageKind_VALUES_TO_NAMES.find(val);
@@ -5070,254 +5066,6 @@
 }
 
 
-LoadProbe::~LoadProbe() noexcept {
-}
-
-
-void LoadProbe::__set_id(const int64_t val) {
-  this->id = val;
-}
-
-void LoadProbe::__set_server(const std::string& val) {
-  this->server = val;
-}
-std::ostream& operator<<(std::ostream& out, const LoadProbe& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t LoadProbe::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-  bool isset_id = false;
-  bool isset_server = false;
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->id);
-          isset_id = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->server);
-          isset_server = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  if (!isset_id)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_server)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
-  return xfer;
-}
-
-uint32_t LoadProbe::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("LoadProbe");
-
-  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->id);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->server);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(LoadProbe &a, LoadProbe &b) {
-  using ::std::swap;
-  swap(a.id, b.id);
-  swap(a.server, b.server);
-}
-
-LoadProbe::LoadProbe(const LoadProbe& other148) {
-  id = other148.id;
-  server = other148.server;
-}
-LoadProbe::LoadProbe(LoadProbe&& other149) noexcept {
-  id = other149.id;
-  server = std::move(other149.server);
-}
-LoadProbe& LoadProbe::operator=(const LoadProbe& other150) {
-  id = other150.id;
-  server = other150.server;
-  return *this;
-}
-LoadProbe& LoadProbe::operator=(LoadProbe&& other151) noexcept {
-  id = other151.id;
-  server = std::move(other151.server);
-  return *this;
-}
-void LoadProbe::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "LoadProbe(";
-  out << "id=" << to_string(id);
-  out << ", " << "server=" << to_string(server);
-  out << ")";
-}
-
-
-LoadProbeReply::~LoadProbeReply() noexcept {
-}
-
-
-void LoadProbeReply::__set_id(const int64_t val) {
-  this->id = val;
-}
-
-void LoadProbeReply::__set_load(const LoadReport& val) {
-  this->load = val;
-}
-std::ostream& operator<<(std::ostream& out, const LoadProbeReply& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t LoadProbeReply::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-  bool isset_id = false;
-  bool isset_load = false;
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->id);
-          isset_id = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->load.read(iprot);
-          isset_load = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  if (!isset_id)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_load)
-    throw TProtocolException(TProtocolException::INVALID_DATA);
-  return xfer;
-}
-
-uint32_t LoadProbeReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("LoadProbeReply");
-
-  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->id);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("load", ::apache::thrift::protocol::T_STRUCT, 2);
-  xfer += this->load.write(oprot);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(LoadProbeReply &a, LoadProbeReply &b) {
-  using ::std::swap;
-  swap(a.id, b.id);
-  swap(a.load, b.load);
-}
-
-LoadProbeReply::LoadProbeReply(const LoadProbeReply& other152) {
-  id = other152.id;
-  load = other152.load;
-}
-LoadProbeReply::LoadProbeReply(LoadProbeReply&& other153) noexcept {
-  id = other153.id;
-  load = std::move(other153.load);
-}
-LoadProbeReply& LoadProbeReply::operator=(const LoadProbeReply& other154) {
-  id = other154.id;
-  load = other154.load;
-  return *this;
-}
-LoadProbeReply& LoadProbeReply::operator=(LoadProbeReply&& other155) noexcept {
-  id = other155.id;
-  load = std::move(other155.load);
-  return *this;
-}
-void LoadProbeReply::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "LoadProbeReply(";
-  out << "id=" << to_string(id);
-  out << ", " << "load=" << to_string(load);
-  out << ")";
-}
-
-
 ServerRecord::~ServerRecord() noexcept {
 }
 
@@ -5533,50 +5281,50 @@
   swap(a.__isset, b.__isset);
 }
 
-ServerRecord::ServerRecord(const ServerRecord& other156) {
-  server = other156.server;
-  service_name = other156.service_name;
-  address = other156.address;
-  slots = other156.slots;
-  draining = other156.draining;
-  failing = other156.failing;
-  slowdown = other156.slowdown;
-  started_ms = other156.started_ms;
-  __isset = other156.__isset;
-}
-ServerRecord::ServerRecord(ServerRecord&& other157) noexcept {
-  server = std::move(other157.server);
-  service_name = std::move(other157.service_name);
-  address = std::move(other157.address);
-  slots = other157.slots;
-  draining = other157.draining;
-  failing = other157.failing;
-  slowdown = other157.slowdown;
-  started_ms = other157.started_ms;
-  __isset = other157.__isset;
-}
-ServerRecord& ServerRecord::operator=(const ServerRecord& other158) {
-  server = other158.server;
-  service_name = other158.service_name;
-  address = other158.address;
-  slots = other158.slots;
-  draining = other158.draining;
-  failing = other158.failing;
-  slowdown = other158.slowdown;
-  started_ms = other158.started_ms;
-  __isset = other158.__isset;
+ServerRecord::ServerRecord(const ServerRecord& other148) {
+  server = other148.server;
+  service_name = other148.service_name;
+  address = other148.address;
+  slots = other148.slots;
+  draining = other148.draining;
+  failing = other148.failing;
+  slowdown = other148.slowdown;
+  started_ms = other148.started_ms;
+  __isset = other148.__isset;
+}
+ServerRecord::ServerRecord(ServerRecord&& other149) noexcept {
+  server = std::move(other149.server);
+  service_name = std::move(other149.service_name);
+  address = std::move(other149.address);
+  slots = other149.slots;
+  draining = other149.draining;
+  failing = other149.failing;
+  slowdown = other149.slowdown;
+  started_ms = other149.started_ms;
+  __isset = other149.__isset;
+}
+ServerRecord& ServerRecord::operator=(const ServerRecord& other150) {
+  server = other150.server;
+  service_name = other150.service_name;
+  address = other150.address;
+  slots = other150.slots;
+  draining = other150.draining;
+  failing = other150.failing;
+  slowdown = other150.slowdown;
+  started_ms = other150.started_ms;
+  __isset = other150.__isset;
   return *this;
 }
-ServerRecord& ServerRecord::operator=(ServerRecord&& other159) noexcept {
-  server = std::move(other159.server);
-  service_name = std::move(other159.service_name);
-  address = std::move(other159.address);
-  slots = other159.slots;
-  draining = other159.draining;
-  failing = other159.failing;
-  slowdown = other159.slowdown;
-  started_ms = other159.started_ms;
-  __isset = other159.__isset;
+ServerRecord& ServerRecord::operator=(ServerRecord&& other151) noexcept {
+  server = std::move(other151.server);
+  service_name = std::move(other151.service_name);
+  address = std::move(other151.address);
+  slots = other151.slots;
+  draining = other151.draining;
+  failing = other151.failing;
+  slowdown = other151.slowdown;
+  started_ms = other151.started_ms;
+  __isset = other151.__isset;
   return *this;
 }
 void ServerRecord::printTo(std::ostream& out) const {
@@ -5725,14 +5473,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size160;
-            ::apache::thrift::protocol::TType _etype163;
-            xfer += iprot->readListBegin(_etype163, _size160);
-            this->servers.resize(_size160);
-            uint32_t _i164;
-            for (_i164 = 0; _i164 < _size160; ++_i164)
+            uint32_t _size152;
+            ::apache::thrift::protocol::TType _etype155;
+            xfer += iprot->readListBegin(_etype155, _size152);
+            this->servers.resize(_size152);
+            uint32_t _i156;
+            for (_i156 = 0; _i156 < _size152; ++_i156)
             {
-              xfer += this->servers[_i164].read(iprot);
+              xfer += this->servers[_i156].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5805,10 +5553,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<ServerRecord> ::const_iterator _iter165;
-    for (_iter165 = this->servers.begin(); _iter165 != this->servers.end(); ++_iter165)
+    std::vector<ServerRecord> ::const_iterator _iter157;
+    for (_iter157 = this->servers.begin(); _iter157 != this->servers.end(); ++_iter157)
     {
-      xfer += (*_iter165).write(oprot);
+      xfer += (*_iter157).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5831,46 +5579,46 @@
   swap(a.servers, b.servers);
 }
 
-MemberRecord::MemberRecord(const MemberRecord& other166) {
-  node = other166.node;
-  version = other166.version;
-  state = other166.state;
-  data_centre = other166.data_centre;
-  region = other166.region;
-  peer_address = other166.peer_address;
-  gossip_address = other166.gossip_address;
-  servers = other166.servers;
-}
-MemberRecord::MemberRecord(MemberRecord&& other167) noexcept {
-  node = std::move(other167.node);
-  version = other167.version;
-  state = other167.state;
-  data_centre = std::move(other167.data_centre);
-  region = std::move(other167.region);
-  peer_address = std::move(other167.peer_address);
-  gossip_address = std::move(other167.gossip_address);
-  servers = std::move(other167.servers);
-}
-MemberRecord& MemberRecord::operator=(const MemberRecord& other168) {
-  node = other168.node;
-  version = other168.version;
-  state = other168.state;
-  data_centre = other168.data_centre;
-  region = other168.region;
-  peer_address = other168.peer_address;
-  gossip_address = other168.gossip_address;
-  servers = other168.servers;
+MemberRecord::MemberRecord(const MemberRecord& other158) {
+  node = other158.node;
+  version = other158.version;
+  state = other158.state;
+  data_centre = other158.data_centre;
+  region = other158.region;
+  peer_address = other158.peer_address;
+  gossip_address = other158.gossip_address;
+  servers = other158.servers;
+}
+MemberRecord::MemberRecord(MemberRecord&& other159) noexcept {
+  node = std::move(other159.node);
+  version = other159.version;
+  state = other159.state;
+  data_centre = std::move(other159.data_centre);
+  region = std::move(other159.region);
+  peer_address = std::move(other159.peer_address);
+  gossip_address = std::move(other159.gossip_address);
+  servers = std::move(other159.servers);
+}
+MemberRecord& MemberRecord::operator=(const MemberRecord& other160) {
+  node = other160.node;
+  version = other160.version;
+  state = other160.state;
+  data_centre = other160.data_centre;
+  region = other160.region;
+  peer_address = other160.peer_address;
+  gossip_address = other160.gossip_address;
+  servers = other160.servers;
   return *this;
 }
-MemberRecord& MemberRecord::operator=(MemberRecord&& other169) noexcept {
-  node = std::move(other169.node);
-  version = other169.version;
-  state = other169.state;
-  data_centre = std::move(other169.data_centre);
-  region = std::move(other169.region);
-  peer_address = std::move(other169.peer_address);
-  gossip_address = std::move(other169.gossip_address);
-  servers = std::move(other169.servers);
+MemberRecord& MemberRecord::operator=(MemberRecord&& other161) noexcept {
+  node = std::move(other161.node);
+  version = other161.version;
+  state = other161.state;
+  data_centre = std::move(other161.data_centre);
+  region = std::move(other161.region);
+  peer_address = std::move(other161.peer_address);
+  gossip_address = std::move(other161.gossip_address);
+  servers = std::move(other161.servers);
   return *this;
 }
 void MemberRecord::printTo(std::ostream& out) const {
@@ -6025,30 +5773,30 @@
   swap(a.remaining_us, b.remaining_us);
 }
 
-QuarantineRecord::QuarantineRecord(const QuarantineRecord& other170) {
-  service_name = other170.service_name;
-  fingerprint = other170.fingerprint;
-  crashes = other170.crashes;
-  remaining_us = other170.remaining_us;
+QuarantineRecord::QuarantineRecord(const QuarantineRecord& other162) {
+  service_name = other162.service_name;
+  fingerprint = other162.fingerprint;
+  crashes = other162.crashes;
+  remaining_us = other162.remaining_us;
 }
-QuarantineRecord::QuarantineRecord(QuarantineRecord&& other171) noexcept {
-  service_name = std::move(other171.service_name);
-  fingerprint = other171.fingerprint;
-  crashes = other171.crashes;
-  remaining_us = other171.remaining_us;
+QuarantineRecord::QuarantineRecord(QuarantineRecord&& other163) noexcept {
+  service_name = std::move(other163.service_name);
+  fingerprint = other163.fingerprint;
+  crashes = other163.crashes;
+  remaining_us = other163.remaining_us;
 }
-QuarantineRecord& QuarantineRecord::operator=(const QuarantineRecord& other172) {
-  service_name = other172.service_name;
-  fingerprint = other172.fingerprint;
-  crashes = other172.crashes;
-  remaining_us = other172.remaining_us;
+QuarantineRecord& QuarantineRecord::operator=(const QuarantineRecord& other164) {
+  service_name = other164.service_name;
+  fingerprint = other164.fingerprint;
+  crashes = other164.crashes;
+  remaining_us = other164.remaining_us;
   return *this;
 }
-QuarantineRecord& QuarantineRecord::operator=(QuarantineRecord&& other173) noexcept {
-  service_name = std::move(other173.service_name);
-  fingerprint = other173.fingerprint;
-  crashes = other173.crashes;
-  remaining_us = other173.remaining_us;
+QuarantineRecord& QuarantineRecord::operator=(QuarantineRecord&& other165) noexcept {
+  service_name = std::move(other165.service_name);
+  fingerprint = other165.fingerprint;
+  crashes = other165.crashes;
+  remaining_us = other165.remaining_us;
   return *this;
 }
 void QuarantineRecord::printTo(std::ostream& out) const {
@@ -6130,14 +5878,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size174;
-            ::apache::thrift::protocol::TType _etype177;
-            xfer += iprot->readListBegin(_etype177, _size174);
-            this->members.resize(_size174);
-            uint32_t _i178;
-            for (_i178 = 0; _i178 < _size174; ++_i178)
+            uint32_t _size166;
+            ::apache::thrift::protocol::TType _etype169;
+            xfer += iprot->readListBegin(_etype169, _size166);
+            this->members.resize(_size166);
+            uint32_t _i170;
+            for (_i170 = 0; _i170 < _size166; ++_i170)
             {
-              xfer += this->members[_i178].read(iprot);
+              xfer += this->members[_i170].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6150,14 +5898,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quarantines.clear();
-            uint32_t _size179;
-            ::apache::thrift::protocol::TType _etype182;
-            xfer += iprot->readListBegin(_etype182, _size179);
-            this->quarantines.resize(_size179);
-            uint32_t _i183;
-            for (_i183 = 0; _i183 < _size179; ++_i183)
+            uint32_t _size171;
+            ::apache::thrift::protocol::TType _etype174;
+            xfer += iprot->readListBegin(_etype174, _size171);
+            this->quarantines.resize(_size171);
+            uint32_t _i175;
+            for (_i175 = 0; _i175 < _size171; ++_i175)
             {
-              xfer += this->quarantines[_i183].read(iprot);
+              xfer += this->quarantines[_i175].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6178,14 +5926,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->bucket_hashes.clear();
-            uint32_t _size184;
-            ::apache::thrift::protocol::TType _etype187;
-            xfer += iprot->readListBegin(_etype187, _size184);
-            this->bucket_hashes.resize(_size184);
-            uint32_t _i188;
-            for (_i188 = 0; _i188 < _size184; ++_i188)
+            uint32_t _size176;
+            ::apache::thrift::protocol::TType _etype179;
+            xfer += iprot->readListBegin(_etype179, _size176);
+            this->bucket_hashes.resize(_size176);
+            uint32_t _i180;
+            for (_i180 = 0; _i180 < _size176; ++_i180)
             {
-              xfer += iprot->readI32(this->bucket_hashes[_i188]);
+              xfer += iprot->readI32(this->bucket_hashes[_i180]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6228,10 +5976,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<MemberRecord> ::const_iterator _iter189;
-    for (_iter189 = this->members.begin(); _iter189 != this->members.end(); ++_iter189)
+    std::vector<MemberRecord> ::const_iterator _iter181;
+    for (_iter181 = this->members.begin(); _iter181 != this->members.end(); ++_iter181)
     {
-      xfer += (*_iter189).write(oprot);
+      xfer += (*_iter181).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6240,10 +5988,10 @@
   xfer += oprot->writeFieldBegin("quarantines", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantines.size()));
-    std::vector<QuarantineRecord> ::const_iterator _iter190;
-    for (_iter190 = this->quarantines.begin(); _iter190 != this->quarantines.end(); ++_iter190)
+    std::vector<QuarantineRecord> ::const_iterator _iter182;
+    for (_iter182 = this->quarantines.begin(); _iter182 != this->quarantines.end(); ++_iter182)
     {
-      xfer += (*_iter190).write(oprot);
+      xfer += (*_iter182).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6256,10 +6004,10 @@
   xfer += oprot->writeFieldBegin("bucket_hashes", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->bucket_hashes.size()));
-    std::vector<int32_t> ::const_iterator _iter191;
-    for (_iter191 = this->bucket_hashes.begin(); _iter191 != this->bucket_hashes.end(); ++_iter191)
+    std::vector<int32_t> ::const_iterator _iter183;
+    for (_iter183 = this->bucket_hashes.begin(); _iter183 != this->bucket_hashes.end(); ++_iter183)
     {
-      xfer += oprot->writeI32((*_iter191));
+      xfer += oprot->writeI32((*_iter183));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6279,34 +6027,34 @@
   swap(a.bucket_hashes, b.bucket_hashes);
 }
 
-MemberSync::MemberSync(const MemberSync& other192) {
-  reply_wanted = other192.reply_wanted;
-  members = other192.members;
-  quarantines = other192.quarantines;
-  settings_version = other192.settings_version;
-  bucket_hashes = other192.bucket_hashes;
-}
-MemberSync::MemberSync(MemberSync&& other193) noexcept {
-  reply_wanted = other193.reply_wanted;
-  members = std::move(other193.members);
-  quarantines = std::move(other193.quarantines);
-  settings_version = other193.settings_version;
-  bucket_hashes = std::move(other193.bucket_hashes);
-}
-MemberSync& MemberSync::operator=(const MemberSync& other194) {
-  reply_wanted = other194.reply_wanted;
-  members = other194.members;
-  quarantines = other194.quarantines;
-  settings_version = other194.settings_version;
-  bucket_hashes = other194.bucket_hashes;
+MemberSync::MemberSync(const MemberSync& other184) {
+  reply_wanted = other184.reply_wanted;
+  members = other184.members;
+  quarantines = other184.quarantines;
+  settings_version = other184.settings_version;
+  bucket_hashes = other184.bucket_hashes;
+}
+MemberSync::MemberSync(MemberSync&& other185) noexcept {
+  reply_wanted = other185.reply_wanted;
+  members = std::move(other185.members);
+  quarantines = std::move(other185.quarantines);
+  settings_version = other185.settings_version;
+  bucket_hashes = std::move(other185.bucket_hashes);
+}
+MemberSync& MemberSync::operator=(const MemberSync& other186) {
+  reply_wanted = other186.reply_wanted;
+  members = other186.members;
+  quarantines = other186.quarantines;
+  settings_version = other186.settings_version;
+  bucket_hashes = other186.bucket_hashes;
   return *this;
 }
-MemberSync& MemberSync::operator=(MemberSync&& other195) noexcept {
-  reply_wanted = other195.reply_wanted;
-  members = std::move(other195.members);
-  quarantines = std::move(other195.quarantines);
-  settings_version = other195.settings_version;
-  bucket_hashes = std::move(other195.bucket_hashes);
+MemberSync& MemberSync::operator=(MemberSync&& other187) noexcept {
+  reply_wanted = other187.reply_wanted;
+  members = std::move(other187.members);
+  quarantines = std::move(other187.quarantines);
+  settings_version = other187.settings_version;
+  bucket_hashes = std::move(other187.bucket_hashes);
   return *this;
 }
 void MemberSync::printTo(std::ostream& out) const {
@@ -6480,14 +6228,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->updates.clear();
-            uint32_t _size196;
-            ::apache::thrift::protocol::TType _etype199;
-            xfer += iprot->readListBegin(_etype199, _size196);
-            this->updates.resize(_size196);
-            uint32_t _i200;
-            for (_i200 = 0; _i200 < _size196; ++_i200)
+            uint32_t _size188;
+            ::apache::thrift::protocol::TType _etype191;
+            xfer += iprot->readListBegin(_etype191, _size188);
+            this->updates.resize(_size188);
+            uint32_t _i192;
+            for (_i192 = 0; _i192 < _size188; ++_i192)
             {
-              xfer += this->updates[_i200].read(iprot);
+              xfer += this->updates[_i192].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6500,14 +6248,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quarantines.clear();
-            uint32_t _size201;
-            ::apache::thrift::protocol::TType _etype204;
-            xfer += iprot->readListBegin(_etype204, _size201);
-            this->quarantines.resize(_size201);
-            uint32_t _i205;
-            for (_i205 = 0; _i205 < _size201; ++_i205)
+            uint32_t _size193;
+            ::apache::thrift::protocol::TType _etype196;
+            xfer += iprot->readListBegin(_etype196, _size193);
+            this->quarantines.resize(_size193);
+            uint32_t _i197;
+            for (_i197 = 0; _i197 < _size193; ++_i197)
             {
-              xfer += this->quarantines[_i205].read(iprot);
+              xfer += this->quarantines[_i197].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6604,10 +6352,10 @@
   xfer += oprot->writeFieldBegin("updates", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->updates.size()));
-    std::vector<MemberRecord> ::const_iterator _iter206;
-    for (_iter206 = this->updates.begin(); _iter206 != this->updates.end(); ++_iter206)
+    std::vector<MemberRecord> ::const_iterator _iter198;
+    for (_iter198 = this->updates.begin(); _iter198 != this->updates.end(); ++_iter198)
     {
-      xfer += (*_iter206).write(oprot);
+      xfer += (*_iter198).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6616,10 +6364,10 @@
   xfer += oprot->writeFieldBegin("quarantines", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantines.size()));
-    std::vector<QuarantineRecord> ::const_iterator _iter207;
-    for (_iter207 = this->quarantines.begin(); _iter207 != this->quarantines.end(); ++_iter207)
+    std::vector<QuarantineRecord> ::const_iterator _iter199;
+    for (_iter199 = this->quarantines.begin(); _iter199 != this->quarantines.end(); ++_iter199)
     {
-      xfer += (*_iter207).write(oprot);
+      xfer += (*_iter199).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6657,66 +6405,66 @@
   swap(a.__isset, b.__isset);
 }
 
-Gossip::Gossip(const Gossip& other208) {
-  kind = other208.kind;
-  source = other208.source;
-  source_address = other208.source_address;
-  sequence = other208.sequence;
-  target = other208.target;
-  target_address = other208.target_address;
-  settings_version = other208.settings_version;
-  membership_hash = other208.membership_hash;
-  updates = other208.updates;
-  quarantines = other208.quarantines;
-  platform_epoch = other208.platform_epoch;
-  settings_confirmed_at_us = other208.settings_confirmed_at_us;
-  __isset = other208.__isset;
-}
-Gossip::Gossip(Gossip&& other209) noexcept {
-  kind = other209.kind;
-  source = std::move(other209.source);
-  source_address = std::move(other209.source_address);
-  sequence = other209.sequence;
-  target = std::move(other209.target);
-  target_address = std::move(other209.target_address);
-  settings_version = other209.settings_version;
-  membership_hash = other209.membership_hash;
-  updates = std::move(other209.updates);
-  quarantines = std::move(other209.quarantines);
-  platform_epoch = other209.platform_epoch;
-  settings_confirmed_at_us = other209.settings_confirmed_at_us;
-  __isset = other209.__isset;
-}
-Gossip& Gossip::operator=(const Gossip& other210) {
-  kind = other210.kind;
-  source = other210.source;
-  source_address = other210.source_address;
-  sequence = other210.sequence;
-  target = other210.target;
-  target_address = other210.target_address;
-  settings_version = other210.settings_version;
-  membership_hash = other210.membership_hash;
-  updates = other210.updates;
-  quarantines = other210.quarantines;
-  platform_epoch = other210.platform_epoch;
-  settings_confirmed_at_us = other210.settings_confirmed_at_us;
-  __isset = other210.__isset;
+Gossip::Gossip(const Gossip& other200) {
+  kind = other200.kind;
+  source = other200.source;
+  source_address = other200.source_address;
+  sequence = other200.sequence;
+  target = other200.target;
+  target_address = other200.target_address;
+  settings_version = other200.settings_version;
+  membership_hash = other200.membership_hash;
+  updates = other200.updates;
+  quarantines = other200.quarantines;
+  platform_epoch = other200.platform_epoch;
+  settings_confirmed_at_us = other200.settings_confirmed_at_us;
+  __isset = other200.__isset;
+}
+Gossip::Gossip(Gossip&& other201) noexcept {
+  kind = other201.kind;
+  source = std::move(other201.source);
+  source_address = std::move(other201.source_address);
+  sequence = other201.sequence;
+  target = std::move(other201.target);
+  target_address = std::move(other201.target_address);
+  settings_version = other201.settings_version;
+  membership_hash = other201.membership_hash;
+  updates = std::move(other201.updates);
+  quarantines = std::move(other201.quarantines);
+  platform_epoch = other201.platform_epoch;
+  settings_confirmed_at_us = other201.settings_confirmed_at_us;
+  __isset = other201.__isset;
+}
+Gossip& Gossip::operator=(const Gossip& other202) {
+  kind = other202.kind;
+  source = other202.source;
+  source_address = other202.source_address;
+  sequence = other202.sequence;
+  target = other202.target;
+  target_address = other202.target_address;
+  settings_version = other202.settings_version;
+  membership_hash = other202.membership_hash;
+  updates = other202.updates;
+  quarantines = other202.quarantines;
+  platform_epoch = other202.platform_epoch;
+  settings_confirmed_at_us = other202.settings_confirmed_at_us;
+  __isset = other202.__isset;
   return *this;
 }
-Gossip& Gossip::operator=(Gossip&& other211) noexcept {
-  kind = other211.kind;
-  source = std::move(other211.source);
-  source_address = std::move(other211.source_address);
-  sequence = other211.sequence;
-  target = std::move(other211.target);
-  target_address = std::move(other211.target_address);
-  settings_version = other211.settings_version;
-  membership_hash = other211.membership_hash;
-  updates = std::move(other211.updates);
-  quarantines = std::move(other211.quarantines);
-  platform_epoch = other211.platform_epoch;
-  settings_confirmed_at_us = other211.settings_confirmed_at_us;
-  __isset = other211.__isset;
+Gossip& Gossip::operator=(Gossip&& other203) noexcept {
+  kind = other203.kind;
+  source = std::move(other203.source);
+  source_address = std::move(other203.source_address);
+  sequence = other203.sequence;
+  target = std::move(other203.target);
+  target_address = std::move(other203.target_address);
+  settings_version = other203.settings_version;
+  membership_hash = other203.membership_hash;
+  updates = std::move(other203.updates);
+  quarantines = std::move(other203.quarantines);
+  platform_epoch = other203.platform_epoch;
+  settings_confirmed_at_us = other203.settings_confirmed_at_us;
+  __isset = other203.__isset;
   return *this;
 }
 void Gossip::printTo(std::ostream& out) const {
--- a/src/libwire/gen-cpp/amaranth_types.h
+++ b/src/libwire/gen-cpp/amaranth_types.h
@@ -37,9 +37,7 @@
     MEMBER_SYNC = 12,
     GOSSIP = 13,
     QUOTA_REQUEST = 14,
-    QUOTA_REPLY = 15,
-    LOAD_PROBE = 16,
-    LOAD_PROBE_REPLY = 17
+    QUOTA_REPLY = 15
   };
 };
 
@@ -105,10 +103,6 @@
 
 class QuotaReply;
 
-class LoadProbe;
-
-class LoadProbeReply;
-
 class ServerRecord;
 
 class MemberRecord;
@@ -1783,95 +1777,6 @@
 
 std::ostream& operator<<(std::ostream& out, const QuotaReply& obj);
 
-
-class LoadProbe : public virtual ::apache::thrift::TBase {
- public:
-
-  LoadProbe(const LoadProbe&);
-  LoadProbe(LoadProbe&&) noexcept;
-  LoadProbe& operator=(const LoadProbe&);
-  LoadProbe& operator=(LoadProbe&&) noexcept;
-  LoadProbe() noexcept
-            : id(0),
-              server() {
-  }
-
-  virtual ~LoadProbe() noexcept;
-  int64_t id;
-  std::string server;
-
-  void __set_id(const int64_t val);
-
-  void __set_server(const std::string& val);
-
-  bool operator == (const LoadProbe & rhs) const
-  {
-    if (!(id == rhs.id))
-      return false;
-    if (!(server == rhs.server))
-      return false;
-    return true;
-  }
-  bool operator != (const LoadProbe &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const LoadProbe & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(LoadProbe &a, LoadProbe &b);
-
-std::ostream& operator<<(std::ostream& out, const LoadProbe& obj);
-
-
-class LoadProbeReply : public virtual ::apache::thrift::TBase {
- public:
-
-  LoadProbeReply(const LoadProbeReply&);
-  LoadProbeReply(LoadProbeReply&&) noexcept;
-  LoadProbeReply& operator=(const LoadProbeReply&);
-  LoadProbeReply& operator=(LoadProbeReply&&) noexcept;
-  LoadProbeReply() noexcept
-                 : id(0) {
-  }
-
-  virtual ~LoadProbeReply() noexcept;
-  int64_t id;
-  LoadReport load;
-
-  void __set_id(const int64_t val);
-
-  void __set_load(const LoadReport& val);
-
-  bool operator == (const LoadProbeReply & rhs) const
-  {
-    if (!(id == rhs.id))
-      return false;
-    if (!(load == rhs.load))
-      return false;
-    return true;
-  }
-  bool operator != (const LoadProbeReply &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const LoadProbeReply & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(LoadProbeReply &a, LoadProbeReply &b);
-
-std::ostream& operator<<(std::ostream& out, const LoadProbeReply& obj);
-
 typedef struct _ServerRecord__isset {
   _ServerRecord__isset() : failing(false), slowdown(false), started_ms(false) {}
   bool failing :1;
--- a/src/libwire/to_wire.cc
+++ b/src/libwire/to_wire.cc
@@ -39,8 +39,6 @@
 static_assert(kHasFields<ServiceCost, 3>);
 static_assert(kHasFields<ServicePressure, 4>);
 static_assert(kHasFields<FailedBelow, 2>);
-static_assert(kHasFields<LoadProbe, 2>);
-static_assert(kHasFields<LoadProbeReply, 2>);
 static_assert(kHasFields<ServerRecord, 7>);
 static_assert(kHasFields<MemberRecord, 8>);
 static_assert(kHasFields<QuarantineRecord, 4>);
@@ -299,16 +297,6 @@
   out.loan = in.loan;
 }
 
-void ToWire(const LoadProbe& in, wire::LoadProbe& out) {
-  out.id = Signed(in.id);
-  out.server = in.server;
-}
-
-void ToWire(const LoadProbeReply& in, wire::LoadProbeReply& out) {
-  out.id = Signed(in.id);
-  ToWire(in.load, out.load);
-}
-
 void ToWire(const MemberSync& in, wire::MemberSync& out) {
   out.reply_wanted = in.reply_wanted;
   ToWireList(in.members, out.members);
