Refuse requests that cannot complete, before they are sent

Cause: while the servers of the deepest service refuse a share of their calls, a request with eight calls there fails after a part of its work, which must not be repeated if it is not idempotent.

Change: serving nodes report the share of calls that their servers did not refuse. Entry nodes estimate the chance of a request from its cost profile and refuse it unsent below 0.1; one request in 32 is let through, and one per 100 ms without a report that new. Answers and log lines name the cause of a failed nested call. Off by default (feasibility_check).

--- a/src/libnode/bottleneck/bottleneck_state.cc
+++ b/src/libnode/bottleneck/bottleneck_state.cc
@@ -1,11 +1,17 @@
 #include "libnode/bottleneck/bottleneck_state.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace amaranth::pvt {
 namespace {
 
 constexpr double kWireCutUnits = 256;
+constexpr double kWholePercent = 100;
+
+int64_t WholeMillis(Duration time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
 
 // Pressures that one answer passes on. More than two services of one call tree
 // are rarely short at the same time.
@@ -31,22 +37,43 @@
   return std::min(cut_x256 / kWireCutUnits, static_cast<double>(kPositions));
 }
 
+uint8_t ToWirePercent(double share) {
+  return static_cast<uint8_t>(
+      std::lround(std::clamp(share, 0.0, 1.0) * kWholePercent));
+}
+
+double FromWirePercent(uint8_t percent) {
+  return std::min(percent / kWholePercent, 1.0);
+}
+
 void BottleneckState::OnAnswer(const CallAnswer& answer, TimePoint now) {
   for (const ServicePressure& pressure : answer.pressures) {
     admission_.OnReport(pressure.service, FromWireCut(pressure.cut_x256), now);
+    feasibility_.OnReport(pressure.service,
+                          FromWirePercent(pressure.success_percent), now);
   }
   for (const ServiceCost& cost : answer.costs) {
     if (FindPressure(answer.pressures, cost.service) != nullptr) continue;
     admission_.OnReport(cost.service, 0, now);
+    feasibility_.OnReport(cost.service, 1, now);
   }
 }
 
+FeasibilityEstimate BottleneckState::Feasible(const std::string& class_key,
+                                              TimePoint now) const {
+  const CostProfile* profile = profiles_.Find(class_key, now);
+  if (profile == nullptr) return {};
+  return feasibility_.Estimate(*profile, now);
+}
+
 void BottleneckState::AddReported(
     const CallAnswer& answer, TimePoint now,
     std::vector<ServicePressure>& pressures) const {
   for (const ServicePressure& reported : answer.pressures) {
     ServicePressure pressure = reported;
     pressure.cut_x256 = ToWireCut(admission_.CutOf(reported.service, now));
+    pressure.success_percent =
+        ToWirePercent(feasibility_.SuccessOf(reported.service, now));
     ServicePressure* known = FindPressure(pressures, reported.service);
     if (known != nullptr) {
       *known = pressure;
@@ -61,10 +88,15 @@
          " is short of capacity: cut=" + std::to_string(decision.cut) +
          " admitted_share=" + std::to_string(decision.share) +
          " cost_bucket=" + std::to_string(decision.cost_bucket) +
-         " report_age_ms=" +
-         std::to_string(
-             std::chrono::duration_cast<std::chrono::milliseconds>(decision.age)
-                 .count());
+         " report_age_ms=" + std::to_string(WholeMillis(decision.age));
+}
+
+std::string DetailOf(const FeasibilityEstimate& estimate) {
+  return "service " + estimate.service +
+         " refuses calls: chance=" + std::to_string(estimate.chance) +
+         " success=" + std::to_string(estimate.success) +
+         " calls=" + std::to_string(estimate.calls) +
+         " report_age_ms=" + std::to_string(WholeMillis(estimate.age));
 }
 
 }  // namespace amaranth::pvt
--- a/src/libnode/bottleneck/bottleneck_state.h
+++ b/src/libnode/bottleneck/bottleneck_state.h
@@ -10,6 +10,7 @@
 
 #include "amaranthroute/messages.h"
 #include "amaranthroute/policy/cost_profile.h"
+#include "amaranthroute/policy/feasibility.h"
 #include "amaranthroute/policy/rank_admission.h"
 
 namespace amaranth::pvt {
@@ -32,6 +33,12 @@
                              call.tier, call.class_tier, now);
   }
 
+  // Returns the chance that a request of a class completes; 1 without a recent
+  // cost profile.
+  FeasibilityEstimate Feasible(const std::string& class_key,
+                               TimePoint now) const;
+  Feasibility& feasibility() { return feasibility_; }
+
   // Adds the services that an answer to a nested call reports as short to
   // `pressures`, which go upstream with the answer to its parent. They are
   // passed on as this node's mean over the servers of each service.
@@ -41,15 +48,21 @@
  private:
   CostProfiles profiles_;
   RankAdmission admission_;
+  Feasibility feasibility_;
 };
 
 // Returns the detail of a refusal by `decision`.
 std::string DetailOf(const AdmitDecision& decision);
+std::string DetailOf(const FeasibilityEstimate& estimate);
 
 // Converts a cut to and from ServicePressure::cut_x256.
 uint32_t ToWireCut(double cut);
 double FromWireCut(uint32_t cut_x256);
 
+// Converts a success share to and from ServicePressure::success_percent.
+uint8_t ToWirePercent(double share);
+double FromWirePercent(uint8_t percent);
+
 }  // namespace amaranth::pvt
 
 #endif  // AMARANTHROUTE_LIBNODE_BOTTLENECK_BOTTLENECK_STATE_H_
--- a/src/libnode/entry/call.h
+++ b/src/libnode/entry/call.h
@@ -87,6 +87,10 @@
   // Time spent in queues for a slot and between nodes, by the answers to its
   // attempts.
   Duration waited{0};
+  // The nested call that the last attempt reported as the cause of its failure.
+  FailedBelow failed_below;
+  // Refused by the feasibility check, which has set the time to return.
+  bool infeasible = false;
 };
 
 }  // namespace amaranth::pvt
--- a/src/libnode/entry/entry_attempts.cc
+++ b/src/libnode/entry/entry_attempts.cc
@@ -161,6 +161,7 @@
   if (answer.made_calls) admission_.RecordNestedCalls(call);
   RecordBottlenecks(call, answer, context.now);
   call.waited += WaitTime(attempt, answer.times, context.now);
+  call.failed_below = answer.failed_below;
   const bool failed_after_dispatch =
       !answered && answer.failure.verdict != Verdict::kNotRun;
   const bool final =
@@ -402,6 +403,8 @@
     failure.reason =
         forwarded ? Reason::kHomeUnreachable : Reason::kConnectionLost;
     failure.detail = "the link to node " + peer + " was lost";
+    // Unlike a connection that a backend server has lost.
+    call->failed_below = {call->context.service, FailureCause::kUnreachable};
     OnAttemptFailed(*call, std::move(failure), context);
   }
 }
--- a/src/libnode/entry/entry_begin.cc
+++ b/src/libnode/entry/entry_begin.cc
@@ -388,6 +388,29 @@
   }
 }
 
+bool EntryRole::CheckFeasibility(Call& call, Failure& refusal,
+                                 Context& context) {
+  if (!call.is_root || call.context.idempotent) return true;
+  const EffectiveSettings& settings =
+      parts_.settings.Resolve(call.context.service, call.context.request_class);
+  if (!settings.feasibility_check) return true;
+  const FeasibilityEstimate estimate =
+      bottlenecks_.Feasible(Admission::ClassKey(call), context.now);
+  if (estimate.chance >= Feasibility::kMinChance) return true;
+  Feasibility& feasibility = bottlenecks_.feasibility();
+  const bool admitted = feasibility.LetThrough(estimate, context.now);
+  parts_.stats.Count("amaranth_feasibility_total",
+                     "service=\"" + estimate.service + "\",class=\"" +
+                         call.call_class + "\",outcome=\"" +
+                         (admitted ? "probe" : "refused") + "\"");
+  if (admitted) return true;
+  call.infeasible = true;
+  // By then a request has shown again whether the service refuses its calls.
+  refusal.retry_after = Feasibility::kProbePeriod;
+  refusal.detail = DetailOf(estimate);
+  return false;
+}
+
 bool EntryRole::AdmitByRank(Call& call, Failure& refusal, Context& context) {
   const EffectiveSettings& settings =
       parts_.settings.Resolve(call.context.service, call.context.request_class);
@@ -440,6 +463,7 @@
     refusal.detail = "a service of this call chain is overloaded";
     return false;
   }
+  if (!CheckFeasibility(call, refusal, context)) return false;
   if (!AdmitByRank(call, refusal, context)) return false;
   if (!context.identity.rules.admit_at_edge) return true;
   if (admission_.TryEnterWindow(call, context.random)) return true;
--- a/src/libnode/entry/entry_finish.cc
+++ b/src/libnode/entry/entry_finish.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "amaranthroute/policy/retry_after.h"
+#include "libnode/bottleneck/failure_cause.h"
 #include "libnode/entry/entry_role.h"
 #include "libnode/shared/answers.h"
 
@@ -15,6 +16,15 @@
 constexpr Duration kLateAnswerTimeout = std::chrono::seconds(6);
 constexpr Duration kExpiryPeriod = std::chrono::seconds(1);
 
+// Returns the failure that an error response stands for.
+Failure FailureOf(const HttpResponse& response) {
+  Failure failure;
+  failure.verdict = Verdict::kRan;
+  failure.reason = Reason::kServerError;
+  failure.detail = "status " + std::to_string(response.status);
+  return failure;
+}
+
 bool ResendMayHelp(Reason reason) {
   return reason != Reason::kQuarantined && reason != Reason::kBadRequest &&
          reason != Reason::kTooLarge;
@@ -33,8 +43,11 @@
   }
   UpdateKeyRecord(call, &annotated, Failure());
   CompleteInWindow(call, annotated.status < 500, context.now);
-  std::optional<Verdict> failed;
-  if (annotated.status >= 500) failed = Verdict::kRan;
+  std::optional<Failure> failed;
+  if (annotated.status >= 500) {
+    failed = FailureOf(annotated);
+    LogFailedBelow(call, *failed, context);
+  }
   ReportToParent(call, false, failed, context.now);
   const Duration latency = context.now - call.started;
   if (call.is_root) {
@@ -68,7 +81,7 @@
   const bool shed =
       failure.verdict == Verdict::kNotRun && IsOverload(failure.reason);
   if (context.identity.rules.admit_at_edge && call.is_root && shed &&
-      target > Duration::zero()) {
+      !call.infeasible && target > Duration::zero()) {
     failure.retry_after =
         RetryWithinTarget(target, context.now - call.started, context.random);
   }
@@ -84,7 +97,7 @@
   }
   UpdateKeyRecord(call, nullptr, failure);
   CompleteInWindow(call, false, context.now);
-  ReportToParent(call, failure.final, failure.verdict, context.now);
+  ReportToParent(call, failure.final, failure, context.now);
   const std::string reason(ToString(failure.reason));
   if (call.is_root) {
     parts_.stats.Observe(call_context.tenant, call_context.request_class,
@@ -120,6 +133,9 @@
 void EntryRole::LogFailure(const Call& call, const Failure& failure,
                            Context& context) {
   const CallContext& call_context = call.context;
+  const bool logs_cause =
+      parts_.settings.Resolve(call_context.service, call_context.request_class)
+          .feasibility_check;
   std::string text = "request=" + call_context.request_id;
   text += " class=" + call.call_class;
   if (!call.customer.empty()) text += " customer=" + call.customer;
@@ -136,12 +152,26 @@
   text += " waited_ms=" + std::to_string(ToMillis(call.waited));
   text += " held_ms=" + std::to_string(ToMillis(context.now - call.started));
   text += " left_ms=" + std::to_string(ToMillis(call.deadline - context.now));
+  if (call.failed_below.cause != FailureCause::kNone && logs_cause) {
+    text += " failed_below=" + call.failed_below.service + ":" +
+            std::string(ToString(call.failed_below.cause));
+  }
   if (!failure.detail.empty()) text += " detail=\"" + failure.detail + "\"";
   context.Log(LogLevel::kInfo, "entry", std::move(text));
 }
 
+void EntryRole::LogFailedBelow(const Call& call, const Failure& failure,
+                               Context& context) {
+  const bool is_used =
+      parts_.settings.Resolve(call.context.service, call.context.request_class)
+          .feasibility_check;
+  if (!is_used || call.failed_below.cause == FailureCause::kNone) return;
+  LogFailure(call, failure, context);
+}
+
 void EntryRole::ReportToParent(const Call& call, bool gave_up,
-                               std::optional<Verdict> failed, TimePoint now) {
+                               const std::optional<Failure>& failed,
+                               TimePoint now) {
   if (call.is_root) return;
   Hop* hop = parts_.serving.FindHop(call.parent_hop);
   if (hop == nullptr) return;
@@ -149,7 +179,13 @@
   hop->ledger.Return(call.granted_by_parent, call.ledger.available());
   hop->nested_wait_time += call.waited;
   if (!failed) return;
-  hop->failed_nested[call.context.fingerprint] = *failed;
+  hop->failed_nested[call.context.fingerprint] = failed->verdict;
+  const FailureCause cause = CauseOf(*failed);
+  if (call.failed_below.cause != FailureCause::kNone) {
+    hop->failed_below = call.failed_below;
+  } else if (cause != FailureCause::kNone) {
+    hop->failed_below = {call.context.service, cause};
+  }
   if (gave_up) hop->nested_retries_exhausted = true;
 }
 
@@ -242,7 +278,9 @@
   if (!call.waiters.empty() || !call.key.empty()) return;
   parts_.stats.Count("amaranth_abandoned_total");
   CancelAttempt(call, context);
-  ReportToParent(call, false, Verdict::kMayHaveRun, context.now);
+  Failure cancelled;
+  cancelled.reason = Reason::kCancelled;
+  ReportToParent(call, false, cancelled, context.now);
   Remove(call);
 }
 
--- a/src/libnode/entry/entry_role.h
+++ b/src/libnode/entry/entry_role.h
@@ -115,6 +115,9 @@
   static bool SkipsAdmission(const Call& call, const Context& context);
   // If it returns false, `refusal` says why.
   bool TryAdmit(Call& call, Failure& refusal, Context& context);
+  // Refuses a request that has hardly any chance to complete, because a service
+  // below refuses its calls, before work is started that may not be repeated.
+  bool CheckFeasibility(Call& call, Failure& refusal, Context& context);
   // Admits a request by its rank at the service that is short of capacity.
   bool AdmitByRank(Call& call, Failure& refusal, Context& context);
   uint64_t Register(Call call);
@@ -174,6 +177,9 @@
   // Reports the end of a request to the admission window of its class.
   void CompleteInWindow(Call& call, bool served, TimePoint now);
   void LogFailure(const Call& call, const Failure& failure, Context& context);
+  // Logs an error response that was caused by a known failure below.
+  void LogFailedBelow(const Call& call, const Failure& failure,
+                      Context& context);
   void Remove(Call& call);
   void AnswerWaiter(const Waiter& waiter, const HttpResponse& response,
                     Context& context);
@@ -181,10 +187,10 @@
   void AnswerWaiter(const Waiter& waiter, const Failure& failure,
                     const std::string& request_id, Context& context);
   // Reports the end of a nested call to its parent hop and returns the retry
-  // credits that are left. `failed` is the verdict of a nested call that did
+  // credits that are left. `failed` is the failure of a nested call that did
   // not succeed; `gave_up` makes the parent's answer final.
   void ReportToParent(const Call& call, bool gave_up,
-                      std::optional<Verdict> failed, TimePoint now);
+                      const std::optional<Failure>& failed, TimePoint now);
 
   Call* FindCall(uint64_t id);
   void RemoveWaiter(Call& call, CallId http_call, Context& context);
--- a/src/libnode/fakes/fake_fleet.h
+++ b/src/libnode/fakes/fake_fleet.h
@@ -57,6 +57,8 @@
   Duration refuses_after_restart{0};
   bool failing = false;      // answers 500
   double failing_share = 0;  // share of runs that are answered 500
+  // Share of the requests that it refuses as not run, whatever its load is.
+  double refusing_share = 0;
   // Failed nested calls that the server sends again itself, in total per run.
   int server_retries = 0;
   size_t backlog = 1000;
@@ -152,6 +154,7 @@
   void SilenceLinksOf(const std::string& node) { silent_links_.insert(node); }
   void SetServiceTime(const std::string& server, Duration service_time);
   void SetFailingShare(const std::string& server, double share);
+  void SetRefusingShare(const std::string& server, double share);
   void SetRateLimit(const std::string& server, std::optional<double> limit);
   void SetLeaving(const std::string& server);
   // Continues as a new process with the same name.
--- a/src/libnode/fakes/fake_servers.cc
+++ b/src/libnode/fakes/fake_servers.cc
@@ -26,6 +26,10 @@
   FindServer(server)->options.failing_share = share;
 }
 
+void FakeFleet::SetRefusingShare(const std::string& server, double share) {
+  FindServer(server)->options.refusing_share = share;
+}
+
 void FakeFleet::SetRateLimit(const std::string& server,
                              std::optional<double> limit) {
   FindServer(server)->options.rate_limit = limit;
@@ -69,7 +73,10 @@
   running->request = effect.request;
   host.dispatches[effect.dispatch] = running;
   const Server& server = *running->server;
-  if (server.queued.size() >= server.options.backlog ||
+  const double refusing = server.options.refusing_share;
+  const bool refuses =
+      refusing > 0 && std::bernoulli_distribution(refusing)(random_);
+  if (refuses || server.queued.size() >= server.options.backlog ||
       now_ < server.refuses_until) {
     HttpResponse busy;
     busy.status = 503;
--- a/src/libnode/serving/hop.h
+++ b/src/libnode/serving/hop.h
@@ -59,6 +59,8 @@
   std::vector<ServiceCost> nested_costs;
   // Services that answers to nested calls reported as short of capacity.
   std::vector<ServicePressure> nested_pressures;
+  // The nested call that failed last, and why.
+  FailedBelow failed_below;
   // Verdicts of failed nested calls, by fingerprint. If the backend server
   // repeats one, that is a retry and needs a retry credit.
   std::map<uint64_t, Verdict> failed_nested;
--- a/src/libnode/serving/local_server.h
+++ b/src/libnode/serving/local_server.h
@@ -12,6 +12,7 @@
 #include "amaranthroute/messages.h"
 #include "amaranthroute/policy/admission_queue.h"
 #include "amaranthroute/policy/concurrency_limit.h"
+#include "amaranthroute/policy/feasibility.h"
 #include "amaranthroute/policy/long_work.h"
 #include "amaranthroute/policy/rank_demand.h"
 #include "amaranthroute/policy/rate_gate.h"
@@ -92,6 +93,7 @@
   LoadWindow& load() { return load_; }
   ServerJudge& judge() { return judge_; }
   RankDemand& rank_demand() { return rank_demand_; }
+  SuccessMeter& success() { return success_; }
   // Records a call that arrived, and what it stands for.
   void OnOffered(const Hop& hop, TimePoint now);
   // Returns the cut of the offered load, see RankDemand.
@@ -150,6 +152,7 @@
   LoadWindow load_;
   ServerJudge judge_;
   RankDemand rank_demand_;
+  SuccessMeter success_;
   std::map<uint64_t, Dispatch> dispatches_;
   int long_in_flight_ = 0;
   Duration expected_service_{0};
--- a/src/libnode/serving/serving_results.cc
+++ b/src/libnode/serving/serving_results.cc
@@ -71,6 +71,8 @@
   const bool is_from_server = replied.response.status != kMisdirectedStatus;
   if (answered != servers_.end() && is_from_server) {
     OnNotice(answered->second, NoticeOf(replied.response.headers), context);
+    answered->second.success().OnAnswered(
+        IsRefusal(replied.response) && hop.nested_calls == 0, context.now);
   }
   RecordServed(hop, replied.response, context.now);
   const HttpResponse& response = replied.response;
@@ -341,13 +343,22 @@
     answer.costs = hop.nested_costs;
     AddCosts(answer.costs, {{hop.context.service, 1, answer.load.own_us}});
   }
+  if (!served && settings.feasibility_check) {
+    answer.failed_below = hop.failed_below;
+  }
   answer.pressures = hop.nested_pressures;
   const auto found = servers_.find(hop.server);
   if (found == servers_.end()) return;
   ServicePressure own;
   own.service = hop.context.service;
   own.cut_x256 = ToWireCut(found->second.Cut(now));
-  if (own.cut_x256 > 0) answer.pressures.push_back(std::move(own));
+  double success = 1;
+  if (settings.feasibility_check) {
+    success = found->second.success().Share(now).value_or(1);
+  }
+  const bool refuses = success < Feasibility::kReportBelow;
+  if (refuses) own.success_percent = ToWirePercent(success);
+  if (own.cut_x256 > 0 || refuses) answer.pressures.push_back(std::move(own));
 }
 
 void ServingRole::SendAnswer(const Hop& hop, CallAnswer answer,
--- a/src/libnode/serving/serving_role.h
+++ b/src/libnode/serving/serving_role.h
@@ -102,8 +102,8 @@
   void Fail(const Hop& hop, Failure failure, Context& context);
   void Answer(const Hop& hop, HttpResponse response, Context& context);
   void SendAnswer(const Hop& hop, CallAnswer answer, Context& context);
-  // Adds the costs of the call, and the services that are short of capacity, if
-  // a setting uses them.
+  // Adds the costs of the call, the services that are short of capacity or
+  // refuse calls, and why a nested call failed, if a setting uses them.
   void AddBottlenecks(const Hop& hop, bool served, TimePoint now,
                       CallAnswer& answer);
   Duration RetryAfterFor(const std::string& server, Context& context);
