Divide the position of the cut among customers by weighted max-min fairness

Cause: while capacity is short, a common share makes every customer lose as large a part of its requests as the one whose surge caused the shortage. CustomerCuts keeps the reported shares at entry nodes; RankAdmission applies them in that position only.

--- a/src/include/amaranthroute/policy/rank_admission.h
+++ b/src/include/amaranthroute/policy/rank_admission.h
@@ -16,6 +16,7 @@
 
 #include "amaranthroute/messages.h"
 #include "amaranthroute/policy/cost_profile.h"
+#include "amaranthroute/policy/customer_cuts.h"
 #include "amaranthroute/policy/rank_demand.h"
 #include "amaranthroute/time.h"
 
@@ -23,15 +24,17 @@
 
 /// What is admitted of the requests of a class, and why.
 struct AdmitDecision {
-  double share = 1;         ///< of the requests like this one
-  uint8_t cost_bucket = 0;  ///< at the bottleneck service
-  std::string service;      ///< the bottleneck service; empty if there is none
-  double cut = 0;           ///< reported by that service
-  Duration age{0};          ///< of the report
+  double share = 1;          ///< of the requests like this one
+  uint8_t cost_bucket = 0;   ///< at the bottleneck service
+  std::string service;       ///< the bottleneck service; empty if there is none
+  double cut = 0;            ///< reported by that service
+  Duration age{0};           ///< of the report
+  bool by_customer = false;  ///< the share is that of the customer
 
   friend bool operator==(const AdmitDecision& a, const AdmitDecision& b) {
     return a.share == b.share && a.cost_bucket == b.cost_bucket &&
-           a.service == b.service && a.cut == b.cut && a.age == b.age;
+           a.service == b.service && a.cut == b.cut && a.age == b.age &&
+           a.by_customer == b.by_customer;
   }
   friend bool operator!=(const AdmitDecision& a, const AdmitDecision& b) {
     return !(a == b);
@@ -65,9 +68,16 @@
 
   /// Returns what is admitted of the requests of a class that enter at
   /// `service`. Of a class without profile (null) it is only known that it
-  /// calls that service; it counts as one of the cheapest there.
+  /// calls that service; it counts as one of the cheapest there. In the
+  /// position of a cut that is divided among customers, the share of `customer`
+  /// applies.
   AdmitDecision Decide(const std::string& service, const CostProfile* profile,
-                       Tier tier, Tier class_tier, TimePoint now) const;
+                       Tier tier, Tier class_tier, TimePoint now,
+                       const std::string& customer = {}) const;
+
+  /// The shares of customers at the services that report them.
+  CustomerCuts& customer_cuts() { return customer_cuts_; }
+  const CustomerCuts& customer_cuts() const { return customer_cuts_; }
 
  private:
   struct Report {
@@ -77,9 +87,11 @@
 
   // Takes the decision by one service if it admits less than `decision`.
   void Restrict(const std::string& service, double slot_us, Tier tier,
-                Tier class_tier, TimePoint now, AdmitDecision& decision) const;
+                Tier class_tier, TimePoint now, const std::string& customer,
+                AdmitDecision& decision) const;
 
   std::map<std::string, Report> reports_;
+  CustomerCuts customer_cuts_;
 };
 
 }  // namespace amaranth
--- a/src/include/amaranthroute/policy/rank_demand.h
+++ b/src/include/amaranthroute/policy/rank_demand.h
@@ -49,6 +49,12 @@
 /// the cut, all above it, a fraction at its position.
 double AdmittedShare(double cut, int position);
 
+/// Returns the position that `cut` divides; -1 if it admits everything.
+int CutPosition(double cut);
+
+/// Returns the number of offered calls that an arrived one stands for.
+double OfferedCalls(uint16_t admit_share);
+
 /// Window, weights and limits of a RankDemand.
 struct RankDemandOptions {
   /// Length of the windows in which demand is measured. Two windows and a round
--- a/src/libpolicy/rank_admission.cc
+++ b/src/libpolicy/rank_admission.cc
@@ -34,12 +34,18 @@
 
 void RankAdmission::Restrict(const std::string& service, double slot_us,
                              Tier tier, Tier class_tier, TimePoint now,
+                             const std::string& customer,
                              AdmitDecision& decision) const {
   const double cut = CutOf(service, now);
   if (cut <= 0) return;
   const uint8_t bucket = CostBucketOf(slot_us);
-  const double share = std::max(
-      AdmittedShare(cut, PositionOf(tier, class_tier, bucket)), kMinShare);
+  const int position = PositionOf(tier, class_tier, bucket);
+  const bool by_customer =
+      position == CutPosition(cut) && customer_cuts_.IsDivided(service, now);
+  const double share =
+      std::max(by_customer ? customer_cuts_.ShareOf(service, customer, cut, now)
+                           : AdmittedShare(cut, position),
+               kMinShare);
   const bool is_first = decision.service.empty();
   if (!is_first && share >= decision.share) return;
   decision.share = share;
@@ -47,18 +53,20 @@
   decision.service = service;
   decision.cut = cut;
   decision.age = now - reports_.at(service).updated;
+  decision.by_customer = by_customer;
 }
 
 AdmitDecision RankAdmission::Decide(const std::string& service,
                                     const CostProfile* profile, Tier tier,
-                                    Tier class_tier, TimePoint now) const {
+                                    Tier class_tier, TimePoint now,
+                                    const std::string& customer) const {
   AdmitDecision decision;
   if (profile == nullptr) {
-    Restrict(service, 0, tier, class_tier, now, decision);
+    Restrict(service, 0, tier, class_tier, now, customer, decision);
     return decision;
   }
   for (const auto& [called, cost] : profile->by_service) {
-    Restrict(called, cost.slot_us, tier, class_tier, now, decision);
+    Restrict(called, cost.slot_us, tier, class_tier, now, customer, decision);
   }
   return decision;
 }
--- a/src/libpolicy/rank_demand.cc
+++ b/src/libpolicy/rank_demand.cc
@@ -31,6 +31,13 @@
   return std::clamp(position + 1 - cut, 0.0, 1.0);
 }
 
+int CutPosition(double cut) { return static_cast<int>(std::ceil(cut)) - 1; }
+
+double OfferedCalls(uint16_t admit_share) {
+  return static_cast<double>(kFullAdmitShare) /
+         std::max(admit_share, kMinAdmitShare);
+}
+
 RankDemand::RankDemand(RankDemandOptions options) : options_(options) {}
 
 void RankDemand::OnArrival(int position, Duration cost, uint16_t admit_share,
@@ -39,10 +46,8 @@
     started_ = true;
     window_start_ = now;
   }
-  const double offered = static_cast<double>(kFullAdmitShare) /
-                         std::max(admit_share, kMinAdmitShare);
   window_us_.at(static_cast<size_t>(position)) +=
-      static_cast<double>(cost.count()) * offered;
+      static_cast<double>(cost.count()) * OfferedCalls(admit_share);
 }
 
 bool RankDemand::WindowIsOver(TimePoint now) const {
