Report and apply the shares of customers where customer_fairness is set

Cause: MaxMinShare had no caller. Change: serving nodes count each arriving call for its customer, weighted by the rate of its quota, and answers report the share of the call's customer. Entry nodes record it, and nodes in the middle of a call chain pass on their mean. Without the setting nothing is counted or sent.

--- a/src/libnode/bottleneck/bottleneck_state.cc
+++ b/src/libnode/bottleneck/bottleneck_state.cc
@@ -1,6 +1,7 @@
 #include "libnode/bottleneck/bottleneck_state.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace amaranth::pvt {
 namespace {
@@ -31,9 +32,24 @@
   return std::min(cut_x256 / kWireCutUnits, static_cast<double>(kPositions));
 }
 
-void BottleneckState::OnAnswer(const CallAnswer& answer, TimePoint now) {
+uint16_t ToWireShare(double share) {
+  return static_cast<uint16_t>(
+      std::lround(std::clamp(share, 0.0, 1.0) * kFullAdmitShare));
+}
+
+double FromWireShare(uint16_t share) {
+  return std::min(1.0, static_cast<double>(share) / kFullAdmitShare);
+}
+
+void BottleneckState::OnAnswer(const CallAnswer& answer,
+                               const std::string& customer, TimePoint now) {
   for (const ServicePressure& pressure : answer.pressures) {
-    admission_.OnReport(pressure.service, FromWireCut(pressure.cut_x256), now);
+    const double cut = FromWireCut(pressure.cut_x256);
+    admission_.OnReport(pressure.service, cut, now);
+    if (!pressure.customer_share) continue;
+    admission_.customer_cuts().OnReport(pressure.service, customer, cut,
+                                        FromWireShare(*pressure.customer_share),
+                                        now);
   }
   for (const ServiceCost& cost : answer.costs) {
     if (FindPressure(answer.pressures, cost.service) != nullptr) continue;
@@ -42,11 +58,16 @@
 }
 
 void BottleneckState::AddReported(
-    const CallAnswer& answer, TimePoint now,
+    const CallAnswer& answer, const std::string& customer, TimePoint now,
     std::vector<ServicePressure>& pressures) const {
   for (const ServicePressure& reported : answer.pressures) {
     ServicePressure pressure = reported;
-    pressure.cut_x256 = ToWireCut(admission_.CutOf(reported.service, now));
+    const double cut = admission_.CutOf(reported.service, now);
+    pressure.cut_x256 = ToWireCut(cut);
+    if (reported.customer_share) {
+      pressure.customer_share = ToWireShare(admission_.customer_cuts().ShareOf(
+          reported.service, customer, cut, now));
+    }
     ServicePressure* known = FindPressure(pressures, reported.service);
     if (known != nullptr) {
       *known = pressure;
@@ -60,6 +81,7 @@
   return "service " + decision.service +
          " is short of capacity: cut=" + std::to_string(decision.cut) +
          " admitted_share=" + std::to_string(decision.share) +
+         (decision.by_customer ? " (of the customer)" : "") +
          " cost_bucket=" + std::to_string(decision.cost_bucket) +
          " report_age_ms=" +
          std::to_string(
--- a/src/libnode/bottleneck/bottleneck_state.h
+++ b/src/libnode/bottleneck/bottleneck_state.h
@@ -18,7 +18,9 @@
  public:
   // Records the pressures that an answer to a call of this node reports. A
   // service that the call used, and that no pressure names, is not short.
-  void OnAnswer(const CallAnswer& answer, TimePoint now);
+  // The shares in them are those of `customer`.
+  void OnAnswer(const CallAnswer& answer, const std::string& customer,
+                TimePoint now);
   // Records the costs of a request that was served.
   void OnServed(const std::string& class_key,
                 const std::vector<ServiceCost>& costs, TimePoint now) {
@@ -29,13 +31,14 @@
   AdmitDecision Decide(const std::string& class_key, const CallContext& call,
                        TimePoint now) const {
     return admission_.Decide(call.service, profiles_.Find(class_key, now),
-                             call.tier, call.class_tier, now);
+                             call.tier, call.class_tier, now, call.tenant);
   }
 
   // Adds the services that an answer to a nested call reports as short to
   // `pressures`, which go upstream with the answer to its parent. They are
   // passed on as this node's mean over the servers of each service.
-  void AddReported(const CallAnswer& answer, TimePoint now,
+  void AddReported(const CallAnswer& answer, const std::string& customer,
+                   TimePoint now,
                    std::vector<ServicePressure>& pressures) const;
 
  private:
@@ -50,6 +53,10 @@
 uint32_t ToWireCut(double cut);
 double FromWireCut(uint32_t cut_x256);
 
+// Converts a share to and from units of 1/kFullAdmitShare.
+uint16_t ToWireShare(double share);
+double FromWireShare(uint16_t share);
+
 }  // namespace amaranth::pvt
 
 #endif  // AMARANTHROUTE_LIBNODE_BOTTLENECK_BOTTLENECK_STATE_H_
--- a/src/libnode/entry/entry_attempts.cc
+++ b/src/libnode/entry/entry_attempts.cc
@@ -193,7 +193,7 @@
 
 void EntryRole::RecordBottlenecks(const Call& call, const CallAnswer& answer,
                                   TimePoint now) {
-  bottlenecks_.OnAnswer(answer, now);
+  bottlenecks_.OnAnswer(answer, call.context.tenant, now);
   if (call.is_root) {
     if (!answer.costs.empty()) {
       bottlenecks_.OnServed(Admission::ClassKey(call), answer.costs, now);
@@ -204,7 +204,8 @@
   Hop* hop = parts_.serving.FindHop(call.parent_hop);
   if (hop == nullptr) return;
   AddCosts(hop->nested_costs, answer.costs);
-  bottlenecks_.AddReported(answer, now, hop->nested_pressures);
+  bottlenecks_.AddReported(answer, call.context.tenant, now,
+                           hop->nested_pressures);
 }
 
 void EntryRole::RecordLoad(const Call& call, const CallAnswer& answer,
--- a/src/libnode/serving/local_server.cc
+++ b/src/libnode/serving/local_server.cc
@@ -131,14 +131,19 @@
   return uses_slot_search_ ? slot_search_.limit() : latency_limit_.limit();
 }
 
-void LocalServer::OnOffered(const Hop& hop, TimePoint now) {
+void LocalServer::OnOffered(const Hop& hop,
+                            std::optional<double> customer_weight,
+                            TimePoint now) {
   const CallContext& call = hop.context;
   Duration cost = ExpectedService({call.request_class, call.depth});
   if (cost == Duration::zero()) cost = hop.typical_service_time;
   if (cost == Duration::zero()) cost = expected_service_;
-  rank_demand_.OnArrival(
-      PositionOf(call.tier, call.class_tier, call.cost_bucket), cost,
-      call.admit_share, now);
+  const int position = PositionOf(call.tier, call.class_tier, call.cost_bucket);
+  rank_demand_.OnArrival(position, cost, call.admit_share, now);
+  if (customer_weight) {
+    max_min_share_.OnArrival(call.tenant, *customer_weight, position, cost,
+                             call.admit_share, now);
+  }
 }
 
 double LocalServer::Cut(TimePoint now) {
@@ -152,6 +157,7 @@
           {PositionOf(call.tier, call.class_tier, call.cost_bucket), cost});
     });
     rank_demand_.Close(UsableSlots(), waiting, now);
+    max_min_share_.Close(rank_demand_.cut(), now);
   }
   return rank_demand_.cut();
 }
--- a/src/libnode/serving/local_server.h
+++ b/src/libnode/serving/local_server.h
@@ -7,12 +7,14 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "amaranthroute/messages.h"
 #include "amaranthroute/policy/admission_queue.h"
 #include "amaranthroute/policy/concurrency_limit.h"
 #include "amaranthroute/policy/long_work.h"
+#include "amaranthroute/policy/max_min_share.h"
 #include "amaranthroute/policy/rank_demand.h"
 #include "amaranthroute/policy/rate_gate.h"
 #include "amaranthroute/policy/retry_after.h"
@@ -93,9 +95,16 @@
   ServerJudge& judge() { return judge_; }
   RankDemand& rank_demand() { return rank_demand_; }
   // Records a call that arrived, and what it stands for.
-  void OnOffered(const Hop& hop, TimePoint now);
+  // `customer_weight` is that of its customer; nullopt if customers are not
+  // distinguished.
+  void OnOffered(const Hop& hop, std::optional<double> customer_weight,
+                 TimePoint now);
   // Returns the cut of the offered load, see RankDemand.
   double Cut(TimePoint now);
+  // Returns the share of the customer's calls at the position of the cut.
+  double CustomerShare(const std::string& customer) const {
+    return max_min_share_.ShareOf(customer);
+  }
 
   // Ids of hops that are suspected of a crash and wait to run. Each runs with
   // no other call in flight, so that a second crash identifies the one that
@@ -150,6 +159,7 @@
   LoadWindow load_;
   ServerJudge judge_;
   RankDemand rank_demand_;
+  MaxMinShare max_min_share_;
   std::map<uint64_t, Dispatch> dispatches_;
   int long_in_flight_ = 0;
   Duration expected_service_{0};
--- a/src/libnode/serving/serving_results.cc
+++ b/src/libnode/serving/serving_results.cc
@@ -347,6 +347,10 @@
   ServicePressure own;
   own.service = hop.context.service;
   own.cut_x256 = ToWireCut(found->second.Cut(now));
+  if (settings.rank_admission && settings.customer_fairness) {
+    own.customer_share =
+        ToWireShare(found->second.CustomerShare(hop.context.tenant));
+  }
   if (own.cut_x256 > 0) answer.pressures.push_back(std::move(own));
 }
 
--- a/src/libnode/serving/serving_role.cc
+++ b/src/libnode/serving/serving_role.cc
@@ -130,7 +130,7 @@
 
   const uint32_t level = hop.context.level;
   server.shedder().OnArrival(level, context.now);
-  server.OnOffered(hop, context.now);
+  server.OnOffered(hop, CustomerWeight(hop), context.now);
   const bool admitted_at_edge =
       context.identity.rules.admit_at_edge && hop.context.depth > 0;
   if (!admitted_at_edge && !server.shedder().Admits(level, context.now)) {
@@ -140,6 +140,17 @@
   DispatchWaiting(server, context);
 }
 
+std::optional<double> ServingRole::CustomerWeight(const Hop& hop) const {
+  const EffectiveSettings& settings =
+      settings_.Resolve(hop.context.service, hop.context.request_class);
+  if (!settings.rank_admission || !settings.customer_fairness) {
+    return std::nullopt;
+  }
+  const Customer* customer = settings_.customers().Find(hop.context.tenant);
+  if (customer == nullptr || customer->quota.unlimited()) return 1;
+  return customer->quota.rate;
+}
+
 void ServingRole::AdmitSuspect(Hop hop, LocalServer& server, Context& context) {
   if (server.waiting_suspects.size() >= kMaxWaitingSuspects) {
     return Refuse(hop, Reason::kQueueFull, context);
--- a/src/libnode/serving/serving_role.h
+++ b/src/libnode/serving/serving_role.h
@@ -108,6 +108,9 @@
                       CallAnswer& answer);
   Duration RetryAfterFor(const std::string& server, Context& context);
 
+  // Returns the weight of the call's customer, or nullopt if the service does
+  // not distinguish customers.
+  std::optional<double> CustomerWeight(const Hop& hop) const;
   static CallKind KindOf(const Hop& hop);
   // Removes a dispatched hop and records its end at its server.
   Hop EndDispatch(uint64_t id, bool failed, Context& context);
