--- a/src/libnode/bottleneck/bottleneck_state.cc
+++ b/src/libnode/bottleneck/bottleneck_state.cc
@@ -46,11 +46,26 @@
   return std::min(percent / kWholePercent, 1.0);
 }
 
-void BottleneckState::OnAnswer(const CallAnswer& answer, TimePoint now) {
+uint16_t ToWireShare(double share) {
+  return static_cast<uint16_t>(
+      std::lround(std::clamp(share, 0.0, 1.0) * kFullAdmitShare));
+}
+
+double FromWireShare(uint16_t share) {
+  return std::min(1.0, static_cast<double>(share) / kFullAdmitShare);
+}
+
+void BottleneckState::OnAnswer(const CallAnswer& answer,
+                               const std::string& customer, TimePoint now) {
   for (const ServicePressure& pressure : answer.pressures) {
-    admission_.OnReport(pressure.service, FromWireCut(pressure.cut_x256), now);
+    const double cut = FromWireCut(pressure.cut_x256);
+    admission_.OnReport(pressure.service, cut, now);
     feasibility_.OnReport(pressure.service,
                           FromWirePercent(pressure.success_percent), now);
+    if (!pressure.customer_share) continue;
+    admission_.customer_cuts().OnReport(pressure.service, customer, cut,
+                                        FromWireShare(*pressure.customer_share),
+                                        now);
   }
   for (const ServiceCost& cost : answer.costs) {
     if (FindPressure(answer.pressures, cost.service) != nullptr) continue;
@@ -82,6 +97,7 @@
   return "service " + decision.service +
          " is short of capacity: cut=" + std::to_string(decision.cut) +
          " admitted_share=" + std::to_string(decision.share) +
+         (decision.by_customer ? " (of the customer)" : "") +
          " cost_bucket=" + std::to_string(decision.cost_bucket) +
          " report_age_ms=" + std::to_string(WholeMillis(decision.age));
 }
--- a/src/libnode/bottleneck/bottleneck_state.h
+++ b/src/libnode/bottleneck/bottleneck_state.h
@@ -19,7 +19,9 @@
  public:
   // Records the pressures that an answer to a call of this node reports. A
   // service that the call used, and that no pressure names, is not short.
-  void OnAnswer(const CallAnswer& answer, TimePoint now);
+  // The shares in them are those of `customer`.
+  void OnAnswer(const CallAnswer& answer, const std::string& customer,
+                TimePoint now);
   // Records the costs of a request that was served.
   void OnServed(const std::string& class_key,
                 const std::vector<ServiceCost>& costs, TimePoint now) {
@@ -30,7 +32,7 @@
   AdmitDecision Decide(const std::string& class_key, const CallContext& call,
                        TimePoint now) const {
     return admission_.Decide(call.service, profiles_.Find(class_key, now),
-                             call.tier, call.class_tier, now);
+                             call.tier, call.class_tier, now, call.tenant);
   }
 
   // Returns the chance that a request of a class completes; 1 without a recent
@@ -63,6 +65,9 @@
 // Converts a success share to and from ServicePressure::success_percent.
 uint8_t ToWirePercent(double share);
 double FromWirePercent(uint8_t percent);
+// Converts a share to and from units of 1/kFullAdmitShare.
+uint16_t ToWireShare(double share);
+double FromWireShare(uint16_t share);
 
 }  // namespace amaranth::pvt
 
--- a/src/libnode/entry/entry_attempts.cc
+++ b/src/libnode/entry/entry_attempts.cc
@@ -194,7 +194,7 @@
 
 void EntryRole::RecordBottlenecks(const Call& call, const CallAnswer& answer,
                                   TimePoint now) {
-  bottlenecks_.OnAnswer(answer, now);
+  bottlenecks_.OnAnswer(answer, call.context.tenant, now);
   if (call.is_root) {
     if (!answer.costs.empty()) {
       bottlenecks_.OnServed(Admission::ClassKey(call), answer.costs, now);
--- a/src/libnode/serving/serving_results.cc
+++ b/src/libnode/serving/serving_results.cc
@@ -360,6 +360,10 @@
   }
   const bool refuses = success < Feasibility::kReportBelow;
   if (refuses) own.success_percent = ToWirePercent(success);
+  if (own.cut_x256 > 0 && settings.customer_fairness) {
+    own.customer_share =
+        ToWireShare(found->second.CustomerShare(hop.context.tenant));
+  }
   if (own.cut_x256 > 0 || refuses) answer.pressures.push_back(std::move(own));
 }
 
--- a/src/libpolicy/rank_admission.cc
+++ b/src/libpolicy/rank_admission.cc
@@ -47,13 +47,21 @@
 
 void RankAdmission::Restrict(const std::string& service, double slot_us,
                              Tier tier, Tier class_tier, TimePoint now,
+                             const std::string& customer,
                              AdmitDecision& decision) const {
   const auto found = reports_.find(service);
   if (found == reports_.end()) return;
   const Report& report = found->second;
   const uint8_t bucket = CostBucketOf(slot_us);
-  const double share = std::max(
-      ShareOf(report, PositionOf(tier, class_tier, bucket), now), kMinShare);
+  const int position = PositionOf(tier, class_tier, bucket);
+  const double common = ShareOf(report, position, now);
+  const bool by_customer =
+      common > 0 && common < 1 && customer_cuts_.IsDivided(service, now);
+  const double share =
+      std::max(by_customer ? customer_cuts_.ShareOf(service, customer,
+                                                    position + 1 - common, now)
+                           : common,
+               kMinShare);
   const bool is_first = decision.service.empty();
   if (!is_first && share >= decision.share) return;
   if (WeightAt(now - report.updated) <= 0) return;
@@ -62,18 +70,20 @@
   decision.service = service;
   decision.cut = report.cut;
   decision.age = now - report.updated;
+  decision.by_customer = by_customer;
 }
 
 AdmitDecision RankAdmission::Decide(const std::string& service,
                                     const CostProfile* profile, Tier tier,
-                                    Tier class_tier, TimePoint now) const {
+                                    Tier class_tier, TimePoint now,
+                                    const std::string& customer) const {
   AdmitDecision decision;
   if (profile == nullptr) {
-    Restrict(service, 0, tier, class_tier, now, decision);
+    Restrict(service, 0, tier, class_tier, now, customer, decision);
     return decision;
   }
   for (const auto& [called, cost] : profile->by_service) {
-    Restrict(called, cost.slot_us, tier, class_tier, now, decision);
+    Restrict(called, cost.slot_us, tier, class_tier, now, customer, decision);
   }
   return decision;
 }
