Rank admission: demand counted in requests

Cause: requests of the class at the cut that die at their deadline never make their later calls. Change: RankDemand counts first calls (calls_done, set for nested calls) with the slot time per request that was measured while calls hardly waited. Steps of the correction are shares of what the position of the cut gets. The cost bucket is sent before the first cut. Long work is left out. Nothing is measured or logged without rank_admission. Tables drop old entries when full.

--- a/src/include/amaranthroute/messages.h
+++ b/src/include/amaranthroute/messages.h
@@ -32,6 +32,9 @@
 /// Value of CallContext::admit_share if all requests are admitted.
 inline constexpr uint16_t kFullAdmitShare = 1024;
 
+/// CallContext::calls_done counts up to this.
+inline constexpr uint32_t kMaxCallsDone = 255;
+
 /// Metadata of a call, passed on to its nested calls.
 struct CallContext {
   std::string request_id;  ///< of the caller's request, the same at every hop
--- a/src/include/amaranthroute/policy/cost_profile.h
+++ b/src/include/amaranthroute/policy/cost_profile.h
@@ -69,7 +69,12 @@
   const CostProfile* Find(const std::string& class_key, TimePoint now) const;
 
  private:
+  // Drops the profiles that are too old to be used. Returns whether there is
+  // room for another class.
+  bool DropOld(TimePoint now);
+
   std::map<std::string, CostProfile> profiles_;
+  TimePoint next_search_{};
 };
 
 }  // namespace amaranth
--- a/src/include/amaranthroute/policy/rank_admission.h
+++ b/src/include/amaranthroute/policy/rank_admission.h
@@ -75,6 +75,8 @@
     TimePoint updated{};
   };
 
+  // Makes room for another service.
+  void DropDecayed(TimePoint now);
   // Takes the decision by one service if it admits less than `decision`.
   void Restrict(const std::string& service, double slot_us, Tier tier,
                 Tier class_tier, TimePoint now, AdmitDecision& decision) const;
--- a/src/include/amaranthroute/policy/rank_demand.h
+++ b/src/include/amaranthroute/policy/rank_demand.h
@@ -17,6 +17,12 @@
 /// capacity at the cut. Entry nodes admit by the cut (RankAdmission). Because
 /// offered load does not depend on what is admitted, one round trip finds the
 /// cut, without the oscillation of a control by queueing delay.
+///
+/// A request that dies at its deadline never makes its later calls, and one
+/// that waits makes them late. The calls that arrive would therefore understate
+/// the demand of exactly the class that is admitted in part. Demand is counted
+/// in requests instead, by their first calls, with the slot time per request
+/// that was measured while calls of the position hardly waited.
 
 #include <array>
 #include <cstdint>
@@ -56,23 +62,27 @@
   Duration window = std::chrono::milliseconds(200);
   /// Weight of the newest window in the demand.
   double gain = 0.4;
+  /// The same for the slot time per request. It changes rarely; over two
+  /// seconds even a class with few requests has enough of them.
+  double cost_gain = 0.1;
   /// Time in which waiting calls are to be worked off. The waits of a request
   /// with four calls then stay within a target of a second.
-  Duration drain_time = std::chrono::milliseconds(500);
+  Duration drain_time = std::chrono::milliseconds(250);
   /// Waiting work, as a time of all slots, from which a cut begins. Without it,
   /// statistical noise of a well-used server would be taken for excess demand.
   Duration min_wait = std::chrono::milliseconds(20);
-  /// More waiting work than this, at positions that are admitted, for more than
-  /// `patience` windows shows that the demand is underestimated: calls cost
-  /// more than expected, or requests that fail on the way never make their
-  /// later calls.
-  Duration max_wait = std::chrono::milliseconds(60);
-  int patience = 3;
-  /// Factors on the estimated capacity for each window after that, and for each
-  /// window with an idle slot while requests are refused.
-  double decrease = 0.93;
-  double increase = 1.03;
-  /// Limits of the product of these factors.
+  /// If the calls of an admitted position need longer than this for their
+  /// waiting work, in the slots that higher positions leave, for more than
+  /// `patience` windows, the demand is underestimated.
+  Duration max_wait = std::chrono::milliseconds(150);
+  int patience = 5;
+  /// Changes of the correction for each window after that, and for each window
+  /// with an idle slot while requests are refused, as shares of the capacity
+  /// that the position of the cut gets. As shares of all capacity, one step
+  /// would admit none or twice as many where that position gets a tenth of it.
+  double decrease = 0.05;
+  double increase = 0.03;
+  /// Limits of the correction, a factor on the capacity.
   double min_correction = 0.5;
   double max_correction = 1.2;
 };
@@ -96,9 +106,9 @@
   explicit RankDemand(RankDemandOptions options = {});
 
   /// Records a call that arrived. `cost` is the expected time for which it
-  /// holds a slot.
+  /// holds a slot; `is_first` is false if the request has made calls before.
   void OnArrival(int position, Duration cost, uint16_t admit_share,
-                 TimePoint now);
+                 bool is_first, TimePoint now);
   /// Records that a slot is free and no call waits.
   void OnIdle() { was_idle_ = true; }
 
@@ -118,19 +128,31 @@
  private:
   using ByPosition = std::array<double, kPositions>;
 
-  void UpdateDemand(double seconds);
+  // Offered calls and their slot time, without those of dead requests.
+  struct Offered {
+    ByPosition calls{};
+    ByPosition first_calls{};
+    ByPosition micros{};
+  };
+
+  void UpdateDemand(double seconds, const ByPosition& waiting_calls);
+  void UpdateRequestCost(size_t position, double waiting_calls);
   void UpdateCorrection(int limit, const ByPosition& waiting_slots);
-  double FindCut(double capacity, const ByPosition& waiting_slots) const;
+  double FindCut(double capacity, const ByPosition& waiting_slots);
 
   RankDemandOptions options_;
-  ByPosition window_us_{};  // offered in this window
-  ByPosition slots_{};      // offered, smoothed
+  Offered window_;           // sums of this window
+  Offered recent_;           // per second, smoothed with `gain`
+  Offered lasting_;          // per second, smoothed with `cost_gain`
+  ByPosition request_us_{};  // slot time of a request per first call
+  ByPosition slots_{};       // offered by all requests
   TimePoint window_start_{};
   bool started_ = false;
   int long_waits_ = 0;     // windows in a row
   bool was_idle_ = false;  // in this window
   double correction_ = 1;
   double cut_ = 0;
+  double share_at_cut_ = 1;  // of the capacity, that the cut's position gets
 };
 
 }  // namespace amaranth
--- a/src/libnode/bottleneck/bottleneck_state.cc
+++ b/src/libnode/bottleneck/bottleneck_state.cc
@@ -54,6 +54,19 @@
       pressures.push_back(pressure);
     }
   }
+  // An earlier call of the request may have met a cut that has ended since.
+  for (const ServiceCost& cost : answer.costs) {
+    ServicePressure* known = FindPressure(pressures, cost.service);
+    if (known == nullptr) continue;
+    known->cut_x256 = ToWireCut(admission_.CutOf(cost.service, now));
+  }
+}
+
+std::string BottleneckState::LabelOf(const std::string& request_class) {
+  if (labels_.count(request_class) > 0) return request_class;
+  if (labels_.size() >= kMaxLabels) return "other";
+  labels_.insert(request_class);
+  return request_class;
 }
 
 std::string DetailOf(const AdmitDecision& decision) {
--- a/src/libnode/bottleneck/bottleneck_state.h
+++ b/src/libnode/bottleneck/bottleneck_state.h
@@ -5,6 +5,7 @@
 // answers to its calls, and of what the request classes that enter here need
 // at them.
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,12 @@
                              call.tier, call.class_tier, now);
   }
 
+  // Returns the label of a class in metrics: its name, or "other" once there
+  // are kMaxLabels names. Callers choose class names, and counts are never
+  // dropped.
+  std::string LabelOf(const std::string& request_class);
+  static constexpr size_t kMaxLabels = 256;
+
   // Adds the services that an answer to a nested call reports as short to
   // `pressures`, which go upstream with the answer to its parent. They are
   // passed on as this node's mean over the servers of each service.
@@ -41,6 +48,7 @@
  private:
   CostProfiles profiles_;
   RankAdmission admission_;
+  std::set<std::string> labels_;
 };
 
 // Returns the detail of a refusal by `decision`.
--- a/src/libnode/entry/entry_attempts.cc
+++ b/src/libnode/entry/entry_attempts.cc
@@ -193,6 +193,7 @@
 
 void EntryRole::RecordBottlenecks(const Call& call, const CallAnswer& answer,
                                   TimePoint now) {
+  if (answer.costs.empty() && answer.pressures.empty()) return;
   bottlenecks_.OnAnswer(answer, now);
   if (call.is_root) {
     if (!answer.costs.empty()) {
@@ -204,6 +205,9 @@
   Hop* hop = parts_.serving.FindHop(call.parent_hop);
   if (hop == nullptr) return;
   AddCosts(hop->nested_costs, answer.costs);
+  for (const ServiceCost& cost : answer.costs) {
+    hop->calls_done += std::min(cost.calls, kMaxCallsDone);
+  }
   bottlenecks_.AddReported(answer, now, hop->nested_pressures);
 }
 
--- a/src/libnode/entry/entry_begin.cc
+++ b/src/libnode/entry/entry_begin.cc
@@ -288,6 +288,8 @@
   call_context.level = parent.level;
   call_context.admit_share = parent.admit_share;
   call_context.cost_bucket = parent.cost_bucket;
+  call_context.calls_done = static_cast<uint8_t>(
+      std::min(parent.calls_done + hop->calls_done, kMaxCallsDone));
   call_context.depth = static_cast<uint8_t>(parent.depth + 1);
   // A route sets for its own calls whether they may be retried and their
   // deadline, independently of the request that they belong to.
@@ -391,17 +393,21 @@
 bool EntryRole::AdmitByRank(Call& call, Failure& refusal, Context& context) {
   const EffectiveSettings& settings =
       parts_.settings.Resolve(call.context.service, call.context.request_class);
-  if (!call.is_root || !settings.rank_admission) return true;
+  // Long work has a share of the slots of its own.
+  if (!call.is_root || !settings.rank_admission || call.context.long_work) {
+    return true;
+  }
   const AdmitDecision decision =
       bottlenecks_.Decide(Admission::ClassKey(call), call.context, context.now);
-  if (decision.service.empty()) return true;
   call.context.cost_bucket = decision.cost_bucket;
+  if (decision.service.empty()) return true;
   std::uniform_real_distribution<double> draw(0, 1);
   const bool admitted = draw(context.random) < decision.share;
   parts_.stats.Count("amaranth_rank_admission_total",
                      "service=\"" + decision.service + "\",class=\"" +
-                         call.call_class + "\",outcome=\"" +
-                         (admitted ? "admitted" : "refused") + "\"");
+                         bottlenecks_.LabelOf(call.call_class) +
+                         "\",outcome=\"" + (admitted ? "admitted" : "refused") +
+                         "\"");
   if (admitted) {
     call.context.admit_share =
         static_cast<uint16_t>(std::lround(decision.share * kFullAdmitShare));
--- a/src/libnode/serving/hop.h
+++ b/src/libnode/serving/hop.h
@@ -49,6 +49,8 @@
   bool nested_retries_exhausted = false;
   int nested_calls = 0;
   int nested_in_flight = 0;
+  // Calls below this one that were served, at any depth.
+  uint32_t calls_done = 0;
   // Start of the current period with nested calls in flight.
   TimePoint nested_since{};
   // Total length of the ended periods with nested calls in flight.
--- a/src/libnode/serving/local_server.cc
+++ b/src/libnode/serving/local_server.cc
@@ -66,7 +66,10 @@
       queue_options_(QueueOptions(settings, oldest_first_)),
       queue_(queue_options_),
       shedder_(shedding),
-      long_work_(settings.long_work_share) {
+      long_work_(settings.long_work_share),
+      admits_by_rank_(settings.rank_admission),
+      reports_bottlenecks_(settings.rank_admission ||
+                           settings.feasibility_check) {
   slot_search_.SetSlots(SlotsOf(record_, settings));
   shedder_.SetTargetDelay(settings.queue_target * kShedderTargetFactor);
 }
@@ -80,6 +83,10 @@
   uses_slot_search_ = settings.concurrency == ConcurrencyMode::kThroughput;
   slot_search_.SetSlots(SlotsOf(record, settings));
   long_work_ = LongWorkShare(settings.long_work_share);
+  // The demand measured before the setting was off is of another time.
+  if (settings.rank_admission != admits_by_rank_) rank_demand_ = RankDemand();
+  admits_by_rank_ = settings.rank_admission;
+  reports_bottlenecks_ = settings.rank_admission || settings.feasibility_check;
   queue_options_ = QueueOptions(settings, oldest_first_);
   if (oldest_first_) {
     queue_options_.capacity = AdmissionQueue::CapacityForWait(
@@ -133,25 +140,30 @@
 
 void LocalServer::OnOffered(const Hop& hop, TimePoint now) {
   const CallContext& call = hop.context;
+  // Long work has a share of the slots of its own.
+  if (!admits_by_rank_ || call.long_work) return;
   Duration cost = ExpectedService({call.request_class, call.depth});
   if (cost == Duration::zero()) cost = hop.typical_service_time;
   if (cost == Duration::zero()) cost = expected_service_;
   rank_demand_.OnArrival(
       PositionOf(call.tier, call.class_tier, call.cost_bucket), cost,
-      call.admit_share, now);
+      call.admit_share, call.calls_done == 0, now);
 }
 
 double LocalServer::Cut(TimePoint now) {
+  if (!admits_by_rank_) return 0;
   if (rank_demand_.WindowIsOver(now)) {
     std::vector<WaitingWork> waiting;
     waiting.reserve(queue_.size());
     queue_.ForEach([&](const QueuedCall& call) {
+      if (call.long_work) return;
       const Duration cost =
           call.expected > Duration::zero() ? call.expected : expected_service_;
       waiting.push_back(
           {PositionOf(call.tier, call.class_tier, call.cost_bucket), cost});
     });
-    rank_demand_.Close(UsableSlots(), waiting, now);
+    rank_demand_.Close(std::max(1, UsableSlots() - long_in_flight_), waiting,
+                       now);
   }
   return rank_demand_.cut();
 }
--- a/src/libnode/serving/local_server.h
+++ b/src/libnode/serving/local_server.h
@@ -91,10 +91,15 @@
   CrashWindow& crash_window() { return crash_window_; }
   LoadWindow& load() { return load_; }
   ServerJudge& judge() { return judge_; }
+  // Whether the setting rank_admission applies to the server.
+  bool admits_by_rank() const { return admits_by_rank_; }
+  // Whether a setting of the server uses costs and pressures.
+  bool reports_bottlenecks() const { return reports_bottlenecks_; }
   RankDemand& rank_demand() { return rank_demand_; }
   // Records a call that arrived, and what it stands for.
   void OnOffered(const Hop& hop, TimePoint now);
-  // Returns the cut of the offered load, see RankDemand.
+  // Returns the cut of the offered load, see RankDemand; 0 without
+  // rank_admission.
   double Cut(TimePoint now);
 
   // Ids of hops that are suspected of a crash and wait to run. Each runs with
@@ -149,6 +154,8 @@
   CrashWindow crash_window_;
   LoadWindow load_;
   ServerJudge judge_;
+  bool admits_by_rank_ = false;
+  bool reports_bottlenecks_ = false;
   RankDemand rank_demand_;
   std::map<uint64_t, Dispatch> dispatches_;
   int long_in_flight_ = 0;
--- a/src/libnode/serving/serving_results.cc
+++ b/src/libnode/serving/serving_results.cc
@@ -334,16 +334,13 @@
 
 void ServingRole::AddBottlenecks(const Hop& hop, bool served, TimePoint now,
                                  CallAnswer& answer) {
-  const EffectiveSettings& settings =
-      settings_.Resolve(hop.context.service, hop.context.request_class);
-  if (!settings.rank_admission && !settings.feasibility_check) return;
+  const auto found = servers_.find(hop.server);
+  if (found == servers_.end() || !found->second.reports_bottlenecks()) return;
   if (served) {
     answer.costs = hop.nested_costs;
     AddCosts(answer.costs, {{hop.context.service, 1, answer.load.own_us}});
   }
   answer.pressures = hop.nested_pressures;
-  const auto found = servers_.find(hop.server);
-  if (found == servers_.end()) return;
   ServicePressure own;
   own.service = hop.context.service;
   own.cut_x256 = ToWireCut(found->second.Cut(now));
--- a/src/libnode/serving/serving_role.cc
+++ b/src/libnode/serving/serving_role.cc
@@ -163,7 +163,8 @@
   // higher: such a request spends all of its time here, a nested call only a
   // part of it.
   const bool direct = context.identity.rules.admit_at_edge &&
-                      hop.context.depth == 0 && !CanWait(hop);
+                      hop.context.depth == 0 &&
+                      !(server.admits_by_rank() && CanWait(hop));
   if (direct && queued.class_tier != Tier::kCritical) {
     const bool from_customer =
         !FindHeader(hop.request.headers, kCustomerHeader).empty();
@@ -193,8 +194,7 @@
 bool ServingRole::CanWait(const Hop& hop) const {
   const EffectiveSettings& settings =
       settings_.Resolve(hop.context.service, hop.context.request_class);
-  return settings.rank_admission &&
-         settings.target_p99 - hop.typical_service_time > kAmpleSlack;
+  return settings.target_p99 - hop.typical_service_time > kAmpleSlack;
 }
 
 void ServingRole::DispatchWaiting(LocalServer& server, Context& context) {
--- a/src/libnode/serving/serving_servers.cc
+++ b/src/libnode/serving/serving_servers.cc
@@ -283,10 +283,12 @@
   text += " ended=" + std::to_string(load.ended);
   text += " own_us=" + std::to_string(load.mean_service_time.count());
   text += " longest_wait_ms=" + std::to_string(ToMillis(load.longest_wait));
-  text += " cut=" + std::to_string(server.Cut(context.now));
-  text +=
-      " offered_slots=" + std::to_string(server.rank_demand().offered_slots());
-  text += " correction=" + std::to_string(server.rank_demand().correction());
+  if (server.admits_by_rank()) {
+    const RankDemand& demand = server.rank_demand();
+    text += " cut=" + std::to_string(server.Cut(context.now));
+    text += " offered_slots=" + std::to_string(demand.offered_slots());
+    text += " correction=" + std::to_string(demand.correction());
+  }
   if (server.rate_gate().limit()) {
     text += " rate_limit=" + std::to_string(*server.rate_gate().limit());
   }
--- a/src/libpolicy/cost_profile.cc
+++ b/src/libpolicy/cost_profile.cc
@@ -35,7 +35,8 @@
 void CostProfiles::Record(const std::string& class_key,
                           const std::vector<ServiceCost>& costs,
                           TimePoint now) {
-  if (profiles_.size() >= kMaxClasses && profiles_.count(class_key) == 0) {
+  if (profiles_.size() >= kMaxClasses && profiles_.count(class_key) == 0 &&
+      !DropOld(now)) {
     return;
   }
   const auto [found, is_new] = profiles_.try_emplace(class_key);
@@ -57,6 +58,18 @@
   profile.updated = now;
 }
 
+bool CostProfiles::DropOld(TimePoint now) {
+  // All profiles are searched, so not at each request of a class that finds no
+  // room.
+  if (now < next_search_) return false;
+  next_search_ = now + std::chrono::seconds(1);
+  for (auto it = profiles_.begin(); it != profiles_.end();) {
+    const bool is_old = now - it->second.updated > kMaxAge;
+    it = is_old ? profiles_.erase(it) : std::next(it);
+  }
+  return profiles_.size() < kMaxClasses;
+}
+
 const CostProfile* CostProfiles::Find(const std::string& class_key,
                                       TimePoint now) const {
   const auto found = profiles_.find(class_key);
--- a/src/libpolicy/rank_admission.cc
+++ b/src/libpolicy/rank_admission.cc
@@ -9,7 +9,9 @@
                              TimePoint now) {
   const auto found = reports_.find(service);
   if (found == reports_.end()) {
-    if (cut <= 0 || reports_.size() >= kMaxServices) return;
+    if (cut <= 0) return;
+    if (reports_.size() >= kMaxServices) DropDecayed(now);
+    if (reports_.size() >= kMaxServices) return;
     reports_[service] = {cut, now};
     return;
   }
@@ -21,6 +23,12 @@
   report.updated = now;
 }
 
+void RankAdmission::DropDecayed(TimePoint now) {
+  for (auto it = reports_.begin(); it != reports_.end();) {
+    it = CutOf(it->first, now) <= 0 ? reports_.erase(it) : std::next(it);
+  }
+}
+
 double RankAdmission::CutOf(const std::string& service, TimePoint now) const {
   const auto found = reports_.find(service);
   if (found == reports_.end()) return 0;
@@ -57,9 +65,15 @@
     Restrict(service, 0, tier, class_tier, now, decision);
     return decision;
   }
+  double largest_us = 0;
   for (const auto& [called, cost] : profile->by_service) {
     Restrict(called, cost.slot_us, tier, class_tier, now, decision);
+    largest_us = std::max(largest_us, cost.slot_us);
   }
+  // Where no service is short yet, the one that the request needs most is the
+  // most likely to become so. With another bucket before the first cut, the
+  // demand measured until then would count at the wrong position.
+  if (decision.service.empty()) decision.cost_bucket = CostBucketOf(largest_us);
   return decision;
 }
 
