--- a/src/include/amaranthroute/policy/rank_admission.h
+++ b/src/include/amaranthroute/policy/rank_admission.h
@@ -95,7 +95,8 @@
   // Returns the part of a report of this age that still counts.
   static double WeightAt(Duration age);
   double ShareOf(const Report& report, int position, TimePoint now) const;
-
+  // Makes room for another service.
+  void DropDecayed(TimePoint now);
   // Takes the decision by one service if it admits less than `decision`.
   void Restrict(const std::string& service, double slot_us, Tier tier,
                 Tier class_tier, TimePoint now, const std::string& customer,
--- a/src/libnode/bottleneck/bottleneck_state.h
+++ b/src/libnode/bottleneck/bottleneck_state.h
@@ -5,6 +5,7 @@
 // answers to its calls, and of what the request classes that enter here need
 // at them.
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,12 @@
                                TimePoint now) const;
   Feasibility& feasibility() { return feasibility_; }
 
+  // Returns the label of a class in metrics: its name, or "other" once there
+  // are kMaxLabels names. Callers choose class names, and counts are never
+  // dropped.
+  std::string LabelOf(const std::string& request_class);
+  static constexpr size_t kMaxLabels = 256;
+
   // Adds the services that an answer to a nested call reports as short to
   // `pressures`, which go upstream with the answer to its parent. The newest
   // report of a service is passed on as it is: each request is a sample of the
@@ -52,6 +59,7 @@
   CostProfiles profiles_;
   RankAdmission admission_;
   Feasibility feasibility_;
+  std::set<std::string> labels_;
 };
 
 // Returns the detail of a refusal by `decision`.
--- a/src/libnode/entry/entry_attempts.cc
+++ b/src/libnode/entry/entry_attempts.cc
@@ -194,6 +194,7 @@
 
 void EntryRole::RecordBottlenecks(const Call& call, const CallAnswer& answer,
                                   TimePoint now) {
+  if (answer.costs.empty() && answer.pressures.empty()) return;
   bottlenecks_.OnAnswer(answer, call.context.tenant, now);
   if (call.is_root) {
     if (!answer.costs.empty()) {
@@ -205,6 +206,9 @@
   Hop* hop = parts_.serving.FindHop(call.parent_hop);
   if (hop == nullptr) return;
   AddCosts(hop->nested_costs, answer.costs);
+  for (const ServiceCost& cost : answer.costs) {
+    hop->calls_done += std::min(cost.calls, kMaxCallsDone);
+  }
   BottleneckState::AddReported(answer, hop->nested_pressures);
 }
 
--- a/src/libnode/serving/local_server.h
+++ b/src/libnode/serving/local_server.h
@@ -100,6 +100,10 @@
   CrashWindow& crash_window() { return crash_window_; }
   LoadWindow& load() { return load_; }
   ServerJudge& judge() { return judge_; }
+  // Whether the setting rank_admission applies to the server.
+  bool admits_by_rank() const { return admits_by_rank_; }
+  // Whether a setting of the server uses costs and pressures.
+  bool reports_bottlenecks() const { return reports_bottlenecks_; }
   RankDemand& rank_demand() { return rank_demand_; }
   SuccessMeter& success() { return success_; }
   // Records a call that arrived, and what it stands for.
@@ -107,7 +111,8 @@
   // distinguished.
   void OnOffered(const Hop& hop, std::optional<double> customer_weight,
                  TimePoint now);
-  // Returns the cut of the offered load, see RankDemand.
+  // Returns the cut of the offered load, see RankDemand; 0 without
+  // rank_admission.
   double Cut(TimePoint now);
   // Returns the share of the customer's calls at the position of the cut.
   double CustomerShare(const std::string& customer) const {
@@ -166,6 +171,8 @@
   CrashWindow crash_window_;
   LoadWindow load_;
   ServerJudge judge_;
+  bool admits_by_rank_ = false;
+  bool reports_bottlenecks_ = false;
   RankDemand rank_demand_;
   SuccessMeter success_;
   MaxMinShare max_min_share_;
