--- a/src/include/amaranthroute/policy/retry_after.h
+++ b/src/include/amaranthroute/policy/retry_after.h
@@ -28,6 +28,22 @@
 Duration RetryAfter(size_t backlog, double drained_per_second,
                     std::mt19937_64& random);
 
+/// Shortest and longest delay until a resend.
+struct RetryRange {
+  Duration earliest{0};
+  Duration latest{0};
+
+  friend bool operator==(const RetryRange& a, const RetryRange& b) {
+    return a.earliest == b.earliest && a.latest == b.latest;
+  }
+  friend bool operator!=(const RetryRange& a, const RetryRange& b) {
+    return !(a == b);
+  }
+};
+
+/// Returns the range of the delays that RetryWithinTarget() draws.
+RetryRange RangeWithinTarget(Duration target, Duration elapsed);
+
 /// Returns when a caller whose request was refused early should resend it so
 /// that the answer still meets the latency `target`.
 ///
--- a/src/libpolicy/retry_after.cc
+++ b/src/libpolicy/retry_after.cc
@@ -44,6 +44,14 @@
                   kMinRetryWithinTarget);
 }
 
+RetryRange RangeWithinTarget(Duration target, Duration elapsed) {
+  const double left =
+      std::max(0.0, pvt::ToSeconds(target) - pvt::ToSeconds(elapsed));
+  return {
+      std::max(pvt::FromSeconds(left * kMinFraction), kMinRetryWithinTarget),
+      std::max(pvt::FromSeconds(left * kMaxFraction), kMinRetryWithinTarget)};
+}
+
 DrainMeter::DrainMeter() : done_(kWindow) {}
 
 void DrainMeter::OnDone(TimePoint now) {
