Retry reservations: call the policy from the entry role

With the setting retry_reservations, a refusal for lack of capacity sets Retry-After by RetryReservations, and a caller that returns in its slot passes the draw of rank admission, a full window, and shedding thresholds; new requests leave the reserved capacity free.

A return at another node counts as new and the reservation as unused. Nothing changes while the setting is false.

The load test of the policy module distinguishes refusals for reserved capacity by the draw, as the entry role does.

--- a/src/cmake/check_layers.sh
+++ b/src/cmake/check_layers.sh
@@ -5,7 +5,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/../libnode"
 
-parts=(shared membership settings customers bottleneck serving entry)
+parts=(shared membership settings customers bottleneck reservations serving entry)
 allowed=""
 status=0
 for part in "${parts[@]}"; do
--- a/src/libnode/entry/admission.cc
+++ b/src/libnode/entry/admission.cc
@@ -53,7 +53,9 @@
   if (windows_.size() >= kMaxClasses && windows_.count(key) == 0) return true;
   ClassWindow& own = windows_[key];
   own.tier = call.context.class_tier;
-  if (!own.window.HasRoom(random)) return false;
+  if (!call.reservable.ReturnedInTime() && !own.window.HasRoom(random)) {
+    return false;
+  }
   own.window.OnBegin();
   call.in_window = true;
   return true;
--- a/src/libnode/entry/admission.h
+++ b/src/libnode/entry/admission.h
@@ -39,7 +39,8 @@
 
   // Counts the request in the window of its class; false if the window is full.
   // Classes beyond the limit of the table have no window: their requests are
-  // admitted.
+  // admitted. A request with a reservation enters a full window, too; new ones
+  // then wait until the window has room again.
   bool TryEnterWindow(Call& call, std::mt19937_64& random);
   // Takes a completed request out of its window and adjusts the limits.
   // `target` is the latency target of its class.
--- a/src/libnode/entry/call.h
+++ b/src/libnode/entry/call.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "amaranthroute/messages.h"
+#include "libnode/reservations/reservation_keeper.h"
 #include "libnode/shared/credit_ledger.h"
 
 namespace amaranth::pvt {
@@ -84,6 +85,11 @@
   bool has_quota_token = false;
   // Counted in the admission window of its class, see Admission.
   bool in_window = false;
+  // Set for classes with the setting `retry_reservations`.
+  ReservableRequest reservable;
+  bool passed_admission = false;
+  // Refused only to keep reserved capacity free.
+  bool refused_for_reserved = false;
   // Time spent in queues for a slot and between nodes, by the answers to its
   // attempts.
   Duration waited{0};
--- a/src/libnode/entry/entry_begin.cc
+++ b/src/libnode/entry/entry_begin.cc
@@ -87,7 +87,7 @@
 }  // namespace
 
 EntryRole::EntryRole(const Parts& parts)
-    : parts_(parts), choice_(parts.data_centre) {}
+    : parts_(parts), choice_(parts.data_centre), reservations_(parts.stats) {}
 
 void EntryRole::OnCallerRequest(const CallerRequest& event, Context& context) {
   Waiter waiter;
@@ -396,21 +396,40 @@
       bottlenecks_.Decide(Admission::ClassKey(call), call.context, context.now);
   if (decision.service.empty()) return true;
   call.context.cost_bucket = decision.cost_bucket;
+  const double share = decision.share * call.reservable.ShareForNew();
   std::uniform_real_distribution<double> draw(0, 1);
-  const bool admitted = draw(context.random) < decision.share;
+  const double drawn = call.reservable.arrival ? call.reservable.arrival->draw
+                                               : draw(context.random);
+  const bool admitted = call.reservable.ReturnedInTime() || drawn < share;
+  call.refused_for_reserved =
+      !admitted && (decision.share >= 1 || drawn < decision.share);
   parts_.stats.Count("amaranth_rank_admission_total",
                      "service=\"" + decision.service + "\",class=\"" +
                          call.call_class + "\",outcome=\"" +
                          (admitted ? "admitted" : "refused") + "\"");
   if (admitted) {
+    if (call.reservable.ReturnedInTime()) return true;
     call.context.admit_share =
-        static_cast<uint16_t>(std::lround(decision.share * kFullAdmitShare));
+        static_cast<uint16_t>(std::lround(share * kFullAdmitShare));
     return true;
   }
   refusal.detail = DetailOf(decision);
   return false;
 }
 
+void EntryRole::RecognizeReturn(Call& call, Context& context) {
+  const EffectiveSettings& settings =
+      parts_.settings.Resolve(call.context.service, call.context.request_class);
+  if (!call.is_root || !settings.retry_reservations) return;
+  call.reservable =
+      reservations_.OnArrival(Admission::ClassKey(call), call.context,
+                              call.customer, context.now, context.random);
+  // A shedding threshold may exceed the levels of a whole tier for a moment.
+  // The reserved capacity is part of what the class is served on average, so it
+  // must not be refused then.
+  if (call.reservable.ReturnedInTime()) call.context.level = kMaxSheddingLevel;
+}
+
 uint64_t EntryRole::Register(Call call) {
   const uint64_t id = call.id;
   deadlines_.Add(call.deadline, id);
@@ -436,11 +455,18 @@
 bool EntryRole::TryAdmit(Call& call, Failure& refusal, Context& context) {
   refusal.verdict = Verdict::kNotRun;
   refusal.reason = Reason::kShedAtEntry;
+  RecognizeReturn(call, context);
   if (admission_.IsBelowThreshold(call, context.now)) {
     refusal.detail = "a service of this call chain is overloaded";
     return false;
   }
   if (!AdmitByRank(call, refusal, context)) return false;
+  if (!reservations_.LeavesReservedCapacity(call.reservable, context.now,
+                                            refusal)) {
+    call.refused_for_reserved = true;
+    return false;
+  }
+  call.passed_admission = true;
   if (!context.identity.rules.admit_at_edge) return true;
   if (admission_.TryEnterWindow(call, context.random)) return true;
   parts_.stats.Count("amaranth_window_full_total",
--- a/src/libnode/entry/entry_finish.cc
+++ b/src/libnode/entry/entry_finish.cc
@@ -37,6 +37,9 @@
   if (annotated.status >= 500) failed = Verdict::kRan;
   ReportToParent(call, false, failed, context.now);
   const Duration latency = context.now - call.started;
+  if (annotated.status < 500) {
+    reservations_.OnServed(call.reservable, latency, context.now);
+  }
   if (call.is_root) {
     parts_.stats.Observe(call.context.tenant, call.context.request_class,
                          annotated.status < 500 ? "ok" : "server-error",
@@ -68,7 +71,7 @@
   const bool shed =
       failure.verdict == Verdict::kNotRun && IsOverload(failure.reason);
   if (context.identity.rules.admit_at_edge && call.is_root && shed &&
-      target > Duration::zero()) {
+      target > Duration::zero() && !HasRetryTimeOfHome(call, failure)) {
     failure.retry_after =
         RetryWithinTarget(target, context.now - call.started, context.random);
   }
@@ -79,6 +82,7 @@
                               ? known->second
                               : RetryAfter(0, 0, context.random);
   }
+  if (shed) SetRetryTime(call, target, failure, context);
   if (call.has_quota_token && failure.verdict == Verdict::kNotRun) {
     parts_.quotas.GiveBack(call.customer, context.now);
   }
@@ -104,6 +108,32 @@
   }
 }
 
+// The home of a key runs the request and holds its reservation.
+bool EntryRole::HasRetryTimeOfHome(const Call& call,
+                                   const Failure& failure) const {
+  return call.phase == CallPhase::kForwarded &&
+         failure.retry_after > Duration::zero() &&
+         parts_.settings.Resolve(call.context.service, call.call_class)
+             .retry_reservations;
+}
+
+void EntryRole::SetRetryTime(const Call& call, Duration target,
+                             Failure& failure, Context& context) {
+  const Duration elapsed = context.now - call.started;
+  RefusalFacts facts;
+  facts.deadline_left = call.deadline - context.now;
+  facts.target_left = facts.deadline_left;
+  facts.shortest = {failure.retry_after, failure.retry_after};
+  if (target > Duration::zero()) facts.target_left = target - elapsed;
+  if (target > Duration::zero() && context.identity.rules.admit_at_edge) {
+    facts.shortest = RangeWithinTarget(target, elapsed);
+  }
+  facts.admitted = call.passed_admission;
+  facts.for_reserved_capacity = call.refused_for_reserved;
+  reservations_.OnRefused(call.reservable, facts, failure, context.now,
+                          context.random);
+}
+
 // The target is limited by the time that the request had, because the deadline
 // of a route may be shorter than its latency target.
 void EntryRole::CompleteInWindow(Call& call, bool served, TimePoint now) {
--- a/src/libnode/entry/entry_role.h
+++ b/src/libnode/entry/entry_role.h
@@ -24,6 +24,7 @@
 #include "libnode/entry/server_choice.h"
 #include "libnode/entry/typical_service_times.h"
 #include "libnode/membership/membership.h"
+#include "libnode/reservations/reservation_keeper.h"
 #include "libnode/serving/serving_role.h"
 #include "libnode/settings/settings_cache.h"
 #include "libnode/shared/caller_headers.h"
@@ -115,6 +116,8 @@
   static bool SkipsAdmission(const Call& call, const Context& context);
   // If it returns false, `refusal` says why.
   bool TryAdmit(Call& call, Failure& refusal, Context& context);
+  // Looks the request up among the reservations of its class.
+  void RecognizeReturn(Call& call, Context& context);
   // Admits a request by its rank at the service that is short of capacity.
   bool AdmitByRank(Call& call, Failure& refusal, Context& context);
   uint64_t Register(Call call);
@@ -171,6 +174,13 @@
   void FinishWithResponse(Call& call, const HttpResponse& response,
                           Context& context);
   void FinishWithFailure(Call& call, Failure failure, Context& context);
+  // Returns whether another node has set when the caller is to return, by the
+  // reservations of the class.
+  bool HasRetryTimeOfHome(const Call& call, const Failure& failure) const;
+  // Sets when the caller of a request that was refused for lack of capacity is
+  // to return.
+  void SetRetryTime(const Call& call, Duration target, Failure& failure,
+                    Context& context);
   // Reports the end of a request to the admission window of its class.
   void CompleteInWindow(Call& call, bool served, TimePoint now);
   void LogFailure(const Call& call, const Failure& failure, Context& context);
@@ -196,6 +206,7 @@
   KeyRegistry keys_;
   Admission admission_;
   BottleneckState bottlenecks_;
+  ReservationKeeper reservations_;
   std::map<std::string, RetryBudget> retry_budgets_;     // by service
   std::map<std::string, FleetRetryShare> fleet_shares_;  // by service
   std::map<std::string, Duration> retry_after_;          // by service and class
--- a/src/libpolicy/retry_reservations_test.cc
+++ b/src/libpolicy/retry_reservations_test.cc
@@ -178,7 +178,7 @@
     if (arrival.kind != ReturnKind::kEarly) ++offered_in_window_;
     if (arrival.kind == ReturnKind::kInTime) return Send(request);
     if (arrival.draw < share * arrival.share_for_new) return Send(request);
-    Refuse(request, arrival.draw, share < 1);
+    Refuse(request, arrival.draw, share < 1 && arrival.draw >= share);
   }
 
   void Refuse(const Request& request, double draw, bool shows_shortage) {
