--- a/src/libnode/bottleneck/bottleneck_state.cc
+++ b/src/libnode/bottleneck/bottleneck_state.cc
@@ -94,8 +94,11 @@
   // An earlier call of the request may have met a cut that has ended since.
   for (const ServiceCost& cost : answer.costs) {
     ServicePressure* known = FindPressure(pressures, cost.service);
-    if (known == nullptr) continue;
-    known->cut_x256 = ToWireCut(admission_.CutOf(cost.service, now));
+    const bool is_reported =
+        FindPressure(answer.pressures, cost.service) != nullptr;
+    if (known == nullptr || is_reported) continue;
+    known->cut_x256 = 0;
+    known->success_percent = 100;
   }
 }
 
