--- a/src/libnode/entry/entry_finish.cc
+++ b/src/libnode/entry/entry_finish.cc
@@ -96,7 +96,9 @@
                               ? known->second
                               : RetryAfter(0, 0, context.random);
   }
-  if (shed) SetRetryTime(call, target, failure, context);
+  if (shed && !call.infeasible) {
+    SetRetryTime(call, target, failure, context);
+  }
   if (call.has_quota_token && failure.verdict == Verdict::kNotRun) {
     parts_.quotas.GiveBack(call.customer, context.now);
   }
--- a/src/libpolicy/max_min_share_test.cc
+++ b/src/libpolicy/max_min_share_test.cc
@@ -252,7 +252,7 @@
         PositionOf(call.tier, call.class_tier, call.cost_bucket);
     const uint16_t share = static_cast<uint16_t>(
         std::lround(request.decision.share * kFullAdmitShare));
-    server.demand.OnArrival(position, kCallTime, share, now_);
+    server.demand.OnArrival(position, kCallTime, share, true, now_);
     const double weight = request.customer < 0 ? 1 : WeightOf(request.customer);
     server.shares.OnArrival(NameOf(request.customer), weight, position,
                             kCallTime, share, now_);
