--- a/src/libnode/operator_api.cc
+++ b/src/libnode/operator_api.cc
@@ -65,6 +65,11 @@
                        {"limit", report.limit},
                        {"queued", report.queued},
                        {"shed_threshold", report.shed_threshold}});
+    const RankDemand* demand = state.serving.DemandOf(report.server);
+    if (demand == nullptr) continue;
+    servers.back()["cut"] = demand->cut();
+    servers.back()["offered_slots"] = demand->offered_slots();
+    servers.back()["correction"] = demand->correction();
   }
   json["local_servers"] = std::move(servers);
   return json;
--- a/src/libnode/serving/local_server.h
+++ b/src/libnode/serving/local_server.h
@@ -95,6 +95,7 @@
   bool admits_by_rank() const { return admits_by_rank_; }
   // Whether a setting of the server uses costs and pressures.
   bool reports_bottlenecks() const { return reports_bottlenecks_; }
+  const RankDemand& rank_demand() const { return rank_demand_; }
   RankDemand& rank_demand() { return rank_demand_; }
   // Records a call that arrived, and what it stands for.
   void OnOffered(const Hop& hop, TimePoint now);
--- a/src/libnode/serving/serving_role.cc
+++ b/src/libnode/serving/serving_role.cc
@@ -54,6 +54,13 @@
   return reports;
 }
 
+const RankDemand* ServingRole::DemandOf(const std::string& server) const {
+  const auto found = servers_.find(server);
+  const bool is_measured =
+      found != servers_.end() && found->second.admits_by_rank();
+  return is_measured ? &found->second.rank_demand() : nullptr;
+}
+
 void ServingRole::OnForward(const NodeRef& from, CallForward forward,
                             Context& context) {
   const AttemptKey key(from, forward.attempt);
@@ -216,8 +223,14 @@
       }
       return;
     }
-    server.shedder().OnQueueDelay(oldest_wait, context.now);
     Hop& hop = hops_.at(next->id);
+    // With admission by rank, calls of low rank that can wait do so behind the
+    // others. Their wait must not raise the threshold that sheds the others.
+    if (!server.admits_by_rank()) {
+      server.shedder().OnQueueDelay(oldest_wait, context.now);
+    } else if (!CanWait(hop)) {
+      server.shedder().OnQueueDelay(context.now - next->enqueued, context.now);
+    }
     const CrashGuard::Handling handling = HandlingOf(hop, context.now);
     if (handling == CrashGuard::Handling::kNormal) {
       Dispatch(hop, server, context);
--- a/src/libnode/serving/serving_role.h
+++ b/src/libnode/serving/serving_role.h
@@ -62,6 +62,8 @@
 
   size_t hops() const { return hops_.size(); }
   std::vector<LoadReport> Reports(TimePoint now);
+  // Returns the offered load of a local server; null if it is not measured.
+  const RankDemand* DemandOf(const std::string& server) const;
 
  private:
   using AttemptKey = std::pair<NodeRef, AttemptId>;
