Retry reservations: tests of the bound on classes and of the log detail

Class names come from callers, so the table of classes must not grow. The detail of a refusal must tell the age of the shortage, its expected end and the time slot. Measured by node_test -g ReservationKeeper and -g RetryReservationsFleet: both pass.

--- a/src/libnode/reservations/reservation_keeper.h
+++ b/src/libnode/reservations/reservation_keeper.h
@@ -71,6 +71,8 @@
   void OnRefused(const ReservableRequest& request, const RefusalFacts& facts,
                  Failure& failure, TimePoint now, std::mt19937_64& random);
 
+  size_t classes() const { return classes_.size(); }
+
  private:
   // Returns null if the table is full.
   RetryReservations* Of(const std::string& class_key, TimePoint now);
--- a/src/libnode/retry_reservations_test.cc
+++ b/src/libnode/retry_reservations_test.cc
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "libnode/fakes/fake_fleet.h"
+#include "libnode/reservations/reservation_keeper.h"
 
 namespace amaranth::pvt {
 namespace {
@@ -95,6 +96,10 @@
     caller.told = detail.find("reserved=yes") != std::string::npos;
     if (!caller.told) return;
     ++tally.told;
+    for (const char* fact :
+         {"shortage_age_ms=", "expected_end_ms=", "slot_ms="}) {
+      CHECK(detail.find(fact) != std::string::npos);
+    }
     const milliseconds wait(body["retry_after_ms"].get<int>());
     if (return_elsewhere) caller.node = caller.node == "a1" ? "a2" : "a1";
     fleet.At(wait + milliseconds(5), [this, caller] { Send(caller); });
@@ -170,4 +175,42 @@
   CHECK_EQUAL(0, CountOf("reserved") + CountOf("not-reserved"));
 }
 
+TEST_GROUP(ReservationKeeper) {
+  Stats stats;
+  ReservationKeeper keeper{stats};
+  std::mt19937_64 random{5};
+
+  ReservableRequest Arrive(const std::string& class_key, TimePoint now) {
+    return keeper.OnArrival(class_key, CallContext(), "", now, random);
+  }
+};
+
+// Guards against memory that grows with the class names that callers choose,
+// and against classes that are kept out by names that are no longer used.
+TEST(ReservationKeeper, TheNumberOfClassesIsBounded) {
+  const TimePoint now = FromMicros(1'000'000);
+  for (int i = 0; i < 1000; ++i) {
+    const ReservableRequest request =
+        Arrive("progress/" + std::to_string(i), now);
+    CHECK_EQUAL(keeper.classes() == ReservationKeeper::kMaxClasses &&
+                    i >= static_cast<int>(ReservationKeeper::kMaxClasses),
+                !request.arrival.has_value());
+  }
+  CHECK_EQUAL(ReservationKeeper::kMaxClasses, keeper.classes());
+  CHECK(Arrive("progress/new", now + std::chrono::minutes(2))
+            .arrival.has_value());
+  CHECK_EQUAL(ReservationKeeper::kMaxClasses, keeper.classes());
+}
+
+// Guards against two customers whose equal requests are taken for one.
+TEST(ReservationKeeper, EqualRequestsOfTwoCustomersAreDistinguished) {
+  const TimePoint now = FromMicros(1'000'000);
+  const CallContext call;
+  const ReservableRequest first =
+      keeper.OnArrival("progress/sheet", call, "one", now, random);
+  const ReservableRequest second =
+      keeper.OnArrival("progress/sheet", call, "two", now, random);
+  CHECK(first.identity != second.identity);
+}
+
 }  // namespace amaranth::pvt
