--- a/src/libnode/serving/serving_results.cc
+++ b/src/libnode/serving/serving_results.cc
@@ -340,6 +340,8 @@
                                  CallAnswer& answer) {
   const auto found = servers_.find(hop.server);
   if (found == servers_.end() || !found->second.reports_bottlenecks()) return;
+  const EffectiveSettings& settings =
+      settings_.Resolve(hop.context.service, hop.context.request_class);
   if (served) {
     answer.costs = hop.nested_costs;
     AddCosts(answer.costs, {{hop.context.service, 1, answer.load.own_us}});
