Order queued calls by progress and slack

Cause: a request with several calls in a row waits and is refused at each of them alike. In an overload it fails after most of its work is done.

Change: entry nodes learn the typical time of a class without waits and send its slack; nested calls inherit it less the waits so far, and the number of calls done. With queue_order = slack, calls of a caller that can still meet their target come first, then those with more calls done, then those with the least slack; calls whose request cannot end are dropped with that reason. A full queue replaces first calls before others.

--- a/src/include/amaranthroute/policy/admission_queue.h
+++ b/src/include/amaranthroute/policy/admission_queue.h
@@ -19,6 +19,14 @@
 ///   tier has waited over the target for an interval (the criterion of CoDel),
 ///   the order is newest first: new calls still have their whole deadline, and
 ///   old ones would miss theirs anyway.
+/// - Of a caller's calls with a known slack, those that can still meet their
+///   target are served first, then those with more calls done, then those with
+///   the least slack. A request with eight calls thus completes before others
+///   begin, instead of failing at its last call. Calls that miss their target
+///   follow by deadline; those that cannot meet it are dropped. Calls without a
+///   slack keep their place by age. When the queue is full, a call replaces the
+///   last one of its own caller; first calls of requests are replaced before
+///   others, because refusing them wastes no work.
 /// - While a tier is overloaded, calls that waited longer than a timeout are
 ///   dropped, so that their callers are answered at once and the backlog ends
 ///   with its cause.
@@ -67,13 +75,20 @@
   Tier class_tier = Tier::kStandard;
   /// CallContext::cost_bucket; does not affect the order.
   uint8_t cost_bucket = 0;
+  /// Latest starts with which the request meets its latency target and its
+  /// deadline, if it does not wait again (CallContext::target_slack and
+  /// deadline_slack); nullopt if unknown.
+  std::optional<TimePoint> target_start = std::nullopt;
+  std::optional<TimePoint> deadline_start = std::nullopt;
+  uint8_t calls_done = 0;  ///< CallContext::calls_done
 
   friend bool operator==(const QueuedCall& a, const QueuedCall& b) {
     return a.id == b.id && a.tier == b.tier && a.level == b.level &&
            a.caller_key == b.caller_key && a.long_work == b.long_work &&
            a.enqueued == b.enqueued && a.deadline == b.deadline &&
            a.expected == b.expected && a.class_tier == b.class_tier &&
-           a.cost_bucket == b.cost_bucket;
+           a.cost_bucket == b.cost_bucket && a.target_start == b.target_start &&
+           a.deadline_start == b.deadline_start && a.calls_done == b.calls_done;
   }
   friend bool operator!=(const QueuedCall& a, const QueuedCall& b) {
     return !(a == b);
@@ -195,12 +210,17 @@
   Lane& LaneOf(const QueuedCall& call);
   void Insert(QueuedCall call);
   QueuedCall Extract(uint64_t id);
-  bool MakeRoom(const QueuedCall& newcomer, std::vector<QueuedCall>& evicted);
-  std::optional<uint64_t> VictimFor(const QueuedCall& newcomer,
-                                    bool long_only) const;
+  bool MakeRoom(const QueuedCall& newcomer, TimePoint now,
+                std::vector<QueuedCall>& evicted);
+  std::optional<uint64_t> VictimFor(const QueuedCall& newcomer, bool long_only,
+                                    TimePoint now) const;
+  // Returns the call of a caller that is evicted first.
+  static const QueuedCall& LastOf(const Calls& calls, TimePoint now);
   void UpdateOverloaded(Lane& lane, TimePoint now,
                         Duration expected_service) const;
   void DropMissingDeadline(TimePoint now, std::vector<QueuedCall>& expired);
+  // Returns the next call of a caller to run.
+  static uint64_t NextOf(const Calls& calls, bool newest_first, TimePoint now);
   void DropOld(const Lane& lane, TimePoint now,
                std::vector<QueuedCall>& expired);
 
@@ -210,6 +230,8 @@
   std::set<std::pair<TimePoint, uint64_t>> by_deadline_;
   // By the latest time at which a call can start and end before its deadline.
   std::set<std::pair<TimePoint, uint64_t>> by_latest_start_;
+  // By deadline_start, the calls that have one.
+  std::set<std::pair<TimePoint, uint64_t>> by_deadline_start_;
   size_t long_waiting_ = 0;
   bool long_allowed_ = true;  // whether long work could run at the last Pop
   TimePoint next_late_call_{};
--- a/src/libnode/entry/entry_attempts.cc
+++ b/src/libnode/entry/entry_attempts.cc
@@ -104,6 +104,7 @@
   forward.context = call.context;
   forward.context.remaining = RemainingFor(call, context.now);
   forward.context.retry_credits = attempt.granted;
+  ReduceSlack(context.now - call.started, forward.context);
   forward.request = call.request;
   forward.usual_us = ToWireMicros(typical_service_times_.Of(call.context));
 
--- a/src/libnode/entry/entry_begin.cc
+++ b/src/libnode/entry/entry_begin.cc
@@ -254,6 +254,7 @@
   if (routed) limit = std::min(limit, settings.deadline);
   if (remaining) limit = std::min(limit, *remaining);
   call.deadline = context.now + limit;
+  slack_.Assign(Admission::ClassKey(call), settings, call);
   call.ledger = CreditLedger(static_cast<uint16_t>(settings.retry_credits));
   return call;
 }
@@ -289,6 +290,7 @@
   call_context.admit_share = parent.admit_share;
   call_context.cost_bucket = parent.cost_bucket;
   call_context.depth = static_cast<uint8_t>(parent.depth + 1);
+  InheritSlack(*hop, context.now, call_context);
   // A route sets for its own calls whether they may be retried and their
   // deadline, independently of the request that they belong to.
   const EffectiveSettings& settings = parts_.settings.Resolve(
--- a/src/libnode/entry/entry_finish.cc
+++ b/src/libnode/entry/entry_finish.cc
@@ -50,6 +50,9 @@
   }
   ReportToParent(call, false, failed, context.now);
   const Duration latency = context.now - call.started;
+  if (call.is_root && annotated.status < 500 && call.attempts == 1) {
+    slack_.OnServed(Admission::ClassKey(call), latency - call.waited);
+  }
   if (call.is_root) {
     parts_.stats.Observe(call.context.tenant, call.context.request_class,
                          annotated.status < 500 ? "ok" : "server-error",
@@ -178,7 +181,10 @@
   hop->EndNested(now);
   hop->ledger.Return(call.granted_by_parent, call.ledger.available());
   hop->nested_wait_time += call.waited;
-  if (!failed) return;
+  if (!failed) {
+    ++hop->nested_answered;
+    return;
+  }
   hop->failed_nested[call.context.fingerprint] = failed->verdict;
   const FailureCause cause = CauseOf(*failed);
   if (call.failed_below.cause != FailureCause::kNone) {
--- a/src/libnode/entry/entry_role.h
+++ b/src/libnode/entry/entry_role.h
@@ -21,6 +21,7 @@
 #include "libnode/entry/call.h"
 #include "libnode/entry/claim_coordinator.h"
 #include "libnode/entry/key_registry.h"
+#include "libnode/entry/request_slack.h"
 #include "libnode/entry/server_choice.h"
 #include "libnode/entry/typical_service_times.h"
 #include "libnode/membership/membership.h"
@@ -202,6 +203,7 @@
   KeyRegistry keys_;
   Admission admission_;
   BottleneckState bottlenecks_;
+  RequestSlack slack_;
   std::map<std::string, RetryBudget> retry_budgets_;     // by service
   std::map<std::string, FleetRetryShare> fleet_shares_;  // by service
   std::map<std::string, Duration> retry_after_;          // by service and class
--- a/src/libnode/serving/hop.h
+++ b/src/libnode/serving/hop.h
@@ -49,6 +49,7 @@
   bool nested_retries_exhausted = false;
   int nested_calls = 0;
   int nested_in_flight = 0;
+  int nested_answered = 0;  // without a failure
   // Start of the current period with nested calls in flight.
   TimePoint nested_since{};
   // Total length of the ended periods with nested calls in flight.
--- a/src/libnode/serving/local_server.cc
+++ b/src/libnode/serving/local_server.cc
@@ -54,6 +54,9 @@
   return options;
 }
 
+// Time for which dropped calls show that waits are too long for the requests.
+constexpr Duration kHopelessDropHold = std::chrono::milliseconds(500);
+
 }  // namespace
 
 LocalServer::LocalServer(ServerRecord record, const EffectiveSettings& settings,
@@ -63,6 +66,7 @@
       latency_limit_(LimitOptions(record_, settings)),
       uses_slot_search_(settings.concurrency == ConcurrencyMode::kThroughput),
       oldest_first_(shedding.threshold_from_wait),
+      by_slack_(settings.queue_order == QueueOrder::kSlack),
       queue_options_(QueueOptions(settings, oldest_first_)),
       queue_(queue_options_),
       shedder_(shedding),
@@ -74,6 +78,7 @@
 void LocalServer::Configure(const ServerRecord& record,
                             const EffectiveSettings& settings) {
   record_ = record;
+  by_slack_ = settings.queue_order == QueueOrder::kSlack;
   latency_limit_.SetCeiling(SlotsOf(record, settings));
   latency_limit_.SetAdaptive(settings.concurrency ==
                              ConcurrencyMode::kAdaptive);
@@ -222,6 +227,15 @@
   return result;
 }
 
+Duration LocalServer::QueueDelay(TimePoint now) const {
+  const Duration oldest = queue_.oldest_wait(now);
+  const bool drops_hopeless = now - last_hopeless_drop < kHopelessDropHold;
+  if (!by_slack_ || drops_hopeless) return oldest;
+  const auto waiting = static_cast<int64_t>(queue_.size());
+  return std::min(oldest,
+                  expected_service_ * waiting / std::max(1, UsableSlots()));
+}
+
 LoadReport LocalServer::Report(TimePoint now) {
   LoadReport report;
   report.server = record_.server;
--- a/src/libnode/serving/local_server.h
+++ b/src/libnode/serving/local_server.h
@@ -83,6 +83,12 @@
   Duration expected_service() const { return expected_service_; }
   Duration ExpectedService(const CallKind& kind) const;
   LoadReport Report(TimePoint now);
+  // Returns the wait that controls shedding: the age of the oldest waiting
+  // call. With order by slack, first calls of requests wait behind all others,
+  // so their age does not show the load; then at most the time in which the
+  // server starts all waiting calls, unless calls were dropped lately because
+  // their requests cannot end in time.
+  Duration QueueDelay(TimePoint now) const;
 
   const ServerRecord& record() const { return record_; }
   AdmissionQueue& queue() { return queue_; }
@@ -118,6 +124,8 @@
   bool has_answered = false;  // since this node knows it
   TimePoint draining_since{};
   TimePoint last_heard{};
+  // Last drop of a call whose request cannot end before its deadline.
+  TimePoint last_hopeless_drop{};
   AnnouncementStamp stamp;
   ServerFitness sent_fitness;  // last one sent to the other nodes
 
@@ -140,6 +148,7 @@
   // Queues oldest first within a tier. Set where requests are admitted at the
   // edge: all queued calls are then expected to be served.
   bool oldest_first_ = false;
+  bool by_slack_ = false;                // QueueOrder::kSlack
   AdmissionQueueOptions queue_options_;  // capacity by the settings
   AdmissionQueue queue_;
   RateGate rate_gate_;
--- a/src/libnode/serving/serving_results.cc
+++ b/src/libnode/serving/serving_results.cc
@@ -281,11 +281,19 @@
                             Context& context) {
   for (const QueuedCall& call : calls) {
     const Hop hop = TakeHop(call.id);
-    Refuse(hop, reason, context);
+    const bool hopeless = reason == Reason::kDeadline && call.deadline_start &&
+                          *call.deadline_start < context.now;
+    const auto found = servers_.find(hop.server);
+    if (hopeless && found != servers_.end()) {
+      found->second.last_hopeless_drop = context.now;
+    }
+    Refuse(hop, reason, context,
+           hopeless ? ": the request cannot end before its deadline" : "");
   }
 }
 
-void ServingRole::Refuse(const Hop& hop, Reason reason, Context& context) {
+void ServingRole::Refuse(const Hop& hop, Reason reason, Context& context,
+                         const std::string& why) {
   Failure failure;
   failure.verdict = Verdict::kNotRun;
   failure.reason = reason;
@@ -293,7 +301,7 @@
   if (reason != Reason::kQuarantined) {
     failure.retry_after = RetryAfterFor(hop.server, context);
   }
-  failure.detail = "refused at backend server " + hop.server;
+  failure.detail = "refused at backend server " + hop.server + why;
   stats_.Count("amaranth_refused_total",
                "reason=\"" + std::string(ToString(reason)) + "\"");
   records_.Add(context.now, hop.context.request_id, "refuse",
--- a/src/libnode/serving/serving_role.cc
+++ b/src/libnode/serving/serving_role.cc
@@ -153,6 +153,15 @@
   DispatchSuspect(server, context);
 }
 
+void ServingRole::SetSlack(const Hop& hop, QueuedCall& queued) {
+  const CallContext& call = hop.context;
+  if (call.target_slack) queued.target_start = hop.arrived + *call.target_slack;
+  if (call.deadline_slack) {
+    queued.deadline_start = hop.arrived + *call.deadline_slack;
+  }
+  queued.calls_done = call.calls_done;
+}
+
 void ServingRole::Enqueue(Hop hop, uint32_t level, LocalServer& server,
                           Context& context) {
   QueuedCall queued;
@@ -174,6 +183,10 @@
   queued.level = level;
   queued.caller_key = hop.context.caller_key;
   queued.cost_bucket = hop.context.cost_bucket;
+  if (settings_.Resolve(hop.context.service, hop.context.request_class)
+          .queue_order == QueueOrder::kSlack) {
+    SetSlack(hop, queued);
+  }
   queued.long_work = hop.context.long_work;
   queued.enqueued = context.now;
   queued.deadline = hop.deadline;
@@ -203,7 +216,7 @@
     // Read before Pop. The wait of the call that is started would not do: with
     // order by tier and newest first it stays short in any overload, and
     // nothing would be shed.
-    const Duration oldest_wait = server.queue().oldest_wait(context.now);
+    const Duration oldest_wait = server.QueueDelay(context.now);
     std::vector<QueuedCall> expired;
     const std::optional<QueuedCall> next =
         server.queue().Pop(context.now, server.expected_service(),
--- a/src/libnode/serving/serving_role.h
+++ b/src/libnode/serving/serving_role.h
@@ -76,6 +76,7 @@
   void Admit(Hop hop, Context& context);
   void AdmitSuspect(Hop hop, LocalServer& server, Context& context);
   void Enqueue(Hop hop, uint32_t level, LocalServer& server, Context& context);
+  static void SetSlack(const Hop& hop, QueuedCall& queued);
   // Returns whether the latency target of the call's class leaves ample time to
   // wait for a slot.
   bool CanWait(const Hop& hop) const;
@@ -98,7 +99,9 @@
 
   void RefuseAll(const std::vector<QueuedCall>& calls, Reason reason,
                  Context& context);
-  void Refuse(const Hop& hop, Reason reason, Context& context);
+  // `why` is added to the detail of the failure.
+  void Refuse(const Hop& hop, Reason reason, Context& context,
+              const std::string& why = "");
   void Fail(const Hop& hop, Failure failure, Context& context);
   void Answer(const Hop& hop, HttpResponse response, Context& context);
   void SendAnswer(const Hop& hop, CallAnswer answer, Context& context);
--- a/src/libpolicy/admission_queue.cc
+++ b/src/libpolicy/admission_queue.cc
@@ -18,6 +18,25 @@
   return call.deadline == kNever ? kNever : call.deadline - call.expected;
 }
 
+// Compares calls whose target_start is known.
+bool PrecedesBySlack(const QueuedCall& a, const QueuedCall& b, TimePoint now) {
+  const bool a_in_time = *a.target_start >= now;
+  const bool b_in_time = *b.target_start >= now;
+  if (a_in_time != b_in_time) return a_in_time;
+  if (!a_in_time) return a.deadline < b.deadline;
+  if (a.calls_done != b.calls_done) return a.calls_done > b.calls_done;
+  return *a.target_start < *b.target_start;
+}
+
+// Returns whether `a` is kept rather than `b` when the queue is full. A request
+// whose first call is refused has cost nothing.
+bool IsKeptBefore(const QueuedCall& a, const QueuedCall& b, TimePoint now) {
+  const bool a_began = a.calls_done > 0;
+  const bool b_began = b.calls_done > 0;
+  if (a_began != b_began) return a_began;
+  return PrecedesBySlack(a, b, now);
+}
+
 }  // namespace
 
 AdmissionQueue::AdmissionQueue(AdmissionQueueOptions options)
@@ -43,9 +62,9 @@
   options_ = options;
 }
 
-PushResult AdmissionQueue::Push(QueuedCall call, TimePoint,
+PushResult AdmissionQueue::Push(QueuedCall call, TimePoint now,
                                 std::vector<QueuedCall>& evicted) {
-  if (!MakeRoom(call, evicted)) return PushResult::kFull;
+  if (!MakeRoom(call, now, evicted)) return PushResult::kFull;
   Insert(std::move(call));
   return PushResult::kQueued;
 }
@@ -65,7 +84,7 @@
     }
     if (lane->turn_order.empty()) continue;
     const Calls& calls = lane->callers.at(lane->turn_order.front());
-    const uint64_t id = lane->overloaded ? calls.back().id : calls.front().id;
+    const uint64_t id = NextOf(calls, lane->overloaded, now);
     lane->turn_order.splice(lane->turn_order.end(), lane->turn_order,
                             lane->turn_order.begin());
     QueuedCall call = Extract(id);
@@ -120,6 +139,9 @@
 TimePoint AdmissionQueue::next_deadline() const {
   if (by_deadline_.empty()) return kNever;
   TimePoint next = by_deadline_.begin()->first;
+  if (!by_deadline_start_.empty()) {
+    next = std::min(next, by_deadline_start_.begin()->first + Duration(1));
+  }
   for (const RankLanes& rank : ranks_) {
     const Lane& lane = rank.short_calls;
     if (!lane.overloaded || lane.by_age.empty()) continue;
@@ -153,6 +175,9 @@
   lane.by_age.emplace(call.enqueued, call.id);
   by_deadline_.emplace(call.deadline, call.id);
   by_latest_start_.emplace(LatestStart(call), call.id);
+  if (call.deadline_start) {
+    by_deadline_start_.emplace(*call.deadline_start, call.id);
+  }
   if (call.long_work) ++long_waiting_;
   Calls& calls = caller->second;
   calls.push_back(std::move(call));
@@ -169,6 +194,7 @@
   lane.by_age.erase({call.enqueued, id});
   by_deadline_.erase({call.deadline, id});
   by_latest_start_.erase({LatestStart(call), id});
+  if (call.deadline_start) by_deadline_start_.erase({*call.deadline_start, id});
   if (call.long_work) --long_waiting_;
   const auto caller = lane.callers.find(call.caller_key);
   caller->second.erase(at);
@@ -179,21 +205,22 @@
   return call;
 }
 
-bool AdmissionQueue::MakeRoom(const QueuedCall& newcomer,
+bool AdmissionQueue::MakeRoom(const QueuedCall& newcomer, TimePoint now,
                               std::vector<QueuedCall>& evicted) {
   const bool full = places_.size() >= options_.capacity;
   const size_t long_places =
       std::max<size_t>(1, options_.capacity / kLongPlacesDivisor);
   const bool long_full = newcomer.long_work && long_waiting_ >= long_places;
   if (!full && !long_full) return true;
-  const std::optional<uint64_t> victim = VictimFor(newcomer, long_full);
+  const std::optional<uint64_t> victim = VictimFor(newcomer, long_full, now);
   if (!victim) return false;
   evicted.push_back(Extract(*victim));
   return true;
 }
 
 std::optional<uint64_t> AdmissionQueue::VictimFor(const QueuedCall& newcomer,
-                                                  bool long_only) const {
+                                                  bool long_only,
+                                                  TimePoint now) const {
   const auto own_rank = RankOf(newcomer);
   for (size_t rank = 0; rank <= own_rank; ++rank) {
     // The caller with the most waiting calls in one lane, over both lanes.
@@ -220,18 +247,33 @@
       const auto found = own.callers.find(newcomer.caller_key);
       const size_t own_calls =
           found == own.callers.end() ? 0 : found->second.size();
-      if (own_calls + 1 >= most) return std::nullopt;
+      if (own_calls + 1 >= most) {
+        if (own_calls == 0 || !newcomer.target_start) return std::nullopt;
+        const QueuedCall& last = LastOf(found->second, now);
+        const bool precedes =
+            last.target_start && IsKeptBefore(newcomer, last, now);
+        return precedes ? std::make_optional(last.id) : std::nullopt;
+      }
     }
     const Calls& calls = busiest_lane->callers.at(*busiest_caller);
-    return std::min_element(calls.begin(), calls.end(),
-                            [](const QueuedCall& a, const QueuedCall& b) {
-                              return a.level < b.level;
-                            })
-        ->id;
+    return LastOf(calls, now).id;
   }
   return std::nullopt;
 }
 
+const QueuedCall& AdmissionQueue::LastOf(const Calls& calls, TimePoint now) {
+  const QueuedCall* last = nullptr;
+  for (const QueuedCall& call : calls) {
+    if (!call.target_start) continue;
+    if (last == nullptr || IsKeptBefore(*last, call, now)) last = &call;
+  }
+  if (last != nullptr) return *last;
+  return *std::min_element(calls.begin(), calls.end(),
+                           [](const QueuedCall& a, const QueuedCall& b) {
+                             return a.level < b.level;
+                           });
+}
+
 void AdmissionQueue::UpdateOverloaded(Lane& lane, TimePoint now,
                                       Duration expected_service) const {
   const Duration target = std::max(options_.target_delay, expected_service);
@@ -250,6 +292,10 @@
   while (!by_deadline_.empty() && by_deadline_.begin()->first <= now) {
     expired.push_back(Extract(by_deadline_.begin()->second));
   }
+  while (!by_deadline_start_.empty() &&
+         by_deadline_start_.begin()->first < now) {
+    expired.push_back(Extract(by_deadline_start_.begin()->second));
+  }
   const bool all_late =
       !by_latest_start_.empty() && by_latest_start_.rbegin()->first <= now;
   if (all_late && now >= next_late_call_) return;
@@ -258,6 +304,26 @@
   }
 }
 
+uint64_t AdmissionQueue::NextOf(const Calls& calls, bool newest_first,
+                                TimePoint now) {
+  const QueuedCall* by_age = nullptr;
+  const QueuedCall* by_slack = nullptr;
+  for (const QueuedCall& call : calls) {
+    if (call.target_start) {
+      if (by_slack == nullptr || PrecedesBySlack(call, *by_slack, now)) {
+        by_slack = &call;
+      }
+    } else if (by_age == nullptr || newest_first) {
+      by_age = &call;
+    }
+  }
+  if (by_slack == nullptr) return by_age->id;
+  if (by_age == nullptr) return by_slack->id;
+  const bool age_first = newest_first ? by_age->enqueued > by_slack->enqueued
+                                      : by_age->enqueued <= by_slack->enqueued;
+  return age_first ? by_age->id : by_slack->id;
+}
+
 void AdmissionQueue::DropOld(const Lane& lane, TimePoint now,
                              std::vector<QueuedCall>& expired) {
   while (!lane.by_age.empty() &&
