Keep the selection of queued calls constant in time without slack

Cause: the scan for the next call by slack also ran where no call has a slack.

Change: without such a call, the first or last one is taken as before.

--- a/src/include/amaranthroute/policy/admission_queue.h
+++ b/src/include/amaranthroute/policy/admission_queue.h
@@ -220,7 +220,7 @@
                         Duration expected_service) const;
   void DropMissingDeadline(TimePoint now, std::vector<QueuedCall>& expired);
   // Returns the next call of a caller to run.
-  static uint64_t NextOf(const Calls& calls, bool newest_first, TimePoint now);
+  uint64_t NextOf(const Calls& calls, bool newest_first, TimePoint now) const;
   void DropOld(const Lane& lane, TimePoint now,
                std::vector<QueuedCall>& expired);
 
@@ -233,6 +233,7 @@
   // By deadline_start, the calls that have one.
   std::set<std::pair<TimePoint, uint64_t>> by_deadline_start_;
   size_t long_waiting_ = 0;
+  size_t with_slack_ = 0;     // waiting calls with a target_start
   bool long_allowed_ = true;  // whether long work could run at the last Pop
   TimePoint next_late_call_{};
   Duration wait_timeout_;  // with the last expected service time
--- a/src/libpolicy/admission_queue.cc
+++ b/src/libpolicy/admission_queue.cc
@@ -179,6 +179,7 @@
     by_deadline_start_.emplace(*call.deadline_start, call.id);
   }
   if (call.long_work) ++long_waiting_;
+  if (call.target_start) ++with_slack_;
   Calls& calls = caller->second;
   calls.push_back(std::move(call));
   const Calls::iterator added = std::prev(calls.end());
@@ -196,6 +197,7 @@
   by_latest_start_.erase({LatestStart(call), id});
   if (call.deadline_start) by_deadline_start_.erase({*call.deadline_start, id});
   if (call.long_work) --long_waiting_;
+  if (call.target_start) --with_slack_;
   const auto caller = lane.callers.find(call.caller_key);
   caller->second.erase(at);
   if (caller->second.empty()) {
@@ -305,7 +307,9 @@
 }
 
 uint64_t AdmissionQueue::NextOf(const Calls& calls, bool newest_first,
-                                TimePoint now) {
+                                TimePoint now) const {
+  if (with_slack_ == 0)
+    return newest_first ? calls.back().id : calls.front().id;
   const QueuedCall* by_age = nullptr;
   const QueuedCall* by_slack = nullptr;
   for (const QueuedCall& call : calls) {
