--- a/src/libnode/bottleneck/customer_share_test.cc
+++ b/src/libnode/bottleneck/customer_share_test.cc
@@ -44,7 +44,7 @@
 TEST(CustomerShare, IsPassedOnUpTheCallChain) {
   const CallAnswer answer = AnswerWith(kFullAdmitShare / 4);
   state.OnAnswer(answer, kCustomer, kStart);
-  state.AddReported(answer, kCustomer, kStart, passed_on);
+  BottleneckState::AddReported(answer, passed_on);
   CHECK_EQUAL(1, passed_on.size());
   CHECK(passed_on[0].customer_share == kFullAdmitShare / 4);
 
@@ -61,7 +61,7 @@
 TEST(CustomerShare, WithoutReportedSharesAllCustomersShareAlike) {
   const CallAnswer answer = AnswerWith(std::nullopt);
   state.OnAnswer(answer, kCustomer, kStart);
-  state.AddReported(answer, kCustomer, kStart, passed_on);
+  BottleneckState::AddReported(answer, passed_on);
   CHECK_EQUAL(1, passed_on.size());
   CHECK(!passed_on[0].customer_share);
   DOUBLES_EQUAL(0.5, AdmittedOf(state, kCustomer), 0.01);
--- a/src/libnode/entry/entry_attempts.cc
+++ b/src/libnode/entry/entry_attempts.cc
@@ -104,6 +104,7 @@
   forward.context = call.context;
   forward.context.remaining = RemainingFor(call, context.now);
   forward.context.retry_credits = attempt.granted;
+  ReduceSlack(context.now - call.started, forward.context);
   forward.request = call.request;
   forward.usual_us = ToWireMicros(typical_service_times_.Of(call.context));
 
@@ -206,9 +207,6 @@
   Hop* hop = parts_.serving.FindHop(call.parent_hop);
   if (hop == nullptr) return;
   AddCosts(hop->nested_costs, answer.costs);
-  for (const ServiceCost& cost : answer.costs) {
-    hop->calls_done += std::min(cost.calls, kMaxCallsDone);
-  }
   BottleneckState::AddReported(answer, hop->nested_pressures);
 }
 
--- a/src/libnode/entry/entry_begin.cc
+++ b/src/libnode/entry/entry_begin.cc
@@ -254,6 +254,7 @@
   if (routed) limit = std::min(limit, settings.deadline);
   if (remaining) limit = std::min(limit, *remaining);
   call.deadline = context.now + limit;
+  slack_.Assign(Admission::ClassKey(call), settings, call);
   call.ledger = CreditLedger(static_cast<uint16_t>(settings.retry_credits));
   return call;
 }
@@ -291,6 +292,7 @@
   call_context.calls_done = static_cast<uint8_t>(
       std::min(parent.calls_done + hop->calls_done, kMaxCallsDone));
   call_context.depth = static_cast<uint8_t>(parent.depth + 1);
+  InheritSlack(*hop, context.now, call_context);
   // A route sets for its own calls whether they may be retried and their
   // deadline, independently of the request that they belong to.
   const EffectiveSettings& settings = parts_.settings.Resolve(
