Rank admission: a rank waits for the higher ones at every server

Change: of a rank that is asked for here, 0.98 must be admitted before lower ranks get more than the share that always flows. The first report of a service counts in full.

--- a/src/include/amaranthroute/policy/rank_admission.h
+++ b/src/include/amaranthroute/policy/rank_admission.h
@@ -57,6 +57,11 @@
   /// Share that is admitted at positions below the cut: without any request the
   /// serving nodes would not see their demand, nor entry nodes the recovery.
   static constexpr double kMinShare = 1.0 / 64;
+  /// A rank without requests at this node for this long has no demand.
+  static constexpr Duration kDemandAge = std::chrono::seconds(2);
+  /// Share of its requests from which a rank is served. It leaves out servers
+  /// that are short for a moment.
+  static constexpr double kServedShare = 0.98;
   /// Limits the table; services come from the settings and announcements.
   static constexpr size_t kMaxServices = 1024;
 
@@ -75,7 +80,7 @@
   /// applies.
   AdmitDecision Decide(const std::string& service, const CostProfile* profile,
                        Tier tier, Tier class_tier, TimePoint now,
-                       const std::string& customer = {}) const;
+                       const std::string& customer = {});
 
   /// The shares of customers at the services that report them.
   CustomerCuts& customer_cuts() { return customer_cuts_; }
@@ -88,6 +93,8 @@
   struct Report {
     Report() { shares.fill(1); }
     std::array<double, kPositions> shares;
+    // When a request of a position last asked for the service at this node.
+    std::array<TimePoint, kPositions> asked{};
     double cut = 0;
     TimePoint updated{};
   };
@@ -95,12 +102,17 @@
   // Returns the part of a report of this age that still counts.
   static double WeightAt(Duration age);
   double ShareOf(const Report& report, int position, TimePoint now) const;
+  // Returns whether requests of a higher rank are refused in part. While one
+  // server has room for lower ranks, another one may refuse the higher ones:
+  // the room is theirs first.
+  bool HigherRankIsShort(const Report& report, int position,
+                         TimePoint now) const;
   // Makes room for another service.
   void DropDecayed(TimePoint now);
   // Takes the decision by one service if it admits less than `decision`.
   void Restrict(const std::string& service, double slot_us, Tier tier,
                 Tier class_tier, TimePoint now, const std::string& customer,
-                AdmitDecision& decision) const;
+                AdmitDecision& decision);
 
   std::map<std::string, Report> reports_;
   CustomerCuts customer_cuts_;
--- a/src/libnode/bottleneck/bottleneck_state.h
+++ b/src/libnode/bottleneck/bottleneck_state.h
@@ -31,7 +31,7 @@
 
   // Returns what is admitted of the requests of a class.
   AdmitDecision Decide(const std::string& class_key, const CallContext& call,
-                       TimePoint now) const {
+                       TimePoint now) {
     return admission_.Decide(call.service, profiles_.Find(class_key, now),
                              call.tier, call.class_tier, now, call.tenant);
   }
--- a/src/libnode/bottleneck/customer_share_test.cc
+++ b/src/libnode/bottleneck/customer_share_test.cc
@@ -23,7 +23,7 @@
   return answer;
 }
 
-double AdmittedOf(const BottleneckState& state, const std::string& customer) {
+double AdmittedOf(BottleneckState& state, const std::string& customer) {
   CallContext call;
   call.service = kService;
   call.tenant = customer;
--- a/src/libpolicy/rank_admission.cc
+++ b/src/libpolicy/rank_admission.cc
@@ -20,11 +20,12 @@
     if (reports_.size() >= kMaxServices) DropDecayed(now);
     if (reports_.size() >= kMaxServices) return;
   }
-  Report& report = found == reports_.end() ? reports_[service] : found->second;
+  const bool is_first = found == reports_.end();
+  Report& report = is_first ? reports_[service] : found->second;
   const double kept = WeightAt(now - report.updated);
   const double elapsed = static_cast<double>((now - report.updated).count()) /
                          static_cast<double>(kAveragingTime.count());
-  const double weight = 1 - std::exp(-elapsed);
+  const double weight = is_first ? 1 : 1 - std::exp(-elapsed);
   for (int position = 0; position < kPositions; ++position) {
     double& share = report.shares[static_cast<size_t>(position)];
     const double current = 1 - kept * (1 - share);
@@ -52,16 +53,30 @@
   return 1 - WeightAt(now - report.updated) * (1 - share);
 }
 
+bool RankAdmission::HigherRankIsShort(const Report& report, int position,
+                                      TimePoint now) const {
+  const int next_rank = (position / kCostBuckets + 1) * kCostBuckets;
+  for (int higher = next_rank; higher < kPositions; ++higher) {
+    const TimePoint asked = report.asked[static_cast<size_t>(higher)];
+    const bool has_demand = asked != TimePoint{} && now - asked <= kDemandAge;
+    if (has_demand && ShareOf(report, higher, now) < kServedShare) return true;
+  }
+  return false;
+}
+
 void RankAdmission::Restrict(const std::string& service, double slot_us,
                              Tier tier, Tier class_tier, TimePoint now,
                              const std::string& customer,
-                             AdmitDecision& decision) const {
+                             AdmitDecision& decision) {
   const auto found = reports_.find(service);
   if (found == reports_.end()) return;
-  const Report& report = found->second;
+  Report& report = found->second;
   const uint8_t bucket = CostBucketOf(slot_us);
   const int position = PositionOf(tier, class_tier, bucket);
-  const double common = ShareOf(report, position, now);
+  report.asked[static_cast<size_t>(position)] = now;
+  const double common = HigherRankIsShort(report, position, now)
+                            ? 0
+                            : ShareOf(report, position, now);
   const bool by_customer =
       common > 0 && common < 1 && customer_cuts_.IsDivided(service, now);
   const double share =
@@ -83,7 +98,7 @@
 AdmitDecision RankAdmission::Decide(const std::string& service,
                                     const CostProfile* profile, Tier tier,
                                     Tier class_tier, TimePoint now,
-                                    const std::string& customer) const {
+                                    const std::string& customer) {
   AdmitDecision decision;
   if (profile == nullptr) {
     Restrict(service, 0, tier, class_tier, now, customer, decision);
