--- a/src/libnode/serving/local_server.cc
+++ b/src/libnode/serving/local_server.cc
@@ -153,8 +153,8 @@
   if (cost == Duration::zero()) cost = hop.typical_service_time;
   if (cost == Duration::zero()) cost = expected_service_;
   const int position = PositionOf(call.tier, call.class_tier, call.cost_bucket);
-  rank_demand_.OnArrival(position, cost, call.admit_share,
-                         call.calls_done == 0, now);
+  rank_demand_.OnArrival(position, cost, call.admit_share, call.calls_done == 0,
+                         now);
   if (customer_weight) {
     max_min_share_.OnArrival(call.tenant, *customer_weight, position, cost,
                              call.admit_share, now);
