--- a/src/include/amaranthroute/policy/rank_admission.h
+++ b/src/include/amaranthroute/policy/rank_admission.h
@@ -103,8 +103,8 @@
   static double WeightAt(Duration age);
   double ShareOf(const Report& report, int position, TimePoint now) const;
   // Returns whether requests of a higher rank are refused in part. While one
-  // server has room for lower ranks, another one may refuse the higher ones:
-  // the room is theirs first.
+  // server has capacity for lower ranks, another one may refuse the higher
+  // ones, which take precedence.
   bool HigherRankIsShort(const Report& report, int position,
                          TimePoint now) const;
   // Makes room for another service.
--- a/src/include/amaranthroute/policy/rank_demand.h
+++ b/src/include/amaranthroute/policy/rank_demand.h
@@ -18,7 +18,7 @@
 /// offered load does not depend on what is admitted, one round trip finds the
 /// cut, without the oscillation of a control by queueing delay.
 ///
-/// A request that dies at its deadline never makes its later calls, and one
+/// A request that fails at its deadline never makes its later calls, and one
 /// that waits makes them late. The calls that arrive would therefore understate
 /// the demand of exactly the class that is admitted in part. Demand is counted
 /// in requests instead, by their first calls, with the slot time per request
@@ -135,7 +135,7 @@
  private:
   using ByPosition = std::array<double, kPositions>;
 
-  // Offered calls and their slot time, without those of dead requests.
+  // Offered calls and their slot time, without those of failed requests.
   struct Offered {
     ByPosition calls{};
     ByPosition first_calls{};
--- a/src/libpolicy/rank_admission_test.cc
+++ b/src/libpolicy/rank_admission_test.cc
@@ -435,7 +435,7 @@
 }
 
 // At 3 times the capacity only a tenth of it is left to the class at the cut.
-// Guards against an underestimate of its demand: its requests die at their
+// Guards against an underestimate of its demand: its requests fail at their
 // deadline before their later calls, so that too many of them are admitted and
 // nearly none ends.
 TEST(RankAdmission, AdmittedRequestsEndAtThreeTimesTheCapacity) {
