--- a/src/libnode/entry/entry_begin.cc
+++ b/src/libnode/entry/entry_begin.cc
@@ -17,6 +17,11 @@
 // Caller key that all customers with a quota share.
 constexpr char kWithinQuota[] = "within-quota";
 
+// When the caller of a request without a fair chance should return. Servers
+// that refuse calls whatever their load is usually do so for seconds; a caller
+// that returned sooner would be refused again.
+constexpr Duration kInfeasibleRetryAfter = std::chrono::seconds(1);
+
 // Tenant of the requests on open routes.
 constexpr char kNoCustomer[] = "default";
 
@@ -409,8 +414,7 @@
                          (admitted ? "probe" : "refused") + "\"");
   if (admitted) return true;
   call.infeasible = true;
-  // By then a request has shown again whether the service refuses its calls.
-  refusal.retry_after = Feasibility::kProbePeriod;
+  refusal.retry_after = kInfeasibleRetryAfter;
   refusal.detail = DetailOf(estimate);
   return false;
 }
