Logs and metrics that tell the crashes and suspects of a request apart

Two lines of a crash may mean the same process, no line says which request is suspected, and a run of a suspect leaves no trace.

Change: the line of a crash, the line of a quarantine and the detail of a refusal have the request's fingerprint. Each run of a suspect is logged at start and end, with its wait and its result, and counted. The shrinking of an admission window is counted (amaranth_window_shrinks_total). No decision changes.

--- a/src/libnode/entry/admission.cc
+++ b/src/libnode/entry/admission.cc
@@ -61,7 +61,7 @@
   return true;
 }
 
-void Admission::CompleteInWindow(Call& call, bool served, Duration target,
+bool Admission::CompleteInWindow(Call& call, bool served, Duration target,
                                  TimePoint now) {
   call.in_window = false;
   EndedRequest ended;
@@ -72,8 +72,9 @@
   // its earlier attempts waited long enough.
   ended.waited = call.waited;
   ClassWindow& own = windows_[ClassKey(call)];
-  if (!own.window.OnEnd(ended, target)) return;
+  if (!own.window.OnEnd(ended, target)) return false;
   WindowToShrink(own).window.Shrink(ended.latency, now);
+  return true;
 }
 
 Admission::ClassWindow& Admission::WindowToShrink(ClassWindow& own) {
--- a/src/libnode/entry/admission.h
+++ b/src/libnode/entry/admission.h
@@ -43,8 +43,9 @@
   // then wait until the window has room again.
   bool TryEnterWindow(Call& call, std::mt19937_64& random);
   // Takes a completed request out of its window and adjusts the limits.
-  // `target` is the latency target of its class.
-  void CompleteInWindow(Call& call, bool served, Duration target,
+  // `target` is the latency target of its class. Returns whether the request
+  // was late or failed because it waited, so that a window shrinks.
+  bool CompleteInWindow(Call& call, bool served, Duration target,
                         TimePoint now);
   // Takes a request out of its window without adjusting any limit, for example
   // after its caller disconnected.
--- a/src/libnode/entry/entry_begin.cc
+++ b/src/libnode/entry/entry_begin.cc
@@ -7,6 +7,7 @@
 #include "amaranthroute/policy/retry_after.h"
 #include "libnode/entry/entry_role.h"
 #include "libnode/shared/answers.h"
+#include "libnode/shared/fingerprint_label.h"
 
 namespace amaranth::pvt {
 namespace {
@@ -519,7 +520,8 @@
     failure.verdict = Verdict::kNotRun;
     failure.reason = Reason::kQuarantined;
     failure.final = true;
-    failure.detail = "requests like this one crash their backend servers";
+    failure.detail = "requests like this one crash their backend servers: " +
+                     FingerprintLabel(call.context.fingerprint);
     return FinishWithFailure(call, std::move(failure), context);
   }
   Failure refusal;
--- a/src/libnode/entry/entry_finish.cc
+++ b/src/libnode/entry/entry_finish.cc
@@ -159,8 +159,11 @@
   if (!call.in_window) return;
   const Duration target =
       parts_.settings.Resolve(call.context.service, call.call_class).target_p99;
-  admission_.CompleteInWindow(
+  const bool shrinks = admission_.CompleteInWindow(
       call, served, std::min(target, call.deadline - call.started), now);
+  if (!shrinks) return;
+  parts_.stats.Count("amaranth_window_shrinks_total",
+                     "class=\"" + call.call_class + "\"");
 }
 
 // Logs which call of a request failed, the reason, and the figures behind the
--- a/src/libnode/serving/serving_results.cc
+++ b/src/libnode/serving/serving_results.cc
@@ -8,6 +8,7 @@
 #include "libnode/serving/serving_role.h"
 #include "libnode/shared/answers.h"
 #include "libnode/shared/durations.h"
+#include "libnode/shared/fingerprint_label.h"
 #include "libnode/shared/server_notice.h"
 
 namespace amaranth::pvt {
@@ -20,6 +21,9 @@
 // alone would take most of the throughput of the remaining servers.
 constexpr size_t kMaxToldSuspects = 16;
 
+// Fingerprints in the log line of a crash.
+constexpr size_t kMaxLoggedSuspects = 4;
+
 // Another server at the address answers this.
 constexpr int kMisdirectedStatus = 421;
 
@@ -79,7 +83,11 @@
   RecordServed(hop, replied.response, context.now);
   const HttpResponse& response = replied.response;
   JudgeResult(hop, response.status >= 500 || IsRefusal(response), context.now);
-  if (RanWithoutFailure(response)) {
+  const bool ran = RanWithoutFailure(response);
+  if (hop.is_suspect) {
+    RecordSuspectRun(hop, ran ? "answered" : "other", context);
+  }
+  if (ran) {
     crash_guard_.OnSurvived(hop.context.fingerprint, context.now);
     answered_.Insert(hop.context.fingerprint, context.now);
   }
@@ -125,6 +133,10 @@
   }
   const bool cancelled = failed_hop->cancelled;
   const Hop hop = EndDispatch(failed.dispatch, !cancelled, context);
+  if (hop.is_suspect) {
+    const bool lost = failed.reason == Reason::kConnectionLost && !timed_out;
+    RecordSuspectRun(hop, lost && !cancelled ? "lost" : "other", context);
+  }
   if (!cancelled) JudgeResult(hop, true, context.now);
   on_hop_cancelled(hop.id, context);
   // The suspects are passed to gossip before the caller is answered, because
@@ -255,8 +267,11 @@
       service, ExcuseAnswered(service, in_flight, context), context);
   crash_guard_.OnCrash(suspects, context.now);
   stats_.Count("amaranth_server_crashes_total", "service=\"" + service + "\"");
-  const std::string counts = "in_flight=" + std::to_string(in_flight.size()) +
-                             " suspects=" + std::to_string(suspects.size());
+  std::string counts = "in_flight=" + std::to_string(in_flight.size()) +
+                       " suspects=" + std::to_string(suspects.size());
+  for (size_t i = 0; i < std::min(suspects.size(), kMaxLoggedSuspects); ++i) {
+    counts += " " + FingerprintLabel(suspects[i]);
+  }
   records_.Add(context.now, "", "crash",
                server.record().server + " crashed: " + counts);
   context.Log(
@@ -275,10 +290,21 @@
                  "a request of service " + service +
                      " crashed its backend server twice");
     context.Log(LogLevel::kWarning, kPart,
-                "Quarantined a request of service " + service + ".");
+                "Quarantined a request of service " + service + ": " +
+                    FingerprintLabel(fingerprint) + ".");
   }
 }
 
+void ServingRole::RecordSuspectRun(const Hop& hop, const char* result,
+                                   Context& context) {
+  stats_.Count("amaranth_suspect_runs_total",
+               "result=\"" + std::string(result) + "\"");
+  context.Log(LogLevel::kInfo, kPart,
+              "A suspected request ended at backend server " + hop.server +
+                  ": " + FingerprintLabel(hop.context.fingerprint) +
+                  " result=" + result);
+}
+
 void ServingRole::RefuseAll(const std::vector<QueuedCall>& calls, Reason reason,
                             Context& context) {
   for (const QueuedCall& call : calls) {
@@ -304,6 +330,9 @@
     failure.retry_after = RetryAfterFor(hop.server, context);
   }
   failure.detail = "refused at backend server " + hop.server + why;
+  if (reason == Reason::kQuarantined) {
+    failure.detail += ": " + FingerprintLabel(hop.context.fingerprint);
+  }
   stats_.Count("amaranth_refused_total",
                "reason=\"" + std::string(ToString(reason)) + "\"");
   records_.Add(context.now, hop.context.request_id, "refuse",
--- a/src/libnode/serving/serving_role.cc
+++ b/src/libnode/serving/serving_role.cc
@@ -4,10 +4,13 @@
 #include <utility>
 
 #include "amaranthroute/policy/progress_watch.h"
+#include "libnode/shared/fingerprint_label.h"
 
 namespace amaranth::pvt {
 namespace {
 
+constexpr const char* kPart = "serving";
+
 // Suspects that may wait at one server. Further ones are refused as not run.
 constexpr size_t kMaxWaitingSuspects = 16;
 
@@ -289,6 +292,12 @@
   server.waiting_suspects.pop_front();
   hop.is_suspect = true;
   server.suspect_in_flight = true;
+  const Duration waited = context.now - hop.arrived;
+  stats_.Observe("node", "suspect", "dispatched", waited);
+  context.Log(LogLevel::kInfo, kPart,
+              "Runs a suspected request alone at backend server " + hop.server +
+                  ": " + FingerprintLabel(hop.context.fingerprint) +
+                  " waited_ms=" + std::to_string(ToMillis(waited)));
   Dispatch(hop, server, context);
 }
 
--- a/src/libnode/serving/serving_role.h
+++ b/src/libnode/serving/serving_role.h
@@ -127,6 +127,9 @@
   // Sends a change of the server's fitness to the other nodes.
   void SendFitness(LocalServer& server, Context& context);
   void RecordCrash(LocalServer& server, Context& context);
+  // Logs and counts the end of a run of a suspect; `result` is one of
+  // "answered", "lost" (with its connection) and "other".
+  void RecordSuspectRun(const Hop& hop, const char* result, Context& context);
   // Returns the suspects among the calls in flight at a crash, and tells the
   // other nodes which ones are excused.
   std::vector<uint64_t> ExcuseAnswered(const std::string& service,
