A crash of a backend server is counted once, by its process

What callers saw: after one crash many innocent requests ran alone, while ordinary calls of the server paused.

Cause: CrashWindow closed at the first refused connection while resets of the same process went on arriving; the next one opened another window over the calls that had been sent meanwhile. It also closed at any answer, also one that was sent before the crash: what had been reset until then, the cause perhaps among it, was no suspect.

Change: a reset belongs to the process that its call was sent to. Calls that were sent until 50 ms after a crash open no further window. An answer within 50 ms of the first reset may have been sent before it: its request is no candidate, and the window stays open. Calls that end otherwise no longer keep it from closing. Idle connections to a crashed process are dropped.

Evidence: RepeatedPages, ACrashIsCountedOnce logged 5 crashes for 2 before, and passes.

--- a/src/libnode/fakes/fake_fleet.h
+++ b/src/libnode/fakes/fake_fleet.h
@@ -55,6 +55,10 @@
   Duration restart_after = std::chrono::seconds(1);
   // How long after a crash and restart it refuses all requests as not run.
   Duration refuses_after_restart{0};
+  // The resets of a crash reach the node one by one within this time.
+  Duration reset_spread{0};
+  // Time from the end of a run until its answer reaches the node.
+  Duration answer_delay = std::chrono::microseconds(50);
   bool failing = false;      // answers 500
   double failing_share = 0;  // share of runs that are answered 500
   // Share of the requests that it refuses as not run, whatever its load is.
--- a/src/libnode/fakes/fake_servers.cc
+++ b/src/libnode/fakes/fake_servers.cc
@@ -238,7 +238,7 @@
         std::string(
             FindHeader(running->request.headers, "X-Amaranth-Request-Id")) +
         "|" + std::string(FindHeader(running->request.headers, "X-Token")));
-    FeedLater(server->host, kSameHostLatency,
+    FeedLater(server->host, server->options.answer_delay,
               ServerReplied{running->dispatch, std::move(response)});
   }
   StartQueued(server);
@@ -255,9 +255,13 @@
   for (const auto& [dispatch, running] : host.dispatches) {
     if (running->server == server) lost_dispatches.push_back(dispatch);
   }
+  const Duration spread = server->options.reset_spread;
+  std::uniform_int_distribution<int64_t> reset_after(0, spread.count());
   for (const uint64_t dispatch : lost_dispatches) {
     host.dispatches.erase(dispatch);
-    FeedLater(server->host, kSameHostLatency, ConnectionLostFailure(dispatch));
+    Duration delay = kSameHostLatency;
+    if (spread.count() > 0) delay += Duration(reset_after(random_));
+    FeedLater(server->host, delay, ConnectionLostFailure(dispatch));
   }
   At(server->options.restart_after, [this, server] {
     server->up = true;
--- /dev/null
+++ b/src/libnode/repeated_pages_test.cc
@@ -0,0 +1,149 @@
+// A request that crashes its servers beside callers who ask for the same pages
+// again and again, in virtual time.
+
+#include <CppUTest/TestHarness.h>
+
+#include <map>
+#include <string>
+
+#include "libnode/fakes/fake_fleet.h"
+
+namespace amaranth::pvt {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr char kService[] = "catalogue";
+constexpr char kCrashBody[] = "boom";
+constexpr Duration kWarmUp = seconds(4);
+constexpr Duration kAttackLength = seconds(9);
+constexpr Duration kRunLength = seconds(20);
+constexpr Duration kPoisonPeriod = milliseconds(250);
+constexpr Duration kRefusedPause = milliseconds(50);
+
+struct Load {
+  int hosts = 4;
+  int callers = 50;  // closed loop, beside those of the poison request
+  int pages = 120;   // 0: each request has a target of its own
+  int poison_callers = 24;
+};
+
+}  // namespace
+
+TEST_GROUP(RepeatedPages) {
+  FakeFleet fleet{11};
+  Load load;
+  std::map<uint64_t, int> caller_of;  // by call; without the poison requests
+  size_t poison_runs = 0;
+  size_t quarantined_pages = 0;
+  size_t crash_lines = 0;
+  size_t next_target = 0;
+  TimePoint end{};
+
+  static std::string Host(int number) { return "n" + std::to_string(number); }
+
+  void Start() {
+    fleet.rules.admit_at_edge = true;
+    fleet.rules.request_id_per_send = true;
+    fleet.rules.callers_resend = true;
+    for (int i = 0; i < load.hosts; ++i) fleet.AddNode(Host(i), "a", true);
+    fleet.RunFor(seconds(3));
+    HttpRequest settings;
+    settings.method = "POST";
+    settings.target = "/settings";
+    settings.body = Body(R"({"changes":[
+      {"path":"","name":"concurrency","value":"throughput"},
+      {"path":"","name":"deadline_ms","value":"5000"},
+      {"path":"","name":"target_p99_ms","value":"1200"}]})");
+    CHECK_EQUAL(200, fleet.CallOperatorApi(Host(0), settings).status);
+    fleet.RunFor(seconds(5));
+    for (int i = 0; i < load.hosts; ++i) {
+      FakeServerOptions server;
+      server.name = "s" + std::to_string(i);
+      server.service = kService;
+      server.slots = 50;
+      server.service_time = milliseconds(300);
+      server.crash_body = kCrashBody;
+      server.restart_after = milliseconds(1200);
+      server.refuses_after_restart = milliseconds(800);
+      server.reset_spread = milliseconds(15);
+      server.answer_delay = milliseconds(3);
+      fleet.AddServer(Host(i), server);
+    }
+    fleet.on_run = [this](const FakeServerRun& run) {
+      if (run.request_id.rfind("poison", 0) == 0) ++poison_runs;
+    };
+    fleet.on_log = [this](const std::string&, const WriteLog& line) {
+      if (line.text.find(" crashed. ") != std::string::npos) ++crash_lines;
+    };
+    fleet.on_answer = [this](uint64_t call, const FakeAnswer& answer) {
+      OnAnswer(call, answer);
+    };
+    fleet.DiscardHistory();
+    fleet.RunFor(seconds(3));
+  }
+
+  std::string RandomHost() {
+    return Host(static_cast<int>(fleet.random()() % load.hosts));
+  }
+
+  void SendPage(int caller) {
+    if (fleet.now() >= end) return;
+    const size_t number =
+        load.pages == 0 ? next_target++ : fleet.random()() % load.pages;
+    HttpRequest request = MakeRequest("GET", kService);
+    request.target = "/page/" + std::to_string(number);
+    caller_of[fleet.Call(RandomHost(), std::move(request))] = caller;
+  }
+
+  void OnAnswer(uint64_t call, const FakeAnswer& answer) {
+    const auto found = caller_of.find(call);
+    if (found == caller_of.end()) return;
+    const int caller = found->second;
+    caller_of.erase(found);
+    if (answer.response.status == 200) return SendPage(caller);
+    if (answer.Reason() == "quarantined") {
+      ++quarantined_pages;
+    }
+    fleet.At(kRefusedPause, [this, caller] { SendPage(caller); });
+  }
+
+  void SendPoison() {
+    HttpRequest request =
+        MakeRequest("GET", kService, "default",
+                    "poison-" + std::to_string(fleet.random()()));
+    request.target = "/poison";
+    request.body = Body(kCrashBody);
+    fleet.Call(RandomHost(), std::move(request));
+  }
+
+  void Play() {
+    Start();
+    end = fleet.now() + kRunLength;
+    for (int caller = 0; caller < load.callers; ++caller) {
+      fleet.At(milliseconds(6) * caller % kWarmUp,
+               [this, caller] { SendPage(caller); });
+    }
+    for (int caller = 0; caller < load.poison_callers; ++caller) {
+      for (Duration at = kWarmUp; at < kWarmUp + kAttackLength;
+           at += kPoisonPeriod) {
+        fleet.At(at + milliseconds(10) * caller, [this] { SendPoison(); });
+      }
+    }
+    fleet.RunFor(kRunLength);
+  }
+};
+
+// Guards against one crash that is counted as several, because its resets reach
+// the node one by one, beside refused connections of later calls: innocent
+// requests then seem to be in flight at many crashes.
+TEST(RepeatedPages, ACrashIsCountedOnce) {
+  load.callers = 150;
+  Play();
+  CHECK(poison_runs >= 1);
+  CHECK_EQUAL(poison_runs, crash_lines);
+  CHECK_EQUAL(0u, quarantined_pages);
+}
+
+}  // namespace amaranth::pvt
--- a/src/libnode/serving/local_server.cc
+++ b/src/libnode/serving/local_server.cc
@@ -189,7 +189,7 @@
 
 void LocalServer::OnDispatched(uint64_t dispatch, uint64_t fingerprint,
                                bool is_long, Duration waited, TimePoint now) {
-  dispatches_[dispatch] = Dispatch{fingerprint, is_long};
+  dispatches_[dispatch] = Dispatch{fingerprint, is_long, now};
   rate_gate_.OnStarted(now);
   load_.OnStarted(waited, in_flight());
   if (!is_long) return;
@@ -244,11 +244,11 @@
   return found == slot_time_by_kind_.end() ? Duration::zero() : found->second;
 }
 
-std::vector<std::pair<uint64_t, uint64_t>> LocalServer::InFlight() const {
-  std::vector<std::pair<uint64_t, uint64_t>> result;
+std::vector<InFlightCall> LocalServer::InFlight() const {
+  std::vector<InFlightCall> result;
   result.reserve(dispatches_.size());
   for (const auto& [dispatch, details] : dispatches_) {
-    result.emplace_back(dispatch, details.fingerprint);
+    result.push_back({dispatch, details.fingerprint, details.sent});
   }
   return result;
 }
--- a/src/libnode/serving/local_server.h
+++ b/src/libnode/serving/local_server.h
@@ -84,7 +84,7 @@
   void OnServed(Duration service_time, TimePoint now);
 
   int in_flight() const { return static_cast<int>(dispatches_.size()); }
-  std::vector<std::pair<uint64_t, uint64_t>> InFlight() const;
+  std::vector<InFlightCall> InFlight() const;
   // Moving averages of the time from dispatch to end, nested calls included,
   // without long work: over all calls, and over those of one kind. 0 before the
   // first sample.
@@ -154,6 +154,7 @@
   struct Dispatch {
     uint64_t fingerprint = 0;
     bool is_long = false;
+    TimePoint sent{};
   };
 
   bool HasRoomFor(const CallKind& kind) const;
--- a/src/libnode/serving/serving_results.cc
+++ b/src/libnode/serving/serving_results.cc
@@ -95,7 +95,7 @@
   const auto found = servers_.find(hop.server);
   if (found == servers_.end()) return;
   found->second.last_heard = context.now;
-  found->second.crash_window().OnAnswered(hop.id);
+  found->second.crash_window().OnAnswered(hop.id, hop.dispatched, context.now);
   DispatchWaiting(found->second, context);
 }
 
@@ -119,12 +119,15 @@
     LocalServer& server = found->second;
     const bool was_reset = failed.reason == Reason::kConnectionLost &&
                            !timed_out && !failed_hop->cancelled;
+    CrashWindow& window = server.crash_window();
     if (was_reset) {
-      server.crash_window().OnReset(failed.dispatch, server.InFlight(),
-                                    context.now);
+      window.OnReset(failed.dispatch, failed_hop->dispatched, server.InFlight(),
+                     context.now);
+    } else {
+      window.OnEndedOtherwise(failed.dispatch);
     }
     if (failed.reason == Reason::kConnectFailed) {
-      server.crash_window().OnConnectionRefused();
+      window.OnConnectionRefused();
     }
     // The other pooled connections passed through the same middlebox: one that
     // lost the state of this connection may have lost that of all.
@@ -260,8 +263,9 @@
 
 void ServingRole::RecordCrash(LocalServer& server, Context& context) {
   const std::vector<uint64_t> in_flight =
-      server.crash_window().TakeCrashedFingerprints();
+      server.crash_window().TakeCrashedFingerprints(context.now);
   if (in_flight.empty()) return;
+  context.Emit(DropIdleConnections{server.record().address});
   const std::string& service = server.record().service;
   const std::vector<uint64_t> suspects = KeepThoseOfEarlierCrashes(
       service, ExcuseAnswered(service, in_flight, context), context);
