Suspects of a crash are bounded and chosen by the crashes of the whole fleet

Cause: the node of a crash with more than 16 candidates told no other node of them, but ran all of them alone itself; pages answered within half a minute became suspects at all nodes in any number. A conviction asked only the own node's table, so that a suspect known from another node was not convicted.

Change: DecideCrash (policy/crash_evidence.h) decides about all requests in flight at once. The crashes reported by all nodes are counted for each request; only those of the highest count are suspects, first those that were not answered lately, and none if more than 16 come into question. A report of a crash always counts, also within 200 ms of another. Only a crash with no other call in flight convicts.

--- a/src/include/amaranthroute/policy/crash_evidence.h
+++ b/src/include/amaranthroute/policy/crash_evidence.h
@@ -13,7 +13,9 @@
 /// The request that crashes the servers is in flight at every crash; another
 /// page is in flight at some of them, and is answered in between. So the
 /// crashes of the whole fleet are counted for each request, and only those of
-/// the highest count are considered.
+/// the highest count are suspected. Only a crash with no other call in flight
+/// convicts: different requests may crash two servers with the same harmless
+/// request in flight.
 
 #include <cstddef>
 #include <cstdint>
--- a/src/libnode/membership/membership.h
+++ b/src/libnode/membership/membership.h
@@ -115,6 +115,12 @@
   uint32_t CrashesOf(const std::string& service, uint64_t fingerprint) const {
     return quarantines_.CrashesOf(service, fingerprint);
   }
+  // Returns the number of crashes in the fleet at which the fingerprint is
+  // known to have been in flight.
+  uint32_t ReportedCrashesOf(const std::string& service,
+                             uint64_t fingerprint) const {
+    return quarantines_.ReportedCrashesOf(service, fingerprint);
+  }
   // Returns the time of the last crash that the fingerprint is known to have
   // been in flight at; nullopt if there is none.
   std::optional<TimePoint> LastCrashOf(const std::string& service,
--- a/src/libnode/membership/membership_updates.cc
+++ b/src/libnode/membership/membership_updates.cc
@@ -104,25 +104,26 @@
 
 bool QuarantineList::Add(const QuarantineRecord& record, TimePoint now) {
   const Duration lifetime = LifetimeOf(record.crashes);
-  const bool is_new = record.remaining.count() <= 0;
+  const bool is_report = record.remaining.count() <= 0;
   const Duration remaining =
-      is_new ? lifetime : std::min(lifetime, record.remaining);
+      is_report ? lifetime : std::min(lifetime, record.remaining);
   const TimePoint crashed_at = now - (lifetime - remaining);
   const Key key(record.service, record.fingerprint);
   const auto found = entries_.find(key);
   if (found == entries_.end()) {
     if (!MakeRoom()) return false;
     entries_[key] =
-        Entry{record.crashes, now + remaining, crashed_at, crashed_at};
+        Entry{record.crashes, 1, now + remaining, crashed_at, crashed_at};
     return true;
   }
   Entry& entry = found->second;
+  if (is_report) ++entry.reported_crashes;
   if (record.crashes > entry.crashes) {
-    entry = Entry{record.crashes, now + remaining,
+    entry = Entry{record.crashes, entry.reported_crashes, now + remaining,
                   std::max(entry.last_crash, crashed_at), crashed_at};
     return true;
   }
-  if (crashed_at < entry.last_crash + kSameCrash) return false;
+  if (!is_report && crashed_at < entry.last_crash + kSameCrash) return false;
   entry.last_crash = crashed_at;
   if (record.crashes == entry.crashes) {
     entry.expires = now + remaining;
@@ -153,6 +154,12 @@
   return found->second.suspected;
 }
 
+uint32_t QuarantineList::ReportedCrashesOf(const std::string& service,
+                                           uint64_t fingerprint) const {
+  const auto found = entries_.find({service, fingerprint});
+  return found == entries_.end() ? 0 : found->second.reported_crashes;
+}
+
 uint32_t QuarantineList::CrashesOf(const std::string& service,
                                    uint64_t fingerprint) const {
   const auto found = entries_.find({service, fingerprint});
--- a/src/libnode/membership/membership_updates.h
+++ b/src/libnode/membership/membership_updates.h
@@ -71,14 +71,20 @@
 };
 
 // Fingerprints of requests that were in flight at crashes of servers. The
-// highest crash count of a fingerprint is kept, and the time of its last crash.
+// highest state (QuarantineRecord::crashes) of a fingerprint is kept, the
+// number of crashes that were reported, and the time of the last one.
 class QuarantineList {
  public:
-  // Returns true if the record was new, raised a crash count or tells of a
-  // later crash.
+  // Returns true if the record was new, raised the state or tells of a later
+  // crash. A record without a remaining time is the report of one crash, made
+  // by the node beside the server, and always counts as a crash of its own.
   bool Add(const QuarantineRecord& record, TimePoint now);
   void Expire(TimePoint now);
   uint32_t CrashesOf(const std::string& service, uint64_t fingerprint) const;
+  // Returns the number of reported crashes at which the fingerprint was in
+  // flight.
+  uint32_t ReportedCrashesOf(const std::string& service,
+                             uint64_t fingerprint) const;
   // Returns the time of the last known crash, by this node's clock; nullopt if
   // none is known.
   std::optional<TimePoint> LastCrashOf(const std::string& service,
@@ -97,7 +103,8 @@
 
  private:
   struct Entry {
-    uint32_t crashes = 0;
+    uint32_t crashes = 0;  // kInFlightOnly, kSuspectCrashes, kQuarantineCrashes
+    uint32_t reported_crashes = 1;
     TimePoint expires{};
     TimePoint last_crash{};
     TimePoint suspected{};  // if it is a suspect
--- a/src/libnode/repeated_pages_test.cc
+++ b/src/libnode/repeated_pages_test.cc
@@ -3,8 +3,10 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "libnode/fakes/fake_fleet.h"
 
@@ -19,8 +21,18 @@
 constexpr Duration kWarmUp = seconds(4);
 constexpr Duration kAttackLength = seconds(9);
 constexpr Duration kRunLength = seconds(20);
+// The last part of a run, in which all servers are back.
+constexpr Duration kAfterwards = seconds(8);
 constexpr Duration kPoisonPeriod = milliseconds(250);
 constexpr Duration kRefusedPause = milliseconds(50);
+// The users' rule: at most this many runs that begin later than this after the
+// third crash.
+constexpr size_t kCrashesToRecognise = 3;
+constexpr Duration kRecognitionTime = seconds(3);
+constexpr size_t kMaxLateRuns = 3;
+
+// Share of the full rate at which a service counts as recovered.
+constexpr double kRecoveredShare = 0.9;
 
 struct Load {
   int hosts = 4;
@@ -35,10 +47,11 @@
   FakeFleet fleet{11};
   Load load;
   std::map<uint64_t, int> caller_of;  // by call; without the poison requests
-  size_t poison_runs = 0;
+  std::vector<TimePoint> poison_runs;
   size_t quarantined_pages = 0;
   size_t crash_lines = 0;
   size_t next_target = 0;
+  size_t served_afterwards = 0;
   TimePoint end{};
 
   static std::string Host(int number) { return "n" + std::to_string(number); }
@@ -72,7 +85,7 @@
       fleet.AddServer(Host(i), server);
     }
     fleet.on_run = [this](const FakeServerRun& run) {
-      if (run.request_id.rfind("poison", 0) == 0) ++poison_runs;
+      if (run.request_id.rfind("poison", 0) == 0) poison_runs.push_back(run.at);
     };
     fleet.on_log = [this](const std::string&, const WriteLog& line) {
       if (line.text.find(" crashed. ") != std::string::npos) ++crash_lines;
@@ -102,7 +115,10 @@
     if (found == caller_of.end()) return;
     const int caller = found->second;
     caller_of.erase(found);
-    if (answer.response.status == 200) return SendPage(caller);
+    if (answer.response.status == 200) {
+      if (fleet.now() >= end - kAfterwards) ++served_afterwards;
+      return SendPage(caller);
+    }
     if (answer.Reason() == "quarantined") {
       ++quarantined_pages;
     }
@@ -133,6 +149,23 @@
     }
     fleet.RunFor(kRunLength);
   }
+
+  size_t LateRuns() const {
+    if (poison_runs.size() < kCrashesToRecognise) return 0;
+    const TimePoint limit =
+        poison_runs[kCrashesToRecognise - 1] + kRecognitionTime;
+    return static_cast<size_t>(
+        std::count_if(poison_runs.begin(), poison_runs.end(),
+                      [&](TimePoint at) { return at > limit; }));
+  }
+
+  // Returns the share of the callers' full rate that was served afterwards.
+  double RateAfterwards() const {
+    const double seconds_served =
+        std::chrono::duration<double>(kAfterwards).count();
+    return static_cast<double>(served_afterwards) * 0.3 /
+           (load.callers * seconds_served);
+  }
 };
 
 // Guards against one crash that is counted as several, because its resets reach
@@ -141,9 +174,19 @@
 TEST(RepeatedPages, ACrashIsCountedOnce) {
   load.callers = 150;
   Play();
-  CHECK(poison_runs >= 1);
-  CHECK_EQUAL(poison_runs, crash_lines);
+  CHECK(poison_runs.size() >= 1);
+  CHECK_EQUAL(poison_runs.size(), crash_lines);
+  CHECK_EQUAL(0u, quarantined_pages);
+}
+
+// Guards against a busy service that serves one request at a time after a crash
+// with many pages in flight, because all of them are suspected and run alone.
+TEST(RepeatedPages, ABusyServiceRecoversOnceItsServersAreBack) {
+  load.callers = 150;
+  Play();
+  CHECK(RateAfterwards() > kRecoveredShare);
   CHECK_EQUAL(0u, quarantined_pages);
+  CHECK(LateRuns() <= kMaxLateRuns);
 }
 
 }  // namespace amaranth::pvt
--- a/src/libnode/serving/serving_results.cc
+++ b/src/libnode/serving/serving_results.cc
@@ -16,11 +16,6 @@
 
 constexpr const char* kPart = "serving";
 
-// Suspects are run alone by every node. If a crash leaves more of them than
-// this, the other nodes only learn that they were in flight: running so many
-// alone would take most of the throughput of the remaining servers.
-constexpr size_t kMaxToldSuspects = 16;
-
 // Fingerprints in the log line of a crash.
 constexpr size_t kMaxLoggedSuspects = 4;
 
@@ -220,45 +215,18 @@
   return failure;
 }
 
-std::vector<uint64_t> ServingRole::ExcuseAnswered(
-    const std::string& service, const std::vector<uint64_t>& in_flight,
-    Context& context) {
-  const bool alone = in_flight.size() == 1;
-  std::vector<uint64_t> suspects;
-  for (const uint64_t fingerprint : in_flight) {
-    if (AnsweredSinceCrash(service, fingerprint, context.now)) {
-      // Excused this once: at the next crash an older answer no longer counts.
-      membership_.AddQuarantine({service, fingerprint, kInFlightOnly}, context);
-      continue;
-    }
-    // Servers may crash together for another reason, before a popular page is
-    // answered in between: only a run without other calls proves it the cause.
-    if (!alone && answered_.LastAnswer(fingerprint, context.now)) {
-      crash_guard_.Suspect(fingerprint, context.now);
-      membership_.AddQuarantine({service, fingerprint, kSuspectCrashes},
-                                context);
-      continue;
-    }
-    suspects.push_back(fingerprint);
-  }
-  return suspects;
-}
-
-std::vector<uint64_t> ServingRole::KeepThoseOfEarlierCrashes(
-    const std::string& service, const std::vector<uint64_t>& suspects,
-    Context& context) {
-  std::vector<uint64_t> repeated;
-  std::vector<uint64_t> first_time;
-  for (const uint64_t fingerprint : suspects) {
-    const bool known =
-        membership_.LastCrashOf(service, fingerprint).has_value();
-    (known ? repeated : first_time).push_back(fingerprint);
-  }
-  if (repeated.empty()) return first_time;
-  for (const uint64_t fingerprint : first_time) {
-    membership_.AddQuarantine({service, fingerprint, kInFlightOnly}, context);
-  }
-  return repeated;
+CrashCandidate ServingRole::CandidateOf(const std::string& service,
+                                        uint64_t fingerprint,
+                                        TimePoint now) const {
+  CrashCandidate candidate;
+  candidate.fingerprint = fingerprint;
+  candidate.earlier_crashes =
+      membership_.ReportedCrashesOf(service, fingerprint);
+  candidate.answered_since_crash =
+      AnsweredSinceCrash(service, fingerprint, now);
+  candidate.answered_lately =
+      answered_.LastAnswer(fingerprint, now).has_value();
+  return candidate;
 }
 
 void ServingRole::RecordCrash(LocalServer& server, Context& context) {
@@ -267,36 +235,56 @@
   if (in_flight.empty()) return;
   context.Emit(DropIdleConnections{server.record().address});
   const std::string& service = server.record().service;
-  const std::vector<uint64_t> suspects = KeepThoseOfEarlierCrashes(
-      service, ExcuseAnswered(service, in_flight, context), context);
-  crash_guard_.OnCrash(suspects, context.now);
+  std::vector<CrashCandidate> candidates;
+  for (const uint64_t fingerprint : in_flight) {
+    candidates.push_back(CandidateOf(service, fingerprint, context.now));
+  }
+  CrashDecision decision = DecideCrash(std::move(candidates));
+  const bool alone =
+      decision.suspects.size() == 1 && decision.unsuspected.empty();
+  if (alone) AddCrashAlone(decision, context.now);
   stats_.Count("amaranth_server_crashes_total", "service=\"" + service + "\"");
-  std::string counts = "in_flight=" + std::to_string(in_flight.size()) +
-                       " suspects=" + std::to_string(suspects.size());
-  for (size_t i = 0; i < std::min(suspects.size(), kMaxLoggedSuspects); ++i) {
-    counts += " " + FingerprintLabel(suspects[i]);
+  std::string counts =
+      "in_flight=" + std::to_string(in_flight.size()) + " suspects=" +
+      std::to_string(decision.suspects.size() + decision.convicted.size());
+  const size_t logged = std::min(decision.suspects.size(), kMaxLoggedSuspects);
+  for (size_t i = 0; i < logged; ++i) {
+    counts += " " + FingerprintLabel(decision.suspects[i]);
   }
   records_.Add(context.now, "", "crash",
                server.record().server + " crashed: " + counts);
   context.Log(
       LogLevel::kWarning, kPart,
       "Backend server " + server.record().server + " crashed. " + counts);
-  const std::vector<uint64_t> new_suspects = crash_guard_.TakeNewSuspects();
-  const uint32_t told =
-      new_suspects.size() <= kMaxToldSuspects ? kSuspectCrashes : kInFlightOnly;
-  for (const uint64_t fingerprint : new_suspects) {
-    membership_.AddQuarantine({service, fingerprint, told}, context);
+  for (const uint64_t fingerprint : decision.unsuspected) {
+    membership_.AddQuarantine({service, fingerprint, kInFlightOnly}, context);
   }
-  for (const uint64_t fingerprint : crash_guard_.TakeNewlyQuarantined()) {
-    membership_.AddQuarantine({service, fingerprint, kQuarantineCrashes},
-                              context);
-    records_.Add(context.now, "", "quarantine",
-                 "a request of service " + service +
-                     " crashed its backend server twice");
-    context.Log(LogLevel::kWarning, kPart,
-                "Quarantined a request of service " + service + ": " +
-                    FingerprintLabel(fingerprint) + ".");
+  for (const uint64_t fingerprint : decision.suspects) {
+    membership_.AddQuarantine({service, fingerprint, kSuspectCrashes}, context);
   }
+  for (const uint64_t fingerprint : decision.convicted) {
+    Quarantine(service, fingerprint, context);
+  }
+}
+
+void ServingRole::AddCrashAlone(CrashDecision& decision, TimePoint now) {
+  crash_guard_.OnCrash(decision.suspects, now);
+  crash_guard_.TakeNewSuspects();
+  decision.convicted = crash_guard_.TakeNewlyQuarantined();
+  if (!decision.convicted.empty()) decision.suspects.clear();
+}
+
+void ServingRole::Quarantine(const std::string& service, uint64_t fingerprint,
+                             Context& context) {
+  crash_guard_.Quarantine(fingerprint, context.now);
+  membership_.AddQuarantine({service, fingerprint, kQuarantineCrashes},
+                            context);
+  records_.Add(
+      context.now, "", "quarantine",
+      "a request of service " + service + " crashed its backend servers");
+  context.Log(LogLevel::kWarning, kPart,
+              "Quarantined a request of service " + service + ": " +
+                  FingerprintLabel(fingerprint) + ".");
 }
 
 void ServingRole::RecordSuspectRun(const Hop& hop, const char* result,
--- a/src/libnode/serving/serving_role.cc
+++ b/src/libnode/serving/serving_role.cc
@@ -95,7 +95,6 @@
       membership_.IsQuarantined(service, fingerprint)) {
     return CrashGuard::Handling::kQuarantined;
   }
-  if (local == CrashGuard::Handling::kRunAlone) return local;
   const std::optional<TimePoint> answer =
       answered_.LastAnswer(fingerprint, now);
   const std::optional<TimePoint> suspected =
--- a/src/libnode/serving/serving_role.h
+++ b/src/libnode/serving/serving_role.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "amaranthroute/event.h"
+#include "amaranthroute/policy/crash_evidence.h"
 #include "amaranthroute/policy/crash_guard.h"
 #include "libnode/membership/membership.h"
 #include "libnode/serving/departed_servers.h"
@@ -130,16 +131,15 @@
   // Logs and counts the end of a run of a suspect; `result` is one of
   // "answered", "lost" (with its connection) and "other".
   void RecordSuspectRun(const Hop& hop, const char* result, Context& context);
-  // Returns the suspects among the calls in flight at a crash, and tells the
-  // other nodes which ones are excused.
-  std::vector<uint64_t> ExcuseAnswered(const std::string& service,
-                                       const std::vector<uint64_t>& in_flight,
-                                       Context& context);
-  // Returns those of the suspects that were in flight at an earlier crash too,
-  // at any server; all of them if none was.
-  std::vector<uint64_t> KeepThoseOfEarlierCrashes(
-      const std::string& service, const std::vector<uint64_t>& suspects,
-      Context& context);
+  // Returns what is known about a request in flight at a crash.
+  CrashCandidate CandidateOf(const std::string& service, uint64_t fingerprint,
+                             TimePoint now) const;
+  // Records a crash with its only suspect alone in flight, which may convict it
+  // by an earlier one.
+  void AddCrashAlone(CrashDecision& decision, TimePoint now);
+  // Quarantines a request that crashed its servers, at all nodes.
+  void Quarantine(const std::string& service, uint64_t fingerprint,
+                  Context& context);
   // Applies what the server reports about itself in an answer.
   void OnNotice(LocalServer& server, const ServerNotice& notice,
                 Context& context);
--- a/src/libpolicy/crash_evidence.cc
+++ b/src/libpolicy/crash_evidence.cc
@@ -6,21 +6,17 @@
 namespace amaranth {
 namespace {
 
-// Crashes, this one included, at which a request must have been in flight to be
-// convicted beside others that were in flight as often but were answered lately.
-constexpr uint32_t kCrashesToConvictAmongAnswered = 3;
-
 std::vector<CrashCandidate> Unique(std::vector<CrashCandidate> candidates) {
   std::sort(candidates.begin(), candidates.end(),
             [](const CrashCandidate& a, const CrashCandidate& b) {
               return a.fingerprint < b.fingerprint;
             });
-  candidates.erase(std::unique(candidates.begin(), candidates.end(),
-                               [](const CrashCandidate& a,
-                                  const CrashCandidate& b) {
-                                 return a.fingerprint == b.fingerprint;
-                               }),
-                   candidates.end());
+  candidates.erase(
+      std::unique(candidates.begin(), candidates.end(),
+                  [](const CrashCandidate& a, const CrashCandidate& b) {
+                    return a.fingerprint == b.fingerprint;
+                  }),
+      candidates.end());
   candidates.erase(std::remove_if(candidates.begin(), candidates.end(),
                                   [](const CrashCandidate& candidate) {
                                     return candidate.fingerprint == 0;
@@ -59,13 +55,8 @@
       unanswered.push_back(candidate.fingerprint);
     }
   }
-  const bool repeated =
-      answered.empty() ? max_crashes > 0
-                       : max_crashes + 1 >= kCrashesToConvictAmongAnswered;
-  if (repeated && unanswered.size() == 1) {
+  if (alone && max_crashes > 0) {
     decision.convicted = std::move(unanswered);
-    decision.unsuspected.insert(decision.unsuspected.end(), answered.begin(),
-                                answered.end());
     return decision;
   }
   std::vector<uint64_t>& in_question =
