The wait of a suspect is no sign of overload at the entry node

What callers saw: requests refused as shed-at-entry while servers were idle.

Cause: a serving node reports how long a call waited, and the entry node halves the window of the class if late or failed requests waited long. A suspect waits until it can run alone, however many slots are free.

Change: the time spent as a suspect is left out of the reported wait.

--- a/src/libnode/repeated_pages_test.cc
+++ b/src/libnode/repeated_pages_test.cc
@@ -49,6 +49,7 @@
   std::map<uint64_t, int> caller_of;  // by call; without the poison requests
   std::vector<TimePoint> poison_runs;
   size_t quarantined_pages = 0;
+  size_t shed_at_entry = 0;
   size_t crash_lines = 0;
   size_t next_target = 0;
   size_t served_afterwards = 0;
@@ -119,9 +120,8 @@
       if (fleet.now() >= end - kAfterwards) ++served_afterwards;
       return SendPage(caller);
     }
-    if (answer.Reason() == "quarantined") {
-      ++quarantined_pages;
-    }
+    if (answer.Reason() == "quarantined") ++quarantined_pages;
+    if (answer.Reason() == "shed-at-entry") ++shed_at_entry;
     fleet.At(kRefusedPause, [this, caller] { SendPage(caller); });
   }
 
@@ -189,4 +189,11 @@
   CHECK(LateRuns() <= kMaxLateRuns);
 }
 
+// Guards against entry nodes that refuse requests although servers are idle,
+// because the time for which suspects wait to run alone is taken for overload.
+TEST(RepeatedPages, WaitsOfSuspectsAreNoOverload) {
+  Play();
+  CHECK_EQUAL(0u, shed_at_entry);
+}
+
 }  // namespace amaranth::pvt
--- a/src/libnode/serving/hop.h
+++ b/src/libnode/serving/hop.h
@@ -40,7 +40,9 @@
   // Rate limit of the server, as known to the entry node.
   std::optional<double> reported_rate_limit;
   HopState state = HopState::kQueued;
-  bool is_suspect = false;  // dispatched as a suspect, alone at its server
+  bool is_suspect = false;    // dispatched as a suspect, alone at its server
+  TimePoint suspect_since{};  // if `state` is kSuspect
+  Duration suspect_wait{0};   // total time in kSuspect before
   bool cancelled = false;
   CreditLedger ledger;
   uint32_t downstream_threshold = 0;
@@ -72,12 +74,20 @@
   void EndNested(TimePoint now) {
     if (--nested_in_flight == 0) nested_time += now - nested_since;
   }
+  void BeginSuspectWait(TimePoint now) {
+    state = HopState::kSuspect;
+    suspect_since = now;
+  }
+  void EndSuspectWait(TimePoint now) { suspect_wait += now - suspect_since; }
   // Returns how long the call waited for a slot, its nested calls included.
   // Concurrent nested calls wait at the same time, so their sum is limited to
-  // the time with nested calls in flight.
+  // the time with nested calls in flight. The wait of a suspect until it can
+  // run alone is no shortage of slots: if it counted, entry nodes would admit
+  // fewer requests although servers are idle.
   Duration WaitTime(TimePoint now) const {
     const bool started = dispatched != TimePoint{};
-    const Duration queued = (started ? dispatched : now) - arrived;
+    Duration queued = (started ? dispatched : now) - arrived - suspect_wait;
+    if (state == HopState::kSuspect) queued -= now - suspect_since;
     return queued + std::min(nested_wait_time, nested_time);
   }
   // Returns the service time without nested calls of a dispatched call. Time
--- a/src/libnode/serving/serving_role.cc
+++ b/src/libnode/serving/serving_role.cc
@@ -165,7 +165,7 @@
     return Refuse(hop, Reason::kQueueFull, context);
   }
   crash_guard_.Suspect(hop.context.fingerprint, context.now);
-  hop.state = HopState::kSuspect;
+  hop.BeginSuspectWait(context.now);
   server.waiting_suspects.push_back(hop.id);
   queue_deadlines_.Add(hop.deadline, hop.id);
   by_attempt_[{hop.entry, hop.attempt}] = hop.id;
@@ -289,6 +289,7 @@
   }
   Hop& hop = hops_.at(server.waiting_suspects.front());
   server.waiting_suspects.pop_front();
+  hop.EndSuspectWait(context.now);
   hop.is_suspect = true;
   server.suspect_in_flight = true;
   const Duration waited = context.now - hop.arrived;
@@ -314,6 +315,7 @@
       Refuse(hop, Reason::kQuarantined, context);
       continue;
     }
+    hop.EndSuspectWait(context.now);
     hop.state = HopState::kQueued;
     const uint32_t level = hop.context.level;
     Enqueue(std::move(hop), level, server, context);
