--- a/src/include/amaranthroute/messages.h
+++ b/src/include/amaranthroute/messages.h
@@ -328,6 +328,24 @@
   Duration remaining{0};
 };
 
+/// What became of a run of a suspected request.
+enum class SuspectEvent : uint8_t {
+  kStarted = 0,
+  kEnded = 1,     ///< without showing whether the request crashes servers
+  kAnswered = 2,  ///< the request is no longer suspected
+};
+
+/// Tells the nodes with a server of the service of a run of a suspect, so that
+/// it runs at one server of the fleet at a time and one answer clears it at all
+/// nodes.
+struct SuspectNews {
+  std::string service;
+  uint64_t fingerprint = 0;
+  SuspectEvent event = SuspectEvent::kStarted;
+  /// kStarted: time within which the run ends.
+  Duration remaining{0};
+};
+
 /// Exchanges member records over TCP: at join, for repair, and between data
 /// centres. With `bucket_hashes` the reply holds only the records of buckets
 /// that differ; without them it holds all.
@@ -370,6 +388,7 @@
   uint64_t membership_hash = 0;
   std::vector<MemberRecord> updates;
   std::vector<QuarantineRecord> quarantines;
+  std::vector<SuspectNews> suspect_news;
 };
 
 // Comparison and printing of the messages, used to compare effects and to show
@@ -398,6 +417,7 @@
 bool operator==(const ServerRecord& a, const ServerRecord& b);
 bool operator==(const MemberRecord& a, const MemberRecord& b);
 bool operator==(const QuarantineRecord& a, const QuarantineRecord& b);
+bool operator==(const SuspectNews& a, const SuspectNews& b);
 bool operator==(const MemberSync& a, const MemberSync& b);
 bool operator==(const GossipMessage& a, const GossipMessage& b);
 
--- a/src/include/amaranthroute/policy/crash_evidence.h
+++ b/src/include/amaranthroute/policy/crash_evidence.h
@@ -13,9 +13,10 @@
 /// The request that crashes the servers is in flight at every crash; another
 /// page is in flight at some of them, and is answered in between. So the
 /// crashes of the whole fleet are counted for each request, and only those of
-/// the highest count are suspected. Only a crash with no other call in flight
-/// convicts: different requests may crash two servers with the same harmless
-/// request in flight.
+/// the highest count are suspected. A crash convicts if no other call was in
+/// flight, or if it is the third and only one request was in flight at all of
+/// them. Two crashes do not suffice for that: different requests may crash two
+/// servers with the same harmless request in flight.
 
 #include <cstddef>
 #include <cstdint>
@@ -57,8 +58,10 @@
 inline constexpr size_t kMaxSuspectsPerCrash = 16;
 
 /// Decides about the requests in flight at one crash. Candidates with
-/// fingerprint 0 are ignored, duplicates are merged.
-CrashDecision DecideCrash(std::vector<CrashCandidate> in_flight);
+/// fingerprint 0 are ignored, duplicates are merged. `earlier_crashes` is the
+/// number of crashes of the service that the fleet has seen lately.
+CrashDecision DecideCrash(std::vector<CrashCandidate> in_flight,
+                          uint32_t earlier_crashes);
 
 }  // namespace amaranth
 
--- a/src/libnode/membership/membership.h
+++ b/src/libnode/membership/membership.h
@@ -107,6 +107,24 @@
   void SetSettingsVersion(uint64_t version);
   // Shares the fingerprint of a request that crashed a server with the fleet.
   void AddQuarantine(const QuarantineRecord& record, Context& context);
+  // Tells the nodes with a server of the service of a run of a suspect.
+  void AddSuspectNews(const SuspectNews& news, Context& context);
+  // Returns whether a run of the suspect has started at a server of the fleet
+  // and not ended.
+  bool IsSuspectRunning(const std::string& service, uint64_t fingerprint,
+                        TimePoint now) const {
+    return quarantines_.IsRunning(service, fingerprint, now);
+  }
+  // Returns whether news of an answer would clear the suspect at all nodes.
+  bool CanBeCleared(const std::string& service, uint64_t fingerprint) const {
+    return quarantines_.CanBeCleared(service, fingerprint);
+  }
+  // Returns when an answer at any node cleared the suspect last; nullopt if
+  // none has.
+  std::optional<TimePoint> ClearedAt(const std::string& service,
+                                     uint64_t fingerprint) const {
+    return quarantines_.ClearedAt(service, fingerprint);
+  }
   bool IsQuarantined(const std::string& service, uint64_t fingerprint) const {
     return CrashesOf(service, fingerprint) >= kQuarantineCrashes;
   }
@@ -115,6 +133,10 @@
   uint32_t CrashesOf(const std::string& service, uint64_t fingerprint) const {
     return quarantines_.CrashesOf(service, fingerprint);
   }
+  // Returns the number of crashes of the service in the fleet lately.
+  uint32_t CrashesOfService(const std::string& service, TimePoint now) const {
+    return quarantines_.CrashesOfService(service, now);
+  }
   // Returns the number of crashes in the fleet at which the fingerprint is
   // known to have been in flight.
   uint32_t ReportedCrashesOf(const std::string& service,
@@ -183,7 +205,10 @@
   void MergeSelf(const MemberRecord& record, Context& context);
   void TrackState(const MemberRecord& record, Context& context);
   bool IsLocal(const MemberRecord& record) const;
-  void MergeQuarantines(const std::vector<QuarantineRecord>& records);
+  void MergeQuarantines(const std::string& sender,
+                        const std::vector<QuarantineRecord>& records);
+  // Counts the crash that a record reports, if it is such a report.
+  void CountCrash(const QuarantineRecord& record, const std::string& reporter);
   void HandleSettingsVersion(const std::string& peer, uint64_t version,
                              Context& context);
 
@@ -212,7 +237,8 @@
   void BroadcastQuarantines(Context& context);
   // Returns as many messages without members as the records need.
   std::vector<GossipMessage> QuarantineDatagrams(
-      const std::vector<QuarantineRecord>& records) const;
+      const std::vector<QuarantineRecord>& records,
+      const std::vector<SuspectNews>& news) const;
   const std::vector<std::string>& UpPeers() const;
   std::vector<std::string> RandomPeers(size_t count, Context& context) const;
   std::vector<std::string> DelegatesOf(const std::string& data_centre) const;
@@ -253,6 +279,7 @@
   QuarantineList quarantines_;
   // Records of crashes on this host that are still to be sent to other nodes.
   std::vector<QuarantineRecord> quarantines_to_broadcast_;
+  std::vector<SuspectNews> suspect_news_to_broadcast_;
   uint64_t settings_version_ = 0;
   bool view_verified_ = true;
   bool superseded_ = false;
--- a/src/libnode/membership/membership_dissemination.cc
+++ b/src/libnode/membership/membership_dissemination.cc
@@ -184,7 +184,9 @@
 // that may run it, those with a server of its service: a crash with 160 calls
 // in flight costs about 6 KB for each of them.
 void Membership::BroadcastQuarantines(Context& context) {
-  if (quarantines_to_broadcast_.empty()) return;
+  if (quarantines_to_broadcast_.empty() && suspect_news_to_broadcast_.empty()) {
+    return;
+  }
   std::vector<QuarantineRecord> quarantined;
   std::map<std::string, std::vector<QuarantineRecord>> suspects_by_service;
   for (QuarantineRecord& record : quarantines_to_broadcast_) {
@@ -195,10 +197,18 @@
     group.push_back(std::move(record));
   }
   quarantines_to_broadcast_.clear();
-  const std::vector<GossipMessage> to_all = QuarantineDatagrams(quarantined);
+  std::map<std::string, std::vector<SuspectNews>> news_by_service;
+  for (SuspectNews& news : suspect_news_to_broadcast_) {
+    suspects_by_service.try_emplace(news.service);
+    news_by_service[news.service].push_back(std::move(news));
+  }
+  suspect_news_to_broadcast_.clear();
+  const std::vector<GossipMessage> to_all =
+      QuarantineDatagrams(quarantined, {});
   std::map<std::string, std::vector<GossipMessage>> to_service;
   for (const auto& [service, suspects] : suspects_by_service) {
-    to_service[service] = QuarantineDatagrams(suspects);
+    to_service[service] =
+        QuarantineDatagrams(suspects, news_by_service[service]);
   }
   for (const auto& [name, record] : table_.members()) {
     if (name == identity_.node.name || !IsUp(record)) continue;
@@ -212,17 +222,24 @@
 }
 
 std::vector<GossipMessage> Membership::QuarantineDatagrams(
-    const std::vector<QuarantineRecord>& records) const {
+    const std::vector<QuarantineRecord>& records,
+    const std::vector<SuspectNews>& news) const {
   std::vector<GossipMessage> datagrams;
   size_t size = kDatagramBudget;
-  for (const QuarantineRecord& record : records) {
-    const size_t more = EncodedSize(record);
+  const auto make_room = [&](size_t more) {
     if (size + more > kDatagramBudget) {
       datagrams.push_back(BuildHeader(GossipKind::kAck, 0));
       size = kGossipHeaderSize;
     }
-    datagrams.back().quarantines.push_back(record);
     size += more;
+  };
+  for (const QuarantineRecord& record : records) {
+    make_room(EncodedSize(record));
+    datagrams.back().quarantines.push_back(record);
+  }
+  for (const SuspectNews& item : news) {
+    make_room(EncodedSize(item));
+    datagrams.back().suspect_news.push_back(item);
   }
   return datagrams;
 }
--- a/src/libnode/membership/membership_updates.cc
+++ b/src/libnode/membership/membership_updates.cc
@@ -51,6 +51,10 @@
   return kQuarantineOverhead + record.service.size();
 }
 
+size_t EncodedSize(const SuspectNews& news) {
+  return kQuarantineOverhead + news.service.size();
+}
+
 void UpdateQueue::Add(const std::string& name, size_t cluster_size) {
   const double log_size = std::log10(static_cast<double>(cluster_size) + 1);
   if (sends_left_.size() >= kMaxQueued && sends_left_.count(name) == 0) {
@@ -112,15 +116,23 @@
   const auto found = entries_.find(key);
   if (found == entries_.end()) {
     if (!MakeRoom()) return false;
-    entries_[key] =
-        Entry{record.crashes, 1, now + remaining, crashed_at, crashed_at};
+    Entry& added = entries_[key];
+    added.crashes = record.crashes;
+    added.expires = now + remaining;
+    added.last_crash = crashed_at;
+    added.suspected = crashed_at;
     return true;
   }
   Entry& entry = found->second;
-  if (is_report) ++entry.reported_crashes;
+  if (is_report) {
+    const bool is_old = crashed_at - entry.last_crash > kInFlightOnlyLifetime;
+    entry.reported_crashes = is_old ? 1 : entry.reported_crashes + 1;
+  }
   if (record.crashes > entry.crashes) {
-    entry = Entry{record.crashes, entry.reported_crashes, now + remaining,
-                  std::max(entry.last_crash, crashed_at), crashed_at};
+    entry.crashes = record.crashes;
+    entry.expires = now + remaining;
+    entry.last_crash = std::max(entry.last_crash, crashed_at);
+    entry.suspected = crashed_at;
     return true;
   }
   if (!is_report && crashed_at < entry.last_crash + kSameCrash) return false;
@@ -136,6 +148,35 @@
   for (auto it = entries_.begin(); it != entries_.end();) {
     it = it->second.expires <= now ? entries_.erase(it) : std::next(it);
   }
+  for (auto it = crashes_.begin(); it != crashes_.end();) {
+    const bool has_recent = CrashesOfService(it->first, now) > 0;
+    it = has_recent ? std::next(it) : crashes_.erase(it);
+  }
+}
+
+void QuarantineList::CountCrash(const std::string& service,
+                                const std::string& reporter, TimePoint now) {
+  std::vector<ReportedCrash>& crashes = crashes_[service];
+  crashes.erase(std::remove_if(crashes.begin(), crashes.end(),
+                               [&](const ReportedCrash& crash) {
+                                 return now - crash.at > kInFlightOnlyLifetime;
+                               }),
+                crashes.end());
+  for (const ReportedCrash& crash : crashes) {
+    if (crash.reporter == reporter && now - crash.at < kSameCrash) return;
+  }
+  crashes.push_back({reporter, now});
+}
+
+uint32_t QuarantineList::CrashesOfService(const std::string& service,
+                                          TimePoint now) const {
+  const auto found = crashes_.find(service);
+  if (found == crashes_.end()) return 0;
+  return static_cast<uint32_t>(
+      std::count_if(found->second.begin(), found->second.end(),
+                    [&](const ReportedCrash& crash) {
+                      return now - crash.at <= kInFlightOnlyLifetime;
+                    }));
 }
 
 std::optional<TimePoint> QuarantineList::LastCrashOf(
@@ -166,6 +207,36 @@
   return found == entries_.end() ? 0 : found->second.crashes;
 }
 
+void QuarantineList::OnNews(const SuspectNews& news, TimePoint now) {
+  const auto found = entries_.find({news.service, news.fingerprint});
+  if (found == entries_.end()) return;
+  Entry& entry = found->second;
+  entry.runs_until =
+      news.event == SuspectEvent::kStarted ? now + news.remaining : now;
+  if (news.event != SuspectEvent::kAnswered || !IsClearable(entry)) return;
+  entry.cleared = now;
+  ++entry.clearings;
+}
+
+bool QuarantineList::IsRunning(const std::string& service, uint64_t fingerprint,
+                               TimePoint now) const {
+  const auto found = entries_.find({service, fingerprint});
+  return found != entries_.end() && now < found->second.runs_until;
+}
+
+bool QuarantineList::CanBeCleared(const std::string& service,
+                                  uint64_t fingerprint) const {
+  const auto found = entries_.find({service, fingerprint});
+  return found != entries_.end() && IsClearable(found->second);
+}
+
+std::optional<TimePoint> QuarantineList::ClearedAt(const std::string& service,
+                                                   uint64_t fingerprint) const {
+  const auto found = entries_.find({service, fingerprint});
+  if (found == entries_.end()) return std::nullopt;
+  return found->second.cleared;
+}
+
 std::vector<QuarantineRecord> QuarantineList::All(TimePoint now) const {
   std::vector<QuarantineRecord> records;
   records.reserve(entries_.size());
--- a/src/libnode/membership/membership_updates.h
+++ b/src/libnode/membership/membership_updates.h
@@ -24,6 +24,7 @@
 // Return upper bounds of the encoded size in bytes (Thrift compact protocol).
 size_t EncodedSize(const MemberRecord& record);
 size_t EncodedSize(const QuarantineRecord& record);
+size_t EncodedSize(const SuspectNews& news);
 inline constexpr size_t kGossipHeaderSize = 160;
 // Number of records of a typical size that fit next to the sender's own.
 inline constexpr size_t kTypicalUpdatesPerDatagram = 5;
@@ -81,8 +82,14 @@
   bool Add(const QuarantineRecord& record, TimePoint now);
   void Expire(TimePoint now);
   uint32_t CrashesOf(const std::string& service, uint64_t fingerprint) const;
+  // Counts a crash of the service that `reporter`, the node beside the server,
+  // reports; once for all reports of one crash.
+  void CountCrash(const std::string& service, const std::string& reporter,
+                  TimePoint now);
+  // Returns the number of crashes of the service within the last half minute.
+  uint32_t CrashesOfService(const std::string& service, TimePoint now) const;
   // Returns the number of reported crashes at which the fingerprint was in
-  // flight.
+  // flight, without those before a half minute without any.
   uint32_t ReportedCrashesOf(const std::string& service,
                              uint64_t fingerprint) const;
   // Returns the time of the last known crash, by this node's clock; nullopt if
@@ -93,6 +100,19 @@
   // nullopt if it is no suspect.
   std::optional<TimePoint> SuspectedAt(const std::string& service,
                                        uint64_t fingerprint) const;
+  // Records news of a run of a suspect. Ignored if the fingerprint is not
+  // known.
+  void OnNews(const SuspectNews& news, TimePoint now);
+  // Returns whether a run of the suspect has started somewhere and not ended.
+  bool IsRunning(const std::string& service, uint64_t fingerprint,
+                 TimePoint now) const;
+  // Returns whether news of an answer would clear the fingerprint: it is a
+  // suspect, and was not suspected again after such news kMaxClearings times.
+  bool CanBeCleared(const std::string& service, uint64_t fingerprint) const;
+  // Returns the time of the news that cleared the fingerprint last; nullopt if
+  // there was none.
+  std::optional<TimePoint> ClearedAt(const std::string& service,
+                                     uint64_t fingerprint) const;
   std::vector<QuarantineRecord> All(TimePoint now) const;
   // Returns the next suspects and quarantined fingerprints in round-robin
   // order, so that all are sent repeatedly.
@@ -108,12 +128,29 @@
     TimePoint expires{};
     TimePoint last_crash{};
     TimePoint suspected{};  // if it is a suspect
+    TimePoint runs_until{};
+    std::optional<TimePoint> cleared = std::nullopt;
+    int clearings = 0;
   };
   using Key = std::pair<std::string, uint64_t>;
+  struct ReportedCrash {
+    std::string reporter;
+    TimePoint at{};
+  };
+
+  // A server that survives the request among others that it crashes would clear
+  // it again and again.
+  static constexpr int kMaxClearings = 1;
 
+  static bool IsClearable(const Entry& entry) {
+    return entry.crashes == kSuspectCrashes &&
+           entry.clearings < kMaxClearings &&
+           (!entry.cleared || *entry.cleared <= entry.suspected);
+  }
   bool MakeRoom();
 
   std::map<Key, Entry> entries_;
+  std::map<std::string, std::vector<ReportedCrash>> crashes_;  // by service
   size_t position_ = 0;
 };
 
--- a/src/libnode/membership/quarantine_list_test.cc
+++ b/src/libnode/membership/quarantine_list_test.cc
@@ -84,4 +84,52 @@
   CHECK(list.Next(4, start).empty());
 }
 
+// Guards against evidence of two servers that is taken for one crash, because
+// they crash at nearly the same time.
+TEST(QuarantineList, ReportsOfCrashesAreCounted) {
+  CHECK_EQUAL(0u, list.ReportedCrashesOf("proofing", 7));
+  list.Add({"proofing", 7, kInFlightOnly}, start);
+  CHECK(list.Add({"proofing", 7, kSuspectCrashes}, start));
+  const std::vector<QuarantineRecord> gossip = list.All(start);
+  list.Add(gossip.front(), start + std::chrono::seconds(1));
+  CHECK_EQUAL(2u, list.ReportedCrashesOf("proofing", 7));
+}
+
+TEST(QuarantineList, CrashesOfAServiceAreCountedOnceEach) {
+  list.CountCrash("proofing", "a", start);
+  list.CountCrash("proofing", "a", start + std::chrono::milliseconds(2));
+  list.CountCrash("proofing", "b", start + std::chrono::milliseconds(2));
+  list.CountCrash("imagery", "a", start);
+  const TimePoint later = start + std::chrono::seconds(1);
+  CHECK_EQUAL(2u, list.CrashesOfService("proofing", later));
+  CHECK_EQUAL(
+      0u, list.CrashesOfService("proofing", start + std::chrono::seconds(31)));
+}
+
+TEST(QuarantineList, ARunOfASuspectEndsWithNewsOrInTime) {
+  list.Add({"proofing", 7, kSuspectCrashes}, start);
+  const SuspectNews started{"proofing", 7, SuspectEvent::kStarted,
+                            std::chrono::seconds(2)};
+  list.OnNews(started, start);
+  CHECK(list.IsRunning("proofing", 7, start + std::chrono::seconds(1)));
+  CHECK_FALSE(list.IsRunning("proofing", 7, start + std::chrono::seconds(2)));
+  list.OnNews({"proofing", 7, SuspectEvent::kEnded}, start);
+  CHECK_FALSE(list.IsRunning("proofing", 7, start));
+  CHECK_FALSE(list.ClearedAt("proofing", 7).has_value());
+}
+
+// Guards against a request that crashes most servers and is cleared each time
+// by one that survives it.
+TEST(QuarantineList, NewsOfAnAnswerClearsASuspectOnce) {
+  TimePoint now = start;
+  for (int crash = 0; crash < 3; ++crash) {
+    list.Add({"proofing", 7, kSuspectCrashes}, now);
+    now += std::chrono::seconds(1);
+    CHECK_EQUAL(crash < 1, list.CanBeCleared("proofing", 7));
+    list.OnNews({"proofing", 7, SuspectEvent::kAnswered}, now);
+    CHECK_EQUAL(crash < 1, list.ClearedAt("proofing", 7) == now);
+    now += std::chrono::seconds(1);
+  }
+}
+
 }  // namespace amaranth::pvt
--- a/src/libnode/repeated_pages_test.cc
+++ b/src/libnode/repeated_pages_test.cc
@@ -196,4 +196,14 @@
   CHECK_EQUAL(0u, shed_at_entry);
 }
 
+// Guards against a service of many servers that stays slow because each node
+// runs each suspect alone for itself.
+TEST(RepeatedPages, AnAnswerClearsASuspectAtAllNodes) {
+  load.hosts = 40;
+  load.callers = 500;
+  Play();
+  CHECK(RateAfterwards() > kRecoveredShare);
+  CHECK(poison_runs.size() <= kCrashesToRecognise + 1);
+}
+
 }  // namespace amaranth::pvt
--- a/src/libnode/serving/serving_results.cc
+++ b/src/libnode/serving/serving_results.cc
@@ -85,6 +85,7 @@
   if (ran) {
     crash_guard_.OnSurvived(hop.context.fingerprint, context.now);
     answered_.Insert(hop.context.fingerprint, context.now);
+    TellAnswered(hop, context);
   }
   Answer(hop, replied.response, context);
   const auto found = servers_.find(hop.server);
@@ -239,7 +240,9 @@
   for (const uint64_t fingerprint : in_flight) {
     candidates.push_back(CandidateOf(service, fingerprint, context.now));
   }
-  CrashDecision decision = DecideCrash(std::move(candidates));
+  CrashDecision decision =
+      DecideCrash(std::move(candidates),
+                  membership_.CrashesOfService(service, context.now));
   const bool alone =
       decision.suspects.size() == 1 && decision.unsuspected.empty();
   if (alone) AddCrashAlone(decision, context.now);
@@ -295,6 +298,19 @@
               "A suspected request ended at backend server " + hop.server +
                   ": " + FingerprintLabel(hop.context.fingerprint) +
                   " result=" + result);
+  membership_.AddSuspectNews(
+      {hop.context.service, hop.context.fingerprint, SuspectEvent::kEnded},
+      context);
+}
+
+void ServingRole::TellAnswered(const Hop& hop, Context& context) {
+  const std::string& service = hop.context.service;
+  const uint64_t fingerprint = hop.context.fingerprint;
+  if (!membership_.CanBeCleared(service, fingerprint)) return;
+  // A run from before the crash may have met other data behind the page.
+  if (hop.dispatched <= *membership_.SuspectedAt(service, fingerprint)) return;
+  membership_.AddSuspectNews({service, fingerprint, SuspectEvent::kAnswered},
+                             context);
 }
 
 void ServingRole::RefuseAll(const std::vector<QueuedCall>& calls, Reason reason,
--- a/src/libnode/serving/serving_role.cc
+++ b/src/libnode/serving/serving_role.cc
@@ -20,6 +20,10 @@
 // the next pause, or is refused as not run at its deadline.
 constexpr Duration kMaxPause = std::chrono::milliseconds(200);
 
+// Time after which other nodes may run a suspect although the end of its run at
+// this one is not known.
+constexpr Duration kMaxSuspectRun = std::chrono::seconds(2);
+
 // A call that enters the mesh at its server and can wait for this long needs no
 // precedence: its wait is longer than any that a queue holds.
 constexpr Duration kAmpleSlack = std::chrono::seconds(1);
@@ -96,7 +100,8 @@
     return CrashGuard::Handling::kQuarantined;
   }
   const std::optional<TimePoint> answer =
-      answered_.LastAnswer(fingerprint, now);
+      std::max(answered_.LastAnswer(fingerprint, now),
+               membership_.ClearedAt(service, fingerprint));
   const std::optional<TimePoint> suspected =
       membership_.SuspectedAt(service, fingerprint);
   const bool lost_by_this_call = hop.context.suspected_crashes > 0;
@@ -275,7 +280,13 @@
 void ServingRole::DispatchSuspect(LocalServer& server, Context& context) {
   if (server.suspect_in_flight) return;
   ReviewWaitingSuspects(server, context);
-  if (server.waiting_suspects.empty()) {
+  std::deque<uint64_t>& waiting = server.waiting_suspects;
+  const auto next = std::find_if(waiting.begin(), waiting.end(), [&](auto id) {
+    const CallContext& call = hops_.at(id).context;
+    return !membership_.IsSuspectRunning(call.service, call.fingerprint,
+                                         context.now);
+  });
+  if (next == waiting.end()) {
     server.paused_since = kNever;
     return;
   }
@@ -287,18 +298,29 @@
     if (too_long) EndPause(server, context.now);
     return;
   }
-  Hop& hop = hops_.at(server.waiting_suspects.front());
-  server.waiting_suspects.pop_front();
+  Hop& hop = hops_.at(*next);
+  waiting.erase(next);
+  StartSuspectRun(hop, server, context);
+}
+
+void ServingRole::StartSuspectRun(Hop& hop, LocalServer& server,
+                                  Context& context) {
   hop.EndSuspectWait(context.now);
   hop.is_suspect = true;
   server.suspect_in_flight = true;
+  const CallContext& call = hop.context;
   const Duration waited = context.now - hop.arrived;
   stats_.Observe("node", "suspect", "dispatched", waited);
   context.Log(LogLevel::kInfo, kPart,
               "Runs a suspected request alone at backend server " + hop.server +
-                  ": " + FingerprintLabel(hop.context.fingerprint) +
+                  ": " + FingerprintLabel(call.fingerprint) +
                   " waited_ms=" + std::to_string(ToMillis(waited)));
   Dispatch(hop, server, context);
+  const Duration time_left = hop.timeout_at - context.now;
+  membership_.AddSuspectNews(
+      {call.service, call.fingerprint, SuspectEvent::kStarted,
+       std::min(time_left, kMaxSuspectRun)},
+      context);
 }
 
 void ServingRole::ReviewWaitingSuspects(LocalServer& server, Context& context) {
--- a/src/libnode/serving/serving_role.h
+++ b/src/libnode/serving/serving_role.h
@@ -91,6 +91,10 @@
 
   void DispatchWaiting(LocalServer& server, Context& context);
   void DispatchSuspect(LocalServer& server, Context& context);
+  void StartSuspectRun(Hop& hop, LocalServer& server, Context& context);
+  // Tells the other nodes that a request suspected of a crash was answered,
+  // unless they know.
+  void TellAnswered(const Hop& hop, Context& context);
   // Refuses waiting suspects that are quarantined by now, and queues those that
   // were cleared by an answer to another call as ordinary calls.
   void ReviewWaitingSuspects(LocalServer& server, Context& context);
--- a/src/libpolicy/crash_evidence.cc
+++ b/src/libpolicy/crash_evidence.cc
@@ -6,6 +6,10 @@
 namespace amaranth {
 namespace {
 
+// Earlier crashes, with the same request in flight at all of them, after which
+// one with others in flight may convict it.
+constexpr uint32_t kEarlierCrashesToConvict = 2;
+
 std::vector<CrashCandidate> Unique(std::vector<CrashCandidate> candidates) {
   std::sort(candidates.begin(), candidates.end(),
             [](const CrashCandidate& a, const CrashCandidate& b) {
@@ -36,7 +40,8 @@
 
 }  // namespace
 
-CrashDecision DecideCrash(std::vector<CrashCandidate> in_flight) {
+CrashDecision DecideCrash(std::vector<CrashCandidate> in_flight,
+                          uint32_t earlier_crashes) {
   const std::vector<CrashCandidate> candidates = Unique(std::move(in_flight));
   const bool alone = candidates.size() == 1;
   const uint32_t max_crashes = MaxEarlierCrashes(candidates);
@@ -55,8 +60,11 @@
       unanswered.push_back(candidate.fingerprint);
     }
   }
-  if (alone && max_crashes > 0) {
-    decision.convicted = std::move(unanswered);
+  const bool at_all_crashes =
+      max_crashes >= earlier_crashes && max_crashes >= kEarlierCrashesToConvict;
+  const bool one_in_question = answered.size() + unanswered.size() == 1;
+  if (one_in_question && (at_all_crashes || (alone && max_crashes > 0))) {
+    decision.convicted = unanswered.empty() ? answered : unanswered;
     return decision;
   }
   std::vector<uint64_t>& in_question =
--- a/src/libutil/fields.h
+++ b/src/libutil/fields.h
@@ -116,6 +116,10 @@
   return std::tie(v.service, v.fingerprint, v.crashes, v.remaining);
 }
 
+inline auto Fields(const SuspectNews& v) {
+  return std::tie(v.service, v.fingerprint, v.event, v.remaining);
+}
+
 inline auto Fields(const MemberSync& v) {
   return std::tie(v.reply_wanted, v.bucket_hashes, v.members, v.quarantines,
                   v.settings_version);
@@ -124,8 +128,8 @@
 inline auto Fields(const GossipMessage& v) {
   return std::tie(v.kind, v.from, v.from_address, v.sequence, v.target,
                   v.target_address, v.settings_version, v.settings_confirmed_at,
-                  v.platform_epoch, v.membership_hash, v.updates,
-                  v.quarantines);
+                  v.platform_epoch, v.membership_hash, v.updates, v.quarantines,
+                  v.suspect_news);
 }
 
 inline auto Fields(const TableClaimRows& v) { return std::tie(v.rows); }
@@ -266,6 +270,7 @@
 inline const char* TypeName(const QuarantineRecord&) {
   return "QuarantineRecord";
 }
+inline const char* TypeName(const SuspectNews&) { return "SuspectNews"; }
 inline const char* TypeName(const MemberSync&) { return "MemberSync"; }
 inline const char* TypeName(const GossipMessage&) { return "GossipMessage"; }
 inline const char* TypeName(const TableClaimRows&) { return "TableClaimRows"; }
--- a/src/libutil/messages.cc
+++ b/src/libutil/messages.cc
@@ -101,6 +101,10 @@
   return pvt::Fields(a) == pvt::Fields(b);
 }
 
+bool operator==(const SuspectNews& a, const SuspectNews& b) {
+  return pvt::Fields(a) == pvt::Fields(b);
+}
+
 bool operator==(const MemberSync& a, const MemberSync& b) {
   return pvt::Fields(a) == pvt::Fields(b);
 }
--- a/src/libwire/amaranth.thrift
+++ b/src/libwire/amaranth.thrift
@@ -252,6 +252,13 @@
   4: required i64 remaining_us
 }
 
+struct SuspectNews {
+  1: required string service_name,
+  2: required i64 fingerprint,
+  3: required i32 event,
+  4: required i64 remaining_us
+}
+
 struct MemberSync {
   1: required bool reply_wanted,
   2: required list<MemberRecord> members,
@@ -273,5 +280,6 @@
   10: required list<QuarantineRecord> quarantines,
   // 11 was the age of the confirmation, which is not comparable between nodes.
   12: optional i64 platform_epoch,
-  13: optional i64 settings_confirmed_at_us  // on the platform's clock
+  13: optional i64 settings_confirmed_at_us,  // on the platform's clock
+  14: optional list<SuspectNews> suspect_news
 }
--- a/src/libwire/from_wire.cc
+++ b/src/libwire/from_wire.cc
@@ -184,6 +184,13 @@
   out.remaining = Duration(in.remaining_us);
 }
 
+void FromWire(wire::SuspectNews& in, SuspectNews& out, RangeCheck& check) {
+  out.service = std::move(in.service_name);
+  out.fingerprint = Unsigned(in.fingerprint);
+  out.event = check.ToEnum(in.event, SuspectEvent::kAnswered, "event");
+  out.remaining = check.ToDuration(in.remaining_us, "remaining_us");
+}
+
 template <typename In, typename Out>
 void FromWireList(std::vector<In>& in, std::vector<Out>& out,
                   RangeCheck& check) {
@@ -316,6 +323,9 @@
   }
   FromWireList(in.updates, out.updates, check);
   FromWireList(in.quarantines, out.quarantines, check);
+  if (in.__isset.suspect_news) {
+    FromWireList(in.suspect_news, out.suspect_news, check);
+  }
 }
 
 }  // namespace amaranth::pvt
--- a/src/libwire/gen-cpp/amaranth_types.cpp
+++ b/src/libwire/gen-cpp/amaranth_types.cpp
@@ -5810,6 +5810,180 @@
 }
 
 
+SuspectNews::~SuspectNews() noexcept {
+}
+
+
+void SuspectNews::__set_service_name(const std::string& val) {
+  this->service_name = val;
+}
+
+void SuspectNews::__set_fingerprint(const int64_t val) {
+  this->fingerprint = val;
+}
+
+void SuspectNews::__set_event(const int32_t val) {
+  this->event = val;
+}
+
+void SuspectNews::__set_remaining_us(const int64_t val) {
+  this->remaining_us = val;
+}
+std::ostream& operator<<(std::ostream& out, const SuspectNews& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SuspectNews::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_service_name = false;
+  bool isset_fingerprint = false;
+  bool isset_event = false;
+  bool isset_remaining_us = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_name);
+          isset_service_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fingerprint);
+          isset_fingerprint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->event);
+          isset_event = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->remaining_us);
+          isset_remaining_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_service_name)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_fingerprint)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_event)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_remaining_us)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t SuspectNews::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SuspectNews");
+
+  xfer += oprot->writeFieldBegin("service_name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->service_name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->fingerprint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("event", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->event);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("remaining_us", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->remaining_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SuspectNews &a, SuspectNews &b) {
+  using ::std::swap;
+  swap(a.service_name, b.service_name);
+  swap(a.fingerprint, b.fingerprint);
+  swap(a.event, b.event);
+  swap(a.remaining_us, b.remaining_us);
+}
+
+SuspectNews::SuspectNews(const SuspectNews& other166) {
+  service_name = other166.service_name;
+  fingerprint = other166.fingerprint;
+  event = other166.event;
+  remaining_us = other166.remaining_us;
+}
+SuspectNews::SuspectNews(SuspectNews&& other167) noexcept {
+  service_name = std::move(other167.service_name);
+  fingerprint = other167.fingerprint;
+  event = other167.event;
+  remaining_us = other167.remaining_us;
+}
+SuspectNews& SuspectNews::operator=(const SuspectNews& other168) {
+  service_name = other168.service_name;
+  fingerprint = other168.fingerprint;
+  event = other168.event;
+  remaining_us = other168.remaining_us;
+  return *this;
+}
+SuspectNews& SuspectNews::operator=(SuspectNews&& other169) noexcept {
+  service_name = std::move(other169.service_name);
+  fingerprint = other169.fingerprint;
+  event = other169.event;
+  remaining_us = other169.remaining_us;
+  return *this;
+}
+void SuspectNews::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SuspectNews(";
+  out << "service_name=" << to_string(service_name);
+  out << ", " << "fingerprint=" << to_string(fingerprint);
+  out << ", " << "event=" << to_string(event);
+  out << ", " << "remaining_us=" << to_string(remaining_us);
+  out << ")";
+}
+
+
 MemberSync::~MemberSync() noexcept {
 }
 
@@ -5878,14 +6052,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size166;
-            ::apache::thrift::protocol::TType _etype169;
-            xfer += iprot->readListBegin(_etype169, _size166);
-            this->members.resize(_size166);
-            uint32_t _i170;
-            for (_i170 = 0; _i170 < _size166; ++_i170)
+            uint32_t _size170;
+            ::apache::thrift::protocol::TType _etype173;
+            xfer += iprot->readListBegin(_etype173, _size170);
+            this->members.resize(_size170);
+            uint32_t _i174;
+            for (_i174 = 0; _i174 < _size170; ++_i174)
             {
-              xfer += this->members[_i170].read(iprot);
+              xfer += this->members[_i174].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5898,14 +6072,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quarantines.clear();
-            uint32_t _size171;
-            ::apache::thrift::protocol::TType _etype174;
-            xfer += iprot->readListBegin(_etype174, _size171);
-            this->quarantines.resize(_size171);
-            uint32_t _i175;
-            for (_i175 = 0; _i175 < _size171; ++_i175)
+            uint32_t _size175;
+            ::apache::thrift::protocol::TType _etype178;
+            xfer += iprot->readListBegin(_etype178, _size175);
+            this->quarantines.resize(_size175);
+            uint32_t _i179;
+            for (_i179 = 0; _i179 < _size175; ++_i179)
             {
-              xfer += this->quarantines[_i175].read(iprot);
+              xfer += this->quarantines[_i179].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5926,14 +6100,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->bucket_hashes.clear();
-            uint32_t _size176;
-            ::apache::thrift::protocol::TType _etype179;
-            xfer += iprot->readListBegin(_etype179, _size176);
-            this->bucket_hashes.resize(_size176);
-            uint32_t _i180;
-            for (_i180 = 0; _i180 < _size176; ++_i180)
+            uint32_t _size180;
+            ::apache::thrift::protocol::TType _etype183;
+            xfer += iprot->readListBegin(_etype183, _size180);
+            this->bucket_hashes.resize(_size180);
+            uint32_t _i184;
+            for (_i184 = 0; _i184 < _size180; ++_i184)
             {
-              xfer += iprot->readI32(this->bucket_hashes[_i180]);
+              xfer += iprot->readI32(this->bucket_hashes[_i184]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5976,10 +6150,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<MemberRecord> ::const_iterator _iter181;
-    for (_iter181 = this->members.begin(); _iter181 != this->members.end(); ++_iter181)
+    std::vector<MemberRecord> ::const_iterator _iter185;
+    for (_iter185 = this->members.begin(); _iter185 != this->members.end(); ++_iter185)
     {
-      xfer += (*_iter181).write(oprot);
+      xfer += (*_iter185).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5988,10 +6162,10 @@
   xfer += oprot->writeFieldBegin("quarantines", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantines.size()));
-    std::vector<QuarantineRecord> ::const_iterator _iter182;
-    for (_iter182 = this->quarantines.begin(); _iter182 != this->quarantines.end(); ++_iter182)
+    std::vector<QuarantineRecord> ::const_iterator _iter186;
+    for (_iter186 = this->quarantines.begin(); _iter186 != this->quarantines.end(); ++_iter186)
     {
-      xfer += (*_iter182).write(oprot);
+      xfer += (*_iter186).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6004,10 +6178,10 @@
   xfer += oprot->writeFieldBegin("bucket_hashes", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->bucket_hashes.size()));
-    std::vector<int32_t> ::const_iterator _iter183;
-    for (_iter183 = this->bucket_hashes.begin(); _iter183 != this->bucket_hashes.end(); ++_iter183)
+    std::vector<int32_t> ::const_iterator _iter187;
+    for (_iter187 = this->bucket_hashes.begin(); _iter187 != this->bucket_hashes.end(); ++_iter187)
     {
-      xfer += oprot->writeI32((*_iter183));
+      xfer += oprot->writeI32((*_iter187));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6027,34 +6201,34 @@
   swap(a.bucket_hashes, b.bucket_hashes);
 }
 
-MemberSync::MemberSync(const MemberSync& other184) {
-  reply_wanted = other184.reply_wanted;
-  members = other184.members;
-  quarantines = other184.quarantines;
-  settings_version = other184.settings_version;
-  bucket_hashes = other184.bucket_hashes;
-}
-MemberSync::MemberSync(MemberSync&& other185) noexcept {
-  reply_wanted = other185.reply_wanted;
-  members = std::move(other185.members);
-  quarantines = std::move(other185.quarantines);
-  settings_version = other185.settings_version;
-  bucket_hashes = std::move(other185.bucket_hashes);
-}
-MemberSync& MemberSync::operator=(const MemberSync& other186) {
-  reply_wanted = other186.reply_wanted;
-  members = other186.members;
-  quarantines = other186.quarantines;
-  settings_version = other186.settings_version;
-  bucket_hashes = other186.bucket_hashes;
+MemberSync::MemberSync(const MemberSync& other188) {
+  reply_wanted = other188.reply_wanted;
+  members = other188.members;
+  quarantines = other188.quarantines;
+  settings_version = other188.settings_version;
+  bucket_hashes = other188.bucket_hashes;
+}
+MemberSync::MemberSync(MemberSync&& other189) noexcept {
+  reply_wanted = other189.reply_wanted;
+  members = std::move(other189.members);
+  quarantines = std::move(other189.quarantines);
+  settings_version = other189.settings_version;
+  bucket_hashes = std::move(other189.bucket_hashes);
+}
+MemberSync& MemberSync::operator=(const MemberSync& other190) {
+  reply_wanted = other190.reply_wanted;
+  members = other190.members;
+  quarantines = other190.quarantines;
+  settings_version = other190.settings_version;
+  bucket_hashes = other190.bucket_hashes;
   return *this;
 }
-MemberSync& MemberSync::operator=(MemberSync&& other187) noexcept {
-  reply_wanted = other187.reply_wanted;
-  members = std::move(other187.members);
-  quarantines = std::move(other187.quarantines);
-  settings_version = other187.settings_version;
-  bucket_hashes = std::move(other187.bucket_hashes);
+MemberSync& MemberSync::operator=(MemberSync&& other191) noexcept {
+  reply_wanted = other191.reply_wanted;
+  members = std::move(other191.members);
+  quarantines = std::move(other191.quarantines);
+  settings_version = other191.settings_version;
+  bucket_hashes = std::move(other191.bucket_hashes);
   return *this;
 }
 void MemberSync::printTo(std::ostream& out) const {
@@ -6122,6 +6296,11 @@
   this->settings_confirmed_at_us = val;
 __isset.settings_confirmed_at_us = true;
 }
+
+void Gossip::__set_suspect_news(const std::vector<SuspectNews> & val) {
+  this->suspect_news = val;
+__isset.suspect_news = true;
+}
 std::ostream& operator<<(std::ostream& out, const Gossip& obj)
 {
   obj.printTo(out);
@@ -6228,14 +6407,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->updates.clear();
-            uint32_t _size188;
-            ::apache::thrift::protocol::TType _etype191;
-            xfer += iprot->readListBegin(_etype191, _size188);
-            this->updates.resize(_size188);
-            uint32_t _i192;
-            for (_i192 = 0; _i192 < _size188; ++_i192)
+            uint32_t _size192;
+            ::apache::thrift::protocol::TType _etype195;
+            xfer += iprot->readListBegin(_etype195, _size192);
+            this->updates.resize(_size192);
+            uint32_t _i196;
+            for (_i196 = 0; _i196 < _size192; ++_i196)
             {
-              xfer += this->updates[_i192].read(iprot);
+              xfer += this->updates[_i196].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6248,14 +6427,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quarantines.clear();
-            uint32_t _size193;
-            ::apache::thrift::protocol::TType _etype196;
-            xfer += iprot->readListBegin(_etype196, _size193);
-            this->quarantines.resize(_size193);
-            uint32_t _i197;
-            for (_i197 = 0; _i197 < _size193; ++_i197)
+            uint32_t _size197;
+            ::apache::thrift::protocol::TType _etype200;
+            xfer += iprot->readListBegin(_etype200, _size197);
+            this->quarantines.resize(_size197);
+            uint32_t _i201;
+            for (_i201 = 0; _i201 < _size197; ++_i201)
             {
-              xfer += this->quarantines[_i197].read(iprot);
+              xfer += this->quarantines[_i201].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6280,6 +6459,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->suspect_news.clear();
+            uint32_t _size202;
+            ::apache::thrift::protocol::TType _etype205;
+            xfer += iprot->readListBegin(_etype205, _size202);
+            this->suspect_news.resize(_size202);
+            uint32_t _i206;
+            for (_i206 = 0; _i206 < _size202; ++_i206)
+            {
+              xfer += this->suspect_news[_i206].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.suspect_news = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6352,10 +6551,10 @@
   xfer += oprot->writeFieldBegin("updates", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->updates.size()));
-    std::vector<MemberRecord> ::const_iterator _iter198;
-    for (_iter198 = this->updates.begin(); _iter198 != this->updates.end(); ++_iter198)
+    std::vector<MemberRecord> ::const_iterator _iter207;
+    for (_iter207 = this->updates.begin(); _iter207 != this->updates.end(); ++_iter207)
     {
-      xfer += (*_iter198).write(oprot);
+      xfer += (*_iter207).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6364,10 +6563,10 @@
   xfer += oprot->writeFieldBegin("quarantines", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantines.size()));
-    std::vector<QuarantineRecord> ::const_iterator _iter199;
-    for (_iter199 = this->quarantines.begin(); _iter199 != this->quarantines.end(); ++_iter199)
+    std::vector<QuarantineRecord> ::const_iterator _iter208;
+    for (_iter208 = this->quarantines.begin(); _iter208 != this->quarantines.end(); ++_iter208)
     {
-      xfer += (*_iter199).write(oprot);
+      xfer += (*_iter208).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6383,6 +6582,19 @@
     xfer += oprot->writeI64(this->settings_confirmed_at_us);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.suspect_news) {
+    xfer += oprot->writeFieldBegin("suspect_news", ::apache::thrift::protocol::T_LIST, 14);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspect_news.size()));
+      std::vector<SuspectNews> ::const_iterator _iter209;
+      for (_iter209 = this->suspect_news.begin(); _iter209 != this->suspect_news.end(); ++_iter209)
+      {
+        xfer += (*_iter209).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6402,69 +6614,74 @@
   swap(a.quarantines, b.quarantines);
   swap(a.platform_epoch, b.platform_epoch);
   swap(a.settings_confirmed_at_us, b.settings_confirmed_at_us);
+  swap(a.suspect_news, b.suspect_news);
   swap(a.__isset, b.__isset);
 }
 
-Gossip::Gossip(const Gossip& other200) {
-  kind = other200.kind;
-  source = other200.source;
-  source_address = other200.source_address;
-  sequence = other200.sequence;
-  target = other200.target;
-  target_address = other200.target_address;
-  settings_version = other200.settings_version;
-  membership_hash = other200.membership_hash;
-  updates = other200.updates;
-  quarantines = other200.quarantines;
-  platform_epoch = other200.platform_epoch;
-  settings_confirmed_at_us = other200.settings_confirmed_at_us;
-  __isset = other200.__isset;
-}
-Gossip::Gossip(Gossip&& other201) noexcept {
-  kind = other201.kind;
-  source = std::move(other201.source);
-  source_address = std::move(other201.source_address);
-  sequence = other201.sequence;
-  target = std::move(other201.target);
-  target_address = std::move(other201.target_address);
-  settings_version = other201.settings_version;
-  membership_hash = other201.membership_hash;
-  updates = std::move(other201.updates);
-  quarantines = std::move(other201.quarantines);
-  platform_epoch = other201.platform_epoch;
-  settings_confirmed_at_us = other201.settings_confirmed_at_us;
-  __isset = other201.__isset;
-}
-Gossip& Gossip::operator=(const Gossip& other202) {
-  kind = other202.kind;
-  source = other202.source;
-  source_address = other202.source_address;
-  sequence = other202.sequence;
-  target = other202.target;
-  target_address = other202.target_address;
-  settings_version = other202.settings_version;
-  membership_hash = other202.membership_hash;
-  updates = other202.updates;
-  quarantines = other202.quarantines;
-  platform_epoch = other202.platform_epoch;
-  settings_confirmed_at_us = other202.settings_confirmed_at_us;
-  __isset = other202.__isset;
+Gossip::Gossip(const Gossip& other210) {
+  kind = other210.kind;
+  source = other210.source;
+  source_address = other210.source_address;
+  sequence = other210.sequence;
+  target = other210.target;
+  target_address = other210.target_address;
+  settings_version = other210.settings_version;
+  membership_hash = other210.membership_hash;
+  updates = other210.updates;
+  quarantines = other210.quarantines;
+  platform_epoch = other210.platform_epoch;
+  settings_confirmed_at_us = other210.settings_confirmed_at_us;
+  suspect_news = other210.suspect_news;
+  __isset = other210.__isset;
+}
+Gossip::Gossip(Gossip&& other211) noexcept {
+  kind = other211.kind;
+  source = std::move(other211.source);
+  source_address = std::move(other211.source_address);
+  sequence = other211.sequence;
+  target = std::move(other211.target);
+  target_address = std::move(other211.target_address);
+  settings_version = other211.settings_version;
+  membership_hash = other211.membership_hash;
+  updates = std::move(other211.updates);
+  quarantines = std::move(other211.quarantines);
+  platform_epoch = other211.platform_epoch;
+  settings_confirmed_at_us = other211.settings_confirmed_at_us;
+  suspect_news = std::move(other211.suspect_news);
+  __isset = other211.__isset;
+}
+Gossip& Gossip::operator=(const Gossip& other212) {
+  kind = other212.kind;
+  source = other212.source;
+  source_address = other212.source_address;
+  sequence = other212.sequence;
+  target = other212.target;
+  target_address = other212.target_address;
+  settings_version = other212.settings_version;
+  membership_hash = other212.membership_hash;
+  updates = other212.updates;
+  quarantines = other212.quarantines;
+  platform_epoch = other212.platform_epoch;
+  settings_confirmed_at_us = other212.settings_confirmed_at_us;
+  suspect_news = other212.suspect_news;
+  __isset = other212.__isset;
   return *this;
 }
-Gossip& Gossip::operator=(Gossip&& other203) noexcept {
-  kind = other203.kind;
-  source = std::move(other203.source);
-  source_address = std::move(other203.source_address);
-  sequence = other203.sequence;
-  target = std::move(other203.target);
-  target_address = std::move(other203.target_address);
-  settings_version = other203.settings_version;
-  membership_hash = other203.membership_hash;
-  updates = std::move(other203.updates);
-  quarantines = std::move(other203.quarantines);
-  platform_epoch = other203.platform_epoch;
-  settings_confirmed_at_us = other203.settings_confirmed_at_us;
-  __isset = other203.__isset;
+Gossip& Gossip::operator=(Gossip&& other213) noexcept {
+  kind = other213.kind;
+  source = std::move(other213.source);
+  source_address = std::move(other213.source_address);
+  sequence = other213.sequence;
+  target = std::move(other213.target);
+  target_address = std::move(other213.target_address);
+  settings_version = other213.settings_version;
+  membership_hash = other213.membership_hash;
+  updates = std::move(other213.updates);
+  quarantines = std::move(other213.quarantines);
+  platform_epoch = other213.platform_epoch;
+  settings_confirmed_at_us = other213.settings_confirmed_at_us;
+  suspect_news = std::move(other213.suspect_news);
+  __isset = other213.__isset;
   return *this;
 }
 void Gossip::printTo(std::ostream& out) const {
@@ -6482,6 +6699,7 @@
   out << ", " << "quarantines=" << to_string(quarantines);
   out << ", " << "platform_epoch="; (__isset.platform_epoch ? (out << to_string(platform_epoch)) : (out << "<null>"));
   out << ", " << "settings_confirmed_at_us="; (__isset.settings_confirmed_at_us ? (out << to_string(settings_confirmed_at_us)) : (out << "<null>"));
+  out << ", " << "suspect_news="; (__isset.suspect_news ? (out << to_string(suspect_news)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libwire/gen-cpp/amaranth_types.h
+++ b/src/libwire/gen-cpp/amaranth_types.h
@@ -109,6 +109,8 @@
 
 class QuarantineRecord;
 
+class SuspectNews;
+
 class MemberSync;
 
 class Gossip;
@@ -2006,6 +2008,63 @@
 std::ostream& operator<<(std::ostream& out, const QuarantineRecord& obj);
 
 
+class SuspectNews : public virtual ::apache::thrift::TBase {
+ public:
+
+  SuspectNews(const SuspectNews&);
+  SuspectNews(SuspectNews&&) noexcept;
+  SuspectNews& operator=(const SuspectNews&);
+  SuspectNews& operator=(SuspectNews&&) noexcept;
+  SuspectNews() noexcept
+              : service_name(),
+                fingerprint(0),
+                event(0),
+                remaining_us(0) {
+  }
+
+  virtual ~SuspectNews() noexcept;
+  std::string service_name;
+  int64_t fingerprint;
+  int32_t event;
+  int64_t remaining_us;
+
+  void __set_service_name(const std::string& val);
+
+  void __set_fingerprint(const int64_t val);
+
+  void __set_event(const int32_t val);
+
+  void __set_remaining_us(const int64_t val);
+
+  bool operator == (const SuspectNews & rhs) const
+  {
+    if (!(service_name == rhs.service_name))
+      return false;
+    if (!(fingerprint == rhs.fingerprint))
+      return false;
+    if (!(event == rhs.event))
+      return false;
+    if (!(remaining_us == rhs.remaining_us))
+      return false;
+    return true;
+  }
+  bool operator != (const SuspectNews &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SuspectNews & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SuspectNews &a, SuspectNews &b);
+
+std::ostream& operator<<(std::ostream& out, const SuspectNews& obj);
+
+
 class MemberSync : public virtual ::apache::thrift::TBase {
  public:
 
@@ -2066,9 +2125,10 @@
 std::ostream& operator<<(std::ostream& out, const MemberSync& obj);
 
 typedef struct _Gossip__isset {
-  _Gossip__isset() : platform_epoch(false), settings_confirmed_at_us(false) {}
+  _Gossip__isset() : platform_epoch(false), settings_confirmed_at_us(false), suspect_news(false) {}
   bool platform_epoch :1;
   bool settings_confirmed_at_us :1;
+  bool suspect_news :1;
 } _Gossip__isset;
 
 class Gossip : public virtual ::apache::thrift::TBase {
@@ -2101,6 +2161,7 @@
   std::vector<QuarantineRecord>  quarantines;
   int64_t platform_epoch;
   int64_t settings_confirmed_at_us;
+  std::vector<SuspectNews>  suspect_news;
 
   _Gossip__isset __isset;
 
@@ -2128,6 +2189,8 @@
 
   void __set_settings_confirmed_at_us(const int64_t val);
 
+  void __set_suspect_news(const std::vector<SuspectNews> & val);
+
   bool operator == (const Gossip & rhs) const
   {
     if (!(kind == rhs.kind))
@@ -2158,6 +2221,10 @@
       return false;
     else if (__isset.settings_confirmed_at_us && !(settings_confirmed_at_us == rhs.settings_confirmed_at_us))
       return false;
+    if (__isset.suspect_news != rhs.__isset.suspect_news)
+      return false;
+    else if (__isset.suspect_news && !(suspect_news == rhs.suspect_news))
+      return false;
     return true;
   }
   bool operator != (const Gossip &rhs) const {
--- a/src/libwire/generators_test.cc
+++ b/src/libwire/generators_test.cc
@@ -135,6 +135,11 @@
   return {AnyName(), Any<uint64_t>(), Any<uint32_t>()};
 }
 
+SuspectNews AnySuspectNews() {
+  return {AnyName(), Any<uint64_t>(), AnyEnum(SuspectEvent::kAnswered),
+          AnyDuration()};
+}
+
 MemberSync AnySync() {
   MemberSync sync;
   sync.reply_wanted = Any<bool>();
@@ -200,6 +205,7 @@
   message.membership_hash = Any<uint64_t>();
   message.updates = AnyList(AnyMember);
   message.quarantines = AnyList(AnyQuarantine);
+  message.suspect_news = AnyList(AnySuspectNews);
   return message;
 }
 
--- a/src/libwire/to_wire.cc
+++ b/src/libwire/to_wire.cc
@@ -42,8 +42,9 @@
 static_assert(kHasFields<ServerRecord, 7>);
 static_assert(kHasFields<MemberRecord, 8>);
 static_assert(kHasFields<QuarantineRecord, 4>);
+static_assert(kHasFields<SuspectNews, 4>);
 static_assert(kHasFields<MemberSync, 5>);
-static_assert(kHasFields<GossipMessage, 12>);
+static_assert(kHasFields<GossipMessage, 13>);
 
 int64_t Signed(uint64_t value) { return static_cast<int64_t>(value); }
 
@@ -56,6 +57,13 @@
   return std::clamp(duration, Duration(0), kMaxWireDuration).count();
 }
 
+void ToWire(const SuspectNews& in, wire::SuspectNews& out) {
+  out.service_name = in.service;
+  out.fingerprint = Signed(in.fingerprint);
+  out.event = ToNumber(in.event);
+  out.remaining_us = in.remaining.count();
+}
+
 template <typename In, typename Out>
 void ToWireList(const std::vector<In>& in, std::vector<Out>& out);
 
@@ -323,6 +331,10 @@
   }
   ToWireList(in.updates, out.updates);
   ToWireList(in.quarantines, out.quarantines);
+  if (!in.suspect_news.empty()) {
+    ToWireList(in.suspect_news, out.suspect_news);
+    out.__isset.suspect_news = true;
+  }
 }
 
 }  // namespace amaranth::pvt
