One server of a service at a time pauses for a suspect

What callers saw: while a suspect waited, every server with a resend of it paused its other calls for up to 200 ms of each 400, and where calls take longer than that the suspect still did not run.

Cause: the pause was shorter than the calls that it waits for, and it began at all servers, as only the run itself was told to the other nodes.

Change: the pause is told like the run. One server of a service may pause at a time, and one more for each 8 servers, for 1 s instead of 200 ms (200 ms where it is the only one). The wait of ordinary calls in a pause is left out of the reported wait, as that of suspects.

--- a/src/libnode/membership/membership.h
+++ b/src/libnode/membership/membership.h
@@ -115,6 +115,10 @@
                         TimePoint now) const {
     return quarantines_.IsRunning(service, fingerprint, now);
   }
+  // Returns the number of suspects of the service that are running somewhere.
+  size_t RunningSuspects(const std::string& service, TimePoint now) const {
+    return quarantines_.RunningOf(service, now);
+  }
   // Returns whether news of an answer would clear the suspect at all nodes.
   bool CanBeCleared(const std::string& service, uint64_t fingerprint) const {
     return quarantines_.CanBeCleared(service, fingerprint);
--- a/src/libnode/membership/membership_updates.cc
+++ b/src/libnode/membership/membership_updates.cc
@@ -224,6 +224,17 @@
   return found != entries_.end() && now < found->second.runs_until;
 }
 
+size_t QuarantineList::RunningOf(const std::string& service,
+                                 TimePoint now) const {
+  const auto begin = entries_.lower_bound({service, 0});
+  size_t running = 0;
+  for (auto it = begin; it != entries_.end() && it->first.first == service;
+       ++it) {
+    if (now < it->second.runs_until) ++running;
+  }
+  return running;
+}
+
 bool QuarantineList::CanBeCleared(const std::string& service,
                                   uint64_t fingerprint) const {
   const auto found = entries_.find({service, fingerprint});
--- a/src/libnode/membership/membership_updates.h
+++ b/src/libnode/membership/membership_updates.h
@@ -106,6 +106,8 @@
   // Returns whether a run of the suspect has started somewhere and not ended.
   bool IsRunning(const std::string& service, uint64_t fingerprint,
                  TimePoint now) const;
+  // Returns the number of fingerprints of the service that are running.
+  size_t RunningOf(const std::string& service, TimePoint now) const;
   // Returns whether news of an answer would clear the fingerprint: it is a
   // suspect, and was not suspected again after such news kMaxClearings times.
   bool CanBeCleared(const std::string& service, uint64_t fingerprint) const;
--- a/src/libnode/serving/hop.h
+++ b/src/libnode/serving/hop.h
@@ -42,7 +42,11 @@
   HopState state = HopState::kQueued;
   bool is_suspect = false;    // dispatched as a suspect, alone at its server
   TimePoint suspect_since{};  // if `state` is kSuspect
-  Duration suspect_wait{0};   // total time in kSuspect before
+  // LocalServer::PausedTime() when the call was queued.
+  Duration paused_before{0};
+  // Time spent as a suspect and in pauses of the server, up to the last change
+  // of `state`.
+  Duration excluded_wait{0};
   bool cancelled = false;
   CreditLedger ledger;
   uint32_t downstream_threshold = 0;
@@ -78,15 +82,16 @@
     state = HopState::kSuspect;
     suspect_since = now;
   }
-  void EndSuspectWait(TimePoint now) { suspect_wait += now - suspect_since; }
+  void EndSuspectWait(TimePoint now) { excluded_wait += now - suspect_since; }
   // Returns how long the call waited for a slot, its nested calls included.
   // Concurrent nested calls wait at the same time, so their sum is limited to
   // the time with nested calls in flight. The wait of a suspect until it can
-  // run alone is no shortage of slots: if it counted, entry nodes would admit
-  // fewer requests although servers are idle.
+  // run alone, and that of other calls meanwhile, is no shortage of slots: if
+  // it counted, entry nodes would admit fewer requests although servers are
+  // idle.
   Duration WaitTime(TimePoint now) const {
     const bool started = dispatched != TimePoint{};
-    Duration queued = (started ? dispatched : now) - arrived - suspect_wait;
+    Duration queued = (started ? dispatched : now) - arrived - excluded_wait;
     if (state == HopState::kSuspect) queued -= now - suspect_since;
     return queued + std::min(nested_wait_time, nested_time);
   }
--- a/src/libnode/serving/local_server.cc
+++ b/src/libnode/serving/local_server.cc
@@ -180,6 +180,12 @@
   return rank_demand_.cut();
 }
 
+void LocalServer::EndPause(TimePoint now) {
+  if (!OrdinaryPaused()) return;
+  ended_pauses_ += now - paused_since_;
+  paused_since_ = kNever;
+}
+
 void LocalServer::OnServed(Duration service_time, TimePoint now) {
   // With a rate limit, the number of slots does not affect the throughput.
   if (uses_slot_search_ && !rate_gate_.limit()) {
--- a/src/libnode/serving/local_server.h
+++ b/src/libnode/serving/local_server.h
@@ -131,14 +131,20 @@
   // caused it.
   std::deque<uint64_t> waiting_suspects;
   bool suspect_in_flight = false;
-  // When calls other than suspects were paused so that a suspect can run alone;
-  // kNever if they are not paused.
-  TimePoint paused_since = kNever;
+  // Fingerprint of the suspect for which calls other than suspects are paused
+  // so that it can run alone; 0 before a pause and once it runs.
+  uint64_t paused_for = 0;
   // Earliest start of the next pause.
   TimePoint next_pause{};
 
-  bool OrdinaryPaused() const {
-    return suspect_in_flight || paused_since != kNever;
+  bool OrdinaryPaused() const { return paused_since_ != kNever; }
+  TimePoint paused_since() const { return paused_since_; }
+  void BeginPause(TimePoint now) { paused_since_ = now; }
+  void EndPause(TimePoint now);
+  // Returns how long calls other than suspects have been paused in total.
+  Duration PausedTime(TimePoint now) const {
+    return ended_pauses_ +
+           (OrdinaryPaused() ? now - paused_since_ : Duration(0));
   }
   bool draining = false;
   bool said_leaving = false;  // in an answer
@@ -188,6 +194,8 @@
   SuccessMeter success_;
   MaxMinShare max_min_share_;
   std::map<uint64_t, Dispatch> dispatches_;
+  TimePoint paused_since_ = kNever;  // kNever if they are not paused
+  Duration ended_pauses_{0};
   int long_in_flight_ = 0;
   Duration expected_service_{0};
   std::map<CallKind, Duration> expected_by_kind_;
--- a/src/libnode/serving/serving_results.cc
+++ b/src/libnode/serving/serving_results.cc
@@ -60,7 +60,7 @@
                  hop.ServiceTime(context.now),
                  std::min(hop.nested_wait_time, hop.nested_time), failed,
                  context.now);
-  if (hop.is_suspect) EndPause(server, context.now);
+  if (hop.is_suspect) EndPause(server, context);
   return hop;
 }
 
@@ -425,7 +425,11 @@
   answer.made_calls = hop.nested_calls > 0;
   AddBottlenecks(hop, served, context.now, answer);
   answer.times.held_us = ToWireMicros(context.now - hop.arrived);
-  answer.times.waited_us = ToWireMicros(hop.WaitTime(context.now));
+  Duration waited = hop.WaitTime(context.now);
+  if (hop.state == HopState::kQueued && found != servers_.end()) {
+    waited -= found->second.PausedTime(context.now) - hop.paused_before;
+  }
+  answer.times.waited_us = ToWireMicros(std::max(waited, Duration(0)));
   outbox_.Send(hop.entry.name, hop.entry_address, std::move(answer), context);
 }
 
--- a/src/libnode/serving/serving_role.cc
+++ b/src/libnode/serving/serving_role.cc
@@ -17,8 +17,14 @@
 // How long ordinary calls (those that are no suspects) are paused until the
 // calls in flight have ended and a suspect can run alone. Without a bound, long
 // work in flight would block the server for seconds. The suspect then waits for
-// the next pause, or is refused as not run at its deadline.
-constexpr Duration kMaxPause = std::chrono::milliseconds(200);
+// the next pause, or is refused as not run at its deadline. Other servers of
+// the service take its calls meanwhile; the only one may not pause as long.
+constexpr Duration kMaxPause = std::chrono::seconds(1);
+constexpr Duration kMaxPauseOfOnlyServer = std::chrono::milliseconds(200);
+
+// One more server of a service may pause for a suspect at the same time for
+// each this many servers.
+constexpr size_t kServersPerPause = 8;
 
 // Time after which other nodes may run a suspect although the end of its run at
 // this one is not known.
@@ -226,6 +232,7 @@
   }
   queue_deadlines_.Add(hop.deadline, hop.id);
   by_attempt_[{hop.entry, hop.attempt}] = hop.id;
+  hop.paused_before = server.PausedTime(context.now);
   hops_.emplace(hop.id, std::move(hop));
 }
 
@@ -277,37 +284,69 @@
   }
 }
 
+uint64_t ServingRole::NextSuspect(const LocalServer& server,
+                                  TimePoint now) const {
+  const std::deque<uint64_t>& waiting = server.waiting_suspects;
+  if (waiting.empty()) return 0;
+  const auto find = [&](const std::function<bool(uint64_t)>& accepts) {
+    const auto found = std::find_if(
+        waiting.begin(), waiting.end(),
+        [&](auto id) { return accepts(hops_.at(id).context.fingerprint); });
+    return found == waiting.end() ? 0 : *found;
+  };
+  if (server.paused_for != 0) {
+    return find([&](uint64_t one) { return one == server.paused_for; });
+  }
+  const std::string& service = server.record().service;
+  const size_t servers = membership_.ServersOf(service).size();
+  const size_t allowed = 1 + servers / kServersPerPause;
+  if (membership_.RunningSuspects(service, now) >= allowed) return 0;
+  return find([&](uint64_t one) {
+    return !membership_.IsSuspectRunning(service, one, now);
+  });
+}
+
+// Pauses at few servers of a service at a time, at each for a suspect of its
+// own: a request that crashes servers would otherwise crash several at once,
+// and pauses of all servers would halve the throughput of the service.
 void ServingRole::DispatchSuspect(LocalServer& server, Context& context) {
   if (server.suspect_in_flight) return;
   ReviewWaitingSuspects(server, context);
-  std::deque<uint64_t>& waiting = server.waiting_suspects;
-  const auto next = std::find_if(waiting.begin(), waiting.end(), [&](auto id) {
-    const CallContext& call = hops_.at(id).context;
-    return !membership_.IsSuspectRunning(call.service, call.fingerprint,
-                                         context.now);
-  });
-  if (next == waiting.end()) {
-    server.paused_since = kNever;
-    return;
-  }
+  const uint64_t next = NextSuspect(server, context.now);
+  if (next == 0) return EndPause(server, context);
   if (context.now < server.next_pause) return;
   if (!server.rate_gate().Allows(context.now)) return;
-  if (server.paused_since == kNever) server.paused_since = context.now;
+  Hop& hop = hops_.at(next);
+  if (!server.OrdinaryPaused()) BeginPause(hop, server, context);
   if (server.in_flight() > 0) {
-    const bool too_long = context.now - server.paused_since >= kMaxPause;
-    if (too_long) EndPause(server, context.now);
+    const bool is_only_server =
+        membership_.ServersOf(server.record().service).size() < 2;
+    const Duration limit = is_only_server ? kMaxPauseOfOnlyServer : kMaxPause;
+    const bool too_long = context.now - server.paused_since() >= limit;
+    if (too_long) EndPause(server, context);
     return;
   }
-  Hop& hop = hops_.at(*next);
-  waiting.erase(next);
+  std::deque<uint64_t>& waiting = server.waiting_suspects;
+  waiting.erase(std::find(waiting.begin(), waiting.end(), next));
   StartSuspectRun(hop, server, context);
 }
 
+void ServingRole::BeginPause(const Hop& hop, LocalServer& server,
+                             Context& context) {
+  server.BeginPause(context.now);
+  server.paused_for = hop.context.fingerprint;
+  membership_.AddSuspectNews(
+      {hop.context.service, hop.context.fingerprint, SuspectEvent::kStarted,
+       kMaxPause + kMaxSuspectRun},
+      context);
+}
+
 void ServingRole::StartSuspectRun(Hop& hop, LocalServer& server,
                                   Context& context) {
   hop.EndSuspectWait(context.now);
   hop.is_suspect = true;
   server.suspect_in_flight = true;
+  server.paused_for = 0;
   const CallContext& call = hop.context;
   const Duration waited = context.now - hop.arrived;
   stats_.Observe("node", "suspect", "dispatched", waited);
@@ -344,18 +383,27 @@
   }
 }
 
-void ServingRole::EndPause(LocalServer& server, TimePoint now) {
+void ServingRole::EndPause(LocalServer& server, Context& context) {
   server.suspect_in_flight = false;
-  if (server.paused_since == kNever) return;
+  if (server.paused_for != 0) {
+    membership_.AddSuspectNews(
+        {server.record().service, server.paused_for, SuspectEvent::kEnded},
+        context);
+    server.paused_for = 0;
+  }
+  if (!server.OrdinaryPaused()) return;
   // Ordinary calls run for at least as long as the pause took: after a crash
   // with a hundred calls in flight they would otherwise be blocked while a
   // hundred suspects run alone.
-  server.next_pause = now + (now - server.paused_since);
-  server.paused_since = kNever;
+  server.next_pause = context.now + (context.now - server.paused_since());
+  server.EndPause(context.now);
 }
 
 void ServingRole::Dispatch(Hop& hop, LocalServer& server, Context& context) {
   queue_deadlines_.Remove(hop.deadline, hop.id);
+  if (hop.state == HopState::kQueued) {
+    hop.excluded_wait += server.PausedTime(context.now) - hop.paused_before;
+  }
   hop.state = HopState::kDispatched;
   hop.dispatched = context.now;
   const Duration timeout = DispatchTimeout(hop, server, context);
--- a/src/libnode/serving/serving_role.h
+++ b/src/libnode/serving/serving_role.h
@@ -91,6 +91,10 @@
 
   void DispatchWaiting(LocalServer& server, Context& context);
   void DispatchSuspect(LocalServer& server, Context& context);
+  // Returns the id of the waiting suspect that may run next, or 0.
+  uint64_t NextSuspect(const LocalServer& server, TimePoint now) const;
+  // Pauses calls other than suspects until the suspect `hop` can run alone.
+  void BeginPause(const Hop& hop, LocalServer& server, Context& context);
   void StartSuspectRun(Hop& hop, LocalServer& server, Context& context);
   // Tells the other nodes that a request suspected of a crash was answered,
   // unless they know.
@@ -98,7 +102,7 @@
   // Refuses waiting suspects that are quarantined by now, and queues those that
   // were cleared by an answer to another call as ordinary calls.
   void ReviewWaitingSuspects(LocalServer& server, Context& context);
-  static void EndPause(LocalServer& server, TimePoint now);
+  void EndPause(LocalServer& server, Context& context);
   void Dispatch(Hop& hop, LocalServer& server, Context& context);
   HttpRequest RequestFor(const Hop& hop, TimePoint now) const;
   Duration DispatchTimeout(const Hop& hop, const LocalServer& server,
