Only a crash of a suspect that ran alone convicts it

If all servers of a service died at nearly the same moment for another reason, a call that was in flight at all of them, or alone at one, was quarantined. Where all calls of a kind have the same content, as nested calls may, none of them was served for half an hour.

Cause: being in flight at each crash was taken for a proof, though it is also what a frequent call shows.

Change: a conviction needs a run as a suspect, alone, that ended in a crash, and an earlier crash. Counts only choose whom to suspect. So that such a run comes soon, answers at two nodes are needed to clear a suspect at all nodes, not one, and a suspect that is suspected again within half a minute is cleared by each node for itself. After a run that shows nothing, for example at a server that refuses while it starts, the next one there waits 250 ms: each is told to all nodes of the service.

--- a/src/include/amaranthroute/policy/crash_evidence.h
+++ b/src/include/amaranthroute/policy/crash_evidence.h
@@ -13,10 +13,10 @@
 /// The request that crashes the servers is in flight at every crash; another
 /// page is in flight at some of them, and is answered in between. So the
 /// crashes of the whole fleet are counted for each request, and only those of
-/// the highest count are suspected. A crash convicts if no other call was in
-/// flight, or if it is the third and only one request was in flight at all of
-/// them. Two crashes do not suffice for that: different requests may crash two
-/// servers with the same harmless request in flight.
+/// the highest count are suspected. Only a crash while the request ran alone as
+/// a suspect convicts it. Other evidence is too weak: calls of one kind may all
+/// have the same content, and are then in flight at most crashes of their
+/// service, whatever the reason.
 
 #include <cstddef>
 #include <cstdint>
@@ -58,10 +58,10 @@
 inline constexpr size_t kMaxSuspectsPerCrash = 16;
 
 /// Decides about the requests in flight at one crash. Candidates with
-/// fingerprint 0 are ignored, duplicates are merged. `earlier_crashes` is the
-/// number of crashes of the service that the fleet has seen lately.
+/// fingerprint 0 are ignored, duplicates are merged. `ran_alone`: the only one
+/// ran as a suspect, so that no other call could start beside it.
 CrashDecision DecideCrash(std::vector<CrashCandidate> in_flight,
-                          uint32_t earlier_crashes);
+                          bool ran_alone);
 
 }  // namespace amaranth
 
--- a/src/include/amaranthroute/policy/crash_guard.h
+++ b/src/include/amaranthroute/policy/crash_guard.h
@@ -13,6 +13,9 @@
 /// a final failure and not run. Suspects that end without a crash are cleared.
 /// Two crashes are thus enough, and any other request is run alone once. One
 /// crash is never enough, because servers also crash for other reasons.
+///
+/// The nodes use it for crashes with one request in flight. crash_evidence.h
+/// decides about the others, with what all nodes have seen.
 
 #include <cstddef>
 #include <cstdint>
--- a/src/libnode/membership/membership.cc
+++ b/src/libnode/membership/membership.cc
@@ -74,9 +74,9 @@
   const GossipMessage& message = received.message;
   if (message.from == identity_.node) return;
   for (const MemberRecord& record : message.updates) Merge(record, context);
-  MergeQuarantines(message.from.name, message.quarantines);
+  MergeQuarantines(message.quarantines);
   for (const SuspectNews& news : message.suspect_news) {
-    quarantines_.OnNews(news, context.now);
+    quarantines_.OnNews(news, message.from.name, context.now);
   }
   const MemberRecord* sender = Find(message.from.name);
   if (sender != nullptr && sender->node == message.from) {
@@ -275,7 +275,6 @@
 
 void Membership::AddQuarantine(const QuarantineRecord& record,
                                Context& context) {
-  CountCrash(record, identity_.node.name);
   if (!quarantines_.Add(record, context.now)) return;
   quarantines_to_broadcast_.push_back(record);
   header_pushes_left_ = kPushRounds;
@@ -283,7 +282,7 @@
 }
 
 void Membership::AddSuspectNews(const SuspectNews& news, Context& context) {
-  quarantines_.OnNews(news, context.now);
+  quarantines_.OnNews(news, identity_.node.name, context.now);
   suspect_news_to_broadcast_.push_back(news);
   next_push_ = std::min(next_push_, context.now);
 }
@@ -376,21 +375,12 @@
 }
 
 void Membership::MergeQuarantines(
-    const std::string& sender, const std::vector<QuarantineRecord>& records) {
+    const std::vector<QuarantineRecord>& records) {
   for (const QuarantineRecord& record : records) {
-    CountCrash(record, sender);
     quarantines_.Add(record, last_now_);
   }
 }
 
-void Membership::CountCrash(const QuarantineRecord& record,
-                            const std::string& reporter) {
-  const bool is_report = record.remaining.count() <= 0;
-  // An entry node quarantines without a crash report of its own.
-  if (!is_report || record.crashes >= kQuarantineCrashes) return;
-  quarantines_.CountCrash(record.service, reporter, last_now_);
-}
-
 void Membership::HandleSettingsVersion(const std::string& peer,
                                        uint64_t version, Context& context) {
   // While this node holds no settings, version 0 from a peer is reported as
--- a/src/libnode/membership/membership.h
+++ b/src/libnode/membership/membership.h
@@ -119,12 +119,13 @@
   size_t RunningSuspects(const std::string& service, TimePoint now) const {
     return quarantines_.RunningOf(service, now);
   }
-  // Returns whether news of an answer would clear the suspect at all nodes.
+  // Returns whether news of an answer here would help to clear the suspect at
+  // all nodes.
   bool CanBeCleared(const std::string& service, uint64_t fingerprint) const {
-    return quarantines_.CanBeCleared(service, fingerprint);
+    return quarantines_.CanBeCleared(service, fingerprint, identity_.node.name);
   }
-  // Returns when an answer at any node cleared the suspect last; nullopt if
-  // none has.
+  // Returns when answers cleared the suspect at all nodes last; nullopt if none
+  // have.
   std::optional<TimePoint> ClearedAt(const std::string& service,
                                      uint64_t fingerprint) const {
     return quarantines_.ClearedAt(service, fingerprint);
@@ -137,10 +138,6 @@
   uint32_t CrashesOf(const std::string& service, uint64_t fingerprint) const {
     return quarantines_.CrashesOf(service, fingerprint);
   }
-  // Returns the number of crashes of the service in the fleet lately.
-  uint32_t CrashesOfService(const std::string& service, TimePoint now) const {
-    return quarantines_.CrashesOfService(service, now);
-  }
   // Returns the number of crashes in the fleet at which the fingerprint is
   // known to have been in flight.
   uint32_t ReportedCrashesOf(const std::string& service,
@@ -209,10 +206,7 @@
   void MergeSelf(const MemberRecord& record, Context& context);
   void TrackState(const MemberRecord& record, Context& context);
   bool IsLocal(const MemberRecord& record) const;
-  void MergeQuarantines(const std::string& sender,
-                        const std::vector<QuarantineRecord>& records);
-  // Counts the crash that a record reports, if it is such a report.
-  void CountCrash(const QuarantineRecord& record, const std::string& reporter);
+  void MergeQuarantines(const std::vector<QuarantineRecord>& records);
   void HandleSettingsVersion(const std::string& peer, uint64_t version,
                              Context& context);
 
--- a/src/libnode/membership/membership_sync.cc
+++ b/src/libnode/membership/membership_sync.cc
@@ -62,7 +62,7 @@
   DetectPause(context);
   const size_t merged_before = records_merged_;
   for (const MemberRecord& record : sync.members) Merge(record, context);
-  MergeQuarantines(from.name, sync.quarantines);
+  MergeQuarantines(sync.quarantines);
   HandleSettingsVersion(from.name, sync.settings_version, context);
   if (sync.reply_wanted) {
     AnswerSync(from, sync, context);
--- a/src/libnode/membership/membership_updates.cc
+++ b/src/libnode/membership/membership_updates.cc
@@ -148,35 +148,6 @@
   for (auto it = entries_.begin(); it != entries_.end();) {
     it = it->second.expires <= now ? entries_.erase(it) : std::next(it);
   }
-  for (auto it = crashes_.begin(); it != crashes_.end();) {
-    const bool has_recent = CrashesOfService(it->first, now) > 0;
-    it = has_recent ? std::next(it) : crashes_.erase(it);
-  }
-}
-
-void QuarantineList::CountCrash(const std::string& service,
-                                const std::string& reporter, TimePoint now) {
-  std::vector<ReportedCrash>& crashes = crashes_[service];
-  crashes.erase(std::remove_if(crashes.begin(), crashes.end(),
-                               [&](const ReportedCrash& crash) {
-                                 return now - crash.at > kInFlightOnlyLifetime;
-                               }),
-                crashes.end());
-  for (const ReportedCrash& crash : crashes) {
-    if (crash.reporter == reporter && now - crash.at < kSameCrash) return;
-  }
-  crashes.push_back({reporter, now});
-}
-
-uint32_t QuarantineList::CrashesOfService(const std::string& service,
-                                          TimePoint now) const {
-  const auto found = crashes_.find(service);
-  if (found == crashes_.end()) return 0;
-  return static_cast<uint32_t>(
-      std::count_if(found->second.begin(), found->second.end(),
-                    [&](const ReportedCrash& crash) {
-                      return now - crash.at <= kInFlightOnlyLifetime;
-                    }));
 }
 
 std::optional<TimePoint> QuarantineList::LastCrashOf(
@@ -207,21 +178,35 @@
   return found == entries_.end() ? 0 : found->second.crashes;
 }
 
-void QuarantineList::OnNews(const SuspectNews& news, TimePoint now) {
+// A request that is suspected again shortly after it was cleared may be
+// answered by some servers and crash the others.
+bool QuarantineList::IsClearable(const Entry& entry) {
+  if (entry.crashes != kSuspectCrashes) return false;
+  return !entry.cleared ||
+         entry.suspected >= *entry.cleared + kInFlightOnlyLifetime;
+}
+
+void QuarantineList::OnNews(const SuspectNews& news, const std::string& node,
+                            TimePoint now) {
   const auto found = entries_.find({news.service, news.fingerprint});
   if (found == entries_.end()) return;
   Entry& entry = found->second;
   entry.runs_until =
       news.event == SuspectEvent::kStarted ? now + news.remaining : now;
   if (news.event != SuspectEvent::kAnswered || !IsClearable(entry)) return;
-  entry.cleared = now;
-  ++entry.clearings;
+  if (entry.answered <= entry.suspected) {
+    entry.answered = now;
+    entry.answered_by = node;
+  } else if (entry.answered_by != node) {
+    entry.cleared = now;
+  }
 }
 
 bool QuarantineList::IsRunning(const std::string& service, uint64_t fingerprint,
                                TimePoint now) const {
   const auto found = entries_.find({service, fingerprint});
-  return found != entries_.end() && now < found->second.runs_until;
+  return found != entries_.end() && IsClearable(found->second) &&
+         now < found->second.runs_until;
 }
 
 size_t QuarantineList::RunningOf(const std::string& service,
@@ -230,15 +215,18 @@
   size_t running = 0;
   for (auto it = begin; it != entries_.end() && it->first.first == service;
        ++it) {
-    if (now < it->second.runs_until) ++running;
+    if (IsClearable(it->second) && now < it->second.runs_until) ++running;
   }
   return running;
 }
 
 bool QuarantineList::CanBeCleared(const std::string& service,
-                                  uint64_t fingerprint) const {
+                                  uint64_t fingerprint,
+                                  const std::string& node) const {
   const auto found = entries_.find({service, fingerprint});
-  return found != entries_.end() && IsClearable(found->second);
+  if (found == entries_.end() || !IsClearable(found->second)) return false;
+  const Entry& entry = found->second;
+  return entry.answered <= entry.suspected || entry.answered_by != node;
 }
 
 std::optional<TimePoint> QuarantineList::ClearedAt(const std::string& service,
--- a/src/libnode/membership/membership_updates.h
+++ b/src/libnode/membership/membership_updates.h
@@ -82,12 +82,6 @@
   bool Add(const QuarantineRecord& record, TimePoint now);
   void Expire(TimePoint now);
   uint32_t CrashesOf(const std::string& service, uint64_t fingerprint) const;
-  // Counts a crash of the service that `reporter`, the node beside the server,
-  // reports; once for all reports of one crash.
-  void CountCrash(const std::string& service, const std::string& reporter,
-                  TimePoint now);
-  // Returns the number of crashes of the service within the last half minute.
-  uint32_t CrashesOfService(const std::string& service, TimePoint now) const;
   // Returns the number of reported crashes at which the fingerprint was in
   // flight, without those before a half minute without any.
   uint32_t ReportedCrashesOf(const std::string& service,
@@ -100,19 +94,23 @@
   // nullopt if it is no suspect.
   std::optional<TimePoint> SuspectedAt(const std::string& service,
                                        uint64_t fingerprint) const;
-  // Records news of a run of a suspect. Ignored if the fingerprint is not
-  // known.
-  void OnNews(const SuspectNews& news, TimePoint now);
+  // Records news of a run of a suspect at `node`. Ignored if the fingerprint is
+  // not known.
+  void OnNews(const SuspectNews& news, const std::string& node, TimePoint now);
   // Returns whether a run of the suspect has started somewhere and not ended.
+  // False for one that cannot be cleared: each node needs a run of its own.
   bool IsRunning(const std::string& service, uint64_t fingerprint,
                  TimePoint now) const;
   // Returns the number of fingerprints of the service that are running.
   size_t RunningOf(const std::string& service, TimePoint now) const;
-  // Returns whether news of an answer would clear the fingerprint: it is a
-  // suspect, and was not suspected again after such news kMaxClearings times.
-  bool CanBeCleared(const std::string& service, uint64_t fingerprint) const;
-  // Returns the time of the news that cleared the fingerprint last; nullopt if
-  // there was none.
+  // Returns whether news of an answer at `node` would help to clear the
+  // fingerprint: it is a suspect, was not cleared shortly before, and no answer
+  // at this node is known.
+  bool CanBeCleared(const std::string& service, uint64_t fingerprint,
+                    const std::string& node) const;
+  // Returns when answers at two nodes cleared the fingerprint last; nullopt if
+  // they have not. One does not suffice, as a server may survive a request that
+  // crashes the others.
   std::optional<TimePoint> ClearedAt(const std::string& service,
                                      uint64_t fingerprint) const;
   std::vector<QuarantineRecord> All(TimePoint now) const;
@@ -131,28 +129,16 @@
     TimePoint last_crash{};
     TimePoint suspected{};  // if it is a suspect
     TimePoint runs_until{};
+    std::string answered_by;  // first node with an answer
+    TimePoint answered{};
     std::optional<TimePoint> cleared = std::nullopt;
-    int clearings = 0;
   };
   using Key = std::pair<std::string, uint64_t>;
-  struct ReportedCrash {
-    std::string reporter;
-    TimePoint at{};
-  };
-
-  // A server that survives the request among others that it crashes would clear
-  // it again and again.
-  static constexpr int kMaxClearings = 1;
 
-  static bool IsClearable(const Entry& entry) {
-    return entry.crashes == kSuspectCrashes &&
-           entry.clearings < kMaxClearings &&
-           (!entry.cleared || *entry.cleared <= entry.suspected);
-  }
+  static bool IsClearable(const Entry& entry);
   bool MakeRoom();
 
   std::map<Key, Entry> entries_;
-  std::map<std::string, std::vector<ReportedCrash>> crashes_;  // by service
   size_t position_ = 0;
 };
 
--- a/src/libnode/membership/quarantine_list_test.cc
+++ b/src/libnode/membership/quarantine_list_test.cc
@@ -95,40 +95,48 @@
   CHECK_EQUAL(2u, list.ReportedCrashesOf("proofing", 7));
 }
 
-TEST(QuarantineList, CrashesOfAServiceAreCountedOnceEach) {
-  list.CountCrash("proofing", "a", start);
-  list.CountCrash("proofing", "a", start + std::chrono::milliseconds(2));
-  list.CountCrash("proofing", "b", start + std::chrono::milliseconds(2));
-  list.CountCrash("imagery", "a", start);
-  const TimePoint later = start + std::chrono::seconds(1);
-  CHECK_EQUAL(2u, list.CrashesOfService("proofing", later));
-  CHECK_EQUAL(
-      0u, list.CrashesOfService("proofing", start + std::chrono::seconds(31)));
-}
-
 TEST(QuarantineList, ARunOfASuspectEndsWithNewsOrInTime) {
   list.Add({"proofing", 7, kSuspectCrashes}, start);
   const SuspectNews started{"proofing", 7, SuspectEvent::kStarted,
                             std::chrono::seconds(2)};
-  list.OnNews(started, start);
+  list.OnNews(started, "a", start);
   CHECK(list.IsRunning("proofing", 7, start + std::chrono::seconds(1)));
   CHECK_FALSE(list.IsRunning("proofing", 7, start + std::chrono::seconds(2)));
-  list.OnNews({"proofing", 7, SuspectEvent::kEnded}, start);
+  list.OnNews({"proofing", 7, SuspectEvent::kEnded}, "a", start);
   CHECK_FALSE(list.IsRunning("proofing", 7, start));
   CHECK_FALSE(list.ClearedAt("proofing", 7).has_value());
 }
 
-// Guards against a request that crashes most servers and is cleared each time
-// by one that survives it.
-TEST(QuarantineList, NewsOfAnAnswerClearsASuspectOnce) {
+// Guards against a request that crashes most servers and is cleared by one that
+// survives it.
+TEST(QuarantineList, AnswersAtTwoNodesClearASuspect) {
+  list.Add({"proofing", 7, kSuspectCrashes}, start);
+  const TimePoint later = start + std::chrono::seconds(1);
+  const SuspectNews answered{"proofing", 7, SuspectEvent::kAnswered};
+  list.OnNews(answered, "a", later);
+  CHECK_FALSE(list.CanBeCleared("proofing", 7, "a"));
+  list.OnNews(answered, "a", later);
+  CHECK_FALSE(list.ClearedAt("proofing", 7).has_value());
+  CHECK(list.CanBeCleared("proofing", 7, "b"));
+  list.OnNews(answered, "b", later);
+  CHECK(list.ClearedAt("proofing", 7) == later);
+}
+
+// Guards against the same where more servers survive it: suspected again
+// shortly afterwards, it is not cleared by the answers of others.
+TEST(QuarantineList, ASuspectIsNotClearedAgainSoon) {
   TimePoint now = start;
-  for (int crash = 0; crash < 3; ++crash) {
+  for (const int wait : {1, 31}) {
+    list.Add({"proofing", 7, kSuspectCrashes}, now);
+    for (const char* node : {"a", "b"}) {
+      list.OnNews({"proofing", 7, SuspectEvent::kAnswered}, node,
+                  now + std::chrono::milliseconds(500));
+    }
+    CHECK(list.ClearedAt("proofing", 7) > now);
+    now += std::chrono::seconds(wait);
     list.Add({"proofing", 7, kSuspectCrashes}, now);
-    now += std::chrono::seconds(1);
-    CHECK_EQUAL(crash < 1, list.CanBeCleared("proofing", 7));
-    list.OnNews({"proofing", 7, SuspectEvent::kAnswered}, now);
-    CHECK_EQUAL(crash < 1, list.ClearedAt("proofing", 7) == now);
-    now += std::chrono::seconds(1);
+    CHECK_EQUAL(wait > 30, list.CanBeCleared("proofing", 7, "a"));
+    now += std::chrono::seconds(31);
   }
 }
 
--- a/src/libnode/poison_request_test.cc
+++ b/src/libnode/poison_request_test.cc
@@ -219,6 +219,29 @@
   CHECK_EQUAL(0u, quarantined);
 }
 
+// Guards against the refusal of all calls of one kind, which have the same
+// content, because all servers crash at the same moment for another reason.
+TEST(PoisonRequests, CallsOfTheSameContentAreNotQuarantined) {
+  StartFleet(MakeServer());
+  const Duration length = std::chrono::seconds(12);
+  SendOrdinary(length, kHosts, 1);
+  for (int crash = 0; crash < 3 * kHosts; ++crash) {
+    const int series = crash / kHosts;
+    const int host = crash % kHosts;
+    fleet.At(std::chrono::seconds(2 + 3 * series) +
+                 std::chrono::milliseconds(2) * host,
+             [this, crash, host] {
+               HttpRequest request = MakeRequest("GET", kService);
+               request.target = "/" + std::to_string(crash);
+               request.body = Body(kCrashBody);
+               fleet.Call(Host(host), std::move(request));
+             });
+  }
+  fleet.RunFor(length + kSettleTime);
+  CHECK(ordinary_served > ordinary_sent / 2);
+  CHECK_EQUAL(0u, quarantined);
+}
+
 // Guards against the loss of every server of a busy service: with many calls in
 // flight at the first crash, other nodes do not learn whom to suspect.
 TEST(PoisonRequests, ManySuspectsOfACrashAreKnownToAllNodes) {
--- a/src/libnode/serving/serving_results.cc
+++ b/src/libnode/serving/serving_results.cc
@@ -16,6 +16,12 @@
 
 constexpr const char* kPart = "serving";
 
+// Result of the run of a suspect that shows nothing about the request.
+constexpr std::string_view kSuspectNotRun = "other";
+// Time after such a run until the next one at the server, which may be starting
+// and refuse everything. Each run is told to all nodes of the service.
+constexpr Duration kSuspectRetryDelay = std::chrono::milliseconds(250);
+
 // Fingerprints in the log line of a crash.
 constexpr size_t kMaxLoggedSuspects = 4;
 
@@ -80,7 +86,8 @@
   JudgeResult(hop, response.status >= 500 || IsRefusal(response), context.now);
   const bool ran = RanWithoutFailure(response);
   if (hop.is_suspect) {
-    RecordSuspectRun(hop, ran ? "answered" : "other", context);
+    RecordSuspectRun(hop, ran ? std::string_view("answered") : kSuspectNotRun,
+                     context);
   }
   if (ran) {
     crash_guard_.OnSurvived(hop.context.fingerprint, context.now);
@@ -134,13 +141,17 @@
   const Hop hop = EndDispatch(failed.dispatch, !cancelled, context);
   if (hop.is_suspect) {
     const bool lost = failed.reason == Reason::kConnectionLost && !timed_out;
-    RecordSuspectRun(hop, lost && !cancelled ? "lost" : "other", context);
+    RecordSuspectRun(
+        hop, lost && !cancelled ? std::string_view("lost") : kSuspectNotRun,
+        context);
   }
   if (!cancelled) JudgeResult(hop, true, context.now);
   on_hop_cancelled(hop.id, context);
   // The suspects are passed to gossip before the caller is answered, because
   // the caller may resend the request through another node.
-  if (found != servers_.end()) RecordCrash(found->second, context);
+  if (found != servers_.end()) {
+    RecordCrash(found->second, hop.is_suspect, context);
+  }
   Fail(hop, FailureFor(failed, hop, context.now), context);
   if (found == servers_.end()) return;
   DispatchWaiting(found->second, context);
@@ -230,19 +241,19 @@
   return candidate;
 }
 
-void ServingRole::RecordCrash(LocalServer& server, Context& context) {
+void ServingRole::RecordCrash(LocalServer& server, bool ran_alone,
+                              Context& context) {
   const std::vector<uint64_t> in_flight =
       server.crash_window().TakeCrashedFingerprints(context.now);
   if (in_flight.empty()) return;
   context.Emit(DropIdleConnections{server.record().address});
   const std::string& service = server.record().service;
   std::vector<CrashCandidate> candidates;
+  candidates.reserve(in_flight.size());
   for (const uint64_t fingerprint : in_flight) {
     candidates.push_back(CandidateOf(service, fingerprint, context.now));
   }
-  CrashDecision decision =
-      DecideCrash(std::move(candidates),
-                  membership_.CrashesOfService(service, context.now));
+  CrashDecision decision = DecideCrash(std::move(candidates), ran_alone);
   const bool alone =
       decision.suspects.size() == 1 && decision.unsuspected.empty();
   if (alone) AddCrashAlone(decision, context.now);
@@ -290,17 +301,21 @@
                   FingerprintLabel(fingerprint) + ".");
 }
 
-void ServingRole::RecordSuspectRun(const Hop& hop, const char* result,
+void ServingRole::RecordSuspectRun(const Hop& hop, std::string_view result,
                                    Context& context) {
   stats_.Count("amaranth_suspect_runs_total",
                "result=\"" + std::string(result) + "\"");
   context.Log(LogLevel::kInfo, kPart,
               "A suspected request ended at backend server " + hop.server +
                   ": " + FingerprintLabel(hop.context.fingerprint) +
-                  " result=" + result);
+                  " result=" + std::string(result));
   membership_.AddSuspectNews(
       {hop.context.service, hop.context.fingerprint, SuspectEvent::kEnded},
       context);
+  const auto found = servers_.find(hop.server);
+  if (result != kSuspectNotRun || found == servers_.end()) return;
+  TimePoint& next_pause = found->second.next_pause;
+  next_pause = std::max(next_pause, context.now + kSuspectRetryDelay);
 }
 
 void ServingRole::TellAnswered(const Hop& hop, Context& context) {
--- a/src/libnode/serving/serving_role.h
+++ b/src/libnode/serving/serving_role.h
@@ -135,10 +135,12 @@
   void JudgeResult(const Hop& hop, bool failed, TimePoint now);
   // Sends a change of the server's fitness to the other nodes.
   void SendFitness(LocalServer& server, Context& context);
-  void RecordCrash(LocalServer& server, Context& context);
+  // `ran_alone`: the only call in flight ran as a suspect.
+  void RecordCrash(LocalServer& server, bool ran_alone, Context& context);
   // Logs and counts the end of a run of a suspect; `result` is one of
   // "answered", "lost" (with its connection) and "other".
-  void RecordSuspectRun(const Hop& hop, const char* result, Context& context);
+  void RecordSuspectRun(const Hop& hop, std::string_view result,
+                        Context& context);
   // Returns what is known about a request in flight at a crash.
   CrashCandidate CandidateOf(const std::string& service, uint64_t fingerprint,
                              TimePoint now) const;
--- a/src/libpolicy/crash_evidence.cc
+++ b/src/libpolicy/crash_evidence.cc
@@ -6,10 +6,6 @@
 namespace amaranth {
 namespace {
 
-// Earlier crashes, with the same request in flight at all of them, after which
-// one with others in flight may convict it.
-constexpr uint32_t kEarlierCrashesToConvict = 2;
-
 std::vector<CrashCandidate> Unique(std::vector<CrashCandidate> candidates) {
   std::sort(candidates.begin(), candidates.end(),
             [](const CrashCandidate& a, const CrashCandidate& b) {
@@ -41,9 +37,8 @@
 }  // namespace
 
 CrashDecision DecideCrash(std::vector<CrashCandidate> in_flight,
-                          uint32_t earlier_crashes) {
+                          bool ran_alone) {
   const std::vector<CrashCandidate> candidates = Unique(std::move(in_flight));
-  const bool alone = candidates.size() == 1;
   const uint32_t max_crashes = MaxEarlierCrashes(candidates);
   std::vector<uint64_t> answered;  // lately, and of the highest count
   std::vector<uint64_t> unanswered;
@@ -52,7 +47,7 @@
     if (candidate.answered_since_crash ||
         candidate.earlier_crashes < max_crashes) {
       decision.unsuspected.push_back(candidate.fingerprint);
-    } else if (candidate.answered_lately && !alone) {
+    } else if (candidate.answered_lately) {
       // Several servers may crash together for another reason, with the same
       // popular pages in flight.
       answered.push_back(candidate.fingerprint);
@@ -60,10 +55,8 @@
       unanswered.push_back(candidate.fingerprint);
     }
   }
-  const bool at_all_crashes =
-      max_crashes >= earlier_crashes && max_crashes >= kEarlierCrashesToConvict;
   const bool one_in_question = answered.size() + unanswered.size() == 1;
-  if (one_in_question && (at_all_crashes || (alone && max_crashes > 0))) {
+  if (ran_alone && one_in_question && max_crashes > 0) {
     decision.convicted = unanswered.empty() ? answered : unanswered;
     return decision;
   }
--- a/src/libpolicy/crash_evidence_test.cc
+++ b/src/libpolicy/crash_evidence_test.cc
@@ -38,7 +38,8 @@
 
 TEST(CrashEvidence, FewInFlightAtAFirstCrashAreSuspects) {
   const CrashDecision decision = DecideCrash(
-      {Candidate(2, 0), Candidate(1, 0), Candidate(2, 0), Candidate(0, 0)}, 0);
+      {Candidate(2, 0), Candidate(1, 0), Candidate(2, 0), Candidate(0, 0)},
+      false);
   CHECK(decision.suspects == (Fingerprints{1, 2}));
   CHECK(decision.convicted.empty());
 }
@@ -46,7 +47,7 @@
 // Guards against a server that serves one request at a time long after a crash
 // with many in flight.
 TEST(CrashEvidence, ManyInFlightAtAFirstCrashAreNoSuspects) {
-  const CrashDecision decision = DecideCrash(Range(1, 100), 0);
+  const CrashDecision decision = DecideCrash(Range(1, 100), false);
   CHECK(decision.suspects.empty());
   CHECK_EQUAL(100u, decision.unsuspected.size());
 }
@@ -56,36 +57,29 @@
 TEST(CrashEvidence, TheOnlyOneInFlightAtAnEarlierCrashIsTheSuspect) {
   std::vector<CrashCandidate> in_flight = Range(1, 100);
   in_flight[41].earlier_crashes = 1;
-  const CrashDecision decision = DecideCrash(in_flight, 1);
+  const CrashDecision decision = DecideCrash(in_flight, false);
   CHECK(decision.suspects == Fingerprints{42});
   CHECK_EQUAL(99u, decision.unsuspected.size());
 }
 
-// Guards against a request that goes on crashing servers because one server
-// answers it, so that it does not run alone at the others.
-TEST(CrashEvidence, TheOnlyOneInFlightAtAllOfThreeCrashesIsConvicted) {
-  CHECK(DecideCrash({AnsweredLately(1, 2), Candidate(2, 0)}, 2).convicted ==
-        Fingerprints{1});
-  CHECK(DecideCrash({AnsweredLately(1, 2), Candidate(2, 2)}, 2)
-            .convicted.empty());
-}
-
-// Guards against a page that is refused because it was in flight at some of
-// many crashes.
-TEST(CrashEvidence, OneInFlightAtSomeOfTheCrashesIsNotConvicted) {
-  const CrashDecision decision =
-      DecideCrash({Candidate(1, 2), Candidate(2, 0)}, 4);
-  CHECK(decision.convicted.empty());
-  CHECK(decision.suspects == Fingerprints{1});
+TEST(CrashEvidence, ASuspectThatRanAloneAtASecondCrashIsConvicted) {
+  CHECK(DecideCrash({Candidate(1, 1)}, true).convicted == Fingerprints{1});
+  CHECK(DecideCrash({AnsweredLately(1, 1)}, true).convicted == Fingerprints{1});
+  CHECK(DecideCrash({Candidate(1, 0)}, true).suspects == Fingerprints{1});
 }
 
-TEST(CrashEvidence, ASuspectAloneAtASecondCrashIsConvicted) {
-  CHECK(DecideCrash({Candidate(1, 1)}, 3).convicted == Fingerprints{1});
+// Guards against the refusal of all calls of one kind, which have the same
+// content, because the servers of a service crash together for another reason
+// with one such call in flight at each.
+TEST(CrashEvidence, OneThatIsAloneByChanceIsNotConvicted) {
+  CHECK(DecideCrash({AnsweredLately(1, 3)}, false).suspects == Fingerprints{1});
+  CHECK(DecideCrash({Candidate(1, 3)}, false).suspects == Fingerprints{1});
 }
 
 TEST(CrashEvidence, OnlyThoseOfMostCrashesAreSuspects) {
   const CrashDecision decision = DecideCrash(
-      {Candidate(1, 2), Candidate(2, 1), Candidate(3, 2), Candidate(4, 0)}, 2);
+      {Candidate(1, 2), Candidate(2, 1), Candidate(3, 2), Candidate(4, 0)},
+      false);
   CHECK(decision.suspects == (Fingerprints{1, 3}));
   CHECK(decision.convicted.empty());
 }
@@ -93,18 +87,17 @@
 TEST(CrashEvidence, ARequestAnsweredSinceItsCrashIsNoSuspect) {
   CrashCandidate page = Candidate(1, 3);
   page.answered_since_crash = true;
-  const CrashDecision decision = DecideCrash({page, Candidate(2, 1)}, 3);
+  const CrashDecision decision = DecideCrash({page, Candidate(2, 1)}, false);
   CHECK(decision.suspects == Fingerprints{2});
   CHECK(decision.unsuspected == Fingerprints{1});
 }
 
-// Guards against pages that are refused because servers crash together with
-// them in flight: what was answered lately is convicted only alone.
-TEST(CrashEvidence, AnAnsweredPageIsConvictedOnlyAlone) {
-  CHECK(DecideCrash({AnsweredLately(1, 1), Candidate(2, 0)}, 1).suspects ==
+// Guards against pages that run alone because servers crash together with them
+// in flight, although another request comes into question.
+TEST(CrashEvidence, OneThatWasNotAnsweredLatelyIsSuspectedFirst) {
+  CHECK(DecideCrash({AnsweredLately(1, 1), Candidate(2, 0)}, false).suspects ==
         Fingerprints{1});
-  CHECK(DecideCrash({AnsweredLately(1, 1)}, 1).convicted == Fingerprints{1});
-  CHECK(DecideCrash({AnsweredLately(1, 1), Candidate(2, 1)}, 1).suspects ==
+  CHECK(DecideCrash({AnsweredLately(1, 1), Candidate(2, 1)}, false).suspects ==
         Fingerprints{2});
 }
 
@@ -126,7 +119,7 @@
           in_flight.push_back(AnsweredLately(page, crashes[page]));
         }
       }
-      const CrashDecision decision = DecideCrash(in_flight, crashes[kCause]);
+      const CrashDecision decision = DecideCrash(in_flight, runs_alone);
       for (const CrashCandidate& one : in_flight) ++crashes[one.fingerprint];
       for (const uint64_t fingerprint : decision.convicted) {
         RC_ASSERT(fingerprint == kCause);
