Pause arithmetic and a lookup in one place each; two comments corrected

Cause: found by reading the change once more. The comments of SuspectNews still told that one answer clears a suspect. The time that a queued call spent in pauses was worked out in two places. HandlingOf, which each call passes twice, looked a fingerprint up once more also when it was no suspect. The duration of SuspectNews was sent without the clamp of the other messages.

Change: PausedWait and ClampedMicros serve; NextSuspect has one search without a function object; RecordSuspectRun, which also tells other nodes, is EndSuspectRun. No decision changes, no test is changed.

Measured: format, build and lint of all files clean; node_test 221, wire_test 16 and policy_test 190 pass.

--- a/src/include/amaranthroute/messages.h
+++ b/src/include/amaranthroute/messages.h
@@ -332,12 +332,12 @@
 enum class SuspectEvent : uint8_t {
   kStarted = 0,
   kEnded = 1,     ///< without showing whether the request crashes servers
-  kAnswered = 2,  ///< the request is no longer suspected
+  kAnswered = 2,  ///< by a server that ran it and did not fail
 };
 
 /// Tells the nodes with a server of the service of a run of a suspect, so that
-/// it runs at one server of the fleet at a time and one answer clears it at all
-/// nodes.
+/// it runs at one server of the fleet at a time and answers at two nodes clear
+/// it at all.
 struct SuspectNews {
   std::string service;
   uint64_t fingerprint = 0;
--- a/src/libnode/membership/membership_updates.h
+++ b/src/libnode/membership/membership_updates.h
@@ -83,7 +83,7 @@
   void Expire(TimePoint now);
   uint32_t CrashesOf(const std::string& service, uint64_t fingerprint) const;
   // Returns the number of reported crashes at which the fingerprint was in
-  // flight, without those before a half minute without any.
+  // flight. Two that are over half a minute apart are not counted together.
   uint32_t ReportedCrashesOf(const std::string& service,
                              uint64_t fingerprint) const;
   // Returns the time of the last known crash, by this node's clock; nullopt if
--- a/src/libnode/serving/serving_results.cc
+++ b/src/libnode/serving/serving_results.cc
@@ -86,8 +86,8 @@
   JudgeResult(hop, response.status >= 500 || IsRefusal(response), context.now);
   const bool ran = RanWithoutFailure(response);
   if (hop.is_suspect) {
-    RecordSuspectRun(hop, ran ? std::string_view("answered") : kSuspectNotRun,
-                     context);
+    EndSuspectRun(hop, ran ? std::string_view("answered") : kSuspectNotRun,
+                  context);
   }
   if (ran) {
     crash_guard_.OnSurvived(hop.context.fingerprint, context.now);
@@ -141,7 +141,7 @@
   const Hop hop = EndDispatch(failed.dispatch, !cancelled, context);
   if (hop.is_suspect) {
     const bool lost = failed.reason == Reason::kConnectionLost && !timed_out;
-    RecordSuspectRun(
+    EndSuspectRun(
         hop, lost && !cancelled ? std::string_view("lost") : kSuspectNotRun,
         context);
   }
@@ -301,8 +301,8 @@
                   FingerprintLabel(fingerprint) + ".");
 }
 
-void ServingRole::RecordSuspectRun(const Hop& hop, std::string_view result,
-                                   Context& context) {
+void ServingRole::EndSuspectRun(const Hop& hop, std::string_view result,
+                                Context& context) {
   stats_.Count("amaranth_suspect_runs_total",
                "result=\"" + std::string(result) + "\"");
   context.Log(LogLevel::kInfo, kPart,
@@ -441,8 +441,8 @@
   AddBottlenecks(hop, served, context.now, answer);
   answer.times.held_us = ToWireMicros(context.now - hop.arrived);
   Duration waited = hop.WaitTime(context.now);
-  if (hop.state == HopState::kQueued && found != servers_.end()) {
-    waited -= found->second.PausedTime(context.now) - hop.paused_before;
+  if (found != servers_.end()) {
+    waited -= PausedWait(hop, found->second, context.now);
   }
   answer.times.waited_us = ToWireMicros(std::max(waited, Duration(0)));
   outbox_.Send(hop.entry.name, hop.entry_address, std::move(answer), context);
--- a/src/libnode/serving/serving_role.cc
+++ b/src/libnode/serving/serving_role.cc
@@ -105,11 +105,12 @@
       membership_.IsQuarantined(service, fingerprint)) {
     return CrashGuard::Handling::kQuarantined;
   }
-  const std::optional<TimePoint> answer =
-      std::max(answered_.LastAnswer(fingerprint, now),
-               membership_.ClearedAt(service, fingerprint));
   const std::optional<TimePoint> suspected =
       membership_.SuspectedAt(service, fingerprint);
+  std::optional<TimePoint> answer = answered_.LastAnswer(fingerprint, now);
+  if (suspected) {
+    answer = std::max(answer, membership_.ClearedAt(service, fingerprint));
+  }
   const bool lost_by_this_call = hop.context.suspected_crashes > 0;
   const bool run_alone = answer ? suspected && *answer <= *suspected
                                 : suspected.has_value() || lost_by_this_call;
@@ -288,22 +289,19 @@
                                   TimePoint now) const {
   const std::deque<uint64_t>& waiting = server.waiting_suspects;
   if (waiting.empty()) return 0;
-  const auto find = [&](const std::function<bool(uint64_t)>& accepts) {
-    const auto found = std::find_if(
-        waiting.begin(), waiting.end(),
-        [&](auto id) { return accepts(hops_.at(id).context.fingerprint); });
-    return found == waiting.end() ? 0 : *found;
-  };
-  if (server.paused_for != 0) {
-    return find([&](uint64_t one) { return one == server.paused_for; });
-  }
   const std::string& service = server.record().service;
+  const bool is_paused = server.paused_for != 0;
   const size_t servers = membership_.ServersOf(service).size();
   const size_t allowed = 1 + servers / kServersPerPause;
-  if (membership_.RunningSuspects(service, now) >= allowed) return 0;
-  return find([&](uint64_t one) {
-    return !membership_.IsSuspectRunning(service, one, now);
+  if (!is_paused && membership_.RunningSuspects(service, now) >= allowed) {
+    return 0;
+  }
+  const auto next = std::find_if(waiting.begin(), waiting.end(), [&](auto id) {
+    const uint64_t fingerprint = hops_.at(id).context.fingerprint;
+    return is_paused ? fingerprint == server.paused_for
+                     : !membership_.IsSuspectRunning(service, fingerprint, now);
   });
+  return next == waiting.end() ? 0 : *next;
 }
 
 // Pauses at few servers of a service at a time, at each for a suspect of its
@@ -399,11 +397,15 @@
   server.EndPause(context.now);
 }
 
+Duration ServingRole::PausedWait(const Hop& hop, const LocalServer& server,
+                                 TimePoint now) {
+  if (hop.state != HopState::kQueued) return Duration(0);
+  return server.PausedTime(now) - hop.paused_before;
+}
+
 void ServingRole::Dispatch(Hop& hop, LocalServer& server, Context& context) {
   queue_deadlines_.Remove(hop.deadline, hop.id);
-  if (hop.state == HopState::kQueued) {
-    hop.excluded_wait += server.PausedTime(context.now) - hop.paused_before;
-  }
+  hop.excluded_wait += PausedWait(hop, server, context.now);
   hop.state = HopState::kDispatched;
   hop.dispatched = context.now;
   const Duration timeout = DispatchTimeout(hop, server, context);
--- a/src/libnode/serving/serving_role.h
+++ b/src/libnode/serving/serving_role.h
@@ -96,6 +96,9 @@
   // Pauses calls other than suspects until the suspect `hop` can run alone.
   void BeginPause(const Hop& hop, LocalServer& server, Context& context);
   void StartSuspectRun(Hop& hop, LocalServer& server, Context& context);
+  // Returns how long a queued call has waited in pauses; 0 in other states.
+  static Duration PausedWait(const Hop& hop, const LocalServer& server,
+                             TimePoint now);
   // Tells the other nodes that a request suspected of a crash was answered,
   // unless they know.
   void TellAnswered(const Hop& hop, Context& context);
@@ -137,10 +140,9 @@
   void SendFitness(LocalServer& server, Context& context);
   // `ran_alone`: the only call in flight ran as a suspect.
   void RecordCrash(LocalServer& server, bool ran_alone, Context& context);
-  // Logs and counts the end of a run of a suspect; `result` is one of
-  // "answered", "lost" (with its connection) and "other".
-  void RecordSuspectRun(const Hop& hop, std::string_view result,
-                        Context& context);
+  // Logs and counts the end of a run of a suspect and tells the other nodes.
+  // `result`: "answered", "lost" (with its connection) or "other".
+  void EndSuspectRun(const Hop& hop, std::string_view result, Context& context);
   // Returns what is known about a request in flight at a crash.
   CrashCandidate CandidateOf(const std::string& service, uint64_t fingerprint,
                              TimePoint now) const;
--- a/src/libpolicy/crash_evidence.cc
+++ b/src/libpolicy/crash_evidence.cc
@@ -1,7 +1,7 @@
 #include "amaranthroute/policy/crash_evidence.h"
 
 #include <algorithm>
-#include <iterator>
+#include <utility>
 
 namespace amaranth {
 namespace {
--- a/src/libwire/to_wire.cc
+++ b/src/libwire/to_wire.cc
@@ -57,13 +57,6 @@
   return std::clamp(duration, Duration(0), kMaxWireDuration).count();
 }
 
-void ToWire(const SuspectNews& in, wire::SuspectNews& out) {
-  out.service_name = in.service;
-  out.fingerprint = Signed(in.fingerprint);
-  out.event = ToNumber(in.event);
-  out.remaining_us = in.remaining.count();
-}
-
 template <typename In, typename Out>
 void ToWireList(const std::vector<In>& in, std::vector<Out>& out);
 
@@ -197,6 +190,13 @@
   out.remaining_us = in.remaining.count();
 }
 
+void ToWire(const SuspectNews& in, wire::SuspectNews& out) {
+  out.service_name = in.service;
+  out.fingerprint = Signed(in.fingerprint);
+  out.event = ToNumber(in.event);
+  out.remaining_us = ClampedMicros(in.remaining);
+}
+
 template <typename In, typename Out>
 void ToWireList(const std::vector<In>& in, std::vector<Out>& out) {
   out.resize(in.size());
