--- a/review/lib/mesh.py
+++ b/review/lib/mesh.py
@@ -395,8 +395,8 @@
         broken = case(record, trouble)
     except (CannotRun, OSError) as error:
         record(f"could not run: {error!r}")
-        print(f"could not run: {error!r}")
-        sys.exit(2)
+        print(f"could not run: {error!r}", flush=True)
+        os._exit(2)
     for count, text in enumerate(broken):
         record(f"BROKEN: {text}")
         if count < 3:
