A leaving node is counted among those it is ranked with

Cause: a node that leaves is not among the nodes that are up, by which the watchers of the settings are ranked. It got the rank behind the last of them, but the count did not include it: rank 0 of 0 if it is the only one. It then watches with a period of 0 slots, and WatchWait divides by it. With others up, the end of its watch lay outside the period.

Change: SettingsRank counts the node itself, so a rank is always below its count. A leaving node still holds requests and needs the settings; as the last one it watches the store itself.

Failed before: SettingsInTime TheLastNodeOfADataCentreAnswersItsCallsWhileItStops (signal 8), SettingsRelay ALeavingNodeRanksAfterTheNodesThatStay (2 nodes, not 3).

--- a/src/libnode/membership/membership_relay.cc
+++ b/src/libnode/membership/membership_relay.cc
@@ -20,9 +20,12 @@
   return settings_relays_;
 }
 
+// A node that leaves is not among those that are up, but needs the settings for
+// the requests that it still holds. It ranks after them, as the only one if no
+// other node is up.
 DataCentreRank Membership::SettingsRank() const {
   const size_t nodes = SettingsRelays().size();
-  return {settings_rank_, nodes};
+  return {settings_rank_, std::max(nodes, settings_rank_ + 1)};
 }
 
 // Confirmations also ride on every datagram, but probes take a number of rounds
--- a/src/libnode/membership/settings_relay_test.cc
+++ b/src/libnode/membership/settings_relay_test.cc
@@ -190,4 +190,22 @@
   }
 }
 
+// Guards against a rank that is not below the count of nodes, which the times
+// of the watches are derived from, at a node that leaves after all others.
+TEST(SettingsRelay, ALeavingNodeRanksAfterTheNodesThatStay) {
+  MembershipFleet fleet(4);
+  const std::vector<std::string> names = {"a", "b", "c"};
+  for (const std::string& name : names) fleet.Add(name, "derby", {"a"});
+  fleet.Run(seconds(15));
+  for (size_t left = names.size(); left > 0; --left) {
+    const std::string& name = names[left - 1];
+    fleet.Invoke(name,
+                 [](Membership& m, Context& context) { m.Leave(context); });
+    fleet.Run(seconds(1));
+    const DataCentreRank rank = fleet.at(name).SettingsRank();
+    CHECK_EQUAL(left - 1, rank.rank);
+    CHECK_EQUAL(left, rank.nodes);
+  }
+}
+
 }  // namespace amaranth::pvt
--- a/src/libnode/settings_in_time_test.cc
+++ b/src/libnode/settings_in_time_test.cc
@@ -288,6 +288,39 @@
   }
 }
 
+// Guards against a node that ends abnormally while it stops, with its calls,
+// because all other nodes of its data centre have left before it; and against
+// settings that get old there.
+TEST(SettingsInTime, TheLastNodeOfADataCentreAnswersItsCallsWhileItStops) {
+  constexpr Duration kWork = seconds(4);
+  for (const int size : {1, 2, 3, 7}) {
+    WatchingFleet nodes(size, 11);
+    const std::string last = nodes.names().back();
+    FakeServerOptions server;
+    server.name = "s";
+    server.service = "subscriptions";
+    server.service_time = kWork;
+    nodes.fleet.AddServer(last, server);
+    nodes.fleet.RunFor(seconds(3));
+    HttpRequest request = MakeRequest("POST", "subscriptions");
+    request.headers.push_back({"X-Amaranth-Deadline-Ms", "10000"});
+    const uint64_t call = nodes.fleet.Call(last, request);
+    for (const std::string& name : nodes.names()) {
+      nodes.fleet.RunFor(milliseconds(200));
+      nodes.fleet.Stop(name);
+      if (name != last) nodes.Disturb(name);
+    }
+    nodes.fleet.RunFor(milliseconds(300));
+    nodes.Acknowledge();
+    const Duration latest = nodes.LatestDuring(kChangeBound);
+    CHECK_COMPARE(latest.count(), <, kChangeBound.count());
+    CHECK(
+        nodes.fleet.RunUntil([&] { return nodes.fleet.Exited(last); }, kWork));
+    CHECK(nodes.fleet.AnswerOf(call) != nullptr);
+    CHECK_EQUAL(200, nodes.fleet.AnswerOf(call)->response.status);
+  }
+}
+
 // Guards against a bound that is kept by calls to the platform: nodes in a
 // steady state make no more of them than five watchers whose watches take two
 // seconds each.
--- a/src/libnode/shared/settings_watchers.h
+++ b/src/libnode/shared/settings_watchers.h
@@ -25,8 +25,8 @@
 // and one of them that has read confirms for all.
 inline constexpr size_t kSettingsStandbyCount = 5;
 
-// Rank of a node among those of its data centre, from 0, and their count. A
-// node that is not among them has the rank `nodes`.
+// Rank of a node among those of its data centre, from 0, and their count, which
+// includes the node itself: `rank` is less than `nodes`.
 struct DataCentreRank {
   size_t rank = 0;
   size_t nodes = 1;
