A response is complete only after the end of its head

Cause: libcurl reports success for a connection that ends inside a head, and HttpTransfer took a head without a length for that of a body which ends with its connection, and one cut after "Content-Length: 0" for a whole one.

Change: the end of the final head is recorded and required. What libcurl reports as header lines after it are trailers; they were merged into the head, where "Not-Run" proved that a request had not run. They are dropped. amaranthctl, which has a client of its own, requires the length that nodes always send.

Failed before: HttpClient ResponseThatEndsInItsHeadIsAnError (five layouts, cut at every byte) and TrailersAreNoHeaderFields, CtlHttp AResponseThatEndsInItsHeadIsAnError.

--- a/src/amaranthctl/node_http.cc
+++ b/src/amaranthctl/node_http.cc
@@ -91,6 +91,13 @@
   if (result != CURLE_OK) {
     return Error{ErrorCode::kUnavailable, curl_easy_strerror(result)};
   }
+  // Nodes always send a length. libcurl reports success for a response that
+  // ends inside its head, too.
+  curl_off_t length = -1;
+  curl_easy_getinfo(handle.get(), CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &length);
+  if (length < 0) {
+    return Error{ErrorCode::kUnavailable, "the response is incomplete"};
+  }
   long status = 0;
   curl_easy_getinfo(handle.get(), CURLINFO_RESPONSE_CODE, &status);
   return HttpResponse{
--- a/src/amaranthctl/run_test.cc
+++ b/src/amaranthctl/run_test.cc
@@ -179,6 +179,13 @@
   CHECK(sent_text.find("Content-Length: 2\r\n") != std::string::npos);
 }
 
+// Guards against a head that is cut off and passes as an empty answer.
+TEST(CtlHttp, AResponseThatEndsInItsHeadIsAnError) {
+  SingleResponseServer node("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n");
+  CHECK(!SendHttpRequest(node.address(), HttpRequest(),
+                         std::chrono::seconds(10)));
+}
+
 TEST(CtlHttp, TruncatedResponsesAndClosedPortsAreErrors) {
   Endpoint closed_address;
   {
--- a/src/libhost/http_client_test.cc
+++ b/src/libhost/http_client_test.cc
@@ -257,6 +257,46 @@
   }
 }
 
+// Guards against a response that is cut off inside its head and passes as a
+// whole one with an empty body, because a body may end with its connection.
+TEST(HttpClient, ResponseThatEndsInItsHeadIsAnError) {
+  HttpClientOptions options;
+  options.accept_close_delimited_body = true;
+  const std::string fields = "Attempt-Id: 7\r\nResponse-Sig: s\r\n";
+  for (const std::string& head : {
+           "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 4\r\n\r\n",
+           "HTTP/1.1 201 Created\r\nContent-Length: 0\r\n" + fields + "\r\n",
+           "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+           "HTTP/1.1 200 OK\r\n" +
+               fields + "Connection: close\r\n\r\n",
+           "HTTP/1.1 200 OK\r\n" + fields +
+               "Transfer-Encoding: chunked\r\n\r\n",
+           "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n" + fields +
+               "\r\n",
+       }) {
+    for (size_t length = 1; length < head.size(); ++length) {
+      const HttpClientResult result =
+          ResultOf(head.substr(0, length), Post("p"), options);
+      CHECK(!result.response.has_value());
+      CHECK(result.verdict == Verdict::kMayHaveRun);
+    }
+  }
+  const std::string whole = "HTTP/1.1 200 OK\r\n" + fields + "\r\n";
+  CHECK(ResultOf(whole, Post("p"), options).response.has_value());
+}
+
+// Guards against a trailer that is taken for a header field, such as the one
+// that says that the request did not run.
+TEST(HttpClient, TrailersAreNoHeaderFields) {
+  const HttpClientResult result = ResultOf(
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Kept: 1\r\n\r\n"
+      "4\r\nhalf\r\n0\r\nNot-Run: 1\r\nX-Kept: 2\r\n\r\n",
+      Post("p"));
+  CHECK(result.response.has_value());
+  CHECK(FindHeader(result.response->headers, "Not-Run").empty());
+  CHECK(FindHeader(result.response->headers, "X-Kept") == "1");
+}
+
 TEST(HttpClient, ChunkedAndInterimResponsesAreRead) {
   const HttpClientResult chunked = ResultOf(
       "HTTP/1.1 201 Created\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/src/libhost/http_transfer.cc
+++ b/src/libhost/http_transfer.cc
@@ -27,6 +27,12 @@
 
 bool HasNoBody(int status) { return status == 204 || status == 304; }
 
+// Returns whether the line starts an interim response (1xx).
+bool IsInterimStatusLine(std::string_view line) {
+  const size_t space = line.find(' ');
+  return space != std::string_view::npos && line.substr(space + 1, 1) == "1";
+}
+
 }  // namespace
 
 HttpTransfer::HttpTransfer(const HttpClientOptions& options)
@@ -200,15 +206,22 @@
     too_large_ = true;
     return 0;
   }
-  // Interim responses (1xx) come before the final one; only the headers of the
-  // last response are kept.
+  // libcurl reports trailers, too. They are no header fields (RFC 9110 section
+  // 6.5.1): one could replace a field that the response was judged by.
+  if (head_ended_) return line.size();
+  // Interim responses come before the final one; only the headers of the last
+  // response are kept.
   if (IsStatusLine(line)) {
     response_.headers.clear();
+    is_interim_ = IsInterimStatusLine(line);
     return line.size();
   }
-  // The empty line ends the headers. A callback that returns 0 makes libcurl
-  // close the connection and discard what else arrives on it.
-  if (TrimLine(line).empty() && !EchoesRequest()) return 0;
+  if (TrimLine(line).empty()) {
+    head_ended_ = !is_interim_;
+    // A callback that returns 0 makes libcurl close the connection and discard
+    // what else arrives on it.
+    return EchoesRequest() ? line.size() : 0;
+  }
   const size_t colon = line.find(':');
   if (colon != std::string_view::npos) {
     response_.headers.push_back(
@@ -270,8 +283,9 @@
   long status = 0;
   curl_easy_getinfo(easy_, CURLINFO_RESPONSE_CODE, &status);
   response_.status = static_cast<int>(status);
+  // libcurl reports success for a response that ends inside its head.
   const bool is_complete =
-      HasKnownLength() || options_.accept_close_delimited_body;
+      head_ended_ && (HasKnownLength() || options_.accept_close_delimited_body);
   if (status < 200 || status > 999 || !is_complete) {
     return FailureResult(Reason::kServerError);
   }
@@ -312,6 +326,8 @@
   header_bytes_ = 0;
   times_sent_ = 0;
   response_started_ = false;
+  is_interim_ = false;
+  head_ended_ = false;
   too_large_ = false;
   body_reserved_ = false;
   done = nullptr;
--- a/src/libhost/http_transfer.h
+++ b/src/libhost/http_transfer.h
@@ -82,6 +82,8 @@
   size_t header_bytes_ = 0;
   int times_sent_ = 0;
   bool response_started_ = false;
+  bool is_interim_ = false;  // the response whose head is being read
+  bool head_ended_ = false;  // of the final response
   bool too_large_ = false;
   bool body_reserved_ = false;
 };
