A response that is too large is its server's fault, not the caller's

Callers saw: a read or write whose answer a faulty server continues without end (header lines, interim answers, a body, chunks, trailers) gets 413, after which no client tries again, with a sound server beside the faulty one.

Cause: the HTTP client reports "too large" for a response over its limits, and both interfaces map that reason to 413, whichever side caused it.

Change: the serving node turns it into a server error, as for every response that a server does not complete: the call may be repeated elsewhere, and it counts against the server (it did before). A warning names server and request, and amaranth_server_responses_discarded_total counts them. 413 is only for a request that was refused, not run, for its own size.

--- a/src/libnode/serving/serving_results.cc
+++ b/src/libnode/serving/serving_results.cc
@@ -139,6 +139,7 @@
   }
   const bool cancelled = failed_hop->cancelled;
   const Hop hop = EndDispatch(failed.dispatch, !cancelled, context);
+  if (failed.reason == Reason::kTooLarge) LogDiscarded(hop, context);
   if (hop.is_suspect) {
     const bool lost = failed.reason == Reason::kConnectionLost && !timed_out;
     EndSuspectRun(
@@ -157,6 +158,16 @@
   DispatchWaiting(found->second, context);
 }
 
+void ServingRole::LogDiscarded(const Hop& hop, Context& context) {
+  stats_.Count("amaranth_server_responses_discarded_total",
+               "service=\"" + hop.context.service + "\"");
+  context.Log(LogLevel::kWarning, kPart,
+              "Response of backend server " + hop.server + " to request " +
+                  hop.context.request_id +
+                  " was discarded: it is over a size limit, or there is no "
+                  "memory left for it.");
+}
+
 void ServingRole::OnNotice(LocalServer& server, const ServerNotice& notice,
                            Context& context) {
   server.has_answered = true;
@@ -223,6 +234,12 @@
   // An attempt that timed out is no sign of a crash.
   if (HasTimedOut(hop, now)) failure.reason = Reason::kDeadline;
   failure.detail = "backend server " + hop.server + " broke off";
+  if (failed.reason == Reason::kTooLarge) {
+    // The fault of the server: the request was not too large.
+    failure.reason = Reason::kServerError;
+    failure.detail =
+        "response of backend server " + hop.server + " is too large to be held";
+  }
   failure.final = hop.nested_retries_exhausted;
   return failure;
 }
--- a/src/libnode/serving/serving_role.h
+++ b/src/libnode/serving/serving_role.h
@@ -117,6 +117,7 @@
   void Refuse(const Hop& hop, Reason reason, Context& context,
               const std::string& why = "");
   void Fail(const Hop& hop, Failure failure, Context& context);
+  void LogDiscarded(const Hop& hop, Context& context);
   void Answer(const Hop& hop, HttpResponse response, Context& context);
   void SendAnswer(const Hop& hop, CallAnswer answer, Context& context);
   // Adds the costs of the call, the services that are short of capacity or
--- a/src/libnode/shared/answers.cc
+++ b/src/libnode/shared/answers.cc
@@ -19,7 +19,9 @@
     case Reason::kUnknownService:
       return 404;
     case Reason::kTooLarge:
-      return 413;
+      // 413 says that the request must not be sent again, so it is only for a
+      // request that was refused for its own size.
+      return failure.verdict == Verdict::kNotRun ? 413 : 502;
     case Reason::kQuarantined:
       return 422;
     case Reason::kDeadline:
