Bytes that belong to no response are not read as one, and end soon

Cause: an idle connection was not read from, and libcurl reuses one that is readable. Bytes counted as progress, whatever they were.

Change: an idle connection that becomes readable is shut down and emptied; one that can be read from when a request is about to be sent is dropped too, and the request, of which nothing was sent, goes out on a new connection. A transfer that receives more than the header limit without a byte of head or body ends as too large.

Not covered: bytes that arrive after a request was sent and before its answer, without an Attempt-Id, cannot be told from its answer.

--- a/src/include/amaranthroute/http.h
+++ b/src/include/amaranthroute/http.h
@@ -16,21 +16,38 @@
 class Body {
  public:
   Body() = default;
-  explicit Body(std::string bytes)
-      : bytes_(std::make_shared<const std::string>(std::move(bytes))) {}
-
-  std::string_view view() const {
-    return bytes_ ? std::string_view(*bytes_) : std::string_view();
+  explicit Body(std::string bytes) {
+    const auto owner = std::make_shared<const std::string>(std::move(bytes));
+    size_ = owner->size();
+    data_ = std::shared_ptr<const char>(owner, owner->data());
+  }
+  /// A body of bytes that are valid for the life of `owner`.
+  Body(std::shared_ptr<const void> owner, std::string_view bytes)
+      : data_(std::move(owner), bytes.data()), size_(bytes.size()) {}
+
+  std::string_view view() const { return {data_.get(), size_}; }
+  size_t size() const { return size_; }
+
+  /// Returns the same body; its copies keep `owner` alive, too, such as the
+  /// memory that is accounted for it. An empty body has no owner.
+  Body WithOwner(std::shared_ptr<const void> owner) const {
+    if (size_ == 0) return Body();
+    struct Owners {
+      std::shared_ptr<const void> added;
+      std::shared_ptr<const char> data;
+    };
+    return Body(std::make_shared<const Owners>(Owners{std::move(owner), data_}),
+                view());
   }
-  size_t size() const { return view().size(); }
 
   friend bool operator==(const Body& a, const Body& b) {
-    return a.bytes_ == b.bytes_ || a.view() == b.view();
+    return a.view() == b.view();
   }
   friend bool operator!=(const Body& a, const Body& b) { return !(a == b); }
 
  private:
-  std::shared_ptr<const std::string> bytes_;
+  std::shared_ptr<const char> data_;
+  size_t size_ = 0;
 };
 
 /// One header field. Lookup of names is case-insensitive (see FindHeader);
--- a/src/libhost/http_client.cc
+++ b/src/libhost/http_client.cc
@@ -3,15 +3,19 @@
 #include <curl/curl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <array>
 #include <asio/io_context.hpp>
 #include <asio/ip/address.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/posix/stream_descriptor.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
+#include <cerrno>
 #include <cstring>
 #include <map>
 #include <stdexcept>
@@ -26,6 +30,27 @@
 
 constexpr size_t kMaxIdleTransfers = 256;
 
+// Shuts a connection down, so that libcurl does not reuse it, and frees the
+// bytes that it has received, which the kernel would hold for as long as
+// libcurl keeps the socket.
+void DiscardConnection(int fd) {
+  ::shutdown(fd, SHUT_RDWR);
+  constexpr int kMaxReads = 1024;
+  std::array<char, 16384> discarded;
+  for (int i = 0; i < kMaxReads; ++i) {
+    if (::recv(fd, discarded.data(), discarded.size(), MSG_DONTWAIT) <= 0) {
+      return;
+    }
+  }
+}
+
+// Returns the number of bytes that wait to be read, at least 1.
+uint64_t ReadableBytes(int fd) {
+  int bytes = 0;
+  if (::ioctl(fd, FIONREAD, &bytes) != 0) bytes = 0;
+  return static_cast<uint64_t>(std::max(bytes, 1));
+}
+
 void InitialiseCurl() {
   static const CURLcode result = curl_global_init(CURL_GLOBAL_DEFAULT);
   if (result != CURLE_OK) throw std::runtime_error("cannot initialize libcurl");
@@ -129,7 +154,7 @@
   void DropIdle(const Endpoint& endpoint) {
     for (const auto& [fd, watch] : watches_) {
       if (watch->endpoint == endpoint && watch->events == CURL_POLL_REMOVE) {
-        ::shutdown(fd, SHUT_RDWR);
+        DiscardConnection(fd);
       }
     }
   }
@@ -150,6 +175,11 @@
     bool connected = false;  // libcurl has waited for input on it
     bool reading = false;    // an async_wait is pending
     bool writing = false;
+    // Bytes received since the response on it last made progress; counted from
+    // the first read without progress on.
+    uint64_t idle_bytes = 0;
+    uint64_t transfer = 0;    // id; 0 if idle
+    uint16_t local_port = 0;  // known once it has been idle
   };
   using SocketWatchPtr = std::shared_ptr<SocketWatch>;
 
@@ -168,6 +198,10 @@
       curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, this);
       curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &Impl::OnCloseSocket);
       curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
+      transfer->is_connection_usable = [this](const Endpoint& remote,
+                                              uint16_t local_port) {
+        return IsConnectionUsable(remote, local_port);
+      };
       return transfer;
     }
     std::unique_ptr<HttpTransfer> transfer = std::move(idle_transfers_.back());
@@ -182,6 +216,31 @@
     }
   }
 
+  // libcurl does not tell which socket it uses for a transfer.
+  void IndexIdle(curl_socket_t fd, SocketWatch& watch) {
+    if (watch.local_port != 0) return;
+    asio::ip::tcp::endpoint local;
+    socklen_t length = static_cast<socklen_t>(local.capacity());
+    if (::getsockname(fd, local.data(), &length) != 0) return;
+    watch.local_port = local.port();
+    used_before_[{watch.endpoint, watch.local_port}] = fd;
+  }
+
+  // Returns false if a connection that was used before can be read from: it was
+  // closed, or bytes have followed the earlier response. They belong to no
+  // request (RFC 9112 section 9.2), but libcurl would take them for the
+  // response to the next one.
+  bool IsConnectionUsable(const Endpoint& remote, uint16_t local_port) const {
+    const auto found = used_before_.find({remote, local_port});
+    if (found == used_before_.end()) return true;
+    char byte = 0;
+    const ssize_t size =
+        ::recv(found->second, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) return true;
+    DiscardConnection(found->second);
+    return false;
+  }
+
   void PostFailure(Done done, Reason reason) {
     HttpClientResult result;
     result.verdict = Verdict::kNotRun;
@@ -256,13 +315,15 @@
     if (found == watches_.end()) return ::close(fd);
     const SocketWatchPtr watch = std::move(found->second);
     watches_.erase(found);
+    used_before_.erase({watch->endpoint, watch->local_port});
     watch->events = CURL_POLL_REMOVE;
     asio::error_code ignored;
     watch->descriptor.close(ignored);
     return 0;
   }
 
-  static int OnSocket(CURL*, curl_socket_t fd, int what, void* self, void*) {
+  static int OnSocket(CURL* easy, curl_socket_t fd, int what, void* self,
+                      void*) {
     Impl& impl = *static_cast<Impl*>(self);
     const auto found = impl.watches_.find(fd);
     if (found == impl.watches_.end()) return 0;
@@ -273,16 +334,30 @@
     }
     watch.connected |= what == CURL_POLL_IN || what == CURL_POLL_INOUT;
     watch.events = what;
+    watch.transfer = 0;
+    watch.idle_bytes = 0;
+    if (what == CURL_POLL_REMOVE) {
+      impl.IndexIdle(fd, watch);
+    } else {
+      watch.transfer = TransferOf(easy).id;
+    }
     impl.StartWaits(fd, found->second);
     return 0;
   }
 
+  // An idle connection is read from, too: whatever arrives on it belongs to no
+  // request.
+  static bool WaitsForInput(const SocketWatch& watch) {
+    return watch.events == CURL_POLL_REMOVE ? watch.connected
+                                            : WaitsFor(watch, CURL_POLL_IN);
+  }
+
   static bool WaitsFor(const SocketWatch& watch, int what) {
     return watch.events == what || watch.events == CURL_POLL_INOUT;
   }
 
   void StartWaits(curl_socket_t fd, const SocketWatchPtr& watch) {
-    if (WaitsFor(*watch, CURL_POLL_IN) && !watch->reading) {
+    if (WaitsForInput(*watch) && !watch->reading) {
       watch->reading = true;
       StartWait(fd, watch, asio::posix::stream_descriptor::wait_read);
     }
@@ -307,13 +382,37 @@
     (is_read ? watch->reading : watch->writing) = false;
     if (multi_ == nullptr || !watch->descriptor.is_open()) return;
     const int what = is_read ? CURL_POLL_IN : CURL_POLL_OUT;
+    if (is_read && watch->events == CURL_POLL_REMOVE) {
+      DiscardConnection(fd);
+      return;
+    }
     if (!WaitsFor(*watch, what)) return;
+    const HttpTransfer* const reading =
+        is_read ? FindActive(watch->transfer) : nullptr;
+    const uint64_t before = reading == nullptr ? 0 : reading->response_bytes();
+    const uint64_t waiting = watch->idle_bytes > 0 ? ReadableBytes(fd) : 1;
     int ready = is_read ? CURL_CSELECT_IN : CURL_CSELECT_OUT;
     if (error) ready = CURL_CSELECT_ERR;
     int running = 0;
     curl_multi_socket_action(multi_, fd, ready, &running);
     CompleteTransfers();
-    if (multi_ != nullptr && watch->descriptor.is_open()) StartWaits(fd, watch);
+    if (multi_ == nullptr || !watch->descriptor.is_open()) return;
+    HttpTransfer* const still_reading =
+        is_read ? FindActive(watch->transfer) : nullptr;
+    if (still_reading != nullptr && still_reading == reading) {
+      const bool progress = reading->response_bytes() > before;
+      watch->idle_bytes = progress ? 0 : watch->idle_bytes + waiting;
+      if (watch->idle_bytes > options_.max_response_header_bytes) {
+        still_reading->SetTooLarge();
+        return CompleteTransfer(still_reading->easy(), CURLE_RECV_ERROR);
+      }
+    }
+    StartWaits(fd, watch);
+  }
+
+  HttpTransfer* FindActive(uint64_t id) {
+    const auto found = active_.find(id);
+    return found == active_.end() ? nullptr : found->second.get();
   }
 
   static int OnTimer(CURLM*, long millis, void* self) {
@@ -373,10 +472,16 @@
     }
   }
 
+  static HttpTransfer& TransferOf(CURL* easy) {
+    HttpTransfer* transfer = nullptr;
+    curl_easy_getinfo(easy, CURLINFO_PRIVATE, &transfer);
+    return *transfer;
+  }
+
   void CompleteTransfer(CURL* easy, CURLcode code) {
-    HttpTransfer* ended = nullptr;
-    curl_easy_getinfo(easy, CURLINFO_PRIVATE, &ended);
-    const auto found = active_.find(ended->id);
+    HttpTransfer& ended = TransferOf(easy);
+    if (ended.met_unusable_connection()) return Restart(ended);
+    const auto found = active_.find(ended.id);
     std::unique_ptr<HttpTransfer> transfer = std::move(found->second);
     active_.erase(found);
     HttpClientResult result = transfer->Finish(code);
@@ -386,6 +491,13 @@
     done(std::move(result));
   }
 
+  // Nothing of the request was sent.
+  void Restart(HttpTransfer& transfer) {
+    curl_multi_remove_handle(multi_, transfer.easy());
+    transfer.UseNewConnection();
+    curl_multi_add_handle(multi_, transfer.easy());
+  }
+
   asio::io_context& io_;
   HttpClientOptions options_;
   asio::steady_timer timer_;
@@ -397,6 +509,8 @@
   std::unordered_map<uint64_t, std::unique_ptr<HttpTransfer>> active_;
   std::vector<std::unique_ptr<HttpTransfer>> idle_transfers_;
   std::unordered_map<curl_socket_t, SocketWatchPtr> watches_;
+  // Sockets of the connections that have been idle, by their addresses.
+  std::map<std::pair<Endpoint, uint16_t>, curl_socket_t> used_before_;
   std::map<Endpoint, std::string> base_urls_;
 };
 
--- a/src/libhost/http_client.h
+++ b/src/libhost/http_client.h
@@ -15,6 +15,7 @@
 #include "amaranthroute/ids.h"
 #include "amaranthroute/platform_client.h"
 #include "amaranthroute/time.h"
+#include "libutil/memory_budget.h"
 
 namespace asio {
 class io_context;
@@ -23,7 +24,11 @@
 namespace amaranth::pvt {
 
 struct HttpClientOptions {
+  // Memory for responses; if unset, there is no limit on all together.
+  std::shared_ptr<MemoryBudget> budget;
   uint64_t max_response_bytes = 8ull << 20;
+  // Also limits the bytes that bring a response no further, such as those of a
+  // chunk extension.
   size_t max_response_header_bytes = 65536;
   size_t max_idle_connections = 512;
   // The maximum time that a connection may be idle and still be reused.
--- a/src/libhost/http_client_test.cc
+++ b/src/libhost/http_client_test.cc
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 
 #include "libhost/test_io.h"
@@ -297,6 +298,79 @@
   CHECK(FindHeader(result.response->headers, "X-Kept") == "1");
 }
 
+// Guards against bytes after a whole response that are taken for the response
+// to the next request, for example as a refusal that proves it not run.
+TEST(HttpClient, BytesOnAnIdleConnectionAnswerNoRequest) {
+  const std::string refusal =
+      "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n"
+      "Content-Length: 0\r\n\r\n";
+  RawServer server(io, RespondWith([](RawConnection& peer, const std::string&) {
+                     peer.Write(OkResponse("own"));
+                   }));
+  HttpClient client(io, {});
+  const Endpoint to{"127.0.0.1", server.port()};
+  for (const bool seen_while_idle : {true, false}) {
+    results.clear();
+    client.Send(to, Post("a"), kRequestTimeout, StoreResult());
+    CHECK(Until([&] { return results.size() == 1; }));
+    RawConnection& peer = *server.peers.back();
+    peer.WriteNow(refusal);
+    if (seen_while_idle) CHECK(Until([&] { return peer.ended; }));
+    client.Send(to, Post("b"), kRequestTimeout, StoreResult());
+    CHECK(Until([&] { return results.size() == 2; }));
+    CHECK(results[1].response.has_value());
+    CHECK(results[1].response->body.view() == "own");
+  }
+  CHECK_EQUAL(3u, client.connections_opened());
+}
+
+// Guards against a response without end that is read until the timeout of its
+// request because its bytes bring it no further.
+TEST(HttpClient, EndlessChunkExtensionIsAnError) {
+  RawServer server(io, RespondWith([](RawConnection& peer, const std::string&) {
+                     peer.Write(
+                         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                         "\r\n4;x=" +
+                         std::string(16u << 20, 'y'));
+                   }));
+  HttpClient client(io, {});
+  client.Send({"127.0.0.1", server.port()}, Post("p"), kRequestTimeout,
+              StoreResult());
+  CHECK(Until([&] { return results.size() == 1; }));
+  CHECK(results[0].verdict == Verdict::kMayHaveRun);
+  CHECK(results[0].reason == Reason::kTooLarge);
+}
+
+// Guards against responses that are each within the limit and together take
+// more memory than the process has.
+TEST(HttpClient, ResponsesShareOneBudget) {
+  constexpr size_t kSize = 1u << 20;
+  constexpr size_t kRequests = 8;
+  HttpClientOptions options;
+  options.budget = std::make_shared<MemoryBudget>(4 * kSize);
+  RawServer server(io, RespondWith([](RawConnection& peer, const std::string&) {
+                     peer.Write(OkResponse(std::string(kSize, 'x')));
+                   }));
+  HttpClient client(io, options);
+  uint64_t most = 0;
+  for (size_t i = 0; i < kRequests; ++i) {
+    client.Send({"127.0.0.1", server.port()}, Post("p"), kRequestTimeout,
+                StoreResult());
+  }
+  CHECK(Until([&] {
+    most = std::max(most, options.budget->used());
+    return results.size() == kRequests;
+  }));
+  const auto whole = [](const HttpClientResult& result) {
+    return result.response.has_value();
+  };
+  CHECK(std::any_of(results.begin(), results.end(), whole));
+  CHECK(!std::all_of(results.begin(), results.end(), whole));
+  CHECK(most <= options.budget->limit());
+  results.clear();
+  CHECK_EQUAL(0u, options.budget->used());
+}
+
 TEST(HttpClient, ChunkedAndInterimResponsesAreRead) {
   const HttpClientResult chunked = ResultOf(
       "HTTP/1.1 201 Created\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/src/libhost/http_transfer.cc
+++ b/src/libhost/http_transfer.cc
@@ -186,13 +186,35 @@
 // Called each time before the request is sent. libcurl resends a request by
 // itself when a pooled connection closes without an answer; the server may have
 // run the request before it closed, so a second transmission is aborted here.
-int HttpTransfer::OnSending(void* self, char*, char*, int, int) {
+int HttpTransfer::OnSending(void* self, char* remote_ip, char*, int remote_port,
+                            int local_port) {
   HttpTransfer& transfer = *static_cast<HttpTransfer*>(self);
   if (transfer.times_sent_ > 0) return CURL_PREREQFUNC_ABORT;
+  const Endpoint remote{remote_ip, static_cast<uint16_t>(remote_port)};
+  if (!transfer.uses_new_connection_ &&
+      !transfer.is_connection_usable(remote,
+                                     static_cast<uint16_t>(local_port))) {
+    transfer.met_unusable_connection_ = true;
+    return CURL_PREREQFUNC_ABORT;
+  }
   ++transfer.times_sent_;
   return CURL_PREREQFUNC_OK;
 }
 
+void HttpTransfer::UseNewConnection() {
+  met_unusable_connection_ = false;
+  uses_new_connection_ = true;
+  curl_easy_setopt(easy_, CURLOPT_FRESH_CONNECT, 1L);
+}
+
+// Returns false if there is no memory for `added` more bytes of the response.
+bool HttpTransfer::LeaseResponse(size_t added) {
+  if (memory_.bytes() == 0) {
+    memory_ = MemoryLease(options_.budget, MemoryUse::kResponse);
+  }
+  return memory_.Resize(response_bytes() + added);
+}
+
 size_t HttpTransfer::OnHeader(char* data, size_t size, size_t count,
                               void* self) {
   return static_cast<HttpTransfer*>(self)->ProcessHeader(
@@ -201,11 +223,12 @@
 
 size_t HttpTransfer::ProcessHeader(std::string_view line) {
   response_started_ = true;
-  header_bytes_ += line.size();
-  if (header_bytes_ > options_.max_response_header_bytes) {
+  if (header_bytes_ + line.size() > options_.max_response_header_bytes ||
+      !LeaseResponse(line.size())) {
     too_large_ = true;
     return 0;
   }
+  header_bytes_ += line.size();
   // libcurl reports trailers, too. They are no header fields (RFC 9110 section
   // 6.5.1): one could replace a field that the response was judged by.
   if (head_ended_) return line.size();
@@ -249,20 +272,21 @@
 }
 
 size_t HttpTransfer::ProcessBody(std::string_view bytes) {
-  if (body_.empty() && !body_reserved_) {
+  if (!body_reserved_) {
     body_reserved_ = true;
     curl_off_t length = -1;
     curl_easy_getinfo(easy_, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &length);
     if (length > 0 &&
         static_cast<uint64_t>(length) <= options_.max_response_bytes) {
-      body_.reserve(static_cast<size_t>(length));
+      body_.Reserve(static_cast<size_t>(length));
     }
   }
-  if (body_.size() + bytes.size() > options_.max_response_bytes) {
+  if (body_.size() + bytes.size() > options_.max_response_bytes ||
+      !LeaseResponse(bytes.size())) {
     too_large_ = true;
     return 0;
   }
-  body_.append(bytes);
+  body_.Append(bytes);
   return bytes.size();
 }
 
@@ -276,6 +300,8 @@
 }
 
 HttpClientResult HttpTransfer::Finish(CURLcode code) {
+  // libcurl reports a header line over its own limit, 100 KiB, in this way.
+  if (code == CURLE_OUT_OF_MEMORY) too_large_ = true;
   if (code != CURLE_OK) {
     return FailureResult(response_started_ ? Reason::kServerError
                                            : Reason::kConnectionLost);
@@ -294,7 +320,8 @@
       is_head ? FindHeader(response_.headers, "Content-Length") : "");
   RemoveFramingHeaders(response_.headers);
   if (!length.empty()) response_.headers.push_back({"Content-Length", length});
-  response_.body = Body(std::move(body_));
+  response_.body =
+      body_.Take(std::make_shared<const MemoryLease>(std::move(memory_)));
   HttpClientResult result;
   result.response = std::move(response_);
   result.verdict = Verdict::kRan;
@@ -320,15 +347,20 @@
     sigv4_provider_.clear();
     sigv4_user_password_.clear();
   }
+  if (std::exchange(uses_new_connection_, false)) {
+    curl_easy_setopt(easy_, CURLOPT_FRESH_CONNECT, 0L);
+  }
   request_ = {};
   response_ = {};
-  body_ = {};
+  body_.Clear();
+  memory_ = {};
   header_bytes_ = 0;
   times_sent_ = 0;
   response_started_ = false;
   is_interim_ = false;
   head_ended_ = false;
   too_large_ = false;
+  met_unusable_connection_ = false;
   body_reserved_ = false;
   done = nullptr;
 }
--- a/src/libhost/test_io.h
+++ b/src/libhost/test_io.h
@@ -78,6 +78,12 @@
                       [buffer](const asio::error_code&, size_t) {});
   }
 
+  // Returns once the text can be read at the other end.
+  void WriteNow(const std::string& text) {
+    socket_.set_option(asio::ip::tcp::no_delay(true));
+    asio::write(socket_, asio::buffer(text));
+  }
+
   void Close() {
     asio::error_code ignored;
     socket_.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
--- /dev/null
+++ b/src/libutil/memory_budget_test.cc
@@ -0,0 +1,83 @@
+#include "libutil/memory_budget.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <vector>
+
+namespace amaranth::pvt {
+namespace {
+
+constexpr uint64_t kLimit = 120;
+
+}  // namespace
+
+TEST_GROUP(MemoryBudget) {
+  std::shared_ptr<MemoryBudget> budget = std::make_shared<MemoryBudget>(kLimit);
+
+  MemoryLease Lease(MemoryUse use = MemoryUse::kResponse) const {
+    return MemoryLease(budget, use);
+  }
+
+  // Returns the size up to which the lease can grow byte by byte.
+  static uint64_t Fill(MemoryLease & lease) {
+    while (lease.Resize(lease.bytes() + 1)) {
+    }
+    return lease.bytes();
+  }
+};
+
+TEST(MemoryBudget, LeasesAreGivenBack) {
+  {
+    MemoryLease lease = Lease();
+    CHECK(lease.Resize(20));
+    const MemoryLease moved = std::move(lease);
+    CHECK_EQUAL(20u, budget->used());
+    MemoryLease other = Lease();
+    CHECK(other.Resize(30));
+    other = Lease();
+    CHECK_EQUAL(20u, budget->used());
+  }
+  CHECK_EQUAL(0u, budget->used());
+}
+
+// Guards against messages without end that use all memory, so that no other
+// message finds room.
+TEST(MemoryBudget, ManyEndlessMessagesLeaveRoomForSmallOnes) {
+  std::vector<MemoryLease> endless;
+  for (int i = 0; i < 20; ++i) endless.push_back(Lease());
+  bool grows = true;
+  while (grows) {
+    grows = false;
+    for (MemoryLease& lease : endless) grows |= lease.Resize(lease.bytes() + 1);
+  }
+  CHECK(budget->used() <= kLimit);
+  MemoryLease small = Lease();
+  CHECK(small.Resize(1));
+}
+
+TEST(MemoryBudget, OneMessageMayUseTwoThirds) {
+  MemoryLease lease = Lease();
+  CHECK_EQUAL(80u, Fill(lease));
+  CHECK(!lease.Resize(lease.bytes() + 1));
+  CHECK_EQUAL(80u, lease.bytes());
+  CHECK(lease.Resize(10));
+  CHECK_EQUAL(10u, budget->used());
+}
+
+// Guards against requests whose answers find no room.
+TEST(MemoryBudget, RequestsLeaveAPartToResponses) {
+  std::vector<MemoryLease> requests;
+  do {
+    requests.push_back(Lease(MemoryUse::kRequest));
+  } while (Fill(requests.back()) > 0);
+  CHECK(budget->used() <= kLimit - kLimit / 8);
+  MemoryLease response = Lease();
+  CHECK(Fill(response) >= kLimit / 16);
+}
+
+TEST(MemoryBudget, ALeaseWithoutABudgetIsUnlimited) {
+  MemoryLease lease;
+  CHECK(lease.Resize(uint64_t{1} << 60));
+}
+
+}  // namespace amaranth::pvt
