One memory budget for all messages that a node holds

Cause: only what callers send was counted, once, though it was held several times over. Answers were bounded one by one, at two nodes each, and a message was encoded whole before its size was compared with the limit of a frame.

Requests leave an eighth to responses. Without memory, a caller gets 503 not run, a call from another node is refused as queue-full, not run, and an answer becomes a failure that may have run: the ids of a discarded frame are read from its first bytes, and the rest is skipped, as the link carries all other calls. An answer that cannot be sent is replaced by a failure; its caller waited until the deadline. Fewer copies: frames are encoded in place and decoded from the buffer.

--- a/src/amaranthd/main.cc
+++ b/src/amaranthd/main.cc
@@ -79,7 +79,8 @@
   host.gossip_listen = {options.ip, options.gossip_port};
   host.frontend.node_name = options.identity.node.name;
   host.frontend.max_body_bytes = options.identity.max_body_bytes;
-  host.max_buffered_bytes = options.identity.max_buffered_bytes;
+  host.budget =
+      std::make_shared<MemoryBudget>(options.identity.max_buffered_bytes);
   if (options.announce_port) {
     host.announce_listen = Endpoint{options.ip, *options.announce_port};
   }
@@ -149,8 +150,9 @@
   return std::make_shared<PlatformBridge>(io, std::move(platform));
 }
 
-std::shared_ptr<platform::RowStore> MakeRowStore(asio::io_context& io,
-                                                 const DaemonOptions& options) {
+std::shared_ptr<platform::RowStore> MakeRowStore(
+    asio::io_context& io, const DaemonOptions& options,
+    const std::shared_ptr<MemoryBudget>& budget) {
   if (!options.rows) return nullptr;
   platform::RowStoreOptions rows;
   rows.address = *options.rows;
@@ -159,6 +161,7 @@
       options.stop_grace * kDrainShareOfGrace);
   HttpClientOptions client;
   client.ack_timeout = platform::kAckTimeout;
+  client.budget = budget;
   const auto http = std::make_shared<HttpClient>(io, client);
   const auto log = std::make_shared<LogSink>(ToHostOptions(options).log);
   return std::make_shared<platform::RowStore>(
@@ -187,12 +190,13 @@
 RunResult RunOnce(const DaemonOptions& options) {
   asio::io_context io(1);
   HostHooks hooks;
-  SetPlatformHook(MakeRowStore(io, options), hooks);
+  const HostOptions host_options = ToHostOptions(options);
+  SetPlatformHook(MakeRowStore(io, options, host_options.budget), hooks);
   SetPlatformHook(MakePlatformBridge(io, options), hooks);
   hooks.make_reducer = [&options](const HostPorts& ports) {
     return MakeReducer(options, ports);
   };
-  Host host(io, ToHostOptions(options), std::move(hooks));
+  Host host(io, host_options, std::move(hooks));
   host.HandleSignals();
   host.Start();
   io.run();
--- a/src/amaranthd/options.cc
+++ b/src/amaranthd/options.cc
@@ -84,10 +84,10 @@
     {"Limits", "max-body-bytes", "8388608", "N",
      "maximum size of a request or answer body"},
     {"Limits", "max-buffered-bytes", "67108864", "N",
-     "maximum total size of the bodies held at one time"},
+     "maximum total size of the messages held at one time"},
     {"Limits", "memory-limit-mb", "0", "N",
-     "memory of this process; limits the bodies held at one time to 45 % of "
-     "it, but not below the maximum body size; 0 for no limit"},
+     "memory of this process; limits the messages held at one time to 45 % "
+     "of it; 0 for no limit"},
     {"Operation", "operator-token", "", "TOKEN",
      "token that operators must send with changes"},
     {"Operation", "log-level", "info", "LEVEL",
@@ -301,8 +301,7 @@
   const uint64_t body_bytes =
       static_cast<uint64_t>(static_cast<double>(memory) * kBodyShareOfMemory);
   identity.max_buffered_bytes =
-      std::min(identity.max_buffered_bytes,
-               std::max(body_bytes, identity.max_body_bytes));
+      std::min(identity.max_buffered_bytes, body_bytes);
 }
 
 void ReadNetwork(FlagReader& reader, DaemonOptions& options) {
--- a/src/fuzz/fuzz_frames.cc
+++ b/src/fuzz/fuzz_frames.cc
@@ -19,7 +19,7 @@
 // Returns false if the reader rejects the stream.
 bool TakeFrames(FrameReader& reader, std::string& returned) {
   while (true) {
-    const Outcome<std::optional<std::string>> payload = reader.Next();
+    const Outcome<std::optional<std::string_view>> payload = reader.Next();
     if (!payload) {
       return false;
     }
--- a/src/include/amaranthroute/wire.h
+++ b/src/include/amaranthroute/wire.h
@@ -48,12 +48,27 @@
 /// Returns the payload of a frame.
 std::string EncodePeerMessage(const PeerMessage& message);
 
+/// Returns the whole frame of a message.
+std::string EncodePeerFrame(const PeerMessage& message);
+
+/// Returns the size of the body or text in the message, in bytes: all of a
+/// message that may be large.
+size_t BodyBytes(const PeerMessage& message);
+
 /// Decodes the payload of a frame.
 /// Errors: kInvalid if `payload` is not exactly one message of this version, or
 /// has unknown enum values or fields out of range; kTooLarge over
 /// kMaxFrameBytes.
 Outcome<PeerMessage> DecodePeerMessage(std::string_view payload);
 
+/// Decodes the ids of a CallForward, CallAnswer or HomeForward from the first
+/// bytes of its payload; all else has its default value. nullopt for other
+/// kinds and for bytes that cannot be decoded.
+std::optional<PeerMessage> DecodePeerMessageIds(std::string_view first_bytes);
+
+/// First bytes of a payload that hold the ids.
+inline constexpr size_t kPeerMessageIdsBytes = 64;
+
 /// Returns the payload of a datagram.
 std::string EncodeGossip(const GossipMessage& message);
 
@@ -64,7 +79,7 @@
 std::string EncodeFrame(std::string_view payload);
 
 /// Splits a byte stream into frames. Allocates memory only for bytes that were
-/// appended, never for an announced length.
+/// appended, never for an announced length, unless Reserve() is called.
 class FrameReader {
  public:
   /// Rejects frames with a payload over `max_payload` bytes.
@@ -74,10 +89,22 @@
   /// Appends bytes received from the stream.
   void Append(std::string_view bytes);
 
-  /// Returns the next complete payload, or nullopt if more bytes are needed.
-  /// Errors: kTooLarge. The stream cannot be read further then, and every later
-  /// call returns the same error.
-  Outcome<std::optional<std::string>> Next();
+  /// Returns the next complete payload, or nullopt if more bytes are needed. It
+  /// is valid until the next call of Append or Next. Errors: kTooLarge. The
+  /// stream cannot be read further then, and every later call returns the same
+  /// error.
+  Outcome<std::optional<std::string_view>> Next();
+
+  /// Allocates memory for `bytes` buffered bytes at once.
+  void Reserve(size_t bytes) { buffer_.reserve(start_ + bytes); }
+
+  /// Returns the payload length that the incomplete frame announces, in bytes;
+  /// 0 if there is none, or its length has not arrived yet.
+  size_t announced() const;
+
+  /// Removes the incomplete frame, whose length has arrived, and returns the
+  /// part of its payload that has arrived. The rest must not be appended.
+  std::string TakeIncomplete();
 
   /// Changes the maximum payload of frames that were not returned yet.
   void set_max_payload(size_t max_payload) { max_payload_ = max_payload; }
--- a/src/libhost/frontend_socket.cc
+++ b/src/libhost/frontend_socket.cc
@@ -34,9 +34,9 @@
   return current;
 }
 
-std::shared_ptr<HttpIntake>& FrontendSocket::ThreadIntake() {
-  thread_local std::shared_ptr<HttpIntake> intake;
-  return intake;
+std::shared_ptr<MemoryBudget>& FrontendSocket::ThreadBudget() {
+  thread_local std::shared_ptr<MemoryBudget> budget;
+  return budget;
 }
 
 void LingeringClose::Send(asio::ip::tcp::socket socket, std::string response) {
--- a/src/libhost/frontend_socket.h
+++ b/src/libhost/frontend_socket.h
@@ -61,10 +61,9 @@
   explicit FrontendSocket(asio::io_context& io) : Base(io) {}
   FrontendSocket(FrontendSocket&&) = default;
   FrontendSocket& operator=(FrontendSocket&&) = default;
-  ~FrontendSocket() { ReleaseUnparsed(); }
 
-  // Counts bytes that are read but not yet part of a whole request, so that
-  // many slow, large uploads cannot use more memory than the limit.
+  // Leases memory for the bytes that are read but not yet part of a whole
+  // request, so that many slow, large uploads cannot use more than the limit.
   template <typename Buffers, typename Handler>
   void async_read_some(const Buffers& buffers, Handler&& handler) {
     Base::async_read_some(
@@ -72,14 +71,14 @@
         [this, on_read = std::forward<Handler>(handler)](
             const asio::error_code& error, std::size_t length) mutable {
           Current() = this;
-          const bool fits = CountRead(length);
+          const bool fits = LeaseRead(length);
           on_read(fits ? error : asio::error::no_buffer_space, length);
           Current() = nullptr;
         });
   }
 
   void shutdown(shutdown_type what, asio::error_code& error) {
-    ReleaseUnparsed();
+    unparsed_.Release();
     if (LingeringClose::PendingResponse().empty()) {
       Base::shutdown(what, error);
       return;
@@ -89,31 +88,26 @@
                          std::move(response));
   }
 
-  // Subtracts the bytes read so far from the shared count: they have become
-  // whole requests, or the connection is closing.
-  void ReleaseUnparsed() {
-    if (intake_) intake_->buffered_bytes -= unparsed_;
-    unparsed_ = 0;
+  // Returns the lease of the bytes read so far, which have become a whole
+  // request.
+  MemoryLease TakeUnparsed() {
+    MemoryLease lease = std::move(unparsed_);
+    unparsed_ = MemoryLease(ThreadBudget(), MemoryUse::kRequest);
+    return lease;
   }
 
   // The socket whose read is being handled. It may be destroyed before the
   // handler returns, so it is only used inside the handler.
   static FrontendSocket*& Current();
-  // The byte count shared by the sockets of this thread. A frontend thread has
-  // one.
-  static std::shared_ptr<HttpIntake>& ThreadIntake();
+  // The budget shared by the sockets of this thread. A frontend thread has one.
+  static std::shared_ptr<MemoryBudget>& ThreadBudget();
 
  private:
-  bool CountRead(std::size_t length) {
-    if (!intake_) intake_ = ThreadIntake();
-    if (!intake_) return true;
-    unparsed_ += length;
-    intake_->buffered_bytes += length;
-    return intake_->buffered_bytes <= intake_->max_buffered_bytes;
+  bool LeaseRead(std::size_t length) {
+    return unparsed_.Resize(unparsed_.bytes() + length);
   }
 
-  std::shared_ptr<HttpIntake> intake_;
-  uint64_t unparsed_ = 0;
+  MemoryLease unparsed_{ThreadBudget(), MemoryUse::kRequest};
 };
 
 }  // namespace amaranth::pvt
--- a/src/libhost/host.cc
+++ b/src/libhost/host.cc
@@ -60,13 +60,13 @@
         wake_timer_(io),
         flush_timer_(io),
         signals_(io),
-        client_(io, options_.client) {}
+        client_(io, ClientOptions()) {}
 
   // The hooks of the frontends, of peers and of gossip capture `this` without
   // owning it: the objects that hold them are members.
   void Open() {
     intake_ = std::make_shared<HttpIntake>();
-    intake_->max_buffered_bytes = options_.max_buffered_bytes;
+    intake_->budget = options_.budget;
     callers_ = OpenFrontend("callers", options_.caller_listen,
                             [this](CallId call, HttpRequest request) {
                               Post(CallerRequest{call, std::move(request)});
@@ -82,9 +82,11 @@
                                                       CallerKind::kAnnouncer});
                                  });
     }
+    PeerLimits limits;
+    limits.budget = options_.budget;
     peers_ = Bind("peers", options_.peer_listen, [&] {
       return std::make_unique<PeerTransport>(
-          io_, options_.self, options_.peer_listen, MakePeerHooks());
+          io_, options_.self, options_.peer_listen, MakePeerHooks(), limits);
     });
     gossip_ = Bind("gossip", options_.gossip_listen, [&] {
       return std::make_unique<GossipSocket>(
@@ -211,6 +213,12 @@
   }
 
  private:
+  HttpClientOptions ClientOptions() const {
+    HttpClientOptions client = options_.client;
+    client.budget = options_.budget;
+    return client;
+  }
+
   std::unique_ptr<HttpFrontend> OpenFrontend(
       const char* what, const Endpoint& listen,
       std::function<void(CallId, HttpRequest)> on_request) {
--- a/src/libhost/host.h
+++ b/src/libhost/host.h
@@ -37,7 +37,10 @@
   Endpoint peer_listen;
   Endpoint gossip_listen;
   HttpFrontendOptions frontend;
-  uint64_t max_buffered_bytes = 64ull << 20;
+  // Memory for the messages of callers, backend servers and peers together.
+  std::shared_ptr<MemoryBudget> budget =
+      std::make_shared<MemoryBudget>(64ull << 20);
+  // Its budget is that above.
   HttpClientOptions client;
   LogSinkOptions log;
   // How long the exiting process waits for callers that read their answers
--- a/src/libhost/http_frontend.cc
+++ b/src/libhost/http_frontend.cc
@@ -69,7 +69,8 @@
 
 struct OpenCall {
   restinio::request_handle_t request;
-  uint64_t body_bytes = 0;
+  // Also owned by the body of the request, which may outlive the call.
+  std::shared_ptr<const MemoryLease> memory;
 };
 
 struct Connection {
@@ -174,19 +175,26 @@
 
   restinio::request_handling_status_t OnRequest(
       const restinio::request_handle_t& handle) {
-    if (FrontendSocket::Current()) FrontendSocket::Current()->ReleaseUnparsed();
+    MemoryLease lease = FrontendSocket::Current()
+                            ? FrontendSocket::Current()->TakeUnparsed()
+                            : MemoryLease();
     if (stopped_) return restinio::request_rejected();
     const CallId call = intake_->next_call++;
     const bool upgrade = handle->header().connection() ==
                          restinio::http_connection_header_t::upgrade;
     HttpRequest request = ToRequest(handle);
-    const uint64_t body_bytes = request.body.size();
-    calls_.emplace(call, OpenCall{handle, body_bytes});
+    // Pipelined requests that were read together share one lease, and one that
+    // is handled later has none yet.
+    const bool fits = lease.bytes() >= request.body.size() ||
+                      TakeLease(request.body.size(), lease);
+    const std::shared_ptr<const MemoryLease> memory =
+        std::make_shared<const MemoryLease>(std::move(lease));
+    request.body = request.body.WithOwner(memory);
+    calls_.emplace(call, OpenCall{handle, memory});
     connections_[handle->connection_id()].calls.push_back(call);
-    intake_->buffered_bytes += body_bytes;
     if (upgrade) {
       Refuse(call, 501, Reason::kBadRequest, "no protocol upgrades here");
-    } else if (intake_->buffered_bytes > intake_->max_buffered_bytes) {
+    } else if (!fits) {
       Refuse(call, 503, Reason::kTooLarge, "no buffer memory left");
     } else {
       hooks_.on_request(call, std::move(request));
@@ -235,9 +243,6 @@
   void Stop() {
     stopped_ = true;
     closing_ = true;
-    for (const auto& [call, open] : calls_) {
-      intake_->buffered_bytes -= open.body_bytes;
-    }
     calls_.clear();
     connections_.clear();
     unwritten_ = 0;
@@ -268,11 +273,11 @@
     return true;
   }
 
-  void RemoveCall(CallId call) {
-    const auto found = calls_.find(call);
-    if (found == calls_.end()) return;
-    intake_->buffered_bytes -= found->second.body_bytes;
-    calls_.erase(found);
+  void RemoveCall(CallId call) { calls_.erase(call); }
+
+  bool TakeLease(uint64_t bytes, MemoryLease& lease) const {
+    lease = MemoryLease(intake_->budget, MemoryUse::kRequest);
+    return lease.Resize(bytes);
   }
 
   static restinio::http_status_line_t StatusLine(const HttpResponse& response) {
@@ -432,7 +437,7 @@
                            HttpFrontendOptions options,
                            std::shared_ptr<HttpIntake> intake,
                            HttpFrontendHooks hooks) {
-  FrontendSocket::ThreadIntake() = intake;
+  FrontendSocket::ThreadBudget() = intake->budget;
   impl_ = std::make_shared<Impl>(
       io, listen,
       std::make_shared<FrontendState>(std::move(options), std::move(intake),
--- a/src/libhost/http_frontend.h
+++ b/src/libhost/http_frontend.h
@@ -13,6 +13,7 @@
 #include "amaranthroute/http.h"
 #include "amaranthroute/ids.h"
 #include "amaranthroute/time.h"
+#include "libutil/memory_budget.h"
 
 namespace asio {
 class io_context;
@@ -21,12 +22,11 @@
 namespace amaranth::pvt {
 
 // State shared by the frontends of one process: call ids that are unique for
-// the life of the process, and one limit on the memory that callers can make
-// the node hold.
+// the life of the process, and the memory for what callers send.
 struct HttpIntake {
   CallId next_call = 1;
-  uint64_t buffered_bytes = 0;
-  uint64_t max_buffered_bytes = 64ull << 20;
+  // If unset, there is no limit.
+  std::shared_ptr<MemoryBudget> budget;
 };
 
 struct HttpFrontendOptions {
--- a/src/libhost/peer_link.cc
+++ b/src/libhost/peer_link.cc
@@ -1,5 +1,6 @@
 #include "libhost/peer_link.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace amaranth::pvt {
@@ -12,18 +13,41 @@
 constexpr int kMaxReadsPerWakeup = 16;
 // asio passes at most this many buffers to the kernel in one write.
 constexpr size_t kMaxBuffersPerWrite = 64;
+// A frame over this size is read only if there is memory for it. A smaller one
+// arrives whole with one or two reads.
+constexpr size_t kLargeFrameBytes = 64u << 10;
+// While a large frame is read, its bytes are held twice: in the read buffer and
+// in the decoded message.
+constexpr size_t kCopiesWhileRead = 2;
+
+// Bytes of the next frames that may be read with the end of a large one.
+constexpr size_t kReadAheadBytes = 64u << 10;
+
+Body* BodyOf(PeerMessage& message) {
+  if (auto* const forward = std::get_if<CallForward>(&message)) {
+    return &forward->request.body;
+  }
+  if (auto* const answer = std::get_if<CallAnswer>(&message)) {
+    return &answer->response.body;
+  }
+  if (auto* const home = std::get_if<HomeForward>(&message)) {
+    return &home->request.body;
+  }
+  return nullptr;
+}
 
 }  // namespace
 
 PeerLink::PeerLink(asio::ip::tcp::socket socket,
                    std::shared_ptr<ReadBuffer> buffer, size_t max_queue_bytes,
-                   PeerLinkHooks hooks)
+                   std::shared_ptr<MemoryBudget> budget, PeerLinkHooks hooks)
     : socket_(std::move(socket)),
       handshake_timer_(socket_.get_executor()),
       buffer_(std::move(buffer)),
       max_queue_bytes_(max_queue_bytes),
       hooks_(std::move(hooks)),
-      reader_(kMaxHelloBytes) {}
+      reader_(kMaxHelloBytes),
+      budget_(std::move(budget)) {}
 
 void PeerLink::Dial(const asio::ip::tcp::endpoint& address, const Hello& self,
                     std::chrono::milliseconds timeout) {
@@ -51,12 +75,14 @@
   ScheduleFlush();
 }
 
-bool PeerLink::Enqueue(PeerMessage& message, std::string frame) {
+bool PeerLink::Enqueue(PeerMessage& message, std::string frame,
+                       MemoryLease memory) {
   if (queued_bytes_ + frame.size() > max_queue_bytes_) {
     return false;
   }
   queued_bytes_ += frame.size();
-  queue_.push_back(Outgoing{std::move(message), std::move(frame)});
+  queue_.push_back(
+      Outgoing{std::move(message), std::move(frame), std::move(memory)});
   if (open()) {
     ScheduleFlush();
   }
@@ -112,9 +138,9 @@
 
 void PeerLink::EnqueueHello(const Hello& self) {
   const PeerMessage hello = self;
-  std::string frame = EncodeFrame(EncodePeerMessage(hello));
+  std::string frame = EncodePeerFrame(hello);
   queued_bytes_ += frame.size();
-  queue_.push_back(Outgoing{hello, std::move(frame)});
+  queue_.push_back(Outgoing{hello, std::move(frame), MemoryLease()});
   hello_queued_ = true;
 }
 
@@ -162,11 +188,12 @@
       Fail();
       return;
     }
-    reader_.Append(std::string_view(buffer_->data(), size));
+    reader_.Append(SkipDiscarded(std::string_view(buffer_->data(), size)));
     HandleFrames();
     if (state_ == State::kClosed) {
       return;
     }
+    ReviewIncomplete();
     if (size < buffer_->size()) {
       break;
     }
@@ -174,9 +201,39 @@
   WaitReadable();
 }
 
+// Returns `bytes` without those that belong to a discarded frame.
+std::string_view PeerLink::SkipDiscarded(std::string_view bytes) {
+  const size_t skipped = std::min(discarded_left_, bytes.size());
+  discarded_left_ -= skipped;
+  bytes.remove_prefix(skipped);
+  return bytes;
+}
+
+// Discards a large frame for which there is no memory, as soon as its ids have
+// arrived. The link must not wait for memory instead: all other calls between
+// the two nodes are on it.
+void PeerLink::ReviewIncomplete() {
+  const size_t size = reader_.announced();
+  if (size <= kLargeFrameBytes || reader_.buffered() < kPeerMessageIdsBytes ||
+      frame_memory_.bytes() > 0) {
+    return;
+  }
+  frame_memory_ = MemoryLease(budget_, MemoryUse::kResponse);
+  if (frame_memory_.Resize(size * kCopiesWhileRead)) {
+    reader_.Reserve(size + kReadAheadBytes);
+    return;
+  }
+  const std::string first_bytes = reader_.TakeIncomplete();
+  discarded_left_ = size - first_bytes.size();
+  const std::optional<PeerMessage> ids = DecodePeerMessageIds(first_bytes);
+  if (ids) {
+    hooks_.on_discarded(*this, *ids);
+  }
+}
+
 void PeerLink::HandleFrames() {
   while (state_ != State::kClosed) {
-    const Outcome<std::optional<std::string>> payload = reader_.Next();
+    const Outcome<std::optional<std::string_view>> payload = reader_.Next();
     if (!payload) {
       Fail();
       return;
@@ -191,7 +248,7 @@
 // A payload that does not decode, or a Hello missing or out of place, means
 // that the two ends disagree about the protocol. No later frame can be trusted,
 // so the link is closed.
-void PeerLink::HandlePayload(const std::string& payload) {
+void PeerLink::HandlePayload(std::string_view payload) {
   Outcome<PeerMessage> message = DecodePeerMessage(payload);
   if (!message) {
     Fail();
@@ -207,7 +264,24 @@
     HandleHello(*hello);
     return;
   }
-  hooks_.on_message(*this, std::move(message).value());
+  HandleMessage(std::move(message).value());
+}
+
+void PeerLink::HandleMessage(PeerMessage message) {
+  Body* const body = BodyOf(message);
+  if (body != nullptr && body->size() > 0) {
+    MemoryLease memory = frame_memory_.bytes() > 0
+                             ? std::move(frame_memory_)
+                             : MemoryLease(budget_, MemoryUse::kResponse);
+    if (!memory.Resize(body->size())) {
+      hooks_.on_discarded(*this, message);
+      return;
+    }
+    *body =
+        body->WithOwner(std::make_shared<const MemoryLease>(std::move(memory)));
+  }
+  frame_memory_.Release();
+  hooks_.on_message(*this, std::move(message));
 }
 
 void PeerLink::HandleHello(const Hello& hello) {
--- a/src/libhost/peer_link.h
+++ b/src/libhost/peer_link.h
@@ -16,6 +16,7 @@
 
 #include "amaranthroute/messages.h"
 #include "amaranthroute/wire.h"
+#include "libutil/memory_budget.h"
 
 namespace amaranth::pvt {
 
@@ -26,6 +27,9 @@
   // Called with the peer's Hello; returning false rejects the link.
   std::function<bool(PeerLink&, const Hello&)> on_hello;
   std::function<void(PeerLink&, PeerMessage)> on_message;
+  // Called in place of on_message if there is no memory for the message, which
+  // has only its ids.
+  std::function<void(PeerLink&, const PeerMessage&)> on_discarded;
   // Called when the connection fails or ends; not called after Close().
   std::function<void(PeerLink&)> on_disconnected;
 };
@@ -36,8 +40,11 @@
   // time.
   using ReadBuffer = std::vector<char>;
 
+  // Messages are received into memory of `budget`; if it is null, there is no
+  // limit on all together.
   PeerLink(asio::ip::tcp::socket socket, std::shared_ptr<ReadBuffer> buffer,
-           size_t max_queue_bytes, PeerLinkHooks hooks);
+           size_t max_queue_bytes, std::shared_ptr<MemoryBudget> budget,
+           PeerLinkHooks hooks);
 
   // Connects to the peer and starts the handshake. `timeout` covers both.
   void Dial(const asio::ip::tcp::endpoint& address, const Hello& self,
@@ -46,10 +53,10 @@
   // Starts the handshake on a connection accepted from a peer.
   void StartHandshake(const Hello& self, std::chrono::milliseconds timeout);
 
-  // Queues a message and its encoded frame. Returns false, leaving `message`
-  // untouched, if the queue is full. Only this node's Hello is sent before the
-  // peer's Hello has been accepted.
-  bool Enqueue(PeerMessage& message, std::string frame);
+  // Queues a message and its encoded frame, for which `memory` is leased.
+  // Returns false, leaving `message` untouched, if the queue is full. Only this
+  // node's Hello is sent before the peer's Hello has been accepted.
+  bool Enqueue(PeerMessage& message, std::string frame, MemoryLease memory);
 
   // Closes the connection without calling on_disconnected.
   void Close();
@@ -74,6 +81,7 @@
   struct Outgoing {
     PeerMessage message;
     std::string frame;
+    MemoryLease memory;
   };
 
   void StartHandshakeTimer(std::chrono::milliseconds timeout);
@@ -83,7 +91,10 @@
   void WaitReadable();
   void ReadAvailable();
   void HandleFrames();
-  void HandlePayload(const std::string& payload);
+  void HandlePayload(std::string_view payload);
+  void HandleMessage(PeerMessage message);
+  std::string_view SkipDiscarded(std::string_view bytes);
+  void ReviewIncomplete();
   void HandleHello(const Hello& hello);
   void ScheduleFlush();
   void Flush();
@@ -100,6 +111,9 @@
   NodeRef node_;
   std::chrono::steady_clock::time_point opened_;
   FrameReader reader_;
+  std::shared_ptr<MemoryBudget> budget_;
+  MemoryLease frame_memory_;   // of a large frame that is being read
+  size_t discarded_left_ = 0;  // bytes of a discarded frame still to arrive
   std::deque<Outgoing> queue_;
   size_t queued_bytes_ = 0;
   size_t head_written_ = 0;  // bytes of the first frame already written
--- a/src/libhost/peer_transport.cc
+++ b/src/libhost/peer_transport.cc
@@ -34,6 +34,21 @@
   return tcp::endpoint(ip, endpoint.port);
 }
 
+// Room in a frame for what is not the body of its message.
+constexpr size_t kMaxHeadBytes = 1u << 20;
+
+// The answer to an attempt whose answer cannot be passed on.
+CallAnswer FailedAnswer(AttemptId attempt, uint64_t entry_incarnation,
+                        Verdict verdict, Reason reason, const char* detail) {
+  CallAnswer answer;
+  answer.attempt = attempt;
+  answer.entry_incarnation = entry_incarnation;
+  answer.failure.verdict = verdict;
+  answer.failure.reason = reason;
+  answer.failure.detail = detail;
+  return answer;
+}
+
 }  // namespace
 
 class PeerTransportImpl
@@ -70,6 +85,10 @@
     PeerMessage message;
   };
 
+  bool TrySend(const std::string& peer, const Endpoint& address,
+               PeerMessage& message);
+  std::string EncodeIfSendable(const PeerMessage& message, MemoryLease& memory);
+  void OnDiscarded(PeerLink& link, const PeerMessage& message);
   void AddConnection(tcp::socket socket);
   Link NewLink(tcp::socket socket);
   Link FindOrDialLink(const std::string& peer, const Endpoint& address);
@@ -146,9 +165,13 @@
   hooks.on_message = [this](PeerLink& link, PeerMessage message) {
     Notify(NotificationKind::kMessage, link.node(), std::move(message));
   };
+  hooks.on_discarded = [this](PeerLink& link, const PeerMessage& message) {
+    OnDiscarded(link, message);
+  };
   hooks.on_disconnected = [this](PeerLink& link) { OnLinkDisconnected(link); };
   return std::make_shared<PeerLink>(std::move(socket), buffer_,
-                                    limits_.max_queue_bytes, std::move(hooks));
+                                    limits_.max_queue_bytes, limits_.budget,
+                                    std::move(hooks));
 }
 
 void PeerTransportImpl::Send(const std::string& peer, const Endpoint& address,
@@ -156,12 +179,71 @@
   if (stopped_) {
     return;
   }
-  const bool sendable = static_cast<bool>(CheckPeerMessage(message));
-  std::string payload = sendable ? EncodePeerMessage(message) : std::string();
-  const bool fits = sendable && payload.size() <= kMaxFrameBytes;
-  const Link link = fits ? FindOrDialLink(peer, address) : nullptr;
-  if (!link || !link->Enqueue(message, EncodeFrame(payload))) {
-    Notify(NotificationKind::kSendFailed, NodeRef{peer, 0}, std::move(message));
+  if (TrySend(peer, address, message)) {
+    return;
+  }
+  if (const CallAnswer* const answer = std::get_if<CallAnswer>(&message)) {
+    // The entry node would otherwise wait for the answer until the deadline.
+    message = FailedAnswer(answer->attempt, answer->entry_incarnation,
+                           Verdict::kMayHaveRun, Reason::kServerError,
+                           "the answer is too large to be passed on");
+    if (TrySend(peer, address, message)) {
+      return;
+    }
+  }
+  Notify(NotificationKind::kSendFailed, NodeRef{peer, 0}, std::move(message));
+}
+
+// Returns false, leaving `message` untouched, if it cannot be sent.
+bool PeerTransportImpl::TrySend(const std::string& peer,
+                                const Endpoint& address, PeerMessage& message) {
+  MemoryLease memory;
+  std::string frame = EncodeIfSendable(message, memory);
+  if (frame.empty()) {
+    return false;
+  }
+  const Link link = FindOrDialLink(peer, address);
+  return link && link->Enqueue(message, std::move(frame), std::move(memory));
+}
+
+// Returns the frame of the message, and the lease of its memory, or an empty
+// frame if the message cannot be sent. Encoding copies the body, so its size
+// decides beforehand.
+std::string PeerTransportImpl::EncodeIfSendable(const PeerMessage& message,
+                                                MemoryLease& memory) {
+  const size_t body_bytes = BodyBytes(message);
+  memory = MemoryLease(limits_.budget, MemoryUse::kResponse);
+  if (body_bytes > kMaxFrameBytes - kMaxHeadBytes ||
+      !memory.Resize(body_bytes) || !CheckPeerMessage(message)) {
+    return {};
+  }
+  std::string frame = EncodePeerFrame(message);
+  return frame.size() <= kMaxFrameBytes ? frame : std::string();
+}
+
+// Answers a call that there is no memory for, and reports an answer of that
+// kind as a failure.
+void PeerTransportImpl::OnDiscarded(PeerLink& link,
+                                    const PeerMessage& message) {
+  const NodeRef& peer = link.node();
+  const char* const detail = "the node has no memory for the message";
+  if (const CallForward* const forward = std::get_if<CallForward>(&message)) {
+    CallAnswer refusal =
+        FailedAnswer(forward->attempt, peer.incarnation, Verdict::kNotRun,
+                     Reason::kQueueFull, detail);
+    Send(peer.name, Endpoint(), std::move(refusal));
+  } else if (const HomeForward* const home =
+                 std::get_if<HomeForward>(&message)) {
+    // An earlier request with the same key may have run.
+    CallAnswer refusal =
+        FailedAnswer(home->attempt, peer.incarnation, Verdict::kMayHaveRun,
+                     Reason::kHomeUnreachable, detail);
+    Send(peer.name, Endpoint(), std::move(refusal));
+  } else if (const CallAnswer* const answer =
+                 std::get_if<CallAnswer>(&message)) {
+    Notify(NotificationKind::kMessage, peer,
+           FailedAnswer(answer->attempt, answer->entry_incarnation,
+                        Verdict::kMayHaveRun, Reason::kServerError, detail));
   }
 }
 
--- a/src/libhost/peer_transport.h
+++ b/src/libhost/peer_transport.h
@@ -22,6 +22,7 @@
 
 #include "amaranthroute/ids.h"
 #include "amaranthroute/messages.h"
+#include "libutil/memory_budget.h"
 
 namespace asio {
 class io_context;
@@ -48,6 +49,10 @@
   // Bytes of frames queued on one link. A message that would exceed it fails
   // with on_send_failed.
   size_t max_queue_bytes = 64u << 20;
+  // Memory for messages, in both directions; if unset, there is no limit on all
+  // together. A call for which there is none is refused as not run; an answer
+  // is replaced by a failure.
+  std::shared_ptr<MemoryBudget> budget;
   // Age from which an open link dialled by this node is replaced when its peer
   // connects: the peer would have used that link had it not closed it. A
   // younger link stays beside the new one, as both nodes may have dialled at
@@ -69,7 +74,8 @@
   // The port that the transport listens on.
   uint16_t port() const { return port_; }
 
-  // Queues a message to the peer. A failure is reported by on_send_failed, or
+  // Queues a message to the peer. An answer that is too large to be sent is
+  // replaced by a failure. A failure is reported by on_send_failed, or
   // by on_lost if any of it was handed to the kernel. A port of 0 in
   // `address` means that the address is unknown: the send then fails unless a
   // link to the peer exists.
--- a/src/libhost/peer_transport_test.cc
+++ b/src/libhost/peer_transport_test.cc
@@ -451,6 +451,60 @@
   CHECK(two.messages[0] == PeerMessage(LinkPing{1}));
 }
 
+// Guards against large messages on many links that together take more memory
+// than the process has, and against senders that wait for the answer to one
+// that was dropped.
+TEST(PeerTransport, MessagesWithoutMemoryAreRefused) {
+  PeerLimits limits;
+  limits.budget = std::make_shared<MemoryBudget>(600'000);
+  TestNode sender(io, MakeHello("n1", 1));
+  TestNode receiver(io, MakeHello("n2", 1), limits);
+  CallForward forward;
+  forward.request.body = Body(std::string(1'000'000, 'f'));
+  CallAnswer answer;
+  answer.entry_incarnation = 7;
+  answer.response.body = Body(std::string(1'000'000, 'a'));
+  for (const AttemptId attempt : {1, 2}) {
+    forward.attempt = attempt;
+    sender.transport.Send("n2", receiver.address(), forward);
+    answer.attempt = attempt + 100;
+    sender.transport.Send("n2", receiver.address(), answer);
+  }
+  sender.transport.Send("n2", receiver.address(), LinkPing{5});
+  RunUntil(io, [&] {
+    return receiver.messages.size() == 3 && sender.messages.size() == 2;
+  });
+  for (size_t i = 0; i < 2; ++i) {
+    const CallAnswer& refusal = std::get<CallAnswer>(sender.messages[i]);
+    CHECK_EQUAL(i + 1, refusal.attempt);
+    CHECK_EQUAL(1u, refusal.entry_incarnation);
+    CHECK(refusal.failure.verdict == Verdict::kNotRun);
+    const CallAnswer& failed = std::get<CallAnswer>(receiver.messages[i]);
+    CHECK_EQUAL(i + 101, failed.attempt);
+    CHECK_EQUAL(7u, failed.entry_incarnation);
+    CHECK(failed.failure.verdict == Verdict::kMayHaveRun);
+    CHECK(failed.response.body.size() == 0);
+  }
+  CHECK(receiver.messages[2] == PeerMessage(LinkPing{5}));
+  CHECK_EQUAL(0u, limits.budget->used());
+}
+
+// Guards against an entry node that waits until the deadline for an answer that
+// is too large to be passed on.
+TEST(PeerTransport, AnAnswerTooLargeToBeSentBecomesAFailure) {
+  TestNode one(io, MakeHello("n1", 1));
+  TestNode two(io, MakeHello("n2", 1));
+  CallAnswer answer;
+  answer.attempt = 9;
+  answer.entry_incarnation = 1;
+  answer.response.body = Body(std::string(kMaxFrameBytes, 'a'));
+  one.transport.Send("n2", two.address(), answer);
+  RunUntil(io, [&] { return !two.messages.empty(); });
+  const CallAnswer& failed = std::get<CallAnswer>(two.messages[0]);
+  CHECK_EQUAL(9u, failed.attempt);
+  CHECK(failed.failure.verdict == Verdict::kMayHaveRun);
+}
+
 TEST(PeerTransport, CloseReportsTheLossAndTheNextSendRedials) {
   TestNode one(io, MakeHello("n1", 1));
   TestNode two(io, MakeHello("n2", 1));
--- a/src/libwire/codec.cc
+++ b/src/libwire/codec.cc
@@ -114,18 +114,48 @@
   return Error{ErrorCode::kInvalid, std::move(what)};
 }
 
+size_t BodyBytesOf(const CallForward& message) {
+  return message.request.body.size();
+}
+size_t BodyBytesOf(const HomeForward& message) {
+  return message.request.body.size();
+}
+size_t BodyBytesOf(const CallAnswer& message) {
+  return message.response.body.size();
+}
+size_t BodyBytesOf(const SettingsSnapshot& message) {
+  return message.text.size();
+}
 template <typename Message>
-std::string Encode(const Message& message) {
+size_t BodyBytesOf(const Message&) {
+  return 0;
+}
+
+// Calls `use` with the encoded bytes.
+template <typename Message, typename Use>
+std::string EncodeInto(const Message& message, Use use) {
   wire::Envelope envelope;
   envelope.version = kProtocolVersion;
   envelope.kind = WireTraits<Message>::kKind;
   typename WireTraits<Message>::Type wire_message;
   pvt::ToWire(message, wire_message);
-  auto buffer = std::make_shared<TMemoryBuffer>(Limits());
+  // The buffer holds a large body without growing, which would copy it.
+  constexpr size_t kUsualBytes = 1024;
+  auto buffer = std::make_shared<TMemoryBuffer>(
+      static_cast<uint32_t>(kUsualBytes + BodyBytesOf(message)), Limits());
   Compact protocol(buffer);
   envelope.write(&protocol);
   wire_message.write(&protocol);
-  return buffer->getBufferAsString();
+  uint8_t* bytes = nullptr;
+  uint32_t size = 0;
+  buffer->getBuffer(&bytes, &size);
+  return use(std::string_view(reinterpret_cast<const char*>(bytes), size));
+}
+
+template <typename Message>
+std::string Encode(const Message& message) {
+  return EncodeInto(
+      message, [](std::string_view payload) { return std::string(payload); });
 }
 
 // Limits the elements of all lists of one message together. Thrift limits each
@@ -174,6 +204,23 @@
     return envelope.kind;
   }
 
+  // Reads the next field of the message as an id. Throws if it is none.
+  uint64_t ReadId() {
+    std::string name;
+    TType type = apache::thrift::protocol::T_STOP;
+    int16_t field = 0;
+    if (!in_struct_) protocol_.readStructBegin(name);
+    in_struct_ = true;
+    protocol_.readFieldBegin(name, type, field);
+    if (type != apache::thrift::protocol::T_I64) {
+      throw TProtocolException(TProtocolException::INVALID_DATA);
+    }
+    int64_t id = 0;
+    protocol_.readI64(id);
+    protocol_.readFieldEnd();
+    return static_cast<uint64_t>(id);
+  }
+
   template <typename Message>
   Outcome<Message> ReadBody() {
     typename WireTraits<Message>::Type wire_message;
@@ -193,6 +240,7 @@
  private:
   std::shared_ptr<TMemoryBuffer> buffer_;
   LimitedProtocol protocol_;
+  bool in_struct_ = false;
 };
 
 // Decodes the body as the alternative of PeerMessage that has this kind.
@@ -230,6 +278,34 @@
   return message;
 }
 
+// Reads the ids, which are the first fields of these messages.
+std::optional<PeerMessage> ReadPeerIds(std::string_view first_bytes) {
+  Decoder decoder(first_bytes);
+  const Outcome<int32_t> kind = decoder.ReadKind();
+  if (!kind) return std::nullopt;
+  switch (kind.value()) {
+    case MessageKind::CALL_FORWARD: {
+      CallForward forward;
+      forward.attempt = decoder.ReadId();
+      return forward;
+    }
+    case MessageKind::CALL_ANSWER: {
+      CallAnswer answer;
+      answer.attempt = decoder.ReadId();
+      answer.entry_incarnation = decoder.ReadId();
+      return answer;
+    }
+    case MessageKind::HOME_FORWARD: {
+      HomeForward home;
+      home.attempt = decoder.ReadId();
+      home.home_incarnation = decoder.ReadId();
+      return home;
+    }
+    default:
+      return std::nullopt;
+  }
+}
+
 Outcome<GossipMessage> ReadGossip(std::string_view payload) {
   Decoder decoder(payload);
   const Outcome<int32_t> kind = decoder.ReadKind();
@@ -269,6 +345,25 @@
   return std::visit([](const auto& body) { return Encode(body); }, message);
 }
 
+std::string EncodePeerFrame(const PeerMessage& message) {
+  return std::visit(
+      [](const auto& body) { return EncodeInto(body, EncodeFrame); }, message);
+}
+
+size_t BodyBytes(const PeerMessage& message) {
+  return std::visit([](const auto& body) { return BodyBytesOf(body); },
+                    message);
+}
+
+std::optional<PeerMessage> DecodePeerMessageIds(std::string_view first_bytes) {
+  if (first_bytes.empty()) return std::nullopt;
+  try {
+    return ReadPeerIds(first_bytes);
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
 Outcome<PeerMessage> DecodePeerMessage(std::string_view payload) {
   return DecodeGuarded(payload, ReadPeer);
 }
--- a/src/libwire/frame.cc
+++ b/src/libwire/frame.cc
@@ -32,10 +32,10 @@
 
 void FrameReader::Append(std::string_view bytes) { buffer_.append(bytes); }
 
-Outcome<std::optional<std::string>> FrameReader::Next() {
+Outcome<std::optional<std::string_view>> FrameReader::Next() {
   if (buffered() < kPrefixBytes) {
     Compact();
-    return std::optional<std::string>();
+    return std::optional<std::string_view>();
   }
   const size_t length = ReadLength(buffer_.data() + start_);
   if (length > max_payload_) {
@@ -46,11 +46,23 @@
   }
   if (buffered() < kPrefixBytes + length) {
     Compact();
-    return std::optional<std::string>();
+    return std::optional<std::string_view>();
   }
-  std::string payload = buffer_.substr(start_ + kPrefixBytes, length);
+  const std::string_view payload =
+      std::string_view(buffer_).substr(start_ + kPrefixBytes, length);
   start_ += kPrefixBytes + length;
-  return std::optional<std::string>(std::move(payload));
+  return std::optional<std::string_view>(payload);
+}
+
+size_t FrameReader::announced() const {
+  return buffered() < kPrefixBytes ? 0 : ReadLength(buffer_.data() + start_);
+}
+
+std::string FrameReader::TakeIncomplete() {
+  std::string payload = buffer_.substr(start_ + kPrefixBytes);
+  start_ = buffer_.size();
+  Compact();
+  return payload;
 }
 
 void FrameReader::Compact() {
