Endless bytes: postmortem; the heartbeat's sender and the store in the test

A time limit for the affected is now their status: 504 is the deadline, so only slow answers may end with it.

--- a/testsuite/lib/users_platform.py
+++ b/testsuite/lib/users_platform.py
@@ -49,6 +49,16 @@
         self.end_headers()
         self.wfile.write(body)
 
+    def answer_endlessly(self):
+        self.send_response(200)
+        self.send_header("Transfer-Encoding", "chunked")
+        self.end_headers()
+        try:
+            while True:
+                self.wfile.write(b"10000\r\n" + b"x" * 65536 + b"\r\n")
+        except OSError:
+            self.close_connection = True
+
     def answer_json(self, status, value, headers=()):
         self.answer(status, json.dumps(value).encode(),
                     [("Content-Type", "application/json"), *headers])
@@ -61,6 +71,7 @@
 
     def __init__(self):
         self.unavailable = False
+        self.endless = False  # bodies of answers go on until the call is closed
         self.writes = 0
         self.era = 1
         self._changed = threading.Condition()
@@ -118,6 +129,8 @@
         self._keep_silent(name)
         if self.unavailable:
             return call.answer(503, headers=self._headers())
+        if self.endless:
+            return call.answer_endlessly()
         path, _, text = call.path.partition("?")
         query = dict(part.partition("=")[::2] for part in text.split("&"))
         after = int(query.get("after", 0))
--- a/testsuite/users-platform-endless/run.py
+++ b/testsuite/users-platform-endless/run.py
@@ -3,8 +3,8 @@
 A faulty backend server goes on sending where its answer should end, until the
 node closes the connection; callers send bodies of the allowed size, and do not
 read their answers. No node may exceed its memory limit, requests at the sound
-server are served, and an affected request fails soon, with a status that lets
-its caller try again.
+server are served, and an affected request fails before its deadline, with a
+status that lets its caller try again.
 """
 
 import re
@@ -23,10 +23,12 @@
           "--max-body-bytes", str(MAX_BODY_BYTES),
           "--max-buffered-bytes", str(128 << 20)]
 CLIENTS_PER_NODE = 6
+# One of so many answers of the faulty server goes on without end.
+FAULT_EVERY = 4
 SECONDS = 2.5
-# An affected request ends long before its deadline of 5 s.
-SOON_SECONDS = 2.0
+MIN_AFFECTED = 5
 BLOCK = b"x" * 65536
+SHED = -503
 
 HEAD = "HTTP/1.1 200 OK\r\nAttempt-Id: {0}\r\nResponse-Sig: stand-in\r\n"
 LINE = b"X-Field: " + b"v" * 1000 + b"\r\n"
@@ -49,8 +51,8 @@
 
 
 class FaultyWorker(platform.Worker):
-    """Each fourth of its answers goes on until the connection is closed, with
-    a pause after each byte if `slow` is set."""
+    """One in FAULT_EVERY of its answers goes on until the connection is closed,
+    with a pause after each byte if `slow` is set."""
 
     def __init__(self, *arguments, **options):
         self.place, self.slow = None, False
@@ -59,7 +61,7 @@
 
     def serve(self, call):
         self._count += 1
-        if self.place is None or self._count % 4:
+        if self.place is None or self._count % FAULT_EVERY:
             return super().serve(call)
         call.body()
         attempt = call.headers["Attempt-Id"]
@@ -95,8 +97,23 @@
     fleet.check(max(peaks) <= MEMORY_MB, f"peaks of {peaks} MB ({place})")
 
 
+def outcome_of(answer):
+    """Returns the status, or SHED if the node sheds load because requests take
+    long: they do on a busy machine, whatever the servers send."""
+    is_shed = answer.status == 503 and '"shed-at-entry"' in answer.body
+    return SHED if is_shed else answer.status
+
+
+def check_others(outcomes, name):
+    """All but one in a hundred are served, apart from shed requests."""
+    served, shed = outcomes.count(200), outcomes.count(SHED)
+    print(f"; {served} of {len(outcomes)} others served, {shed} shed", end="")
+    fleet.check(served + shed >= 0.99 * len(outcomes) and
+                served >= 0.5 * len(outcomes), f"others are served ({name})")
+
+
 def send_load(nodes, seconds):
-    """Returns (attempt, status, seconds) of each request."""
+    """Returns (attempt, outcome, seconds) of each request."""
     results, end = [], time.monotonic() + seconds
 
     def run(node, client):
@@ -107,7 +124,7 @@
             path = "/front/" if method == "GET" else "/writes/"
             answer = platform.request(node.ports["caller"], method,
                                       path + attempt, HOST, attempt)
-            results.append((attempt, answer.status,
+            results.append((attempt, outcome_of(answer),
                             time.monotonic() - sent_at))
             time.sleep(0.005)
 
@@ -132,7 +149,14 @@
     faulty.place, faulty.slow = place, slow
     reset_peaks(nodes)
     counted = discarded(nodes)
-    results = send_load(nodes, SECONDS)
+    results = []
+
+    def enough_affected():
+        # Nodes avoid the faulty server at times.
+        results.extend(send_load(nodes, SECONDS))
+        return sum(attempt in faulty.affected
+                   for attempt, _, _ in results) >= MIN_AFFECTED
+    fleet.wait_until(enough_affected, f"requests are affected ({place})", 60)
     faulty.place = None
     name = place + (", slow" if slow else "")
     check_memory(nodes, name)
@@ -140,33 +164,21 @@
                 if attempt in faulty.affected]
     others = [status for attempt, status, _ in results
               if attempt not in faulty.affected]
-    served = sum(status == 200 for status in others)
-    print(f"; {served} of {len(others)} others served; affected: "
-          f"{sorted({status for status, _ in affected})}, at most "
+    check_others(others, name)
+    print(f"; affected: {sorted({status for status, _ in affected})}, at most "
           f"{max((seconds for _, seconds in affected), default=0):.2f} s")
-    fleet.check(affected, f"some requests are affected ({name})")
-    fleet.check(served >= 0.99 * len(others), f"others are served ({name})")
     if place in HARMLESS:
         fleet.check(all(status == 200 for status, _ in affected),
                     f"whole answers are delivered ({name})")
         return
+    # 504 is the deadline. Only an answer that arrives slowly lasts until then.
+    allowed = {502, 504} if slow else {502}
     statuses = {status for status, _ in affected}
-    fleet.check(statuses <= {200, 502, 504}, f"statuses {statuses} ({name})")
+    fleet.check(statuses <= allowed, f"statuses {statuses} ({name})")
     if not slow:
-        late = max(seconds for _, seconds in affected)
-        fleet.check(late <= SOON_SECONDS, f"ended after {late:.2f} s ({name})")
         fleet.check(discarded(nodes) > counted, f"a metric counts it ({name})")
 
 
-def wait_used_again(nodes, worker):
-    """Sends requests until `worker`, which was avoided, runs some again."""
-    def used():
-        runs = len(worker.runs)
-        send_load(nodes, 0.3)
-        return len(worker.runs) - runs > 10
-    fleet.wait_until(used, "the faulty server is used again")
-
-
 def upload(node, chunked):
     """Sends a body of the allowed size; returns the status of the answer."""
     with socket.create_connection(("127.0.0.1", node.ports["caller"])) as sock:
@@ -194,6 +206,36 @@
         fleet.check(status in (200, 502, 503), f"upload gets {status}")
 
 
+def play_announcements(nodes):
+    """A heartbeat whose body goes on until the connection is closed."""
+    reset_peaks(nodes)
+    address = ("127.0.0.1", nodes[0].ports["announce"])
+    with socket.create_connection(address) as sock:
+        sock.sendall(b"POST /-/rpc?call=workers.heartbeat&of=x HTTP/1.1\r\n"
+                     b"Host: x\r\nTransfer-Encoding: chunked\r\n\r\n")
+        try:
+            while True:
+                sock.sendall(CHUNK)
+        except OSError:
+            pass
+    results = send_load(nodes, 0.5)
+    check_memory(nodes, "endless heartbeat")
+    check_others([status for _, status, _ in results], "endless heartbeat")
+    print()
+
+
+def play_store(nodes, store):
+    """The store's answers go on without end; requests are served meanwhile."""
+    reset_peaks(nodes)
+    store.endless = True
+    results = send_load(nodes, SECONDS)
+    store.endless = False
+    name = "endless answers of the store"
+    check_memory(nodes, name)
+    check_others([status for _, status, _ in results], name)
+    print()
+
+
 def play_unread(nodes, sound, size, count):
     """`count` callers request answers of `size` bytes and do not read."""
     reset_peaks(nodes)
@@ -212,9 +254,8 @@
         sock.close()
     name = f"{count} unread answers of {size} bytes"
     check_memory(nodes, name)
-    served = sum(status == 200 for _, status, _ in results)
-    print(f"; {served} of {len(results)} others served")
-    fleet.check(served >= 0.99 * len(results), f"others are served ({name})")
+    check_others([status for _, status, _ in results], name)
+    print()
 
 
 class LargeWorker(platform.Worker):
@@ -250,9 +291,10 @@
     for place in PLACES:
         play(nodes, faulty, place)
     for place in ("one header line", "body without a length"):
-        wait_used_again(nodes, faulty)
         play(nodes, faulty, place, slow=True)
     play_uploads(nodes)
+    play_announcements(nodes)
+    play_store(nodes, store)
     for size, count in ((4 << 20, 150), (15 << 20, 40)):
         play_unread(nodes, large, size, count)
     fleet.check("was discarded" in nodes[0].log(), "a log line says why")
