A socket that the acceptor uses again still leases its bytes

Found by reading the diff: RESTinio moves a prepared socket out for each connection and accepts the next one into the moved-from object. Its lease had lost the budget with the move, so from the ninth connection of a frontend on, bytes of incomplete requests were not counted.

Change: a lease that is moved from keeps its budget and holds nothing.

Failed before: HttpFrontend CountsPartiallyReceivedBodies, which now opens eight connections first (nothing was counted).

--- a/src/libhost/frontend_socket.h
+++ b/src/libhost/frontend_socket.h
@@ -90,11 +90,7 @@
 
   // Returns the lease of the bytes read so far, which have become a whole
   // request.
-  MemoryLease TakeUnparsed() {
-    MemoryLease lease = std::move(unparsed_);
-    unparsed_ = MemoryLease(ThreadBudget(), MemoryUse::kRequest);
-    return lease;
-  }
+  MemoryLease TakeUnparsed() { return std::move(unparsed_); }
 
   // The socket whose read is being handled. It may be destroyed before the
   // handler returns, so it is only used inside the handler.
--- a/src/libhost/http_frontend_test.cc
+++ b/src/libhost/http_frontend_test.cc
@@ -217,9 +217,18 @@
 }
 
 TEST(HttpFrontend, CountsPartiallyReceivedBodies) {
-  // Incomplete bodies of slow uploads count towards the memory limit, too.
+  // Incomplete bodies of slow uploads count towards the memory limit, too, also
+  // on later connections than those that the acceptor has prepared sockets for.
   intake->budget = std::make_shared<MemoryBudget>(1600);
   Open();
+  for (size_t i = 1; i <= 8; ++i) {
+    const auto earlier = Connect();
+    earlier->Write("GET / HTTP/1.1\r\n\r\n");
+    CHECK(Until([&] { return requests.size() == i; }));
+    frontend->Answer(requests.back().first, Text("served"));
+    CHECK(Until([&] { return CountOf(earlier->received, "served") == 1; }));
+    earlier->Close();
+  }
   const std::string part =
       "POST / HTTP/1.1\r\nContent-Length: 900\r\n\r\n" + std::string(600, 'b');
   const auto first = Connect();
--- a/src/libutil/memory_budget.cc
+++ b/src/libutil/memory_budget.cc
@@ -27,14 +27,14 @@
 }
 
 MemoryLease::MemoryLease(MemoryLease&& other) noexcept
-    : budget_(std::move(other.budget_)),
+    : budget_(other.budget_),
       use_(other.use_),
       bytes_(std::exchange(other.bytes_, 0)) {}
 
 MemoryLease& MemoryLease::operator=(MemoryLease&& other) noexcept {
   if (this == &other) return *this;
   Release();
-  budget_ = std::move(other.budget_);
+  budget_ = other.budget_;
   use_ = other.use_;
   bytes_ = std::exchange(other.bytes_, 0);
   return *this;
--- a/src/libutil/memory_budget.h
+++ b/src/libutil/memory_budget.h
@@ -48,6 +48,7 @@
   MemoryLease(std::shared_ptr<MemoryBudget> budget, MemoryUse use)
       : budget_(std::move(budget)), use_(use) {}
   ~MemoryLease() { Release(); }
+  // `other` keeps its budget and holds nothing, so it can be used again.
   MemoryLease(MemoryLease&& other) noexcept;
   MemoryLease& operator=(MemoryLease&& other) noexcept;
 
--- a/src/libutil/memory_budget_test.cc
+++ b/src/libutil/memory_budget_test.cc
@@ -36,6 +36,9 @@
     CHECK(other.Resize(30));
     other = Lease();
     CHECK_EQUAL(20u, budget->used());
+    // A lease that was moved from still belongs to the budget.
+    CHECK(lease.Resize(5));  // NOLINT(bugprone-use-after-move)
+    CHECK_EQUAL(25u, budget->used());
   }
   CHECK_EQUAL(0u, budget->used());
 }
