Responses leave a part of the memory budget to requests

Seen in testsuite/users-platform-endless once the leases of sockets were right: with 150 answers of 4 MiB that callers do not read, 575 of 2,775 other requests were served. The rest got 503, no buffer memory.

Cause: requests left an eighth of the budget to responses, but responses could take all of it, as long as callers do not read.

Change: each use leaves an eighth to the other.

--- a/src/libutil/memory_budget.cc
+++ b/src/libutil/memory_budget.cc
@@ -1,5 +1,6 @@
 #include "libutil/memory_budget.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace amaranth::pvt {
@@ -7,22 +8,25 @@
 
 // A message may hold this many times the memory that is free.
 constexpr uint64_t kMaxMultipleOfFree = 2;
-// Share of the limit that requests leave to responses.
-constexpr uint64_t kResponseShareDivisor = 8;
+// Part of the limit that each use leaves to the other. Without it, answers that
+// callers do not read would block all requests.
+constexpr uint64_t kReservedDivisor = 8;
 
 }  // namespace
 
 bool MemoryBudget::Replace(uint64_t held, uint64_t wanted, MemoryUse use) {
-  const uint64_t others = used_ - held;
+  const bool is_request = use == MemoryUse::kRequest;
+  uint64_t& used = used_[is_request ? 0 : 1];
+  const uint64_t others = used - held;
   if (wanted > held) {
-    const uint64_t reserved =
-        use == MemoryUse::kRequest ? limit_ / kResponseShareDivisor : 0;
-    const uint64_t usable = limit_ - reserved;
+    const uint64_t other_use = used_[is_request ? 1 : 0];
+    const uint64_t usable =
+        limit_ - std::max(other_use, limit_ / kReservedDivisor);
     if (others > usable || wanted > usable - others) return false;
     const uint64_t free = usable - others - wanted;
     if (wanted > kMaxMultipleOfFree * free) return false;
   }
-  used_ = others + wanted;
+  used = others + wanted;
   return true;
 }
 
--- a/src/libutil/memory_budget.h
+++ b/src/libutil/memory_budget.h
@@ -8,17 +8,16 @@
 // A message may grow up to a multiple of the memory that is still free, so the
 // limit is never exceeded whatever arrives, and the largest messages are ended
 // first while small ones find room. (Dynamic thresholds, Choudhury and Hahne,
-// 1998, as used for packet buffers.)
+// 1998, as used for packet buffers.) Requests and responses each leave a part
+// of the memory to the other kind.
 
+#include <array>
 #include <cstdint>
 #include <memory>
 
 namespace amaranth::pvt {
 
-enum class MemoryUse {
-  kRequest,   // may be refused as not run, so it leaves a part of the memory
-  kResponse,  // of a request that has run: may use all
-};
+enum class MemoryUse { kRequest, kResponse };
 
 class MemoryBudget {
  public:
@@ -27,7 +26,7 @@
   MemoryBudget& operator=(const MemoryBudget&) = delete;
 
   uint64_t limit() const { return limit_; }
-  uint64_t used() const { return used_; }
+  uint64_t used() const { return used_[0] + used_[1]; }
 
  private:
   friend class MemoryLease;
@@ -37,7 +36,7 @@
   bool Replace(uint64_t held, uint64_t wanted, MemoryUse use);
 
   const uint64_t limit_;
-  uint64_t used_ = 0;
+  std::array<uint64_t, 2> used_{};  // by MemoryUse
 };
 
 // The part of a budget that one message holds; given back on destruction.
