Lint of the memory budget; one name

Three parameters are moved, a vector is reserved, the move constructor of a lease uses its assignment. idle_bytes of a connection that is not idle is now bytes_without_progress. No behaviour changed; host_test and util_test pass.

--- a/src/libhost/http_client.cc
+++ b/src/libhost/http_client.cc
@@ -175,9 +175,9 @@
     bool connected = false;  // libcurl has waited for input on it
     bool reading = false;    // an async_wait is pending
     bool writing = false;
-    // Bytes received since the response on it last made progress; counted from
-    // the first read without progress on.
-    uint64_t idle_bytes = 0;
+    // Bytes received since the last byte of a head or body; counted from the
+    // first read without one on.
+    uint64_t bytes_without_progress = 0;
     uint64_t transfer = 0;    // id; 0 if idle
     uint16_t local_port = 0;  // known once it has been idle
   };
@@ -335,7 +335,7 @@
     watch.connected |= what == CURL_POLL_IN || what == CURL_POLL_INOUT;
     watch.events = what;
     watch.transfer = 0;
-    watch.idle_bytes = 0;
+    watch.bytes_without_progress = 0;
     if (what == CURL_POLL_REMOVE) {
       impl.IndexIdle(fd, watch);
     } else {
@@ -390,7 +390,8 @@
     const HttpTransfer* const reading =
         is_read ? FindActive(watch->transfer) : nullptr;
     const uint64_t before = reading == nullptr ? 0 : reading->response_bytes();
-    const uint64_t waiting = watch->idle_bytes > 0 ? ReadableBytes(fd) : 1;
+    const uint64_t waiting =
+        watch->bytes_without_progress > 0 ? ReadableBytes(fd) : 1;
     int ready = is_read ? CURL_CSELECT_IN : CURL_CSELECT_OUT;
     if (error) ready = CURL_CSELECT_ERR;
     int running = 0;
@@ -401,8 +402,9 @@
         is_read ? FindActive(watch->transfer) : nullptr;
     if (still_reading != nullptr && still_reading == reading) {
       const bool progress = reading->response_bytes() > before;
-      watch->idle_bytes = progress ? 0 : watch->idle_bytes + waiting;
-      if (watch->idle_bytes > options_.max_response_header_bytes) {
+      watch->bytes_without_progress =
+          progress ? 0 : watch->bytes_without_progress + waiting;
+      if (watch->bytes_without_progress > options_.max_response_header_bytes) {
         still_reading->SetTooLarge();
         return CompleteTransfer(still_reading->easy(), CURLE_RECV_ERROR);
       }
--- a/src/libhost/peer_transport.cc
+++ b/src/libhost/peer_transport.cc
@@ -59,7 +59,7 @@
       : io_(io),
         self_(std::move(self)),
         hooks_(std::move(hooks)),
-        limits_(limits),
+        limits_(std::move(limits)),
         acceptor_(io, ToAsio(listen)),
         accept_retry_timer_(io),
         buffer_(std::make_shared<PeerLink::ReadBuffer>(kReadBufferBytes)) {}
@@ -460,8 +460,8 @@
 PeerTransport::PeerTransport(asio::io_context& io, Hello self,
                              const Endpoint& listen, PeerHooks hooks,
                              PeerLimits limits)
-    : impl_(std::make_shared<PeerTransportImpl>(io, std::move(self), listen,
-                                                std::move(hooks), limits)),
+    : impl_(std::make_shared<PeerTransportImpl>(
+          io, std::move(self), listen, std::move(hooks), std::move(limits))),
       port_(impl_->port()) {
   impl_->Accept();
 }
--- a/src/libhost/peer_transport_test.cc
+++ b/src/libhost/peer_transport_test.cc
@@ -41,7 +41,7 @@
 // A transport that records its hook calls in order.
 struct TestNode {
   TestNode(asio::io_context& io, const Hello& self, PeerLimits limits = {})
-      : transport(io, self, AnyPort(), MakeHooks(), limits) {}
+      : transport(io, self, AnyPort(), MakeHooks(), std::move(limits)) {}
 
   PeerHooks MakeHooks() {
     PeerHooks hooks;
--- a/src/libutil/memory_budget.cc
+++ b/src/libutil/memory_budget.cc
@@ -30,10 +30,9 @@
   return true;
 }
 
-MemoryLease::MemoryLease(MemoryLease&& other) noexcept
-    : budget_(other.budget_),
-      use_(other.use_),
-      bytes_(std::exchange(other.bytes_, 0)) {}
+MemoryLease::MemoryLease(MemoryLease&& other) noexcept {
+  *this = std::move(other);
+}
 
 MemoryLease& MemoryLease::operator=(MemoryLease&& other) noexcept {
   if (this == &other) return *this;
--- a/src/libutil/memory_budget_test.cc
+++ b/src/libutil/memory_budget_test.cc
@@ -46,8 +46,10 @@
 // Guards against messages without end that use all memory, so that no other
 // message finds room.
 TEST(MemoryBudget, ManyEndlessMessagesLeaveRoomForSmallOnes) {
+  constexpr size_t kMessages = 20;
   std::vector<MemoryLease> endless;
-  for (int i = 0; i < 20; ++i) endless.push_back(Lease());
+  endless.reserve(kMessages);
+  for (size_t i = 0; i < kMessages; ++i) endless.push_back(Lease());
   bool grows = true;
   while (grows) {
     grows = false;
