Field names of the users' platform leave a test of the HTTP client; a comment

The tests of cut heads, trailers and bytes on idle connections named header fields of the users' platform outside platform/; they name fields of no meaning now. The comment on on_discarded said that the message has only its ids; a small one that was decoded has more, and only kind and ids may be used.

--- a/src/libhost/http_client_test.cc
+++ b/src/libhost/http_client_test.cc
@@ -263,7 +263,7 @@
 TEST(HttpClient, ResponseThatEndsInItsHeadIsAnError) {
   HttpClientOptions options;
   options.accept_close_delimited_body = true;
-  const std::string fields = "Attempt-Id: 7\r\nResponse-Sig: s\r\n";
+  const std::string fields = "X-Id: 7\r\nX-Signature: s\r\n";
   for (const std::string& head : {
            "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 4\r\n\r\n",
            "HTTP/1.1 201 Created\r\nContent-Length: 0\r\n" + fields + "\r\n",
@@ -272,7 +272,7 @@
                fields + "Connection: close\r\n\r\n",
            "HTTP/1.1 200 OK\r\n" + fields +
                "Transfer-Encoding: chunked\r\n\r\n",
-           "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n" + fields +
+           "HTTP/1.1 503 Service Unavailable\r\nX-Refused: 1\r\n" + fields +
                "\r\n",
        }) {
     for (size_t length = 1; length < head.size(); ++length) {
@@ -291,10 +291,10 @@
 TEST(HttpClient, TrailersAreNoHeaderFields) {
   const HttpClientResult result = ResultOf(
       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Kept: 1\r\n\r\n"
-      "4\r\nhalf\r\n0\r\nNot-Run: 1\r\nX-Kept: 2\r\n\r\n",
+      "4\r\nhalf\r\n0\r\nX-Refused: 1\r\nX-Kept: 2\r\n\r\n",
       Post("p"));
   CHECK(result.response.has_value());
-  CHECK(FindHeader(result.response->headers, "Not-Run").empty());
+  CHECK(FindHeader(result.response->headers, "X-Refused").empty());
   CHECK(FindHeader(result.response->headers, "X-Kept") == "1");
 }
 
@@ -302,7 +302,7 @@
 // to the next request, for example as a refusal that proves it not run.
 TEST(HttpClient, BytesOnAnIdleConnectionAnswerNoRequest) {
   const std::string refusal =
-      "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n"
+      "HTTP/1.1 503 Service Unavailable\r\nX-Refused: 1\r\n"
       "Content-Length: 0\r\n\r\n";
   RawServer server(io, RespondWith([](RawConnection& peer, const std::string&) {
                      peer.Write(OkResponse("own"));
--- a/src/libhost/peer_link.h
+++ b/src/libhost/peer_link.h
@@ -27,8 +27,8 @@
   // Called with the peer's Hello; returning false rejects the link.
   std::function<bool(PeerLink&, const Hello&)> on_hello;
   std::function<void(PeerLink&, PeerMessage)> on_message;
-  // Called in place of on_message if there is no memory for the message, which
-  // has only its ids.
+  // Called in place of on_message if there is no memory for the message. Only
+  // its kind and ids may be used.
   std::function<void(PeerLink&, const PeerMessage&)> on_discarded;
   // Called when the connection fails or ends; not called after Close().
   std::function<void(PeerLink&)> on_disconnected;
