Log what backend servers announce, and each start of a process

Each leave, drain, and announcement that changes something or is refused now has a line with the server, its start time and sequence number, what was known of it and how old that was, and the decision; a process logs its incarnation at its start. No decision changes.

node_test, host_test and the test of record and replay pass.

--- a/src/libnode/node_state.cc
+++ b/src/libnode/node_state.cc
@@ -104,6 +104,9 @@
 Effects NodeState::Start(TimePoint now) {
   Effects effects;
   Context context{identity, now, random, next_id, effects};
+  context.Log(LogLevel::kInfo, "node",
+              "Process started: incarnation=" +
+                  std::to_string(identity.node.incarnation) + ".");
   membership.Start(context);
   settings.Start(context);
   quotas.Start(now);
--- a/src/libnode/serving/serving_role.h
+++ b/src/libnode/serving/serving_role.h
@@ -165,6 +165,10 @@
   void Cancel(Hop& hop, Context& context);
   bool IsOutdated(const ServerRecord& record,
                   const AnnouncementStamp& stamp) const;
+  // Logs what a server said of itself, what was known and what was decided.
+  void LogServerEvent(const std::string& server, std::string_view what,
+                      const AnnouncementStamp& stamp, std::string_view decision,
+                      Context& context) const;
   void RemoveReplaced(const ServerRecord& record,
                       const AnnouncementStamp& stamp, Context& context);
   static void BeginDrain(LocalServer& server, Context& context);
--- a/src/libnode/serving/serving_servers.cc
+++ b/src/libnode/serving/serving_servers.cc
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "libnode/serving/server_log.h"
 #include "libnode/serving/serving_role.h"
 #include "libnode/shared/answers.h"
 #include "libutil/shallow_json.h"
@@ -77,6 +78,10 @@
   }
 }
 
+std::string_view AnnouncedState(const ServerRecord& record) {
+  return record.draining ? "announced draining" : "announced itself";
+}
+
 HttpResponse BadAnnouncement(const std::string& detail,
                              const Context& context) {
   Failure failure;
@@ -101,22 +106,27 @@
   ServerRecord& record = parsed.value().record;
   const AnnouncementStamp& stamp = parsed.value().stamp;
   if (IsOutdated(record, stamp)) {
-    context.Log(LogLevel::kInfo, kPart,
-                "Ignored outdated announcement of backend server " +
-                    record.server + ", sequence " +
-                    std::to_string(stamp.sequence) + ".");
+    LogServerEvent(record.server, AnnouncedState(record), stamp,
+                   "ignore-outdated", context);
     context.Emit(AnswerCaller{call, JsonResponse(200, "{}")});
     return;
   }
   RemoveReplaced(record, stamp, context);
   record.started_ms = stamp.started_ms;
-  if (departed_.Contains(record.server, stamp, context.now)) {
+  if (!record.draining &&
+      departed_.Contains(record.server, stamp, context.now)) {
+    LogServerEvent(record.server, AnnouncedState(record), stamp,
+                   "refuse-departed", context);
     record.draining = true;
   }
   const EffectiveSettings& settings = settings_.Resolve(record.service, "");
   const auto found = servers_.find(record.server);
   if (found != servers_.end()) {
     LocalServer& known = found->second;
+    if (known.draining != record.draining) {
+      LogServerEvent(record.server, AnnouncedState(record), stamp,
+                     record.draining ? "drain" : "use", context);
+    }
     known.Configure(record, settings);
     known.last_heard = context.now;
     known.stamp = stamp;
@@ -130,20 +140,31 @@
         call, BadAnnouncement("too many backend servers here", context)});
     return;
   } else {
+    LogServerEvent(record.server, AnnouncedState(record), stamp,
+                   record.draining ? "drain" : "use", context);
     ShedderOptions shedding;
     shedding.threshold_from_wait = context.identity.rules.admit_at_edge;
     LocalServer server(record, settings, shedding, context.now);
     server.stamp = stamp;
     if (record.draining) BeginDrain(server, context);
     servers_.emplace(record.server, std::move(server));
-    context.Log(LogLevel::kInfo, kPart,
-                "Backend server " + record.server + " of service " +
-                    record.service + " announced itself.");
   }
   membership_.AnnounceServer(record, context);
   context.Emit(AnswerCaller{call, JsonResponse(200, "{}")});
 }
 
+void ServingRole::LogServerEvent(const std::string& server,
+                                 std::string_view what,
+                                 const AnnouncementStamp& stamp,
+                                 std::string_view decision,
+                                 Context& context) const {
+  const auto found = servers_.find(server);
+  const LocalServer* known = found == servers_.end() ? nullptr : &found->second;
+  context.Log(
+      LogLevel::kInfo, kPart,
+      DescribeServerEvent(server, what, stamp, known, decision, context.now));
+}
+
 // A delayed announcement may arrive after a later one, or after the first one
 // of its sender's successor. If it were accepted, calls would be sent to a
 // server that is leaving, or would expect an instance that has exited: the
@@ -223,6 +244,8 @@
   if (found == servers_.end()) {
     const bool records_departure =
         context.identity.rules.announce_port && IsName(name);
+    LogServerEvent(name, "is leaving", {},
+                   records_departure ? "remember" : "reject", context);
     if (records_departure) departed_.Add(name, std::nullopt, context.now);
     context.Emit(AnswerCaller{
         call, records_departure ? JsonResponse(200, "{}")
@@ -235,14 +258,14 @@
 
 void ServingRole::OnLeaving(LocalServer& server, Context& context) {
   const std::string& name = server.record().server;
+  LogServerEvent(name, "is leaving", server.stamp,
+                 server.draining ? "none" : "drain", context);
   departed_.Add(name, server.stamp.started_ms, context.now);
   // New calls are refused as not run from now on. Calls in flight or queued
   // still run: a leaving server finishes them.
   BeginDrain(server, context);
   membership_.SetServerDraining(name, context);
   records_.Add(context.now, "", "leave", name + " is leaving");
-  context.Log(LogLevel::kInfo, kPart,
-              "Backend server " + name + " is leaving.");
 }
 
 void ServingRole::RemoveServer(const std::string& name, Context& context) {
