Reproduce a leave that is forgotten by a restart, in known red

Callers' requests reached a backend server seconds after its own node had acknowledged its leave.

A test group may be listed in KNOWN-RED.txt by itself now, so that the others of its program still run. Nodes of the end-to-end cases can restart at their ports, callers go on while a node is down, and leaves carry the start time, as the users' page says.

--- a/src/cmake/AmaranthTargets.cmake
+++ b/src/cmake/AmaranthTargets.cmake
@@ -17,20 +17,29 @@
   target_link_libraries(${name} PRIVATE ${ARG_LIBS} amaranth_warnings)
 endfunction()
 
-# amaranth_unit_test(NAME SOURCES ... [LIBS ...]): adds the test program of a
-# library, with main() from src/libutil/test_main.cc. The rapidcheck seed is
-# fixed, so that CI gives the same result every time.
+# amaranth_unit_test(NAME SOURCES ... [LIBS ...] [KNOWN_RED group]): adds the
+# test program of a library, with main() from src/libutil/test_main.cc. The
+# rapidcheck seed is fixed, so that CI gives the same result every time. The
+# test group KNOWN_RED is a test of its own, NAME-GROUP, which KNOWN-RED.txt can
+# list.
 function(amaranth_unit_test name)
   if(NOT AMARANTH_TESTS)
     return()
   endif()
-  cmake_parse_arguments(ARG "" "" "SOURCES;LIBS" ${ARGN})
+  cmake_parse_arguments(ARG "" "KNOWN_RED" "SOURCES;LIBS" ${ARGN})
   amaranth_program(${name} SOURCES ${ARG_SOURCES}
                    "${CMAKE_SOURCE_DIR}/src/libutil/test_main.cc"
                    LIBS ${ARG_LIBS} ${CPPUTEST_LIBRARY} ${RAPIDCHECK_LIBRARY})
   target_compile_definitions(${name}
                              PRIVATE CPPUTEST_MEM_LEAK_DETECTION_DISABLED)
-  add_test(NAME ${name} COMMAND ${name})
-  set_tests_properties(${name} PROPERTIES ENVIRONMENT
+  set(tests ${name})
+  set(excluded "")
+  if(ARG_KNOWN_RED)
+    set(excluded -xsg ${ARG_KNOWN_RED})
+    add_test(NAME ${name}-${ARG_KNOWN_RED} COMMAND ${name} -sg ${ARG_KNOWN_RED})
+    list(APPEND tests ${name}-${ARG_KNOWN_RED})
+  endif()
+  add_test(NAME ${name} COMMAND ${name} ${excluded})
+  set_tests_properties(${tests} PROPERTIES ENVIRONMENT
                        "RC_PARAMS=seed=20261202" TIMEOUT 120)
 endfunction()
--- a/src/libnode/fakes/fake_fleet.h
+++ b/src/libnode/fakes/fake_fleet.h
@@ -73,6 +73,8 @@
   bool leaving = false;
   // Start time in its announcements, which are numbered if it is not 0.
   uint64_t started_ms = 0;
+  // If false, it sends only announcements that are passed to Call().
+  bool announces = true;
 };
 
 // One run of a request at a fake server.
@@ -163,6 +165,12 @@
   void SetLeaving(const std::string& server);
   // Continues as a new process with the same name.
   void ReplaceProcess(const std::string& server, uint64_t started_ms);
+  void StopAnnouncing(const std::string& server);
+  // Return the server's next announcement, and its leave message. Call() sends
+  // them, at once or later.
+  HttpRequest NextAnnouncement(const std::string& server,
+                               bool draining = false);
+  HttpRequest LeaveMessage(const std::string& server);
 
   TimePoint now() const { return now_; }
   Node& node(const std::string& name) { return *hosts_.at(name).node; }
--- a/src/libnode/fakes/fake_servers.cc
+++ b/src/libnode/fakes/fake_servers.cc
@@ -46,6 +46,10 @@
   found->announcements = 0;
 }
 
+void FakeFleet::StopAnnouncing(const std::string& server) {
+  FindServer(server)->options.announces = false;
+}
+
 FakeFleet::Server* FakeFleet::FindServer(const std::string& name) {
   for (auto& [host_name, host] : hosts_) {
     for (const std::shared_ptr<Server>& candidate : host.servers) {
--- a/testsuite/lib/users_platform.py
+++ b/testsuite/lib/users_platform.py
@@ -255,15 +255,19 @@
                 pass  # the node is down; the next heartbeat follows anyway
             time.sleep(HEARTBEAT_SECONDS)
 
-    def send_heartbeat(self, state):
-        """Sends a heartbeat; returns the status of its acknowledgement."""
+    def heartbeat(self, state):
+        """Returns the body of the next heartbeat."""
         self._sequence += 1
-        return self.send_control("workers.heartbeat", {
+        return {
             "addr": self.server.address, "born": self._started,
             "info": {"service": self.service, "version": "v1", "zone": "z",
                      "slots": self._slots},
             "status": {"state": state, "seq": self._sequence,
-                       "coldLeft": "0ms"}})
+                       "coldLeft": "0ms"}}
+
+    def send_heartbeat(self, state):
+        """Sends a heartbeat; returns the status of its acknowledgement."""
+        return self.send_control("workers.heartbeat", self.heartbeat(state))
 
     def send_control(self, call, body):
         return request(self._node.ports["announce"], "POST",
@@ -271,8 +275,9 @@
                        body=json.dumps(body)).status
 
     def leave(self):
+        """Sends a leave; returns the status of its acknowledgement."""
         self.state = "left"
-        return self.send_control("workers.leave", {})
+        return self.send_control("workers.leave", {"born": self._started})
 
     def move(self, node):
         """Continues beside `node`, a new process at the same host."""
@@ -345,15 +350,21 @@
 
 
 def node_flags(name, store_address, service, zone="z",
-               retry_slack=RETRY_SLACK):
-    """Returns the flags of a node that runs on the users' platform."""
-    return [
+               retry_slack=RETRY_SLACK, ports=None, announce_period="500ms"):
+    """Returns the flags of a node that runs on the users' platform. `ports` are
+    those of an earlier process, which the node takes over."""
+    flags = [
         "--node-name", name, "--mesh", "mesh", "--data-centre", zone,
-        "--ip", "127.0.0.1", "--announce-port", "0", "--rows", store_address,
-        "--server-service", service, "--announce-period", "500ms",
+        "--ip", "127.0.0.1", "--rows", store_address,
+        "--server-service", service, "--announce-period", announce_period,
         "--drain", "2s", "--stop-grace", "6s",
         "--retry-ratio", str(RETRY_RATIO), "--retry-slack", str(retry_slack),
-        "--retry-window", f"{RETRY_WINDOW_SECONDS}s", "--log-format", "json"]
+        "--retry-window", f"{RETRY_WINDOW_SECONDS}s", "--log-format", "json",
+        "--announce-port", str((ports or {}).get("announce", 0))]
+    if ports:
+        for kind in ("caller", "operator", "peer", "gossip"):
+            flags += [f"--{kind}-port", str(ports[kind])]
+    return flags
 
 
 def start_node(run, name, store, service, extra_flags=(), address=None):
@@ -436,19 +447,29 @@
     def __init__(self, nodes, host, path):
         self.requests = []
         self._target = (host, path)
+        self._nodes = {node.name: node for node in nodes}
         self._stopped = threading.Event()
         self._threads = [
-            threading.Thread(target=self._run, args=(node, i), daemon=True)
-            for node in nodes for i in range(self.CALLERS_PER_NODE)]
+            threading.Thread(target=self._run, args=(name, i), daemon=True)
+            for name in self._nodes for i in range(self.CALLERS_PER_NODE)]
         for thread in self._threads:
             thread.start()
 
-    def _run(self, node, caller):
+    def replace(self, nodes):
+        """Continues at new processes of the nodes; `nodes` are by name."""
+        self._nodes = dict(nodes)
+
+    def _run(self, name, caller):
         host, path = self._target
         while not self._stopped.is_set():
+            node = self._nodes[name]
             sent = SentRequest(node, f"l{caller}-{time.monotonic_ns()}")
-            sent.answer = request(node.ports["caller"], "GET", path, host=host,
-                                  attempt=sent.attempt)
+            try:
+                sent.answer = request(node.ports["caller"], "GET", path,
+                                      host=host, attempt=sent.attempt)
+            except (OSError, http.client.HTTPException):
+                time.sleep(self.PAUSE_AFTER_FAILURE)  # the node is down
+                continue
             sent.answered_at = time.monotonic()
             self.requests.append(sent)
             if sent.answer.status != 200:
--- a/testsuite/soak/system.py
+++ b/testsuite/soak/system.py
@@ -114,11 +114,8 @@
 
     def start_node(self):
         flags = platform.node_flags(self.name, self._store_link.address,
-                                    self.service, retry_slack=RETRY_SLACK)
-        flags[flags.index("--announce-port") + 1] = str(
-            self.ports.get("announce", 0))
-        for flag in ("caller", "operator", "peer", "gossip"):
-            flags += [f"--{flag}-port", str(self.ports.get(flag, 0))]
+                                    self.service, retry_slack=RETRY_SLACK,
+                                    ports=self.ports)
         self.incarnation += 1
         self.node = _PROCESS_STARTER.submit(fleet.Process, self._run, self.name,
                                             "src/amaranthd/amaranthd",
