--- a/src/bench/capacity_fleet.cc
+++ b/src/bench/capacity_fleet.cc
@@ -456,6 +456,9 @@
     ++usage_.platform_writes;
     ++usage_.platform_rows;
     rows_["peer/" + write->name] = write->address;
+  } else if (std::holds_alternative<TableWriteRetained>(request)) {
+    ++usage_.platform_writes;
+    ++usage_.platform_rows;
   } else {
     ++usage_.platform_reads;
     if (std::holds_alternative<TableReadHead>(request)) {
--- a/src/cmake/AmaranthTargets.cmake
+++ b/src/cmake/AmaranthTargets.cmake
@@ -17,16 +17,16 @@
   target_link_libraries(${name} PRIVATE ${ARG_LIBS} amaranth_warnings)
 endfunction()
 
-# amaranth_unit_test(NAME SOURCES ... [LIBS ...] [KNOWN_RED group]): adds the
+# amaranth_unit_test(NAME SOURCES ... [LIBS ...] [KNOWN_RED test...]): adds the
 # test program of a library, with main() from src/libutil/test_main.cc. The
-# rapidcheck seed is fixed, so that CI gives the same result every time. The
-# test group KNOWN_RED is a test of its own, NAME-GROUP, which KNOWN-RED.txt can
-# list.
+# rapidcheck seed is fixed, so that CI gives the same result every time. Each
+# CppUTest test of KNOWN_RED is a test of its own, NAME-TEST, which
+# KNOWN-RED.txt can list.
 function(amaranth_unit_test name)
   if(NOT AMARANTH_TESTS)
     return()
   endif()
-  cmake_parse_arguments(ARG "" "KNOWN_RED" "SOURCES;LIBS" ${ARGN})
+  cmake_parse_arguments(ARG "" "" "SOURCES;LIBS;KNOWN_RED" ${ARGN})
   amaranth_program(${name} SOURCES ${ARG_SOURCES}
                    "${CMAKE_SOURCE_DIR}/src/libutil/test_main.cc"
                    LIBS ${ARG_LIBS} ${CPPUTEST_LIBRARY} ${RAPIDCHECK_LIBRARY})
@@ -34,11 +34,11 @@
                              PRIVATE CPPUTEST_MEM_LEAK_DETECTION_DISABLED)
   set(tests ${name})
   set(excluded "")
-  if(ARG_KNOWN_RED)
-    set(excluded -xsg ${ARG_KNOWN_RED})
-    add_test(NAME ${name}-${ARG_KNOWN_RED} COMMAND ${name} -sg ${ARG_KNOWN_RED})
-    list(APPEND tests ${name}-${ARG_KNOWN_RED})
-  endif()
+  foreach(red_test ${ARG_KNOWN_RED})
+    list(APPEND excluded -xsn ${red_test})
+    add_test(NAME ${name}-${red_test} COMMAND ${name} -sn ${red_test})
+    list(APPEND tests ${name}-${red_test})
+  endforeach()
   add_test(NAME ${name} COMMAND ${name} ${excluded})
   set_tests_properties(${tests} PROPERTIES ENVIRONMENT
                        "RC_PARAMS=seed=20261202" TIMEOUT 120)
--- a/src/include/amaranthroute/messages.h
+++ b/src/include/amaranthroute/messages.h
@@ -298,6 +298,22 @@
   uint64_t started_ms = 0;
 };
 
+/// A backend server that has said that it leaves or drains, as the node of its
+/// host has acknowledged it. Other nodes and the platform's table keep it for
+/// the next process of that node.
+struct Departure {
+  std::string server;
+  /// Start time of the server's process as in ServerRecord; nullopt if its node
+  /// does not know it.
+  std::optional<uint64_t> started_ms;
+  /// Number of the last announcement that it covers. A later one of the same
+  /// process ends a drain, but no leave.
+  uint64_t sequence = 0;
+  bool left = false;  ///< the server leaves; otherwise it drains
+  /// Time since the acknowledgement. Each holder counts it on.
+  Duration age{0};
+};
+
 /// A node as known to the fleet. (incarnation, version) never decreases. Of two
 /// records the higher pair wins; if the pairs are equal, the higher state wins.
 struct MemberRecord {
@@ -309,6 +325,8 @@
   Endpoint peer_address;    ///< TCP
   Endpoint gossip_address;  ///< UDP
   std::vector<ServerRecord> servers;
+  /// Recent departures of servers of its host.
+  std::vector<Departure> departures = {};
 };
 
 /// Numbers of crashes from which a fingerprint is a suspect, or quarantined.
@@ -356,6 +374,8 @@
   std::vector<MemberRecord> members;
   std::vector<QuarantineRecord> quarantines;
   uint64_t settings_version = 0;
+  /// Departures that an earlier process of the receiver has acknowledged.
+  std::vector<Departure> departures;
 };
 
 using PeerMessage =
@@ -389,6 +409,8 @@
   std::vector<MemberRecord> updates;
   std::vector<QuarantineRecord> quarantines;
   std::vector<SuspectNews> suspect_news;
+  /// As in MemberSync.
+  std::vector<Departure> departures;
 };
 
 // Comparison and printing of the messages, used to compare effects and to show
@@ -415,6 +437,7 @@
 bool operator==(const ServicePressure& a, const ServicePressure& b);
 bool operator==(const FailedBelow& a, const FailedBelow& b);
 bool operator==(const ServerRecord& a, const ServerRecord& b);
+bool operator==(const Departure& a, const Departure& b);
 bool operator==(const MemberRecord& a, const MemberRecord& b);
 bool operator==(const QuarantineRecord& a, const QuarantineRecord& b);
 bool operator==(const SuspectNews& a, const SuspectNews& b);
--- a/src/include/amaranthroute/platform.h
+++ b/src/include/amaranthroute/platform.h
@@ -52,13 +52,29 @@
 };
 
 /// Lists the peer rows of a fleet: peer discovery at start if no seed answers.
-struct TableReadPeers {};
+struct TableReadPeers {
+  std::string name;  ///< of the node that asks
+};
 /// Writes the peer row of this node.
 struct TableWritePeer {
   std::string name;
   std::string address;  ///< "ip:port" of the peer link
 };
 
+/// Writes what the next process of this node must know of this one: its row of
+/// retained state. TableReadPeers returns it.
+struct TableWriteRetained {
+  std::string name;  ///< of the node
+  std::string text;  ///< opaque to the platform
+};
+/// Reads that row of one node.
+struct TableReadRetained {
+  std::string name;  ///< of the node
+};
+/// Added to a node's name in the key of its row of retained state, which stands
+/// beside its peer row.
+inline constexpr std::string_view kRetainedRowSuffix = "/retained";
+
 /// Long poll for a settings document that operators maintain outside this
 /// product's settings tree. Answered with the complete document once it is
 /// newer than `after`, or without a document when the wait ends. An `after` of
@@ -78,8 +94,8 @@
 
 using PlatformRequest =
     std::variant<TableClaimRows, TableReadHead, TableMoveHead, TableReadChange,
-                 TableReadPeers, TableWritePeer, TableWatchSettings, ObjectPut,
-                 ObjectGet>;
+                 TableReadPeers, TableWritePeer, TableReadRetained,
+                 TableWriteRetained, TableWatchSettings, ObjectPut, ObjectGet>;
 
 /// Result of a request to the platform.
 enum class PlatformStatus {
@@ -113,11 +129,16 @@
   /// lacks the last writes and from which versions are given out again; 0 if
   /// the platform does not report it.
   uint64_t epoch = 0;
-  /// TableWatchSettings: what the platform's clock showed when it answered.
+  /// TableWatchSettings, TableReadPeers, TableReadRetained: what the platform's
+  /// clock showed when it answered; 0 if it does not tell.
   PlatformTime clock{};
   /// TableWatchSettings: there is a newer settings document, but it cannot be
   /// decoded, so `bytes` is empty.
   bool is_document_invalid = false;
+  /// TableReadPeers, TableReadRetained: retained state as "name=text" of each
+  /// node that has a row of it. Of large fleets, some rows may be missing, but
+  /// never that of the node that asks.
+  std::vector<std::string> retained = {};
 };
 
 bool operator==(const TableClaimRows& a, const TableClaimRows& b);
@@ -126,10 +147,16 @@
 bool operator==(const TableReadChange& a, const TableReadChange& b);
 bool operator==(const TableReadPeers& a, const TableReadPeers& b);
 bool operator==(const TableWritePeer& a, const TableWritePeer& b);
+bool operator==(const TableReadRetained& a, const TableReadRetained& b);
+bool operator==(const TableWriteRetained& a, const TableWriteRetained& b);
 bool operator==(const TableWatchSettings& a, const TableWatchSettings& b);
 bool operator==(const ObjectPut& a, const ObjectPut& b);
 bool operator==(const ObjectGet& a, const ObjectGet& b);
 bool operator==(const PlatformReply& a, const PlatformReply& b);
+/// Adds a row of the table of peers to a reply to TableReadPeers.
+void AddPeerRow(const std::string& key, const std::string& value,
+                PlatformReply& reply);
+
 std::string_view ToString(PlatformStatus status);
 std::ostream& operator<<(std::ostream& out, const PlatformRequest& request);
 std::ostream& operator<<(std::ostream& out, const PlatformReply& reply);
--- a/src/libnode/departure_after_restart_test.cc
+++ b/src/libnode/departure_after_restart_test.cc
@@ -111,6 +111,16 @@
   CheckNoRunsAfterDrain(left, held);
 }
 
+// Guards against a leave that no node, and no row of the platform, can know.
+TEST(DepartureAfterRestart, IsKnownIfAllNodesRestartWithoutThePlatform) {
+  Start(true);
+  const HttpRequest held = fleet.NextAnnouncement("leaves");
+  fleet.SetPlatform(PlatformMode::kDown);
+  const TimePoint left = Acknowledge(fleet.LeaveMessage("leaves"));
+  Restart(kNodes, milliseconds(700));
+  CheckNoRunsAfterDrain(left, held);
+}
+
 // Guards against a drain that is forgotten because no leave followed it.
 TEST(DepartureAfterRestart, CoversADrainWithoutALeave) {
   Start(true);
--- a/src/libnode/fakes/fake_fleet.h
+++ b/src/libnode/fakes/fake_fleet.h
@@ -106,6 +106,8 @@
 
   // Applies to nodes that are added or restarted afterwards.
   DeploymentRules rules;
+  // If false, nodes find each other by the rows of the platform only.
+  bool lists_seeds = true;
 
   // Nodes and servers are named; servers run on their node's host.
   void AddNode(const std::string& name, const std::string& data_centre,
@@ -277,6 +279,8 @@
   std::vector<FakeServerRun> runs_;
   PlatformMode platform_mode_ = PlatformMode::kUp;
   std::map<std::string, std::string> rows_;
+  // Rows of retained state, and peer rows unless seeds are listed.
+  std::map<std::string, std::string> node_rows_;
   std::map<std::string, std::string> objects_;
   uint64_t head_version_ = 0;
   std::string head_object_;
--- a/src/libnode/membership/membership.cc
+++ b/src/libnode/membership/membership.cc
@@ -45,6 +45,7 @@
 Membership::Membership(const NodeIdentity& identity)
     : identity_(identity),
       table_(identity.node.name),
+      retained_interval_(kPlatformInterval),
       gossip_budget_(kGossipBytesPerSecond, kGossipBurst),
       sync_budget_(kSyncBytesPerSecond, kSyncBurst),
       sync_interval_(kMinSyncInterval),
@@ -62,8 +63,13 @@
 
 void Membership::Start(Context& context) {
   last_now_ = context.now;
+  learning_until_ = context.now + kMaxLearningTime;
   updates_.Add(identity_.node.name, 1);
   DiscoverPeers(context);
+  // Without seeds, the list of peers is read at once and has the row as well.
+  if (identity_.use_platform && !read_peers_op_) {
+    next_retained_read_ = context.now;
+  }
   const int64_t offset = std::uniform_int_distribution<int64_t>(
       0, kProbePeriod.count())(context.random);
   next_period_ = context.now + Duration(offset);
@@ -74,6 +80,7 @@
   const GossipMessage& message = received.message;
   if (message.from == identity_.node) return;
   for (const MemberRecord& record : message.updates) Merge(record, context);
+  LearnDepartures(message.departures, message.from.name, context);
   MergeQuarantines(message.quarantines);
   for (const SuspectNews& news : message.suspect_news) {
     quarantines_.OnNews(news, message.from.name, context.now);
@@ -113,6 +120,7 @@
   DetectPause(context);
   if (probe_ && context.now >= probe_->indirect_at) SendIndirectProbes(context);
   if (context.now >= next_push_) PushUrgent(context);
+  OnDepartureTimers(context);
   if (context.now >= next_period_) OnPeriod(context);
   if (context.now >= next_platform_) DiscoverPeers(context);
   if (context.now >= follow_up_at_) {
@@ -124,11 +132,12 @@
   }
   ExpireServers(context);
   quarantines_.Expire(context.now);
+  own_quarantines_.Expire(context.now);
 }
 
 TimePoint Membership::next_timer() const {
-  TimePoint next =
-      std::min({next_period_, next_push_, next_platform_, follow_up_at_});
+  TimePoint next = std::min({next_period_, next_push_, next_platform_,
+                             follow_up_at_, next_departure_timer()});
   if (probe_) next = std::min(next, probe_->indirect_at);
   for (const auto& [server, heard] : last_announced_) {
     next = std::min(next, heard + identity_.rules.server_lease);
@@ -295,6 +304,7 @@
                             Context& context) {
   if (superseded_) return;
   ++record.version;
+  record.departures = own_departures_.All(context.now);
   table_.Merge(record, context.now);
   updates_.Add(identity_.node.name, UpPeers().size() + 1);
   if (!urgent) return;
@@ -308,6 +318,7 @@
     MergeSelf(record, context);
     return;
   }
+  RememberDepartures(record, context);
   const MemberRecord* known = table_.Find(name);
   // Tombstones of unknown members are not stored: each node would restart their
   // retention time, so they would circulate in the fleet forever.
@@ -364,6 +375,9 @@
                       "name; stopping this one");
     return;
   }
+  if (record.node.incarnation < identity_.node.incarnation) {
+    LearnDepartures(record.departures, identity_.node.name, context);
+  }
   if (!Supersedes(record, Self())) return;
   MemberRecord self = Self();
   self.version = record.version;
--- a/src/libnode/membership/membership.h
+++ b/src/libnode/membership/membership.h
@@ -6,6 +6,7 @@
 // centres. See docs/design/membership.md.
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -14,9 +15,11 @@
 #include <vector>
 
 #include "amaranthroute/messages.h"
+#include "libnode/membership/departure_list.h"
 #include "libnode/membership/membership_table.h"
 #include "libnode/membership/membership_updates.h"
 #include "libnode/membership/relay_tree.h"
+#include "libnode/membership/retained_state.h"
 #include "libnode/shared/context.h"
 #include "libnode/shared/settings_watchers.h"
 
@@ -57,6 +60,22 @@
   void AnnounceServer(const ServerRecord& record, Context& context);
   void RemoveServer(const std::string& server, Context& context);
   void SetServerDraining(const std::string& server, Context& context);
+  // Passes on that a local backend server leaves or drains, so that the next
+  // process of this node knows it. Returns a number that on_departure_copied
+  // gets after this event, at the latest after kMaxCopyWait.
+  uint64_t PublishDeparture(const Departure& departure, Context& context);
+  // Called when others hold the departure with this number, and all before it,
+  // or cannot confirm it in time.
+  std::function<void(uint64_t number, Context&)> on_departure_copied;
+  // Called for each departure that an earlier process of this node has
+  // acknowledged. `source` is a node or "platform".
+  std::function<void(const Departure&, const std::string& source, Context&)>
+      on_departure_learned;
+  // Returns whether this node knows the departures that its earlier processes
+  // have acknowledged, or has waited for them for long enough.
+  bool departures_learned(TimePoint now) const;
+  // Returns the time from which departures_learned() is true in any case.
+  TimePoint learning_until() const { return learning_until_; }
   // Sets the fitness of a local backend server, which is published in this
   // node's record for the nodes that call its service.
   void SetServerFitness(const std::string& server, const ServerFitness& fitness,
@@ -247,9 +266,44 @@
   GossipMessage BuildHeader(GossipKind kind, uint64_t sequence) const;
   void AddRecord(const MemberRecord& record, size_t& size,
                  GossipMessage& message) const;
+  // Adds what DeparturesMissingAt() returns for the receiver.
+  void AddDepartures(const MemberRecord& receiver, size_t& size,
+                     GossipMessage& message) const;
   void AddQueued(size_t budget, size_t& size, GossipMessage& message);
   void AddQuarantines(size_t& size, GossipMessage& message);
 
+  // membership_departures.cc: departures of local servers.
+  // An acknowledgement that waits for copies of a departure.
+  struct CopyWait {
+    uint64_t number = 0;
+    std::string server;
+    TimePoint until{};
+    bool for_peer = false;
+    bool for_table = false;
+  };
+  // Returns false if there is no node to ask.
+  bool PingWitnesses(uint64_t number, Context& context);
+  void OnWitnessAck(uint64_t sequence, Context& context);
+  // Reads this node's row of retained state, unless it is too early.
+  void ReadRetained(Context& context);
+  // Writes it if it is due and lacks departures.
+  void WriteRetained(Context& context);
+  // Returns the time until the next try after a failure, and doubles it.
+  Duration NextRetainedInterval();
+  void OnRetainedWritten(const PlatformReply& reply, Context& context);
+  void OnRetainedRead(const PlatformReply& reply, Context& context);
+  void EndTableWaits(Context& context);
+  void EndCopyWaits(Context& context);
+  void OnDepartureTimers(Context& context);
+  TimePoint next_departure_timer() const;
+  void LearnDepartures(const std::vector<Departure>& departures,
+                       const std::string& source, Context& context);
+  void RememberDepartures(const MemberRecord& record, Context& context);
+  // Returns the departures of an earlier process of a node that its present
+  // process has not published.
+  std::vector<Departure> DeparturesMissingAt(const MemberRecord& record) const;
+  void ExpireDepartures(Context& context);
+
   // membership_relay.cc: confirmations of the settings in this data centre.
   const RelayTree& SettingsRelays() const;
   // Sends the latest confirmation to this node's children in the tree, if it is
@@ -289,6 +343,26 @@
   std::map<std::string, TimePoint> last_announced_;
   std::set<std::string> drain_ordered_;
 
+  // Records of crashes on this host, kept in the platform's table.
+  QuarantineList own_quarantines_;
+  bool stores_quarantines_ = false;  // with the next write of the row
+  DepartureList own_departures_;
+  std::map<std::string, DepartureList> remembered_departures_;  // by node
+  std::vector<Departure> stored_departures_;   // in the platform's table
+  std::vector<Departure> writing_departures_;  // by the write in flight
+  std::deque<CopyWait> copy_waits_;
+  std::map<uint64_t, uint64_t> witness_pings_;  // departure by ping sequence
+  uint64_t departures_published_ = 0;
+  bool departures_read_ = false;  // from the platform's table
+  TimePoint learning_until_{};
+  TimePoint next_witness_ping_ = kNever;
+  bool table_failed_ = false;  // at the last read
+  TimePoint next_retained_read_ = kNever;
+  TimePoint next_retained_write_ = kNever;
+  Duration retained_interval_{0};
+  std::optional<PlatformOpId> read_retained_op_;
+  std::optional<PlatformOpId> write_retained_op_;
+
   TimePoint next_period_ = kNever;
   uint64_t period_count_ = 0;
   std::optional<Probe> probe_;
--- a/src/libnode/membership/membership_dissemination.cc
+++ b/src/libnode/membership/membership_dissemination.cc
@@ -135,6 +135,7 @@
   if (receiver != nullptr && receiver->state != MemberState::kAlive) {
     AddRecord(*receiver, size, message);
   }
+  if (receiver != nullptr) AddDepartures(*receiver, size, message);
   const size_t allowed = size + gossip_budget_.Available(last_now_);
   const size_t before = size;
   AddQueued(std::min(allowed, kDatagramBudget), size, message);
@@ -151,6 +152,16 @@
   message.updates.push_back(record);
 }
 
+void Membership::AddDepartures(const MemberRecord& receiver, size_t& size,
+                               GossipMessage& message) const {
+  for (Departure& departure : DeparturesMissingAt(receiver)) {
+    const size_t more = EncodedSize(departure);
+    if (size + more > kDatagramBudget) return;
+    size += more;
+    message.departures.push_back(std::move(departure));
+  }
+}
+
 void Membership::AddQueued(size_t budget, size_t& size,
                            GossipMessage& message) {
   for (const std::string& name : updates_.LeastSentFirst()) {
@@ -381,7 +392,8 @@
   }
   if (alone && seeds_failed && !read_peers_op_) {
     read_peers_op_ = context.NextId();
-    context.Emit(SendPlatform{*read_peers_op_, TableReadPeers{}});
+    context.Emit(
+        SendPlatform{*read_peers_op_, TableReadPeers{identity_.node.name}});
   }
   if (!peer_row_written_ && !write_peer_op_ && row_due) {
     write_peer_op_ = context.NextId();
@@ -405,6 +417,8 @@
   if (on_platform_epoch) on_platform_epoch(epoch, context);
   header_pushes_left_ = kPushRounds;
   next_push_ = std::min(next_push_, context.now);
+  stored_departures_.clear();
+  if (!own_departures_.empty()) next_retained_write_ = context.now;
   if (!peer_row_written_) return;
   context.Log(LogLevel::kInfo, kMembershipPart,
               "the platform came back from a copy, epoch " +
@@ -425,8 +439,17 @@
         replied.reply.status == PlatformStatus::kOk && is_current;
     return true;
   }
+  if (write_retained_op_ && *write_retained_op_ == replied.op) {
+    OnRetainedWritten(replied.reply, context);
+    return true;
+  }
+  if (read_retained_op_ && *read_retained_op_ == replied.op) {
+    OnRetainedRead(replied.reply, context);
+    return true;
+  }
   if (!read_peers_op_ || *read_peers_op_ != replied.op) return false;
   read_peers_op_.reset();
+  OnRetainedRead(replied.reply, context);
   is_only_node_ = replied.reply.status == PlatformStatus::kOk &&
                   !ListsOtherNode(replied.reply.peers, identity_.node.name);
   if (!UpPeers().empty()) return true;
--- a/src/libnode/membership/membership_limits.h
+++ b/src/libnode/membership/membership_limits.h
@@ -90,6 +90,26 @@
 inline constexpr size_t kFollowUpMinRecords = 5;
 inline constexpr size_t kQuarantinesPerSync = 64;
 
+// Departures of local servers are part of a node's record for this long. Other
+// nodes tell the next process of the node of them for somewhat less, so that
+// none is told after it has expired there.
+inline constexpr Duration kDepartureRetention = std::chrono::minutes(10);
+inline constexpr Duration kDepartureTellingTime = std::chrono::minutes(9);
+// Limit on their size in a record, which has to fit into a datagram.
+inline constexpr size_t kMaxDepartureBytes = 400;
+// How long an acknowledgement waits until another node and the platform's table
+// have confirmed that they hold the departure. A server expects the
+// acknowledgement within a second.
+inline constexpr Duration kMaxCopyWait = std::chrono::milliseconds(400);
+inline constexpr size_t kLocalWitnesses = 2;
+// Requests that crashed servers in a row of retained state. One crash leaves 16
+// suspects at most.
+inline constexpr size_t kMaxRetainedQuarantines = 32;
+// How long a node that has started waits for departures that its earlier
+// processes have acknowledged. Shorter than the time between two announcements,
+// so a server that has not left is used at its first or second one.
+inline constexpr Duration kMaxLearningTime = std::chrono::seconds(1);
+
 inline constexpr Duration kPlatformInterval = std::chrono::seconds(2);
 inline constexpr Duration kMaxPlatformInterval = std::chrono::seconds(16);
 inline constexpr size_t kPeersFromPlatform = 5;
--- a/src/libnode/membership/membership_probe.cc
+++ b/src/libnode/membership/membership_probe.cc
@@ -146,6 +146,7 @@
 }
 
 void Membership::DropExpired(Context& context) {
+  ExpireDepartures(context);
   for (auto entry = tombstones_.begin(); entry != tombstones_.end();) {
     if (context.now < entry->second) {
       ++entry;
@@ -170,6 +171,7 @@
     view_verified_ = true;
     return;
   }
+  OnWitnessAck(message.sequence, context);
   const auto relay = relays_.find(message.sequence);
   if (relay == relays_.end()) return;
   context.Emit(SendGossip{
--- a/src/libnode/membership/membership_sync.cc
+++ b/src/libnode/membership/membership_sync.cc
@@ -62,6 +62,7 @@
   DetectPause(context);
   const size_t merged_before = records_merged_;
   for (const MemberRecord& record : sync.members) Merge(record, context);
+  LearnDepartures(sync.departures, from.name, context);
   MergeQuarantines(sync.quarantines);
   HandleSettingsVersion(from.name, sync.settings_version, context);
   if (sync.reply_wanted) {
@@ -85,6 +86,7 @@
   answer.quarantines =
       quarantines_.QuarantinedFirst(kQuarantinesPerSync, last_now_);
   answer.settings_version = settings_version_;
+  answer.departures = DeparturesMissingAt(*peer);
   context.Emit(SendPeer{from.name, peer->peer_address, std::move(answer)});
 }
 
--- a/src/libnode/membership/membership_updates.cc
+++ b/src/libnode/membership/membership_updates.cc
@@ -14,6 +14,7 @@
 constexpr size_t kServerOverhead = 24;
 constexpr size_t kStartTimeSize = 8;
 constexpr size_t kQuarantineOverhead = 24;
+constexpr size_t kDepartureOverhead = 32;
 constexpr double kTransmissionsPerLog = 4.0;
 constexpr size_t kMaxQuarantines = 1024;
 // Limit how long requests are still refused after an operator has fixed the
@@ -44,9 +45,16 @@
             server.address.ip.size();
     if (server.started_ms > 0) size += kStartTimeSize;
   }
+  for (const Departure& departure : record.departures) {
+    size += EncodedSize(departure);
+  }
   return size;
 }
 
+size_t EncodedSize(const Departure& departure) {
+  return kDepartureOverhead + departure.server.size();
+}
+
 size_t EncodedSize(const QuarantineRecord& record) {
   return kQuarantineOverhead + record.service.size();
 }
--- a/src/libnode/membership/membership_updates.h
+++ b/src/libnode/membership/membership_updates.h
@@ -23,6 +23,7 @@
 
 // Return upper bounds of the encoded size in bytes (Thrift compact protocol).
 size_t EncodedSize(const MemberRecord& record);
+size_t EncodedSize(const Departure& departure);
 size_t EncodedSize(const QuarantineRecord& record);
 size_t EncodedSize(const SuspectNews& news);
 inline constexpr size_t kGossipHeaderSize = 160;
--- a/src/libnode/membership_settings.cmake
+++ b/src/libnode/membership_settings.cmake
@@ -5,6 +5,9 @@
     membership/membership_dissemination.cc
     membership/membership_sync.cc
     membership/membership_relay.cc
+    membership/membership_departures.cc
+    membership/departure_list.cc
+    membership/retained_state.cc
     membership/membership_table.cc
     membership/membership_updates.cc
     settings/settings_change.cc
--- a/src/libnode/node_state.cc
+++ b/src/libnode/node_state.cc
@@ -25,6 +25,12 @@
   if (std::holds_alternative<TableWritePeer>(request)) {
     return "kind=\"write-peer\"";
   }
+  if (std::holds_alternative<TableReadRetained>(request)) {
+    return "kind=\"read-retained\"";
+  }
+  if (std::holds_alternative<TableWriteRetained>(request)) {
+    return "kind=\"write-retained\"";
+  }
   if (std::holds_alternative<TableClaimRows>(request)) {
     return "kind=\"claim-keys\"";
   }
@@ -80,6 +86,14 @@
     records.Add(context.now, "", "settings",
                 "version " + std::to_string(version) + " is in force");
   };
+  membership.on_departure_copied = [this](uint64_t number, Context& context) {
+    serving.OnDepartureCopied(number, context);
+  };
+  membership.on_departure_learned = [this](const Departure& departure,
+                                           const std::string& source,
+                                           Context& context) {
+    serving.OnDepartureLearned(departure, source, context);
+  };
   serving.on_hop_cancelled = [this](uint64_t hop, Context& context) {
     entry.OnHopCancelled(hop, context);
   };
@@ -121,6 +135,7 @@
   std::visit([&](const auto& body) { ApplyOne(body, context); }, event.body);
   DeliverLocal(context);
   RunTimers(context);
+  serving.AcceptHeld(context);
   DeliverLocal(context);
   // A new process took over the host while this one was paused. Tickets and
   // claims of this process name its incarnation, so nothing runs twice, but the
@@ -315,7 +330,8 @@
   if (!stop.requested || stop.exited) return;
   const Duration since = context.now - stop.since;
   if (since >= identity.rules.leave_delay) membership.Leave(context);
-  const bool idle = entry.calls() == 0 && serving.hops() == 0;
+  const bool idle = entry.calls() == 0 && serving.hops() == 0 &&
+                    !serving.has_waiting_acknowledgements();
   const Duration limit = settings_cache.Resolve("", "").drain_timeout;
   if (since < identity.rules.leave_grace || (!idle && since < limit)) return;
   stop.exited = true;
--- a/src/libnode/serving/serving_role.h
+++ b/src/libnode/serving/serving_role.h
@@ -42,6 +42,13 @@
   // Handle the announcements and leave messages of backend servers.
   void OnAnnounce(CallId call, const HttpRequest& request, Context& context);
   void OnLeave(CallId call, const HttpRequest& request, Context& context);
+  // Accepts the announcements that were held until this node knew which servers
+  // its earlier processes have acknowledged as departed.
+  void AcceptHeld(Context& context);
+  // See Membership::on_departure_copied and on_departure_learned.
+  void OnDepartureCopied(uint64_t number, Context& context);
+  void OnDepartureLearned(const Departure& departure, const std::string& source,
+                          Context& context);
 
   void OnForward(const NodeRef& from, CallForward forward, Context& context);
   void OnCancel(const NodeRef& from, const CallCancel& cancel,
@@ -62,6 +69,9 @@
   Hop* FindHop(uint64_t id);
 
   size_t hops() const { return hops_.size(); }
+  bool has_waiting_acknowledgements() const {
+    return !waiting_acknowledgements_.empty();
+  }
   std::vector<LoadReport> Reports(TimePoint now);
   // Returns the offered load of a local server; null if it is not measured.
   const RankDemand* DemandOf(const std::string& server) const;
@@ -76,6 +86,21 @@
     }
   };
 
+  // What a backend server said of itself.
+  struct Announcement {
+    ServerRecord record;
+    AnnouncementStamp stamp;
+  };
+  static Outcome<Announcement> ParseAnnouncement(const Body& body);
+  // Applies an announcement. Returns the number of the departure that has to be
+  // copied before it is acknowledged, or nullopt.
+  std::optional<uint64_t> Accept(Announcement announcement, Context& context);
+  // Records a departure here and at others; returns its number.
+  uint64_t AddDeparture(const Departure& departure, Context& context);
+  // Answers a message of a server, after the copies of `departure` if given.
+  void Acknowledge(CallId call, std::optional<uint64_t> departure,
+                   Context& context);
+
   void Admit(Hop hop, Context& context);
   void AdmitSuspect(Hop hop, LocalServer& server, Context& context);
   void Enqueue(Hop hop, uint32_t level, LocalServer& server, Context& context);
@@ -173,8 +198,8 @@
                       const AnnouncementStamp& stamp, Context& context);
   static void BeginDrain(LocalServer& server, Context& context);
   // Handles a server that has said itself that it leaves. Later announcements
-  // of the same process do not undo that.
-  void OnLeaving(LocalServer& server, Context& context);
+  // of the same process do not undo that. Returns the number of the departure.
+  uint64_t OnLeaving(LocalServer& server, Context& context);
   // Returns the hops of `server` that are not dispatched yet.
   std::vector<uint64_t> WaitingAt(const std::string& server) const;
   void RefuseAfterDrainLimit(LocalServer& server, Context& context);
@@ -200,6 +225,10 @@
   RecentAnswers answered_;
   std::map<std::string, LocalServer> servers_;
   DepartedServers departed_;
+  std::map<std::string, Announcement> held_announcements_;  // by server
+  // Messages of servers that are not acknowledged yet, by number of the
+  // departure.
+  std::multimap<uint64_t, CallId> waiting_acknowledgements_;
   std::map<uint64_t, Hop> hops_;
   std::unordered_map<AttemptKey, uint64_t, AttemptKeyHash> by_attempt_;
   DeadlineSet queue_deadlines_;
--- a/src/libnode/serving/serving_servers.cc
+++ b/src/libnode/serving/serving_servers.cc
@@ -1,7 +1,9 @@
 // Announcements of backend servers, and timers of the serving role.
 
 #include <nlohmann/json.hpp>
+#include <utility>
 
+#include "libnode/membership/departure_list.h"
 #include "libnode/serving/server_log.h"
 #include "libnode/serving/serving_role.h"
 #include "libnode/shared/answers.h"
@@ -46,12 +48,43 @@
          text.find_first_of("/*,; \"\\") == std::string::npos;
 }
 
-struct Announcement {
-  ServerRecord record;
-  AnnouncementStamp stamp;
+struct LeaveMessage {
+  std::string server;
+  std::optional<uint64_t> started_ms;
 };
 
-Outcome<Announcement> ParseAnnouncement(const Body& body) {
+LeaveMessage ParseLeave(const Body& body) {
+  const nlohmann::json json = ParseShallowJson(body.view());
+  LeaveMessage leave;
+  if (!json.is_object()) return leave;
+  const auto server = json.find("server");
+  if (server != json.end() && server->is_string()) {
+    leave.server = server->get<std::string>();
+  }
+  const auto started = json.find("started_ms");
+  if (started != json.end() && started->is_number_unsigned()) {
+    leave.started_ms = started->get<uint64_t>();
+  }
+  return leave;
+}
+
+std::string_view AnnouncedState(const ServerRecord& record) {
+  return record.draining ? "announced draining" : "announced itself";
+}
+
+HttpResponse BadAnnouncement(const std::string& detail,
+                             const Context& context) {
+  Failure failure;
+  failure.verdict = Verdict::kNotRun;
+  failure.reason = Reason::kBadRequest;
+  failure.detail = detail;
+  return FailureResponse(failure, "", context.identity.node.name);
+}
+
+}  // namespace
+
+Outcome<ServingRole::Announcement> ServingRole::ParseAnnouncement(
+    const Body& body) {
   const nlohmann::json json = ParseShallowJson(body.view());
   if (!json.is_object()) {
     return Error{ErrorCode::kInvalid, "announcement is not a JSON object"};
@@ -78,24 +111,9 @@
   }
 }
 
-std::string_view AnnouncedState(const ServerRecord& record) {
-  return record.draining ? "announced draining" : "announced itself";
-}
-
-HttpResponse BadAnnouncement(const std::string& detail,
-                             const Context& context) {
-  Failure failure;
-  failure.verdict = Verdict::kNotRun;
-  failure.reason = Reason::kBadRequest;
-  failure.detail = detail;
-  return FailureResponse(failure, "", context.identity.node.name);
-}
-
-}  // namespace
-
 void ServingRole::OnAnnounce(CallId call, const HttpRequest& request,
                              Context& context) {
-  Outcome<Announcement> parsed = ParseAnnouncement(request.body);
+  const Outcome<Announcement> parsed = ParseAnnouncement(request.body);
   if (!parsed) {
     context.Log(LogLevel::kWarning, kPart,
                 "Rejected announcement: " + parsed.error().message + ".");
@@ -103,30 +121,62 @@
         AnswerCaller{call, BadAnnouncement(parsed.error().message, context)});
     return;
   }
-  ServerRecord& record = parsed.value().record;
-  const AnnouncementStamp& stamp = parsed.value().stamp;
-  if (IsOutdated(record, stamp)) {
-    LogServerEvent(record.server, AnnouncedState(record), stamp,
-                   "ignore-outdated", context);
+  const Announcement& announcement = parsed.value();
+  const std::string& name = announcement.record.server;
+  const bool is_known = servers_.count(name) > 0;
+  if (!is_known && servers_.size() >= kMaxLocalServers) {
+    context.Emit(AnswerCaller{
+        call, BadAnnouncement("too many backend servers here", context)});
+    return;
+  }
+  const bool may_have_departed = !is_known && !announcement.record.draining &&
+                                 !membership_.departures_learned(context.now);
+  if (may_have_departed && held_announcements_.size() < kMaxLocalServers) {
+    LogServerEvent(name, AnnouncedState(announcement.record),
+                   announcement.stamp, "hold", context);
+    held_announcements_[name] = announcement;
     context.Emit(AnswerCaller{call, JsonResponse(200, "{}")});
     return;
   }
+  Acknowledge(call, Accept(announcement, context), context);
+}
+
+void ServingRole::AcceptHeld(Context& context) {
+  if (held_announcements_.empty()) return;
+  if (!membership_.departures_learned(context.now)) return;
+  const std::map<std::string, Announcement> held =
+      std::exchange(held_announcements_, {});
+  for (const auto& [name, announcement] : held) Accept(announcement, context);
+}
+
+std::optional<uint64_t> ServingRole::Accept(Announcement announcement,
+                                            Context& context) {
+  ServerRecord& record = announcement.record;
+  const AnnouncementStamp& stamp = announcement.stamp;
+  const std::string_view state = AnnouncedState(record);
+  if (IsOutdated(record, stamp)) {
+    LogServerEvent(record.server, state, stamp, "ignore-outdated", context);
+    return std::nullopt;
+  }
   RemoveReplaced(record, stamp, context);
+  held_announcements_.erase(record.server);
   record.started_ms = stamp.started_ms;
-  if (!record.draining &&
-      departed_.Contains(record.server, stamp, context.now)) {
-    LogServerEvent(record.server, AnnouncedState(record), stamp,
-                   "refuse-departed", context);
+  const bool says_draining = record.draining;
+  if (!says_draining && departed_.Contains(record.server, stamp, context.now)) {
+    LogServerEvent(record.server, state, stamp, "refuse-departed", context);
     record.draining = true;
   }
   const EffectiveSettings& settings = settings_.Resolve(record.service, "");
   const auto found = servers_.find(record.server);
+  const bool was_draining = found != servers_.end() && found->second.draining;
+  const bool changes =
+      found == servers_.end() || was_draining != record.draining;
+  if (changes && says_draining == record.draining) {
+    LogServerEvent(record.server, state, stamp,
+                   record.draining ? "drain" : "use", context);
+  }
   if (found != servers_.end()) {
     LocalServer& known = found->second;
-    if (known.draining != record.draining) {
-      LogServerEvent(record.server, AnnouncedState(record), stamp,
-                     record.draining ? "drain" : "use", context);
-    }
     known.Configure(record, settings);
     known.last_heard = context.now;
     known.stamp = stamp;
@@ -135,13 +185,7 @@
     } else {
       known.draining = false;
     }
-  } else if (servers_.size() >= kMaxLocalServers) {
-    context.Emit(AnswerCaller{
-        call, BadAnnouncement("too many backend servers here", context)});
-    return;
   } else {
-    LogServerEvent(record.server, AnnouncedState(record), stamp,
-                   record.draining ? "drain" : "use", context);
     ShedderOptions shedding;
     shedding.threshold_from_wait = context.identity.rules.admit_at_edge;
     LocalServer server(record, settings, shedding, context.now);
@@ -150,9 +194,59 @@
     servers_.emplace(record.server, std::move(server));
   }
   membership_.AnnounceServer(record, context);
+  // Without numbers, a delayed announcement cannot be told from a later one.
+  const bool begins_drain =
+      says_draining && !was_draining && stamp.sequence != 0;
+  if (!begins_drain) return std::nullopt;
+  return AddDeparture({record.server, stamp.started_ms, stamp.sequence, false},
+                      context);
+}
+
+uint64_t ServingRole::AddDeparture(const Departure& departure,
+                                   Context& context) {
+  departed_.Add(departure, departure.left ? "leave" : "drain", context.now);
+  return membership_.PublishDeparture(departure, context);
+}
+
+// The answer promises that the server gets no calls after its drain time, also
+// if this process ends, so others must know first.
+void ServingRole::Acknowledge(CallId call, std::optional<uint64_t> departure,
+                              Context& context) {
+  if (departure) {
+    waiting_acknowledgements_.emplace(*departure, call);
+    return;
+  }
   context.Emit(AnswerCaller{call, JsonResponse(200, "{}")});
 }
 
+void ServingRole::OnDepartureCopied(uint64_t number, Context& context) {
+  const auto end = waiting_acknowledgements_.upper_bound(number);
+  for (auto it = waiting_acknowledgements_.begin(); it != end; ++it) {
+    context.Emit(AnswerCaller{it->second, JsonResponse(200, "{}")});
+  }
+  waiting_acknowledgements_.erase(waiting_acknowledgements_.begin(), end);
+}
+
+void ServingRole::OnDepartureLearned(const Departure& departure,
+                                     const std::string& source,
+                                     Context& context) {
+  const std::string& name = departure.server;
+  departed_.Add(departure, source, context.now);
+  stats_.Count("amaranth_departures_learned_total");
+  const auto found = servers_.find(name);
+  const bool applies =
+      found != servers_.end() && !found->second.draining &&
+      departed_.Contains(name, found->second.stamp, context.now);
+  context.Log(LogLevel::kInfo, kPart,
+              "Learned that backend server " + name +
+                  (departure.left ? " left: " : " drains: ") +
+                  DescribeDeparture(departure) + " source=" + source +
+                  (applies ? " decision=drain" : " decision=remember"));
+  if (!applies) return;
+  BeginDrain(found->second, context);
+  membership_.SetServerDraining(name, context);
+}
+
 void ServingRole::LogServerEvent(const std::string& server,
                                  std::string_view what,
                                  const AnnouncementStamp& stamp,
@@ -234,38 +328,47 @@
 
 void ServingRole::OnLeave(CallId call, const HttpRequest& request,
                           Context& context) {
-  const nlohmann::json json = ParseShallowJson(request.body.view());
-  std::string name;
-  if (json.is_object() && json.contains("server") &&
-      json["server"].is_string()) {
-    name = json["server"].get<std::string>();
+  const LeaveMessage leave = ParseLeave(request.body);
+  const auto found = servers_.find(leave.server);
+  const bool is_of_known =
+      found != servers_.end() &&
+      (!leave.started_ms ||
+       *leave.started_ms == found->second.stamp.started_ms);
+  if (is_of_known) {
+    return Acknowledge(call, OnLeaving(found->second, context), context);
   }
-  const auto found = servers_.find(name);
-  if (found == servers_.end()) {
-    const bool records_departure =
-        context.identity.rules.announce_port && IsName(name);
-    LogServerEvent(name, "is leaving", {},
-                   records_departure ? "remember" : "reject", context);
-    if (records_departure) departed_.Add(name, std::nullopt, context.now);
-    context.Emit(AnswerCaller{
-        call, records_departure ? JsonResponse(200, "{}")
-                                : BadAnnouncement("no such server", context)});
+  const bool may_be_unknown =
+      context.identity.rules.announce_port || leave.started_ms;
+  const bool accepted = may_be_unknown && IsName(leave.server);
+  LogServerEvent(leave.server, "is leaving", {leave.started_ms.value_or(0), 0},
+                 accepted ? "remember" : "reject", context);
+  if (!accepted) {
+    context.Emit(
+        AnswerCaller{call, BadAnnouncement("no such server", context)});
     return;
   }
-  OnLeaving(found->second, context);
-  context.Emit(AnswerCaller{call, JsonResponse(200, "{}")});
+  // A process that started later than the known one has taken its place.
+  if (found != servers_.end() &&
+      *leave.started_ms > found->second.stamp.started_ms) {
+    RemoveServer(leave.server, context);
+  }
+  held_announcements_.erase(leave.server);
+  Acknowledge(call,
+              AddDeparture({leave.server, leave.started_ms, 0, true}, context),
+              context);
 }
 
-void ServingRole::OnLeaving(LocalServer& server, Context& context) {
+uint64_t ServingRole::OnLeaving(LocalServer& server, Context& context) {
   const std::string& name = server.record().server;
   LogServerEvent(name, "is leaving", server.stamp,
                  server.draining ? "none" : "drain", context);
-  departed_.Add(name, server.stamp.started_ms, context.now);
   // New calls are refused as not run from now on. Calls in flight or queued
   // still run: a leaving server finishes them.
   BeginDrain(server, context);
   membership_.SetServerDraining(name, context);
   records_.Add(context.now, "", "leave", name + " is leaving");
+  return AddDeparture(
+      {name, server.stamp.started_ms, server.stamp.sequence, true}, context);
 }
 
 void ServingRole::RemoveServer(const std::string& name, Context& context) {
@@ -365,6 +468,9 @@
 
 TimePoint ServingRole::next_timer() const {
   TimePoint next = servers_.empty() ? kNever : next_check_;
+  if (!held_announcements_.empty()) {
+    next = std::min(next, membership_.learning_until());
+  }
   // Queue timeouts may end before deadlines do.
   for (const auto& [name, server] : servers_) {
     next = std::min(next, server.queue().next_deadline());
--- a/src/libplatform/platform_client.cc
+++ b/src/libplatform/platform_client.cc
@@ -45,6 +45,12 @@
   void Start(const TableWritePeer& request, pvt::PlatformCallback done) {
     table_.WritePeer(request, std::move(done));
   }
+  void Start(const TableReadRetained& request, pvt::PlatformCallback done) {
+    table_.ReadRetained(request, std::move(done));
+  }
+  void Start(const TableWriteRetained& request, pvt::PlatformCallback done) {
+    table_.WriteRetained(request, std::move(done));
+  }
   void Start(const TableWatchSettings&, const pvt::PlatformCallback& done) {
     // Not supported: with this table, settings change only through the head
     // row, so there are no settings written outside the product to wait for.
--- a/src/libplatform/platform_client_test.cc
+++ b/src/libplatform/platform_client_test.cc
@@ -258,6 +258,19 @@
   CHECK(expected == reply.peers);
 }
 
+TEST(PlatformClient, RetainedStateStandsBesideThePeers) {
+  CHECK(CallPlatform(TableReadRetained{"n1"}).retained.empty());
+  CallPlatform(TableWritePeer{"n1", "127.0.0.1:1"});
+  CallPlatform(TableWriteRetained{"n1", "state"});
+  const std::vector<std::string> expected = {"n1=state"};
+  const PlatformReply own = CallPlatform(TableReadRetained{"n1"});
+  CHECK(own.status == PlatformStatus::kOk);
+  CHECK(expected == own.retained);
+  const PlatformReply all = CallPlatform(TableReadPeers{"n1"});
+  CHECK(expected == all.retained);
+  CHECK_EQUAL(1u, all.peers.size());
+}
+
 TEST(PlatformClient, ObjectIsWrittenOnceAndReadInFull) {
   const std::string bytes("a\0b\xff", 4);
   CHECK(CallPlatform(ObjectGet{"s/1 é"}).status == PlatformStatus::kNotFound);
--- a/src/libplatform/table_store.cc
+++ b/src/libplatform/table_store.cc
@@ -85,7 +85,7 @@
       return;
     }
     for (const TableItem& item : answer.items) {
-      reply_.peers.push_back(item.key.sort + "=" + item.text);
+      AddPeerRow(item.key.sort, item.text, reply_);
     }
     if (answer.continue_after) {
       ReadPage(answer.continue_after);
@@ -148,11 +148,38 @@
 }
 
 void TableStore::WritePeer(const TableWritePeer& peer, PlatformCallback done) {
+  PutPeerRow(peer.name, peer.address, std::move(done));
+}
+
+void TableStore::ReadRetained(const TableReadRetained& read,
+                              PlatformCallback done) {
+  const std::string key = read.name + std::string(kRetainedRowSuffix);
+  ReadRow({PeerPartition(), key},
+          [key, done = std::move(done)](PlatformReply row) {
+            PlatformReply reply = ReplyWithStatus(row.status);
+            if (row.status == PlatformStatus::kOk) {
+              AddPeerRow(key, row.bytes, reply);
+            } else if (row.status == PlatformStatus::kNotFound) {
+              reply.status = PlatformStatus::kOk;
+            }
+            done(std::move(reply));
+          });
+}
+
+void TableStore::WriteRetained(const TableWriteRetained& retained,
+                               PlatformCallback done) {
+  PutPeerRow(retained.name + std::string(kRetainedRowSuffix), retained.text,
+             std::move(done));
+}
+
+void TableStore::PutPeerRow(std::string key, std::string text,
+                            PlatformCallback done) {
   if (!link_->TakeWrites(1)) {
     done(ReplyWithStatus(PlatformStatus::kUnreachable));
     return;
   }
-  const TableItem item = {{PeerPartition(), peer.name}, peer.address, 0};
+  const TableItem item = {
+      {PeerPartition(), std::move(key)}, std::move(text), 0};
   link_->CallTable(PutRequest(table(), item),
                    [done = std::move(done)](const HttpClientResult& result) {
                      done(ReplyWithStatus(StatusOf(ReadPutAnswer(result))));
--- a/src/libplatform/table_store.h
+++ b/src/libplatform/table_store.h
@@ -21,8 +21,12 @@
   void ReadChange(const TableReadChange& read, PlatformCallback done);
   void ReadPeers(PlatformCallback done);
   void WritePeer(const TableWritePeer& peer, PlatformCallback done);
+  void ReadRetained(const TableReadRetained& read, PlatformCallback done);
+  void WriteRetained(const TableWriteRetained& retained, PlatformCallback done);
 
  private:
+  // Writes the row `key` of the peers' partition.
+  void PutPeerRow(std::string key, std::string text, PlatformCallback done);
   void ReadRow(const TableKey& key, PlatformCallback done);
   TableKey HeadKey() const;
   TableKey ChangeKey(const std::string& change_id) const;
--- a/src/libutil/fields.h
+++ b/src/libutil/fields.h
@@ -107,9 +107,13 @@
                   v.fitness, v.started_ms);
 }
 
+inline auto Fields(const Departure& v) {
+  return std::tie(v.server, v.started_ms, v.sequence, v.left, v.age);
+}
+
 inline auto Fields(const MemberRecord& v) {
   return std::tie(v.node, v.version, v.state, v.data_centre, v.region,
-                  v.peer_address, v.gossip_address, v.servers);
+                  v.peer_address, v.gossip_address, v.servers, v.departures);
 }
 
 inline auto Fields(const QuarantineRecord& v) {
@@ -122,14 +126,14 @@
 
 inline auto Fields(const MemberSync& v) {
   return std::tie(v.reply_wanted, v.bucket_hashes, v.members, v.quarantines,
-                  v.settings_version);
+                  v.settings_version, v.departures);
 }
 
 inline auto Fields(const GossipMessage& v) {
   return std::tie(v.kind, v.from, v.from_address, v.sequence, v.target,
                   v.target_address, v.settings_version, v.settings_confirmed_at,
                   v.platform_epoch, v.membership_hash, v.updates, v.quarantines,
-                  v.suspect_news);
+                  v.suspect_news, v.departures);
 }
 
 inline auto Fields(const TableClaimRows& v) { return std::tie(v.rows); }
@@ -142,7 +146,7 @@
 
 inline auto Fields(const TableReadChange& v) { return std::tie(v.change_id); }
 
-inline std::tuple<> Fields(const TableReadPeers&) { return {}; }
+inline auto Fields(const TableReadPeers& v) { return std::tie(v.name); }
 
 inline auto Fields(const TableWatchSettings& v) {
   return std::tie(v.after, v.wait);
@@ -152,13 +156,19 @@
   return std::tie(v.name, v.address);
 }
 
+inline auto Fields(const TableReadRetained& v) { return std::tie(v.name); }
+
+inline auto Fields(const TableWriteRetained& v) {
+  return std::tie(v.name, v.text);
+}
+
 inline auto Fields(const ObjectPut& v) { return std::tie(v.name, v.bytes); }
 
 inline auto Fields(const ObjectGet& v) { return std::tie(v.name); }
 
 inline auto Fields(const PlatformReply& v) {
-  return std::tie(v.status, v.holders, v.version, v.bytes, v.peers, v.epoch,
-                  v.clock, v.is_document_invalid);
+  return std::tie(v.status, v.holders, v.version, v.bytes, v.peers, v.retained,
+                  v.epoch, v.clock, v.is_document_invalid);
 }
 
 inline auto Fields(const TableClaimRows::Row& v) {
@@ -266,6 +276,7 @@
 inline const char* TypeName(const FailedBelow&) { return "FailedBelow"; }
 inline const char* TypeName(const ServerFitness&) { return "ServerFitness"; }
 inline const char* TypeName(const ServerRecord&) { return "ServerRecord"; }
+inline const char* TypeName(const Departure&) { return "Departure"; }
 inline const char* TypeName(const MemberRecord&) { return "MemberRecord"; }
 inline const char* TypeName(const QuarantineRecord&) {
   return "QuarantineRecord";
@@ -284,6 +295,12 @@
   return "TableWatchSettings";
 }
 inline const char* TypeName(const TableWritePeer&) { return "TableWritePeer"; }
+inline const char* TypeName(const TableReadRetained&) {
+  return "TableReadRetained";
+}
+inline const char* TypeName(const TableWriteRetained&) {
+  return "TableWriteRetained";
+}
 inline const char* TypeName(const ObjectPut&) { return "ObjectPut"; }
 inline const char* TypeName(const ObjectGet&) { return "ObjectGet"; }
 inline const char* TypeName(const PlatformReply&) { return "PlatformReply"; }
--- a/src/libutil/messages.cc
+++ b/src/libutil/messages.cc
@@ -93,6 +93,10 @@
   return pvt::Fields(a) == pvt::Fields(b);
 }
 
+bool operator==(const Departure& a, const Departure& b) {
+  return pvt::Fields(a) == pvt::Fields(b);
+}
+
 bool operator==(const MemberRecord& a, const MemberRecord& b) {
   return pvt::Fields(a) == pvt::Fields(b);
 }
--- a/src/libutil/platform.cc
+++ b/src/libutil/platform.cc
@@ -29,6 +29,14 @@
   return pvt::Fields(a) == pvt::Fields(b);
 }
 
+bool operator==(const TableReadRetained& a, const TableReadRetained& b) {
+  return pvt::Fields(a) == pvt::Fields(b);
+}
+
+bool operator==(const TableWriteRetained& a, const TableWriteRetained& b) {
+  return pvt::Fields(a) == pvt::Fields(b);
+}
+
 bool operator==(const TableWatchSettings& a, const TableWatchSettings& b) {
   return pvt::Fields(a) == pvt::Fields(b);
 }
@@ -45,6 +53,19 @@
   return pvt::Fields(a) == pvt::Fields(b);
 }
 
+void AddPeerRow(const std::string& key, const std::string& value,
+                PlatformReply& reply) {
+  const size_t suffix = kRetainedRowSuffix.size();
+  const bool is_retained =
+      key.size() > suffix &&
+      key.compare(key.size() - suffix, suffix, kRetainedRowSuffix) == 0;
+  if (is_retained) {
+    reply.retained.push_back(key.substr(0, key.size() - suffix) + "=" + value);
+  } else {
+    reply.peers.push_back(key + "=" + value);
+  }
+}
+
 std::string_view ToString(PlatformStatus status) {
   switch (status) {
     case PlatformStatus::kOk:
--- a/src/libwire/amaranth.thrift
+++ b/src/libwire/amaranth.thrift
@@ -234,6 +234,14 @@
   8: optional i64 started_ms
 }
 
+struct Departure {
+  1: required string server,
+  2: optional i64 started_ms,
+  3: required i64 sequence,
+  4: required bool left,
+  5: required i64 age_us
+}
+
 struct MemberRecord {
   1: required NodeRef node,
   2: required i64 version,
@@ -242,7 +250,8 @@
   5: required string region,
   6: required Endpoint peer_address,
   7: required Endpoint gossip_address,
-  8: required list<ServerRecord> servers
+  8: required list<ServerRecord> servers,
+  9: optional list<Departure> departures
 }
 
 struct QuarantineRecord {
@@ -264,7 +273,8 @@
   2: required list<MemberRecord> members,
   3: required list<QuarantineRecord> quarantines,
   4: required i64 settings_version,
-  5: required list<i32> bucket_hashes  // u32 with the same bits
+  5: required list<i32> bucket_hashes,  // u32 with the same bits
+  6: optional list<Departure> departures
 }
 
 struct Gossip {
@@ -281,5 +291,6 @@
   // 11 was the age of the confirmation, which is not comparable between nodes.
   12: optional i64 platform_epoch,
   13: optional i64 settings_confirmed_at_us,  // on the platform's clock
-  14: optional list<SuspectNews> suspect_news
+  14: optional list<SuspectNews> suspect_news,
+  15: optional list<Departure> departures
 }
--- a/src/libwire/check.cc
+++ b/src/libwire/check.cc
@@ -78,13 +78,15 @@
 }
 
 Outcome<void> Check(const MemberSync& message) {
-  size_t longest = std::max({message.members.size(), message.quarantines.size(),
-                             message.bucket_hashes.size()});
+  size_t longest =
+      std::max({message.members.size(), message.quarantines.size(),
+                message.bucket_hashes.size(), message.departures.size()});
   size_t all = message.members.size() + message.quarantines.size() +
-               message.bucket_hashes.size();
+               message.bucket_hashes.size() + message.departures.size();
   for (const MemberRecord& member : message.members) {
-    longest = std::max(longest, member.servers.size());
-    all += member.servers.size();
+    longest =
+        std::max({longest, member.servers.size(), member.departures.size()});
+    all += member.servers.size() + member.departures.size();
   }
   if (all > static_cast<size_t>(kMaxMessageElements)) {
     return Invalid("message exceeds the limit on list elements in total");
--- a/src/libwire/from_wire.cc
+++ b/src/libwire/from_wire.cc
@@ -165,6 +165,14 @@
   if (in.__isset.started_ms) out.started_ms = Unsigned(in.started_ms);
 }
 
+void FromWire(wire::Departure& in, Departure& out, RangeCheck& check) {
+  out.server = std::move(in.server);
+  if (in.__isset.started_ms) out.started_ms = Unsigned(in.started_ms);
+  out.sequence = Unsigned(in.sequence);
+  out.left = in.left;
+  out.age = check.ToDuration(in.age_us, "age_us");
+}
+
 void FromWire(wire::MemberRecord& in, MemberRecord& out, RangeCheck& check) {
   FromWire(in.node, out.node, check);
   out.version = Unsigned(in.version);
@@ -174,6 +182,9 @@
   FromWire(in.peer_address, out.peer_address, check);
   FromWire(in.gossip_address, out.gossip_address, check);
   FromWireList(in.servers, out.servers, check);
+  if (in.__isset.departures) {
+    FromWireList(in.departures, out.departures, check);
+  }
 }
 
 void FromWire(wire::QuarantineRecord& in, QuarantineRecord& out,
@@ -303,6 +314,9 @@
   FromWireList(in.quarantines, out.quarantines, check);
   out.settings_version = Unsigned(in.settings_version);
   out.bucket_hashes.assign(in.bucket_hashes.begin(), in.bucket_hashes.end());
+  if (in.__isset.departures) {
+    FromWireList(in.departures, out.departures, check);
+  }
 }
 
 void FromWire(wire::Gossip& in, GossipMessage& out, RangeCheck& check) {
@@ -326,6 +340,9 @@
   if (in.__isset.suspect_news) {
     FromWireList(in.suspect_news, out.suspect_news, check);
   }
+  if (in.__isset.departures) {
+    FromWireList(in.departures, out.departures, check);
+  }
 }
 
 }  // namespace amaranth::pvt
--- a/src/libwire/gen-cpp/amaranth_types.cpp
+++ b/src/libwire/gen-cpp/amaranth_types.cpp
@@ -5342,6 +5342,209 @@
 }
 
 
+Departure::~Departure() noexcept {
+}
+
+
+void Departure::__set_server(const std::string& val) {
+  this->server = val;
+}
+
+void Departure::__set_started_ms(const int64_t val) {
+  this->started_ms = val;
+__isset.started_ms = true;
+}
+
+void Departure::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void Departure::__set_left(const bool val) {
+  this->left = val;
+}
+
+void Departure::__set_age_us(const int64_t val) {
+  this->age_us = val;
+}
+std::ostream& operator<<(std::ostream& out, const Departure& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Departure::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_server = false;
+  bool isset_sequence = false;
+  bool isset_left = false;
+  bool isset_age_us = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->server);
+          isset_server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->started_ms);
+          this->__isset.started_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          isset_sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->left);
+          isset_left = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age_us);
+          isset_age_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_server)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_sequence)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_left)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_age_us)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t Departure::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Departure");
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.started_ms) {
+    xfer += oprot->writeFieldBegin("started_ms", ::apache::thrift::protocol::T_I64, 2);
+    xfer += oprot->writeI64(this->started_ms);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("left", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->left);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_us", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->age_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Departure &a, Departure &b) {
+  using ::std::swap;
+  swap(a.server, b.server);
+  swap(a.started_ms, b.started_ms);
+  swap(a.sequence, b.sequence);
+  swap(a.left, b.left);
+  swap(a.age_us, b.age_us);
+  swap(a.__isset, b.__isset);
+}
+
+Departure::Departure(const Departure& other152) {
+  server = other152.server;
+  started_ms = other152.started_ms;
+  sequence = other152.sequence;
+  left = other152.left;
+  age_us = other152.age_us;
+  __isset = other152.__isset;
+}
+Departure::Departure(Departure&& other153) noexcept {
+  server = std::move(other153.server);
+  started_ms = other153.started_ms;
+  sequence = other153.sequence;
+  left = other153.left;
+  age_us = other153.age_us;
+  __isset = other153.__isset;
+}
+Departure& Departure::operator=(const Departure& other154) {
+  server = other154.server;
+  started_ms = other154.started_ms;
+  sequence = other154.sequence;
+  left = other154.left;
+  age_us = other154.age_us;
+  __isset = other154.__isset;
+  return *this;
+}
+Departure& Departure::operator=(Departure&& other155) noexcept {
+  server = std::move(other155.server);
+  started_ms = other155.started_ms;
+  sequence = other155.sequence;
+  left = other155.left;
+  age_us = other155.age_us;
+  __isset = other155.__isset;
+  return *this;
+}
+void Departure::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Departure(";
+  out << "server=" << to_string(server);
+  out << ", " << "started_ms="; (__isset.started_ms ? (out << to_string(started_ms)) : (out << "<null>"));
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "left=" << to_string(left);
+  out << ", " << "age_us=" << to_string(age_us);
+  out << ")";
+}
+
+
 MemberRecord::~MemberRecord() noexcept {
 }
 
@@ -5377,6 +5580,11 @@
 void MemberRecord::__set_servers(const std::vector<ServerRecord> & val) {
   this->servers = val;
 }
+
+void MemberRecord::__set_departures(const std::vector<Departure> & val) {
+  this->departures = val;
+__isset.departures = true;
+}
 std::ostream& operator<<(std::ostream& out, const MemberRecord& obj)
 {
   obj.printTo(out);
@@ -5473,14 +5681,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size152;
-            ::apache::thrift::protocol::TType _etype155;
-            xfer += iprot->readListBegin(_etype155, _size152);
-            this->servers.resize(_size152);
-            uint32_t _i156;
-            for (_i156 = 0; _i156 < _size152; ++_i156)
+            uint32_t _size156;
+            ::apache::thrift::protocol::TType _etype159;
+            xfer += iprot->readListBegin(_etype159, _size156);
+            this->servers.resize(_size156);
+            uint32_t _i160;
+            for (_i160 = 0; _i160 < _size156; ++_i160)
             {
-              xfer += this->servers[_i156].read(iprot);
+              xfer += this->servers[_i160].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5489,6 +5697,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->departures.clear();
+            uint32_t _size161;
+            ::apache::thrift::protocol::TType _etype164;
+            xfer += iprot->readListBegin(_etype164, _size161);
+            this->departures.resize(_size161);
+            uint32_t _i165;
+            for (_i165 = 0; _i165 < _size161; ++_i165)
+            {
+              xfer += this->departures[_i165].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.departures = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5553,15 +5781,28 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<ServerRecord> ::const_iterator _iter157;
-    for (_iter157 = this->servers.begin(); _iter157 != this->servers.end(); ++_iter157)
+    std::vector<ServerRecord> ::const_iterator _iter166;
+    for (_iter166 = this->servers.begin(); _iter166 != this->servers.end(); ++_iter166)
     {
-      xfer += (*_iter157).write(oprot);
+      xfer += (*_iter166).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.departures) {
+    xfer += oprot->writeFieldBegin("departures", ::apache::thrift::protocol::T_LIST, 9);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->departures.size()));
+      std::vector<Departure> ::const_iterator _iter167;
+      for (_iter167 = this->departures.begin(); _iter167 != this->departures.end(); ++_iter167)
+      {
+        xfer += (*_iter167).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5577,48 +5818,58 @@
   swap(a.peer_address, b.peer_address);
   swap(a.gossip_address, b.gossip_address);
   swap(a.servers, b.servers);
+  swap(a.departures, b.departures);
+  swap(a.__isset, b.__isset);
 }
 
-MemberRecord::MemberRecord(const MemberRecord& other158) {
-  node = other158.node;
-  version = other158.version;
-  state = other158.state;
-  data_centre = other158.data_centre;
-  region = other158.region;
-  peer_address = other158.peer_address;
-  gossip_address = other158.gossip_address;
-  servers = other158.servers;
-}
-MemberRecord::MemberRecord(MemberRecord&& other159) noexcept {
-  node = std::move(other159.node);
-  version = other159.version;
-  state = other159.state;
-  data_centre = std::move(other159.data_centre);
-  region = std::move(other159.region);
-  peer_address = std::move(other159.peer_address);
-  gossip_address = std::move(other159.gossip_address);
-  servers = std::move(other159.servers);
-}
-MemberRecord& MemberRecord::operator=(const MemberRecord& other160) {
-  node = other160.node;
-  version = other160.version;
-  state = other160.state;
-  data_centre = other160.data_centre;
-  region = other160.region;
-  peer_address = other160.peer_address;
-  gossip_address = other160.gossip_address;
-  servers = other160.servers;
+MemberRecord::MemberRecord(const MemberRecord& other168) {
+  node = other168.node;
+  version = other168.version;
+  state = other168.state;
+  data_centre = other168.data_centre;
+  region = other168.region;
+  peer_address = other168.peer_address;
+  gossip_address = other168.gossip_address;
+  servers = other168.servers;
+  departures = other168.departures;
+  __isset = other168.__isset;
+}
+MemberRecord::MemberRecord(MemberRecord&& other169) noexcept {
+  node = std::move(other169.node);
+  version = other169.version;
+  state = other169.state;
+  data_centre = std::move(other169.data_centre);
+  region = std::move(other169.region);
+  peer_address = std::move(other169.peer_address);
+  gossip_address = std::move(other169.gossip_address);
+  servers = std::move(other169.servers);
+  departures = std::move(other169.departures);
+  __isset = other169.__isset;
+}
+MemberRecord& MemberRecord::operator=(const MemberRecord& other170) {
+  node = other170.node;
+  version = other170.version;
+  state = other170.state;
+  data_centre = other170.data_centre;
+  region = other170.region;
+  peer_address = other170.peer_address;
+  gossip_address = other170.gossip_address;
+  servers = other170.servers;
+  departures = other170.departures;
+  __isset = other170.__isset;
   return *this;
 }
-MemberRecord& MemberRecord::operator=(MemberRecord&& other161) noexcept {
-  node = std::move(other161.node);
-  version = other161.version;
-  state = other161.state;
-  data_centre = std::move(other161.data_centre);
-  region = std::move(other161.region);
-  peer_address = std::move(other161.peer_address);
-  gossip_address = std::move(other161.gossip_address);
-  servers = std::move(other161.servers);
+MemberRecord& MemberRecord::operator=(MemberRecord&& other171) noexcept {
+  node = std::move(other171.node);
+  version = other171.version;
+  state = other171.state;
+  data_centre = std::move(other171.data_centre);
+  region = std::move(other171.region);
+  peer_address = std::move(other171.peer_address);
+  gossip_address = std::move(other171.gossip_address);
+  servers = std::move(other171.servers);
+  departures = std::move(other171.departures);
+  __isset = other171.__isset;
   return *this;
 }
 void MemberRecord::printTo(std::ostream& out) const {
@@ -5632,6 +5883,7 @@
   out << ", " << "peer_address=" << to_string(peer_address);
   out << ", " << "gossip_address=" << to_string(gossip_address);
   out << ", " << "servers=" << to_string(servers);
+  out << ", " << "departures="; (__isset.departures ? (out << to_string(departures)) : (out << "<null>"));
   out << ")";
 }
 
@@ -5773,30 +6025,30 @@
   swap(a.remaining_us, b.remaining_us);
 }
 
-QuarantineRecord::QuarantineRecord(const QuarantineRecord& other162) {
-  service_name = other162.service_name;
-  fingerprint = other162.fingerprint;
-  crashes = other162.crashes;
-  remaining_us = other162.remaining_us;
+QuarantineRecord::QuarantineRecord(const QuarantineRecord& other172) {
+  service_name = other172.service_name;
+  fingerprint = other172.fingerprint;
+  crashes = other172.crashes;
+  remaining_us = other172.remaining_us;
 }
-QuarantineRecord::QuarantineRecord(QuarantineRecord&& other163) noexcept {
-  service_name = std::move(other163.service_name);
-  fingerprint = other163.fingerprint;
-  crashes = other163.crashes;
-  remaining_us = other163.remaining_us;
+QuarantineRecord::QuarantineRecord(QuarantineRecord&& other173) noexcept {
+  service_name = std::move(other173.service_name);
+  fingerprint = other173.fingerprint;
+  crashes = other173.crashes;
+  remaining_us = other173.remaining_us;
 }
-QuarantineRecord& QuarantineRecord::operator=(const QuarantineRecord& other164) {
-  service_name = other164.service_name;
-  fingerprint = other164.fingerprint;
-  crashes = other164.crashes;
-  remaining_us = other164.remaining_us;
+QuarantineRecord& QuarantineRecord::operator=(const QuarantineRecord& other174) {
+  service_name = other174.service_name;
+  fingerprint = other174.fingerprint;
+  crashes = other174.crashes;
+  remaining_us = other174.remaining_us;
   return *this;
 }
-QuarantineRecord& QuarantineRecord::operator=(QuarantineRecord&& other165) noexcept {
-  service_name = std::move(other165.service_name);
-  fingerprint = other165.fingerprint;
-  crashes = other165.crashes;
-  remaining_us = other165.remaining_us;
+QuarantineRecord& QuarantineRecord::operator=(QuarantineRecord&& other175) noexcept {
+  service_name = std::move(other175.service_name);
+  fingerprint = other175.fingerprint;
+  crashes = other175.crashes;
+  remaining_us = other175.remaining_us;
   return *this;
 }
 void QuarantineRecord::printTo(std::ostream& out) const {
@@ -5947,30 +6199,30 @@
   swap(a.remaining_us, b.remaining_us);
 }
 
-SuspectNews::SuspectNews(const SuspectNews& other166) {
-  service_name = other166.service_name;
-  fingerprint = other166.fingerprint;
-  event = other166.event;
-  remaining_us = other166.remaining_us;
+SuspectNews::SuspectNews(const SuspectNews& other176) {
+  service_name = other176.service_name;
+  fingerprint = other176.fingerprint;
+  event = other176.event;
+  remaining_us = other176.remaining_us;
 }
-SuspectNews::SuspectNews(SuspectNews&& other167) noexcept {
-  service_name = std::move(other167.service_name);
-  fingerprint = other167.fingerprint;
-  event = other167.event;
-  remaining_us = other167.remaining_us;
+SuspectNews::SuspectNews(SuspectNews&& other177) noexcept {
+  service_name = std::move(other177.service_name);
+  fingerprint = other177.fingerprint;
+  event = other177.event;
+  remaining_us = other177.remaining_us;
 }
-SuspectNews& SuspectNews::operator=(const SuspectNews& other168) {
-  service_name = other168.service_name;
-  fingerprint = other168.fingerprint;
-  event = other168.event;
-  remaining_us = other168.remaining_us;
+SuspectNews& SuspectNews::operator=(const SuspectNews& other178) {
+  service_name = other178.service_name;
+  fingerprint = other178.fingerprint;
+  event = other178.event;
+  remaining_us = other178.remaining_us;
   return *this;
 }
-SuspectNews& SuspectNews::operator=(SuspectNews&& other169) noexcept {
-  service_name = std::move(other169.service_name);
-  fingerprint = other169.fingerprint;
-  event = other169.event;
-  remaining_us = other169.remaining_us;
+SuspectNews& SuspectNews::operator=(SuspectNews&& other179) noexcept {
+  service_name = std::move(other179.service_name);
+  fingerprint = other179.fingerprint;
+  event = other179.event;
+  remaining_us = other179.remaining_us;
   return *this;
 }
 void SuspectNews::printTo(std::ostream& out) const {
@@ -6007,6 +6259,11 @@
 void MemberSync::__set_bucket_hashes(const std::vector<int32_t> & val) {
   this->bucket_hashes = val;
 }
+
+void MemberSync::__set_departures(const std::vector<Departure> & val) {
+  this->departures = val;
+__isset.departures = true;
+}
 std::ostream& operator<<(std::ostream& out, const MemberSync& obj)
 {
   obj.printTo(out);
@@ -6052,14 +6309,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size170;
-            ::apache::thrift::protocol::TType _etype173;
-            xfer += iprot->readListBegin(_etype173, _size170);
-            this->members.resize(_size170);
-            uint32_t _i174;
-            for (_i174 = 0; _i174 < _size170; ++_i174)
+            uint32_t _size180;
+            ::apache::thrift::protocol::TType _etype183;
+            xfer += iprot->readListBegin(_etype183, _size180);
+            this->members.resize(_size180);
+            uint32_t _i184;
+            for (_i184 = 0; _i184 < _size180; ++_i184)
             {
-              xfer += this->members[_i174].read(iprot);
+              xfer += this->members[_i184].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6072,14 +6329,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quarantines.clear();
-            uint32_t _size175;
-            ::apache::thrift::protocol::TType _etype178;
-            xfer += iprot->readListBegin(_etype178, _size175);
-            this->quarantines.resize(_size175);
-            uint32_t _i179;
-            for (_i179 = 0; _i179 < _size175; ++_i179)
+            uint32_t _size185;
+            ::apache::thrift::protocol::TType _etype188;
+            xfer += iprot->readListBegin(_etype188, _size185);
+            this->quarantines.resize(_size185);
+            uint32_t _i189;
+            for (_i189 = 0; _i189 < _size185; ++_i189)
             {
-              xfer += this->quarantines[_i179].read(iprot);
+              xfer += this->quarantines[_i189].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6100,14 +6357,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->bucket_hashes.clear();
-            uint32_t _size180;
-            ::apache::thrift::protocol::TType _etype183;
-            xfer += iprot->readListBegin(_etype183, _size180);
-            this->bucket_hashes.resize(_size180);
-            uint32_t _i184;
-            for (_i184 = 0; _i184 < _size180; ++_i184)
+            uint32_t _size190;
+            ::apache::thrift::protocol::TType _etype193;
+            xfer += iprot->readListBegin(_etype193, _size190);
+            this->bucket_hashes.resize(_size190);
+            uint32_t _i194;
+            for (_i194 = 0; _i194 < _size190; ++_i194)
             {
-              xfer += iprot->readI32(this->bucket_hashes[_i184]);
+              xfer += iprot->readI32(this->bucket_hashes[_i194]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6116,6 +6373,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->departures.clear();
+            uint32_t _size195;
+            ::apache::thrift::protocol::TType _etype198;
+            xfer += iprot->readListBegin(_etype198, _size195);
+            this->departures.resize(_size195);
+            uint32_t _i199;
+            for (_i199 = 0; _i199 < _size195; ++_i199)
+            {
+              xfer += this->departures[_i199].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.departures = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6150,10 +6427,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<MemberRecord> ::const_iterator _iter185;
-    for (_iter185 = this->members.begin(); _iter185 != this->members.end(); ++_iter185)
+    std::vector<MemberRecord> ::const_iterator _iter200;
+    for (_iter200 = this->members.begin(); _iter200 != this->members.end(); ++_iter200)
     {
-      xfer += (*_iter185).write(oprot);
+      xfer += (*_iter200).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6162,10 +6439,10 @@
   xfer += oprot->writeFieldBegin("quarantines", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantines.size()));
-    std::vector<QuarantineRecord> ::const_iterator _iter186;
-    for (_iter186 = this->quarantines.begin(); _iter186 != this->quarantines.end(); ++_iter186)
+    std::vector<QuarantineRecord> ::const_iterator _iter201;
+    for (_iter201 = this->quarantines.begin(); _iter201 != this->quarantines.end(); ++_iter201)
     {
-      xfer += (*_iter186).write(oprot);
+      xfer += (*_iter201).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6178,15 +6455,28 @@
   xfer += oprot->writeFieldBegin("bucket_hashes", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->bucket_hashes.size()));
-    std::vector<int32_t> ::const_iterator _iter187;
-    for (_iter187 = this->bucket_hashes.begin(); _iter187 != this->bucket_hashes.end(); ++_iter187)
+    std::vector<int32_t> ::const_iterator _iter202;
+    for (_iter202 = this->bucket_hashes.begin(); _iter202 != this->bucket_hashes.end(); ++_iter202)
     {
-      xfer += oprot->writeI32((*_iter187));
+      xfer += oprot->writeI32((*_iter202));
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.departures) {
+    xfer += oprot->writeFieldBegin("departures", ::apache::thrift::protocol::T_LIST, 6);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->departures.size()));
+      std::vector<Departure> ::const_iterator _iter203;
+      for (_iter203 = this->departures.begin(); _iter203 != this->departures.end(); ++_iter203)
+      {
+        xfer += (*_iter203).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6199,36 +6489,46 @@
   swap(a.quarantines, b.quarantines);
   swap(a.settings_version, b.settings_version);
   swap(a.bucket_hashes, b.bucket_hashes);
+  swap(a.departures, b.departures);
+  swap(a.__isset, b.__isset);
 }
 
-MemberSync::MemberSync(const MemberSync& other188) {
-  reply_wanted = other188.reply_wanted;
-  members = other188.members;
-  quarantines = other188.quarantines;
-  settings_version = other188.settings_version;
-  bucket_hashes = other188.bucket_hashes;
-}
-MemberSync::MemberSync(MemberSync&& other189) noexcept {
-  reply_wanted = other189.reply_wanted;
-  members = std::move(other189.members);
-  quarantines = std::move(other189.quarantines);
-  settings_version = other189.settings_version;
-  bucket_hashes = std::move(other189.bucket_hashes);
-}
-MemberSync& MemberSync::operator=(const MemberSync& other190) {
-  reply_wanted = other190.reply_wanted;
-  members = other190.members;
-  quarantines = other190.quarantines;
-  settings_version = other190.settings_version;
-  bucket_hashes = other190.bucket_hashes;
+MemberSync::MemberSync(const MemberSync& other204) {
+  reply_wanted = other204.reply_wanted;
+  members = other204.members;
+  quarantines = other204.quarantines;
+  settings_version = other204.settings_version;
+  bucket_hashes = other204.bucket_hashes;
+  departures = other204.departures;
+  __isset = other204.__isset;
+}
+MemberSync::MemberSync(MemberSync&& other205) noexcept {
+  reply_wanted = other205.reply_wanted;
+  members = std::move(other205.members);
+  quarantines = std::move(other205.quarantines);
+  settings_version = other205.settings_version;
+  bucket_hashes = std::move(other205.bucket_hashes);
+  departures = std::move(other205.departures);
+  __isset = other205.__isset;
+}
+MemberSync& MemberSync::operator=(const MemberSync& other206) {
+  reply_wanted = other206.reply_wanted;
+  members = other206.members;
+  quarantines = other206.quarantines;
+  settings_version = other206.settings_version;
+  bucket_hashes = other206.bucket_hashes;
+  departures = other206.departures;
+  __isset = other206.__isset;
   return *this;
 }
-MemberSync& MemberSync::operator=(MemberSync&& other191) noexcept {
-  reply_wanted = other191.reply_wanted;
-  members = std::move(other191.members);
-  quarantines = std::move(other191.quarantines);
-  settings_version = other191.settings_version;
-  bucket_hashes = std::move(other191.bucket_hashes);
+MemberSync& MemberSync::operator=(MemberSync&& other207) noexcept {
+  reply_wanted = other207.reply_wanted;
+  members = std::move(other207.members);
+  quarantines = std::move(other207.quarantines);
+  settings_version = other207.settings_version;
+  bucket_hashes = std::move(other207.bucket_hashes);
+  departures = std::move(other207.departures);
+  __isset = other207.__isset;
   return *this;
 }
 void MemberSync::printTo(std::ostream& out) const {
@@ -6239,6 +6539,7 @@
   out << ", " << "quarantines=" << to_string(quarantines);
   out << ", " << "settings_version=" << to_string(settings_version);
   out << ", " << "bucket_hashes=" << to_string(bucket_hashes);
+  out << ", " << "departures="; (__isset.departures ? (out << to_string(departures)) : (out << "<null>"));
   out << ")";
 }
 
@@ -6301,6 +6602,11 @@
   this->suspect_news = val;
 __isset.suspect_news = true;
 }
+
+void Gossip::__set_departures(const std::vector<Departure> & val) {
+  this->departures = val;
+__isset.departures = true;
+}
 std::ostream& operator<<(std::ostream& out, const Gossip& obj)
 {
   obj.printTo(out);
@@ -6407,14 +6713,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->updates.clear();
-            uint32_t _size192;
-            ::apache::thrift::protocol::TType _etype195;
-            xfer += iprot->readListBegin(_etype195, _size192);
-            this->updates.resize(_size192);
-            uint32_t _i196;
-            for (_i196 = 0; _i196 < _size192; ++_i196)
+            uint32_t _size208;
+            ::apache::thrift::protocol::TType _etype211;
+            xfer += iprot->readListBegin(_etype211, _size208);
+            this->updates.resize(_size208);
+            uint32_t _i212;
+            for (_i212 = 0; _i212 < _size208; ++_i212)
             {
-              xfer += this->updates[_i196].read(iprot);
+              xfer += this->updates[_i212].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6427,14 +6733,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quarantines.clear();
-            uint32_t _size197;
-            ::apache::thrift::protocol::TType _etype200;
-            xfer += iprot->readListBegin(_etype200, _size197);
-            this->quarantines.resize(_size197);
-            uint32_t _i201;
-            for (_i201 = 0; _i201 < _size197; ++_i201)
+            uint32_t _size213;
+            ::apache::thrift::protocol::TType _etype216;
+            xfer += iprot->readListBegin(_etype216, _size213);
+            this->quarantines.resize(_size213);
+            uint32_t _i217;
+            for (_i217 = 0; _i217 < _size213; ++_i217)
             {
-              xfer += this->quarantines[_i201].read(iprot);
+              xfer += this->quarantines[_i217].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6463,14 +6769,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspect_news.clear();
-            uint32_t _size202;
-            ::apache::thrift::protocol::TType _etype205;
-            xfer += iprot->readListBegin(_etype205, _size202);
-            this->suspect_news.resize(_size202);
-            uint32_t _i206;
-            for (_i206 = 0; _i206 < _size202; ++_i206)
+            uint32_t _size218;
+            ::apache::thrift::protocol::TType _etype221;
+            xfer += iprot->readListBegin(_etype221, _size218);
+            this->suspect_news.resize(_size218);
+            uint32_t _i222;
+            for (_i222 = 0; _i222 < _size218; ++_i222)
             {
-              xfer += this->suspect_news[_i206].read(iprot);
+              xfer += this->suspect_news[_i222].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6479,6 +6785,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->departures.clear();
+            uint32_t _size223;
+            ::apache::thrift::protocol::TType _etype226;
+            xfer += iprot->readListBegin(_etype226, _size223);
+            this->departures.resize(_size223);
+            uint32_t _i227;
+            for (_i227 = 0; _i227 < _size223; ++_i227)
+            {
+              xfer += this->departures[_i227].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.departures = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6551,10 +6877,10 @@
   xfer += oprot->writeFieldBegin("updates", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->updates.size()));
-    std::vector<MemberRecord> ::const_iterator _iter207;
-    for (_iter207 = this->updates.begin(); _iter207 != this->updates.end(); ++_iter207)
+    std::vector<MemberRecord> ::const_iterator _iter228;
+    for (_iter228 = this->updates.begin(); _iter228 != this->updates.end(); ++_iter228)
     {
-      xfer += (*_iter207).write(oprot);
+      xfer += (*_iter228).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6563,10 +6889,10 @@
   xfer += oprot->writeFieldBegin("quarantines", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantines.size()));
-    std::vector<QuarantineRecord> ::const_iterator _iter208;
-    for (_iter208 = this->quarantines.begin(); _iter208 != this->quarantines.end(); ++_iter208)
+    std::vector<QuarantineRecord> ::const_iterator _iter229;
+    for (_iter229 = this->quarantines.begin(); _iter229 != this->quarantines.end(); ++_iter229)
     {
-      xfer += (*_iter208).write(oprot);
+      xfer += (*_iter229).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6586,10 +6912,23 @@
     xfer += oprot->writeFieldBegin("suspect_news", ::apache::thrift::protocol::T_LIST, 14);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspect_news.size()));
-      std::vector<SuspectNews> ::const_iterator _iter209;
-      for (_iter209 = this->suspect_news.begin(); _iter209 != this->suspect_news.end(); ++_iter209)
+      std::vector<SuspectNews> ::const_iterator _iter230;
+      for (_iter230 = this->suspect_news.begin(); _iter230 != this->suspect_news.end(); ++_iter230)
+      {
+        xfer += (*_iter230).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.departures) {
+    xfer += oprot->writeFieldBegin("departures", ::apache::thrift::protocol::T_LIST, 15);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->departures.size()));
+      std::vector<Departure> ::const_iterator _iter231;
+      for (_iter231 = this->departures.begin(); _iter231 != this->departures.end(); ++_iter231)
       {
-        xfer += (*_iter209).write(oprot);
+        xfer += (*_iter231).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -6615,73 +6954,78 @@
   swap(a.platform_epoch, b.platform_epoch);
   swap(a.settings_confirmed_at_us, b.settings_confirmed_at_us);
   swap(a.suspect_news, b.suspect_news);
+  swap(a.departures, b.departures);
   swap(a.__isset, b.__isset);
 }
 
-Gossip::Gossip(const Gossip& other210) {
-  kind = other210.kind;
-  source = other210.source;
-  source_address = other210.source_address;
-  sequence = other210.sequence;
-  target = other210.target;
-  target_address = other210.target_address;
-  settings_version = other210.settings_version;
-  membership_hash = other210.membership_hash;
-  updates = other210.updates;
-  quarantines = other210.quarantines;
-  platform_epoch = other210.platform_epoch;
-  settings_confirmed_at_us = other210.settings_confirmed_at_us;
-  suspect_news = other210.suspect_news;
-  __isset = other210.__isset;
-}
-Gossip::Gossip(Gossip&& other211) noexcept {
-  kind = other211.kind;
-  source = std::move(other211.source);
-  source_address = std::move(other211.source_address);
-  sequence = other211.sequence;
-  target = std::move(other211.target);
-  target_address = std::move(other211.target_address);
-  settings_version = other211.settings_version;
-  membership_hash = other211.membership_hash;
-  updates = std::move(other211.updates);
-  quarantines = std::move(other211.quarantines);
-  platform_epoch = other211.platform_epoch;
-  settings_confirmed_at_us = other211.settings_confirmed_at_us;
-  suspect_news = std::move(other211.suspect_news);
-  __isset = other211.__isset;
-}
-Gossip& Gossip::operator=(const Gossip& other212) {
-  kind = other212.kind;
-  source = other212.source;
-  source_address = other212.source_address;
-  sequence = other212.sequence;
-  target = other212.target;
-  target_address = other212.target_address;
-  settings_version = other212.settings_version;
-  membership_hash = other212.membership_hash;
-  updates = other212.updates;
-  quarantines = other212.quarantines;
-  platform_epoch = other212.platform_epoch;
-  settings_confirmed_at_us = other212.settings_confirmed_at_us;
-  suspect_news = other212.suspect_news;
-  __isset = other212.__isset;
+Gossip::Gossip(const Gossip& other232) {
+  kind = other232.kind;
+  source = other232.source;
+  source_address = other232.source_address;
+  sequence = other232.sequence;
+  target = other232.target;
+  target_address = other232.target_address;
+  settings_version = other232.settings_version;
+  membership_hash = other232.membership_hash;
+  updates = other232.updates;
+  quarantines = other232.quarantines;
+  platform_epoch = other232.platform_epoch;
+  settings_confirmed_at_us = other232.settings_confirmed_at_us;
+  suspect_news = other232.suspect_news;
+  departures = other232.departures;
+  __isset = other232.__isset;
+}
+Gossip::Gossip(Gossip&& other233) noexcept {
+  kind = other233.kind;
+  source = std::move(other233.source);
+  source_address = std::move(other233.source_address);
+  sequence = other233.sequence;
+  target = std::move(other233.target);
+  target_address = std::move(other233.target_address);
+  settings_version = other233.settings_version;
+  membership_hash = other233.membership_hash;
+  updates = std::move(other233.updates);
+  quarantines = std::move(other233.quarantines);
+  platform_epoch = other233.platform_epoch;
+  settings_confirmed_at_us = other233.settings_confirmed_at_us;
+  suspect_news = std::move(other233.suspect_news);
+  departures = std::move(other233.departures);
+  __isset = other233.__isset;
+}
+Gossip& Gossip::operator=(const Gossip& other234) {
+  kind = other234.kind;
+  source = other234.source;
+  source_address = other234.source_address;
+  sequence = other234.sequence;
+  target = other234.target;
+  target_address = other234.target_address;
+  settings_version = other234.settings_version;
+  membership_hash = other234.membership_hash;
+  updates = other234.updates;
+  quarantines = other234.quarantines;
+  platform_epoch = other234.platform_epoch;
+  settings_confirmed_at_us = other234.settings_confirmed_at_us;
+  suspect_news = other234.suspect_news;
+  departures = other234.departures;
+  __isset = other234.__isset;
   return *this;
 }
-Gossip& Gossip::operator=(Gossip&& other213) noexcept {
-  kind = other213.kind;
-  source = std::move(other213.source);
-  source_address = std::move(other213.source_address);
-  sequence = other213.sequence;
-  target = std::move(other213.target);
-  target_address = std::move(other213.target_address);
-  settings_version = other213.settings_version;
-  membership_hash = other213.membership_hash;
-  updates = std::move(other213.updates);
-  quarantines = std::move(other213.quarantines);
-  platform_epoch = other213.platform_epoch;
-  settings_confirmed_at_us = other213.settings_confirmed_at_us;
-  suspect_news = std::move(other213.suspect_news);
-  __isset = other213.__isset;
+Gossip& Gossip::operator=(Gossip&& other235) noexcept {
+  kind = other235.kind;
+  source = std::move(other235.source);
+  source_address = std::move(other235.source_address);
+  sequence = other235.sequence;
+  target = std::move(other235.target);
+  target_address = std::move(other235.target_address);
+  settings_version = other235.settings_version;
+  membership_hash = other235.membership_hash;
+  updates = std::move(other235.updates);
+  quarantines = std::move(other235.quarantines);
+  platform_epoch = other235.platform_epoch;
+  settings_confirmed_at_us = other235.settings_confirmed_at_us;
+  suspect_news = std::move(other235.suspect_news);
+  departures = std::move(other235.departures);
+  __isset = other235.__isset;
   return *this;
 }
 void Gossip::printTo(std::ostream& out) const {
@@ -6700,6 +7044,7 @@
   out << ", " << "platform_epoch="; (__isset.platform_epoch ? (out << to_string(platform_epoch)) : (out << "<null>"));
   out << ", " << "settings_confirmed_at_us="; (__isset.settings_confirmed_at_us ? (out << to_string(settings_confirmed_at_us)) : (out << "<null>"));
   out << ", " << "suspect_news="; (__isset.suspect_news ? (out << to_string(suspect_news)) : (out << "<null>"));
+  out << ", " << "departures="; (__isset.departures ? (out << to_string(departures)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libwire/gen-cpp/amaranth_types.h
+++ b/src/libwire/gen-cpp/amaranth_types.h
@@ -105,6 +105,8 @@
 
 class ServerRecord;
 
+class Departure;
+
 class MemberRecord;
 
 class QuarantineRecord;
@@ -1873,6 +1875,81 @@
 
 std::ostream& operator<<(std::ostream& out, const ServerRecord& obj);
 
+typedef struct _Departure__isset {
+  _Departure__isset() : started_ms(false) {}
+  bool started_ms :1;
+} _Departure__isset;
+
+class Departure : public virtual ::apache::thrift::TBase {
+ public:
+
+  Departure(const Departure&);
+  Departure(Departure&&) noexcept;
+  Departure& operator=(const Departure&);
+  Departure& operator=(Departure&&) noexcept;
+  Departure() noexcept
+            : server(),
+              started_ms(0),
+              sequence(0),
+              left(0),
+              age_us(0) {
+  }
+
+  virtual ~Departure() noexcept;
+  std::string server;
+  int64_t started_ms;
+  int64_t sequence;
+  bool left;
+  int64_t age_us;
+
+  _Departure__isset __isset;
+
+  void __set_server(const std::string& val);
+
+  void __set_started_ms(const int64_t val);
+
+  void __set_sequence(const int64_t val);
+
+  void __set_left(const bool val);
+
+  void __set_age_us(const int64_t val);
+
+  bool operator == (const Departure & rhs) const
+  {
+    if (!(server == rhs.server))
+      return false;
+    if (__isset.started_ms != rhs.__isset.started_ms)
+      return false;
+    else if (__isset.started_ms && !(started_ms == rhs.started_ms))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(left == rhs.left))
+      return false;
+    if (!(age_us == rhs.age_us))
+      return false;
+    return true;
+  }
+  bool operator != (const Departure &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Departure & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Departure &a, Departure &b);
+
+std::ostream& operator<<(std::ostream& out, const Departure& obj);
+
+typedef struct _MemberRecord__isset {
+  _MemberRecord__isset() : departures(false) {}
+  bool departures :1;
+} _MemberRecord__isset;
 
 class MemberRecord : public virtual ::apache::thrift::TBase {
  public:
@@ -1897,6 +1974,9 @@
   Endpoint peer_address;
   Endpoint gossip_address;
   std::vector<ServerRecord>  servers;
+  std::vector<Departure>  departures;
+
+  _MemberRecord__isset __isset;
 
   void __set_node(const NodeRef& val);
 
@@ -1914,6 +1994,8 @@
 
   void __set_servers(const std::vector<ServerRecord> & val);
 
+  void __set_departures(const std::vector<Departure> & val);
+
   bool operator == (const MemberRecord & rhs) const
   {
     if (!(node == rhs.node))
@@ -1932,6 +2014,10 @@
       return false;
     if (!(servers == rhs.servers))
       return false;
+    if (__isset.departures != rhs.__isset.departures)
+      return false;
+    else if (__isset.departures && !(departures == rhs.departures))
+      return false;
     return true;
   }
   bool operator != (const MemberRecord &rhs) const {
@@ -2064,6 +2150,10 @@
 
 std::ostream& operator<<(std::ostream& out, const SuspectNews& obj);
 
+typedef struct _MemberSync__isset {
+  _MemberSync__isset() : departures(false) {}
+  bool departures :1;
+} _MemberSync__isset;
 
 class MemberSync : public virtual ::apache::thrift::TBase {
  public:
@@ -2083,6 +2173,9 @@
   std::vector<QuarantineRecord>  quarantines;
   int64_t settings_version;
   std::vector<int32_t>  bucket_hashes;
+  std::vector<Departure>  departures;
+
+  _MemberSync__isset __isset;
 
   void __set_reply_wanted(const bool val);
 
@@ -2094,6 +2187,8 @@
 
   void __set_bucket_hashes(const std::vector<int32_t> & val);
 
+  void __set_departures(const std::vector<Departure> & val);
+
   bool operator == (const MemberSync & rhs) const
   {
     if (!(reply_wanted == rhs.reply_wanted))
@@ -2106,6 +2201,10 @@
       return false;
     if (!(bucket_hashes == rhs.bucket_hashes))
       return false;
+    if (__isset.departures != rhs.__isset.departures)
+      return false;
+    else if (__isset.departures && !(departures == rhs.departures))
+      return false;
     return true;
   }
   bool operator != (const MemberSync &rhs) const {
@@ -2125,10 +2224,11 @@
 std::ostream& operator<<(std::ostream& out, const MemberSync& obj);
 
 typedef struct _Gossip__isset {
-  _Gossip__isset() : platform_epoch(false), settings_confirmed_at_us(false), suspect_news(false) {}
+  _Gossip__isset() : platform_epoch(false), settings_confirmed_at_us(false), suspect_news(false), departures(false) {}
   bool platform_epoch :1;
   bool settings_confirmed_at_us :1;
   bool suspect_news :1;
+  bool departures :1;
 } _Gossip__isset;
 
 class Gossip : public virtual ::apache::thrift::TBase {
@@ -2162,6 +2262,7 @@
   int64_t platform_epoch;
   int64_t settings_confirmed_at_us;
   std::vector<SuspectNews>  suspect_news;
+  std::vector<Departure>  departures;
 
   _Gossip__isset __isset;
 
@@ -2191,6 +2292,8 @@
 
   void __set_suspect_news(const std::vector<SuspectNews> & val);
 
+  void __set_departures(const std::vector<Departure> & val);
+
   bool operator == (const Gossip & rhs) const
   {
     if (!(kind == rhs.kind))
@@ -2225,6 +2328,10 @@
       return false;
     else if (__isset.suspect_news && !(suspect_news == rhs.suspect_news))
       return false;
+    if (__isset.departures != rhs.__isset.departures)
+      return false;
+    else if (__isset.departures && !(departures == rhs.departures))
+      return false;
     return true;
   }
   bool operator != (const Gossip &rhs) const {
--- a/src/libwire/to_wire.cc
+++ b/src/libwire/to_wire.cc
@@ -40,11 +40,12 @@
 static_assert(kHasFields<ServicePressure, 4>);
 static_assert(kHasFields<FailedBelow, 2>);
 static_assert(kHasFields<ServerRecord, 7>);
-static_assert(kHasFields<MemberRecord, 8>);
+static_assert(kHasFields<Departure, 5>);
+static_assert(kHasFields<MemberRecord, 9>);
 static_assert(kHasFields<QuarantineRecord, 4>);
 static_assert(kHasFields<SuspectNews, 4>);
-static_assert(kHasFields<MemberSync, 5>);
-static_assert(kHasFields<GossipMessage, 13>);
+static_assert(kHasFields<MemberSync, 6>);
+static_assert(kHasFields<GossipMessage, 14>);
 
 int64_t Signed(uint64_t value) { return static_cast<int64_t>(value); }
 
@@ -172,6 +173,22 @@
   if (in.started_ms > 0) out.__set_started_ms(Signed(in.started_ms));
 }
 
+void ToWire(const Departure& in, wire::Departure& out) {
+  out.server = in.server;
+  if (in.started_ms) out.__set_started_ms(Signed(*in.started_ms));
+  out.sequence = Signed(in.sequence);
+  out.left = in.left;
+  out.age_us = ClampedMicros(in.age);
+}
+
+// Sets the optional field `departures` unless it is empty.
+template <typename Out>
+void SetDepartures(const std::vector<Departure>& in, Out& out) {
+  if (in.empty()) return;
+  ToWireList(in, out.departures);
+  out.__isset.departures = true;
+}
+
 void ToWire(const MemberRecord& in, wire::MemberRecord& out) {
   ToWire(in.node, out.node);
   out.version = Signed(in.version);
@@ -181,6 +198,7 @@
   ToWire(in.peer_address, out.peer_address);
   ToWire(in.gossip_address, out.gossip_address);
   ToWireList(in.servers, out.servers);
+  SetDepartures(in.departures, out);
 }
 
 void ToWire(const QuarantineRecord& in, wire::QuarantineRecord& out) {
@@ -311,6 +329,7 @@
   ToWireList(in.quarantines, out.quarantines);
   out.settings_version = Signed(in.settings_version);
   out.bucket_hashes.assign(in.bucket_hashes.begin(), in.bucket_hashes.end());
+  SetDepartures(in.departures, out);
 }
 
 void ToWire(const GossipMessage& in, wire::Gossip& out) {
@@ -335,6 +354,7 @@
     ToWireList(in.suspect_news, out.suspect_news);
     out.__isset.suspect_news = true;
   }
+  SetDepartures(in.departures, out);
 }
 
 }  // namespace amaranth::pvt
