Requests that crash servers are known after the end of all nodes

Suspects and quarantines were known to all nodes and kept nowhere else.

Without this change AConvictionOutlivesTheProcessesOfAllNodes sees two crashes after the restart (none allowed), and SuspectsOutliveTheProcessesOfAllNodes more than six in six rounds.

--- a/src/libnode/membership/membership.cc
+++ b/src/libnode/membership/membership.cc
@@ -285,6 +285,11 @@
 void Membership::AddQuarantine(const QuarantineRecord& record,
                                Context& context) {
   if (!quarantines_.Add(record, context.now)) return;
+  if (identity_.use_platform && record.crashes >= kSuspectCrashes) {
+    own_quarantines_.Add(record, context.now);
+    stores_quarantines_ = true;
+    next_retained_write_ = context.now;
+  }
   quarantines_to_broadcast_.push_back(record);
   header_pushes_left_ = kPushRounds;
   next_push_ = std::min(next_push_, context.now);
--- a/src/libnode/poison_request_test.cc
+++ b/src/libnode/poison_request_test.cc
@@ -268,6 +268,44 @@
   CHECK(crashes.size() <= kCrashesToRecognise);
 }
 
+// Guards against a conviction that is forgotten when all nodes end, so that the
+// request crashes servers again.
+TEST(PoisonRequests, AConvictionOutlivesTheProcessesOfAllNodes) {
+  StartFleet(MakeServer(), kHosts, true);
+  SendOrdinary(kAttackLength);
+  SendPoisonThroughAllNodes();
+  fleet->RunFor(kAttackLength + kSettleTime);
+  CHECK(!crashes.empty());
+  for (int i = 0; i < kHosts; ++i) fleet->Kill(Host(i));
+  fleet->RunFor(std::chrono::seconds(1));
+  for (int i = 0; i < kHosts; ++i) fleet->Restart(Host(i));
+  BeginCrashes();
+  SendPoisonThroughAllNodes();
+  fleet->RunFor(kAttackLength + kSettleTime);
+  CHECK_EQUAL(0u, crashes.size());
+}
+
+// Guards against a request that is never convicted because all nodes end after
+// each of its crashes.
+TEST(PoisonRequests, SuspectsOutliveTheProcessesOfAllNodes) {
+  StartFleet(MakeServer(), kHosts, true);
+  for (int round = 0; round < 6; ++round) {
+    for (int i = 0; i < 20; ++i) {
+      fleet->At(i * std::chrono::milliseconds(100),
+                [this, i] { SendPoison(Host(i % kHosts)); });
+    }
+    const size_t before = crashes.size();
+    fleet->RunUntil([&] { return crashes.size() > before; },
+                    std::chrono::seconds(3));
+    fleet->RunFor(std::chrono::milliseconds(200));
+    for (int i = 0; i < kHosts; ++i) fleet->Kill(Host(i));
+    fleet->RunFor(std::chrono::seconds(2));
+    for (int i = 0; i < kHosts; ++i) fleet->Restart(Host(i));
+    fleet->RunFor(std::chrono::seconds(3));
+  }
+  CHECK(crashes.size() <= kCrashesToRecognise + kMaxLateRuns);
+}
+
 // Guards against calls that were queued before their request was quarantined
 // and crash one server after another when they leave the queue.
 TEST(PoisonRequests, QueuedCallsOfAQuarantinedRequestAreNotRun) {
