Soak: leaves and drains while the node beside the server ends

A server leaves or drains, its node is killed or stopped once or twice, and a heartbeat of before arrives late. The drain rule counted only requests that the acknowledging process of a node sent, which is what hid the forgotten leave; it binds all processes of the node now.

--- a/testsuite/soak/faults.py
+++ b/testsuite/soak/faults.py
@@ -5,6 +5,7 @@
 overlap.
 """
 
+import http.client
 import random
 import signal
 import threading
@@ -56,14 +57,51 @@
     old = host.worker
     old.state = "draining"
     yield 3.5 + rng.uniform(0.0, 1.5)
-    try:
-        old.leave()
-    except OSError:
-        pass
+    _send(old.leave)
+    old.crash()
+    host.start_worker()
+
+
+def _leave(system, host, rng, end_node):
+    """The server drains or leaves, its node ends once or twice, and a heartbeat
+    of before arrives late."""
+    old = host.worker
+    late_heartbeat = old.heartbeat("ready")
+    if rng.random() < 0.5:
+        old.state = "draining"
+        time.sleep(0.5)
+    else:
+        _send(old.leave)
+    for _ in range(rng.randint(1, 2)):
+        end_node(host)
+        time.sleep(rng.uniform(0.0, 1.0))
+        host.start_node()
+    yield 4.0 + rng.uniform(0.0, 1.0)
+    _send(lambda: old.send_control("workers.heartbeat", late_heartbeat))
+    time.sleep(1.5)
+    _send(old.leave)
     old.crash()
     host.start_worker()
 
 
+def _send(message):
+    try:
+        message()
+    except (OSError, http.client.HTTPException):
+        pass  # the node is down or paused
+
+
+def leave_while_stopped(system, host, rng):
+    def stop(host):
+        host.node.terminate()
+        host.node.wait_exit(20)
+    yield from _leave(system, host, rng, stop)
+
+
+def leave_while_killed(system, host, rng):
+    yield from _leave(system, host, rng, lambda host: host.node.kill())
+
+
 def impair_server_link(system, host, rng):
     proxy = host.worker.proxy
     kind = rng.choice(["delay", "reset", "client", "server", "both"])
@@ -104,11 +142,13 @@
 
 
 # Planned work of an operator, during which no request may be lost.
-PLANNED = [stop_node, send_sighup, replace_server, change_config]
-UNPLANNED = [kill_node, pause_node, crash_server, impair_server_link,
+PLANNED = [stop_node, send_sighup, replace_server, leave_while_stopped,
+           change_config]
+UNPLANNED = [kill_node, leave_while_killed, pause_node, crash_server, impair_server_link,
              impair_store_link, make_store_unavailable]
 # Faults that pause, start or end a process or server: one at a time per host.
-EXCLUSIVE = {kill_node, stop_node, pause_node, crash_server, replace_server}
+EXCLUSIVE = {kill_node, stop_node, pause_node, crash_server, replace_server,
+             leave_while_stopped, leave_while_killed}
 
 
 class Schedule:
--- a/testsuite/soak/system.py
+++ b/testsuite/soak/system.py
@@ -33,7 +33,6 @@
 
     def __init__(self, host, name, nested, record):
         self._record, self._draining_since = record, None
-        self._host = host
         nested_call = (ROUTE_HOST, nested) if nested else None
         super().__init__(host, host.service, name, nested_call)
         self.proxy = faulty_proxy.FaultyProxy(self.server.address)
@@ -48,18 +47,26 @@
                 acknowledged = self.send_heartbeat(self.state) == 200
             except (OSError, http.client.HTTPException):
                 acknowledged = False
-            if draining and acknowledged and self._draining_since is None:
-                self._draining_since = (time.monotonic(),
-                                        self._host.incarnation)
+            if draining and acknowledged:
+                self._note_draining()
             time.sleep(platform.HEARTBEAT_SECONDS)
 
+    def leave(self):
+        status = super().leave()
+        if status == 200:
+            self._note_draining()
+        return status
+
+    def _note_draining(self):
+        if self._draining_since is None:
+            self._draining_since = time.monotonic()
+
     def _seconds_since_draining(self):
-        """Seconds since this incarnation of the node acknowledged that the
-        server drains; None if it has not."""
-        if self._draining_since is None or \
-                self._draining_since[1] != self._host.incarnation:
+        """Seconds since any process of the node acknowledged that the server
+        drains or leaves; None if none has."""
+        if self._draining_since is None:
             return None
-        return time.monotonic() - self._draining_since[0]
+        return time.monotonic() - self._draining_since
 
     def serve(self, call):
         attempt = call.headers.get("Attempt-Id", "")
