Departures: repeated drains wait for their copies; held announcements keep order

A second announcement of a drain was acknowledged at once while the copies of the first were still under way; it waits for them now. Of two held announcements of a server the later one is kept, whatever order they arrive in. A drain that is learned late can be ended by the server like any other.

--- a/src/libnode/departure_after_restart_test.cc
+++ b/src/libnode/departure_after_restart_test.cc
@@ -118,6 +118,9 @@
   fleet.SetPlatform(PlatformMode::kDown);
   const TimePoint left = Acknowledge(fleet.LeaveMessage("leaves"));
   Restart(kNodes, milliseconds(700));
+  // Without settings the nodes serve nothing until the platform is back.
+  fleet.At(milliseconds(2000),
+           [this] { fleet.SetPlatform(PlatformMode::kUp); });
   CheckNoRunsAfterDrain(left, held);
 }
 
--- a/src/libnode/departure_property_test.cc
+++ b/src/libnode/departure_property_test.cc
@@ -154,7 +154,7 @@
     const size_t first = RandomBelow(2) == 0 ? 0 : RandomBelow(kNodes.size());
     const bool is_planned = RandomBelow(3) == 0;
     for (size_t i = 0; i < count; ++i) {
-      const std::string node = kNodes[(first + i) % kNodes.size()];
+      const std::string& node = kNodes[(first + i) % kNodes.size()];
       down_.insert(node);
       if (is_planned) {
         fleet_.Stop(node);
--- a/src/libnode/membership/membership.h
+++ b/src/libnode/membership/membership.h
@@ -64,6 +64,12 @@
   // process of this node knows it. Returns a number that on_departure_copied
   // gets after this event, at the latest after kMaxCopyWait.
   uint64_t PublishDeparture(const Departure& departure, Context& context);
+  // Returns the number of the last departure that others do not hold yet;
+  // nullopt if there is none.
+  std::optional<uint64_t> departure_in_copy() const {
+    if (copy_waits_.empty()) return std::nullopt;
+    return copy_waits_.back().number;
+  }
   // Called when others hold the departure with this number, and all before it,
   // or cannot confirm it in time.
   std::function<void(uint64_t number, Context&)> on_departure_copied;
--- a/src/libnode/serving/serving_role.h
+++ b/src/libnode/serving/serving_role.h
@@ -92,6 +92,8 @@
     AnnouncementStamp stamp;
   };
   static Outcome<Announcement> ParseAnnouncement(const Body& body);
+  // Keeps an announcement for AcceptHeld, unless a later one is kept.
+  void Hold(const Announcement& announcement, Context& context);
   // Applies an announcement. Returns the number of the departure that has to be
   // copied before it is acknowledged, or nullopt.
   std::optional<uint64_t> Accept(Announcement announcement, Context& context);
--- a/src/libnode/serving/serving_servers.cc
+++ b/src/libnode/serving/serving_servers.cc
@@ -132,15 +132,26 @@
   const bool may_have_departed = !is_known && !announcement.record.draining &&
                                  !membership_.departures_learned(context.now);
   if (may_have_departed && held_announcements_.size() < kMaxLocalServers) {
-    LogServerEvent(name, AnnouncedState(announcement.record),
-                   announcement.stamp, "hold", context);
-    held_announcements_[name] = announcement;
+    Hold(announcement, context);
     context.Emit(AnswerCaller{call, JsonResponse(200, "{}")});
     return;
   }
   Acknowledge(call, Accept(announcement, context), context);
 }
 
+void ServingRole::Hold(const Announcement& announcement, Context& context) {
+  const std::string& name = announcement.record.server;
+  const AnnouncementStamp& stamp = announcement.stamp;
+  LogServerEvent(name, AnnouncedState(announcement.record), stamp, "hold",
+                 context);
+  const auto held = held_announcements_.find(name);
+  const bool is_later =
+      held == held_announcements_.end() ||
+      std::pair(stamp.started_ms, stamp.sequence) >=
+          std::pair(held->second.stamp.started_ms, held->second.stamp.sequence);
+  if (is_later) held_announcements_[name] = announcement;
+}
+
 void ServingRole::AcceptHeld(Context& context) {
   if (held_announcements_.empty()) return;
   if (!membership_.departures_learned(context.now)) return;
@@ -195,9 +206,8 @@
   }
   membership_.AnnounceServer(record, context);
   // Without numbers, a delayed announcement cannot be told from a later one.
-  const bool begins_drain =
-      says_draining && !was_draining && stamp.sequence != 0;
-  if (!begins_drain) return std::nullopt;
+  if (!says_draining || stamp.sequence == 0) return std::nullopt;
+  if (was_draining) return membership_.departure_in_copy();
   return AddDeparture({record.server, stamp.started_ms, stamp.sequence, false},
                       context);
 }
@@ -244,7 +254,10 @@
                   (applies ? " decision=drain" : " decision=remember"));
   if (!applies) return;
   BeginDrain(found->second, context);
-  membership_.SetServerDraining(name, context);
+  if (departure.left) return membership_.SetServerDraining(name, context);
+  ServerRecord record = found->second.record();
+  record.draining = true;
+  membership_.AnnounceServer(record, context);
 }
 
 void ServingRole::LogServerEvent(const std::string& server,
--- a/src/libplatform/table_store.cc
+++ b/src/libplatform/table_store.cc
@@ -155,7 +155,7 @@
                               PlatformCallback done) {
   const std::string key = read.name + std::string(kRetainedRowSuffix);
   ReadRow({PeerPartition(), key},
-          [key, done = std::move(done)](PlatformReply row) {
+          [key, done = std::move(done)](const PlatformReply& row) {
             PlatformReply reply = ReplyWithStatus(row.status);
             if (row.status == PlatformStatus::kOk) {
               AddPeerRow(key, row.bytes, reply);
