--- a/testsuite/users-platform-restart/run.py
+++ b/testsuite/users-platform-restart/run.py
@@ -28,7 +28,8 @@
 ANNOUNCE_PERIOD = "1500ms"
 RESTART_PAUSE = 0.5
 LATE_HEARTBEAT_AFTER = 1.5  # from the start of the new process
-LONG_ABSENCE = 14.0
+# Of a server that the node that acknowledged the leave has never heard of.
+UNKNOWN_HEARTBEAT_AFTER = 11.0
 # A late heartbeat that is believed renews the lease of the server for longer.
 OBSERVED_SECONDS = 3.0
 
@@ -61,7 +62,7 @@
         self.store.put_config(
             1, {"front": platform.route(HOST, "/front/", "front")})
         self.nodes = {name: self._start(name)
-                      for name in ("a1", "a2", "b1", "b2")}
+                      for name in ALL_NODES}
         platform.wait_ready(self.nodes.values())
         self.staying = [Worker(self.nodes[name], "front", f"stays-{name}",
                                slots=50) for name in ("a2", "b1")]
@@ -123,128 +124,82 @@
                 if at > self.at + DRAIN_SECONDS + SLACK_SECONDS]
 
 
-def late_heartbeat(deployment, worker, held):
-    """The held heartbeat arrives some time after the node is back."""
-    worker.move(deployment.nodes["a1"])
-    time.sleep(LATE_HEARTBEAT_AFTER)
-    worker.send(held)
-    time.sleep(OBSERVED_SECONDS)
-
-
-def killed_at_once(deployment, worker, held):
-    left = Acknowledged(worker, worker.leave)
-    deployment.restart("a1")
-    late_heartbeat(deployment, worker, held)
-    return left
-
-
-def killed_soon(deployment, worker, held):
-    left = Acknowledged(worker, worker.leave)
-    time.sleep(0.2)
-    deployment.restart("a1")
-    late_heartbeat(deployment, worker, held)
-    return left
-
-
-def killed_twice(deployment, worker, held):
-    left = Acknowledged(worker, worker.leave)
-    deployment.restart("a1")
-    time.sleep(0.3)
-    deployment.restart("a1")
-    late_heartbeat(deployment, worker, held)
-    return left
-
-
-def stopped(deployment, worker, held):
-    left = Acknowledged(worker, worker.leave)
-    deployment.nodes["a1"].terminate()
-    deployment.nodes["a1"].wait_exit()
-    deployment.start("a1")
-    late_heartbeat(deployment, worker, held)
-    return left
-
-
-def left_while_stopping(deployment, worker, held):
-    deployment.nodes["a1"].terminate()
-    time.sleep(0.5)
-    left = Acknowledged(worker, worker.leave)
-    deployment.nodes["a1"].wait_exit()
-    deployment.start("a1")
-    late_heartbeat(deployment, worker, held)
-    return left
-
-
-def long_absence(deployment, worker, held):
-    left = Acknowledged(worker, worker.leave)
-    deployment.restart("a1", pause=LONG_ABSENCE)
-    late_heartbeat(deployment, worker, held)
-    return left
-
-
-def data_centre_killed(deployment, worker, held):
-    left = Acknowledged(worker, worker.leave)
-    deployment.restart("a1", "a2")
-    late_heartbeat(deployment, worker, held)
-    return left
-
-
-def all_killed(deployment, worker, held):
-    left = Acknowledged(worker, worker.leave)
-    deployment.restart("a1", "a2", "b1", "b2")
-    late_heartbeat(deployment, worker, held)
-    return left
-
-
-def store_unreachable(deployment, worker, held):
-    deployment.store.make_unavailable()
-    left = Acknowledged(worker, worker.leave)
-    deployment.restart("a1")
-    late_heartbeat(deployment, worker, held)
-    deployment.store.make_available()
-    return left
-
-
-def goes_on_saying_ready(deployment, worker, held):
-    left = Acknowledged(worker, worker.leave)
-    deployment.restart("a1")
-    worker.move(deployment.nodes["a1"])
-    end = time.monotonic() + LATE_HEARTBEAT_AFTER + OBSERVED_SECONDS
-    while time.monotonic() < end:
-        worker.send(worker.heartbeat("ready"))
-        time.sleep(0.5)
-    return left
-
-
-def drains_without_leave(deployment, worker, held):
-    left = Acknowledged(worker, lambda: worker.send_heartbeat("draining"))
-    deployment.restart("a1")
-    late_heartbeat(deployment, worker, held)
-    return left
-
-
-def left_after_restart(deployment, worker, held):
-    """The node that acknowledges the leave has never heard of the server, and
-    the late heartbeat arrives more than ten seconds after the leave."""
-    deployment.restart("a1")
-    worker.move(deployment.nodes["a1"])
-    left = Acknowledged(worker, worker.leave)
-    time.sleep(11.0)
-    worker.send(held)
-    time.sleep(OBSERVED_SECONDS)
-    return left
-
-
-LEAVES = [killed_at_once, killed_soon, killed_twice, stopped,
-          left_while_stopping, long_absence, data_centre_killed, all_killed,
-          store_unreachable, goes_on_saying_ready, drains_without_leave,
-          left_after_restart]
-
-
-def check_leave(deployment, order, number):
-    worker, held = deployment.add_worker(f"leaves-{number}")
-    late = order(deployment, worker, held).late_runs()
+class Order:
+    """An order of events around a departure that a1 acknowledges."""
+
+    def __init__(self, ends=("a1",), times=1, after=0.0, pause=RESTART_PAUSE,
+                 stops=None, drains=False, store_away=False, goes_on=False,
+                 unknown=False):
+        self.ends, self.times = ends, times  # nodes that are killed, how often
+        self.after, self.pause = after, pause  # seconds before and after
+        self.stops = stops  # a1 is stopped "before" or "after" the departure
+        self.drains = drains  # the server drains and sends no leave
+        self.store_away = store_away
+        self.goes_on = goes_on  # the server goes on saying "ready"
+        self.unknown = unknown  # a1 has never heard of the server
+
+    def play(self, deployment, worker, held):
+        """Returns when the departure was acknowledged; `held` is a heartbeat
+        of before that arrives late."""
+        if self.store_away:
+            deployment.store.make_unavailable()
+        if self.unknown:
+            deployment.restart("a1")
+            worker.move(deployment.nodes["a1"])
+        if self.stops == "before":
+            deployment.nodes["a1"].terminate()
+            time.sleep(0.5)
+        left = Acknowledged(
+            worker, (lambda: worker.send_heartbeat("draining"))
+            if self.drains else worker.leave)
+        time.sleep(self.after)
+        if self.stops:
+            deployment.nodes["a1"].terminate()
+            deployment.nodes["a1"].wait_exit()
+            deployment.start("a1")
+        elif not self.unknown:
+            for _ in range(self.times):
+                deployment.restart(*self.ends, pause=self.pause)
+        worker.move(deployment.nodes["a1"])
+        self._announce(worker, held)
+        deployment.store.make_available()
+        return left
+
+    def _announce(self, worker, held):
+        if self.goes_on:
+            end = time.monotonic() + LATE_HEARTBEAT_AFTER + OBSERVED_SECONDS
+            while time.monotonic() < end:
+                worker.send(worker.heartbeat("ready"))
+                time.sleep(0.5)
+            return
+        time.sleep(UNKNOWN_HEARTBEAT_AFTER if self.unknown
+                   else LATE_HEARTBEAT_AFTER)
+        worker.send(held)
+        time.sleep(OBSERVED_SECONDS)
+
+
+ALL_NODES = ("a1", "a2", "b1", "b2")
+ORDERS = {
+    "killed_at_once": Order(),
+    "killed_soon": Order(after=0.2),
+    "killed_twice": Order(times=2),
+    "stopped": Order(stops="after"),
+    "left_while_stopping": Order(stops="before"),
+    "long_absence": Order(pause=14.0),
+    "data_centre_killed": Order(ends=("a1", "a2")),
+    "all_killed": Order(ends=ALL_NODES),
+    "store_unreachable": Order(store_away=True),
+    "goes_on_saying_ready": Order(goes_on=True),
+    "drains_without_leave": Order(drains=True),
+    "left_after_restart": Order(unknown=True),
+}
+
+
+def check_order(deployment, name):
+    worker, held = deployment.add_worker(f"leaves-{name}")
+    late = ORDERS[name].play(deployment, worker, held).late_runs()
     span = f", {min(late):.1f} to {max(late):.1f} s" if late else ""
-    print(f"{order.__name__}: {len(late)} late runs{span}", flush=True)
+    print(f"{name}: {len(late)} late runs{span}", flush=True)
     return len(late)
 
 
@@ -284,11 +239,10 @@
 
 def case(run, orders):
     deployment = Deployment(run)
-    late = [order.__name__ for number, order in enumerate(LEAVES)
-            if (not orders or order.__name__ in orders) and
-            check_leave(deployment, order, number) > 0]
+    late = [name for name in orders or ORDERS
+            if check_order(deployment, name) > 0]
     if not orders:
-        for names in (("a1",), ("a1", "a2", "b1", "b2")):
+        for names in (("a1",), ALL_NODES):
             successor_is_used(deployment, names)
             sound_server_is_used(deployment, names)
     fleet.check(not late, f"requests reach a server that left: {late}")
