--- a/src/libnode/membership/membership.h
+++ b/src/libnode/membership/membership.h
@@ -287,7 +287,8 @@
     bool for_peer = false;
     bool for_table = false;
   };
-  // Returns false if there is no node to ask.
+  // Asks some nodes to confirm this node's record with the departure. Returns
+  // false if there is no node to ask.
   bool PingWitnesses(uint64_t number, Context& context);
   void OnWitnessAck(uint64_t sequence, Context& context);
   // Reads this node's row of retained state, unless it is too early.
@@ -298,12 +299,16 @@
   Duration NextRetainedInterval();
   void OnRetainedWritten(const PlatformReply& reply, Context& context);
   void OnRetainedRead(const PlatformReply& reply, Context& context);
+  // Stops waiting for the platform's table.
   void EndTableWaits(Context& context);
+  // Reports the departures whose copies are confirmed, or late.
   void EndCopyWaits(Context& context);
   void OnDepartureTimers(Context& context);
   TimePoint next_departure_timer() const;
+  // Takes over what an earlier process of this node has acknowledged.
   void LearnDepartures(const std::vector<Departure>& departures,
                        const std::string& source, Context& context);
+  // Keeps the departures of another node for its next process.
   void RememberDepartures(const MemberRecord& record, Context& context);
   // Returns the departures of an earlier process of a node that its present
   // process has not published.
@@ -362,7 +367,7 @@
   bool departures_read_ = false;  // from the platform's table
   TimePoint learning_until_{};
   TimePoint next_witness_ping_ = kNever;
-  bool table_failed_ = false;  // at the last read
+  bool table_failed_ = false;  // when the row was last read
   TimePoint next_retained_read_ = kNever;
   TimePoint next_retained_write_ = kNever;
   Duration retained_interval_{0};
--- a/src/libnode/membership/membership_departures.cc
+++ b/src/libnode/membership/membership_departures.cc
@@ -31,8 +31,8 @@
   return departures_published_;
 }
 
-// Asks a few nodes to confirm that they have this node's record: a datagram may
-// be lost, and all nodes of the data centre may end with this one.
+// A datagram may be lost, and all nodes of the data centre may end with this
+// one.
 bool Membership::PingWitnesses(uint64_t number, Context& context) {
   std::vector<std::string> witnesses = RandomPeers(kLocalWitnesses, context);
   for (const std::string& data_centre : table_.DataCentres()) {
