--- a/testsuite/soak/faults.py
+++ b/testsuite/soak/faults.py
@@ -144,8 +144,8 @@
 # Planned work of an operator, during which no request may be lost.
 PLANNED = [stop_node, send_sighup, replace_server, leave_while_stopped,
            change_config]
-UNPLANNED = [kill_node, leave_while_killed, pause_node, crash_server, impair_server_link,
-             impair_store_link, make_store_unavailable]
+UNPLANNED = [kill_node, leave_while_killed, pause_node, crash_server,
+             impair_server_link, impair_store_link, make_store_unavailable]
 # Faults that pause, start or end a process or server: one at a time per host.
 EXCLUSIVE = {kill_node, stop_node, pause_node, crash_server, replace_server,
              leave_while_stopped, leave_while_killed}
--- a/testsuite/users-platform-restart/run.py
+++ b/testsuite/users-platform-restart/run.py
@@ -152,7 +152,8 @@
             if self.drains else worker.leave)
         time.sleep(self.after)
         if self.stops:
-            deployment.nodes["a1"].terminate()
+            if self.stops == "after":
+                deployment.nodes["a1"].terminate()
             deployment.nodes["a1"].wait_exit()
             deployment.start("a1")
         elif not self.unknown:
