A late announcement no longer brings back a server that left in an outage

The store is down, a leave is acknowledged, all nodes are killed, a heartbeat of before the leave arrives late: requests reach the server seconds after its drain time.

Cause: the next process cannot know the leave, and took one announcement as proof.

Change: AnnouncementEvidence. A process that could not read its row in time uses a server after three announcements in a row; one that could needs the first one in time and the next ones after it. Servers that started later than the process are used at once. Ends of drains need the same evidence.

CustomerKeys: its platform answered the watch and nothing else, which now counts as an outage. It answers the read of the peers as well; checks are as before.

No more calls of the store.

--- a/src/amaranthd/main.cc
+++ b/src/amaranthd/main.cc
@@ -226,6 +226,7 @@
   if (!parsed.errors.empty()) return kExitUsage;
   NodeIdentity& identity = parsed.options.identity;
   identity.node.incarnation = NewIncarnation();
+  identity.started_ms = identity.node.incarnation / 1000;
   if (identity.random_seed == 0) {
     identity.random_seed = identity.node.incarnation;
   }
--- a/src/amaranthd/options.cc
+++ b/src/amaranthd/options.cc
@@ -330,9 +330,6 @@
   return setup;
 }
 
-// A backend server that misses this many announcements in a row is removed.
-constexpr int kMissedAnnouncements = 4;
-
 // The drain time is split in two halves: the first for calls that are queued
 // when the drain begins, the second for calls that run by then.
 constexpr int kDrainPhases = 2;
@@ -343,7 +340,7 @@
 void ReadDeployment(FlagReader& reader, DaemonOptions& options) {
   DeploymentRules& rules = options.identity.rules;
   options.stop_grace = reader.Time("stop-grace");
-  rules.server_lease = reader.Time("announce-period") * kMissedAnnouncements;
+  rules.server_lease = reader.Time("announce-period") * kAnnouncementsPerLease;
   rules.drain_limit = reader.Time("drain") / kDrainPhases;
   rules.settings_bound = reader.Time("settings-bound");
   if (rules.settings_bound < kMinSettingsBound) {
--- a/src/include/amaranthroute/reducer.h
+++ b/src/include/amaranthroute/reducer.h
@@ -22,6 +22,9 @@
   kWatch = 1,    ///< watches a document that operators maintain elsewhere
 };
 
+/// Periods of announcements in DeploymentRules::server_lease.
+inline constexpr int kAnnouncementsPerLease = 4;
+
 /// Properties of a deployment: behaviour of its callers and backend servers,
 /// and limits that follow from it.
 struct DeploymentRules {
@@ -56,8 +59,8 @@
   /// the node is replaced but receives no calls then, so its slots stay idle:
   /// the later the announcement, the shorter that time.
   Duration leave_delay{0};
-  /// Time without an announcement after which a backend server is removed: four
-  /// announcement periods, which are 500 ms by default.
+  /// Time without an announcement after which a backend server is removed:
+  /// kAnnouncementsPerLease periods, which are 500 ms by default.
   Duration server_lease = std::chrono::seconds(2);
   /// Time within which a settings document that the platform has acknowledged
   /// must be in force on every node that reaches the platform. Used with
@@ -88,6 +91,9 @@
   std::vector<Endpoint> seeds;  ///< gossip addresses of some nodes
   bool use_platform = true;
   uint64_t random_seed = 1;
+  /// Unix time of the start of the process; 0 if unknown. A backend server that
+  /// started later cannot have left before.
+  uint64_t started_ms = 0;
   /// Token required for changes by operators; none is required if it is empty.
   std::string operator_token;
   uint64_t max_body_bytes = 8ull << 20;
--- a/src/libnode/customers/customer_keys_test.cc
+++ b/src/libnode/customers/customer_keys_test.cc
@@ -69,7 +69,21 @@
     identity.rules.request_id_per_send = request_id_per_send;
     identity.rules.announce_port = true;
     node.emplace(identity);
-    NoteWatch(node->Start(now));
+    const Effects effects = node->Start(now);
+    NoteWatch(effects);
+    AnswerPeerRead(effects);
+  }
+
+  // A platform that does not answer would be taken for one in an outage.
+  void AnswerPeerRead(const Effects& effects) {
+    for (const Effect& effect : effects) {
+      const SendPlatform* send = std::get_if<SendPlatform>(&effect);
+      if (send == nullptr) continue;
+      if (!std::holds_alternative<TableReadPeers>(send->request)) continue;
+      PlatformReply reply;
+      reply.status = PlatformStatus::kOk;
+      NoteWatch(node->Reduce({now, PlatformReplied{send->op, reply}}));
+    }
   }
 
   void NoteWatch(const Effects& effects) {
--- a/src/libnode/departure_after_restart_test.cc
+++ b/src/libnode/departure_after_restart_test.cc
@@ -143,9 +143,40 @@
   CHECK(fleet.RunUntil([&] { return !runs.empty(); }, seconds(1)));
 }
 
-// The same deployment; a group of its own, since its test is in KNOWN-RED.txt.
+// The same deployment, with departures that no node and no row of the platform
+// holds, because the platform is away and all that know of them end.
 TEST_GROUP_BASE(DepartureWithoutPlatform,
-                TEST_GROUP_CppUTestGroupDepartureAfterRestart){};
+                TEST_GROUP_CppUTestGroupDepartureAfterRestart){
+    // Takes the platform away, and has the server send `message`.
+    TimePoint DepartInOutage(const HttpRequest& message){
+        fleet.SetPlatform(PlatformMode::kDown);
+return Acknowledge(message);
+}  // namespace amaranth::pvt
+
+void EndOutageAfter(Duration delay) {
+  fleet.At(delay, [this] { fleet.SetPlatform(PlatformMode::kUp); });
+}
+
+// Delivers the announcements half a second apart.
+void Deliver(const std::vector<HttpRequest>& announcements) {
+  for (const HttpRequest& announcement : announcements) {
+    fleet.Call("a1", announcement);
+    fleet.RunFor(milliseconds(500));
+  }
+}
+
+void Stop(const std::vector<std::string>& nodes) {
+  for (const std::string& node : nodes) fleet.Stop(node);
+  CHECK(fleet.RunUntil(
+      [&] {
+        return std::all_of(
+            nodes.begin(), nodes.end(),
+            [&](const std::string& node) { return fleet.Exited(node); });
+      },
+      seconds(40)));
+}
+}
+;
 
 // Guards against a leave that no node, and no row of the platform, can know.
 TEST(DepartureWithoutPlatform, IsKnownIfAllNodesRestart) {
@@ -160,4 +191,147 @@
   CheckNoRunsAfterDrain(left, held);
 }
 
+// Guards against a delayed announcement that is believed because the platform
+// answers again.
+TEST(DepartureWithoutPlatform, IsDoubtedAfterTheOutage) {
+  Start(true);
+  const HttpRequest held = fleet.NextAnnouncement("leaves");
+  const TimePoint left = DepartInOutage(fleet.LeaveMessage("leaves"));
+  Restart(kNodes, milliseconds(700));
+  EndOutageAfter(milliseconds(1200));
+  CheckNoRunsAfterDrain(left, held);
+}
+
+// Guards against two delayed announcements that pass for a server in use.
+TEST(DepartureWithoutPlatform, IsDoubtedDespiteTwoLateAnnouncements) {
+  Start(true);
+  const std::vector<HttpRequest> held = {fleet.NextAnnouncement("leaves"),
+                                         fleet.NextAnnouncement("leaves")};
+  const TimePoint left = DepartInOutage(fleet.LeaveMessage("leaves"));
+  Restart(kNodes, milliseconds(700));
+  EndOutageAfter(milliseconds(1700));
+  fleet.RunFor(milliseconds(500));
+  Deliver(held);
+  CheckNoRunsAfterDrain(left, held.back());
+}
+
+// Guards against a delayed announcement that ends a drain nobody knows of.
+TEST(DepartureWithoutPlatform, IsDoubtedAfterADrain) {
+  Start(true);
+  const HttpRequest held = fleet.NextAnnouncement("leaves");
+  const TimePoint left = DepartInOutage(fleet.NextAnnouncement("leaves", true));
+  Restart(kNodes, milliseconds(700));
+  EndOutageAfter(milliseconds(1200));
+  CheckNoRunsAfterDrain(left, held);
+}
+
+// Guards against a late drain whose end, later still, is believed at once.
+TEST(DepartureWithoutPlatform, IsDoubtedAtTheEndOfADrain) {
+  Start(true);
+  const std::vector<HttpRequest> held = {fleet.NextAnnouncement("leaves", true),
+                                         fleet.NextAnnouncement("leaves")};
+  const TimePoint left = DepartInOutage(fleet.LeaveMessage("leaves"));
+  Restart(kNodes, milliseconds(700));
+  EndOutageAfter(milliseconds(1200));
+  fleet.RunFor(milliseconds(500));
+  Deliver(held);
+  CheckNoRunsAfterDrain(left, held.back());
+}
+
+// Guards against an outage that the next process does not see, as it ended
+// before it started: its row lacks the leave.
+TEST(DepartureWithoutPlatform, IsDoubtedIfTheOutageEndedBeforeTheRestart) {
+  Start(true);
+  const HttpRequest held = fleet.NextAnnouncement("leaves");
+  const TimePoint left = DepartInOutage(fleet.LeaveMessage("leaves"));
+  EndOutageAfter(milliseconds(400));
+  Restart(kNodes, milliseconds(700));
+  fleet.RunFor(milliseconds(1500));
+  CheckNoRunsAfterDrain(left, held);
+}
+
+// Guards against a server that stays in use on the word of one announcement,
+// which arrived as soon after the start as one of a server in use would have.
+TEST(DepartureWithoutPlatform, IsDoubtedAgainIfNoMoreAnnouncementsFollow) {
+  Start(true);
+  const HttpRequest held = fleet.NextAnnouncement("leaves");
+  DepartInOutage(fleet.LeaveMessage("leaves"));
+  EndOutageAfter(milliseconds(400));
+  Restart(kNodes, milliseconds(700));
+  fleet.RunFor(milliseconds(1500));
+  fleet.Call("a1", held);
+  fleet.RunFor(milliseconds(1500));
+  runs.clear();
+  fleet.Call("a1", held);
+  fleet.RunFor(seconds(4));
+  CHECK_EQUAL(0u, runs.size());
+}
+
+// Guards against a node that lives on and is taken for a witness of the leave,
+// which never reached it.
+TEST(DepartureWithoutPlatform, IsDoubtedIfASurvivorNeverKnew) {
+  Start(true);
+  const HttpRequest held = fleet.NextAnnouncement("leaves");
+  for (const std::string& node : kNodes) {
+    if (node != "a2") fleet.Cut("a2", node);
+  }
+  const TimePoint left = DepartInOutage(fleet.LeaveMessage("leaves"));
+  Restart({"a1", "a3", "b1", "b2"}, milliseconds(700));
+  fleet.Heal();
+  EndOutageAfter(milliseconds(1200));
+  CheckNoRunsAfterDrain(left, held);
+}
+
+// Guards against a doubt that ends with the process that had it.
+TEST(DepartureWithoutPlatform, IsDoubtedAfterASecondRestart) {
+  Start(true);
+  const HttpRequest held = fleet.NextAnnouncement("leaves");
+  const TimePoint left = DepartInOutage(fleet.LeaveMessage("leaves"));
+  Restart(kNodes, milliseconds(700));
+  fleet.RunFor(milliseconds(600));
+  Restart(kNodes, milliseconds(700));
+  EndOutageAfter(milliseconds(1200));
+  CheckNoRunsAfterDrain(left, held);
+}
+
+// Guards against a leave that is given to a process which is stopping.
+TEST(DepartureWithoutPlatform, IsDoubtedAfterPlannedStops) {
+  fleet.rules.leave_grace = milliseconds(500);
+  Start(true);
+  const HttpRequest held = fleet.NextAnnouncement("leaves");
+  fleet.SetPlatform(PlatformMode::kDown);
+  fleet.Stop("a1");
+  const TimePoint left = DepartInOutage(fleet.LeaveMessage("leaves"));
+  Stop(kNodes);
+  Restart(kNodes, milliseconds(700));
+  EndOutageAfter(milliseconds(1200));
+  CheckNoRunsAfterDrain(left, held);
+}
+
+// Guards against a server in use that waits for the end of an outage before it
+// can prove that it is there.
+TEST(DepartureWithoutPlatform, DoesNotDelayASoundServerAfterALongOutage) {
+  Start(true);
+  fleet.SetPlatform(PlatformMode::kDown);
+  Restart(kNodes, milliseconds(700));
+  Deliver({fleet.NextAnnouncement("leaves"), fleet.NextAnnouncement("leaves"),
+           fleet.NextAnnouncement("leaves")});
+  fleet.SetPlatform(PlatformMode::kUp);
+  runs.clear();
+  CHECK(fleet.RunUntil([&] { return !runs.empty(); }, seconds(3)));
+}
+
+// Guards against doubt that does not end: the third announcement ends it.
+TEST(DepartureWithoutPlatform, DoesNotKeepOutASoundServer) {
+  Start(true);
+  fleet.SetPlatform(PlatformMode::kDown);
+  Restart(kNodes, milliseconds(700));
+  EndOutageAfter(milliseconds(1200));
+  fleet.RunFor(seconds(5));
+  runs.clear();
+  Deliver({fleet.NextAnnouncement("leaves"), fleet.NextAnnouncement("leaves"),
+           fleet.NextAnnouncement("leaves")});
+  CHECK(!runs.empty());
+}
+
 }  // namespace amaranth::pvt
--- a/src/libnode/membership/departure_list.h
+++ b/src/libnode/membership/departure_list.h
@@ -3,6 +3,7 @@
 
 // Departures of the backend servers of one node, with their ages.
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -11,6 +12,14 @@
 
 namespace amaranth::pvt {
 
+// What a process knows of the departures that earlier processes of its node
+// have acknowledged.
+enum class DepartureKnowledge : uint8_t {
+  kLearning,    // others have not answered yet
+  kLearned,     // all that others hold
+  kIncomplete,  // others could not be asked, so they may hold less as well
+};
+
 // Returns whether `known` says at least as much as `other` of the same process
 // of a server.
 bool Covers(const Departure& known, const Departure& other);
--- a/src/libnode/membership/membership.h
+++ b/src/libnode/membership/membership.h
@@ -77,10 +77,10 @@
   // acknowledged. `source` is a node or "platform".
   std::function<void(const Departure&, const std::string& source, Context&)>
       on_departure_learned;
-  // Returns whether this node knows the departures that its earlier processes
-  // have acknowledged, or has waited for them for long enough.
-  bool departures_learned(TimePoint now) const;
-  // Returns the time from which departures_learned() is true in any case.
+  // Returns what this node knows of the departures that its earlier processes
+  // have acknowledged.
+  DepartureKnowledge departure_knowledge(TimePoint now) const;
+  // Returns the time at which learning ends in any case.
   TimePoint learning_until() const { return learning_until_; }
   // Sets the fitness of a local backend server, which is published in this
   // node's record for the nodes that call its service.
@@ -365,6 +365,7 @@
   std::map<uint64_t, uint64_t> witness_pings_;  // departure by ping sequence
   uint64_t departures_published_ = 0;
   bool departures_read_ = false;  // from the platform's table
+  TimePoint departures_read_at_ = kNever;
   TimePoint learning_until_{};
   TimePoint next_witness_ping_ = kNever;
   bool table_failed_ = false;  // when the row was last read
--- a/src/libnode/membership/membership_departures.cc
+++ b/src/libnode/membership/membership_departures.cc
@@ -120,6 +120,7 @@
     return;
   }
   departures_read_ = true;
+  departures_read_at_ = context.now;
   next_retained_read_ = kNever;
   retained_interval_ = kPlatformInterval;
   std::optional<PlatformTime> clock;
@@ -235,11 +236,18 @@
   }
 }
 
-bool Membership::departures_learned(TimePoint now) const {
-  const bool asks_table = identity_.use_platform && !table_failed_;
-  const bool nobody_to_ask = !identity_.use_platform && identity_.seeds.empty();
-  return departures_read_ || (joined_ && !asks_table) || nobody_to_ask ||
-         now >= learning_until_;
+DepartureKnowledge Membership::departure_knowledge(TimePoint now) const {
+  const bool ended = now >= learning_until_;
+  if (identity_.use_platform) {
+    // A table that fails now may have failed when an earlier process wrote.
+    const bool read_in_time = departures_read_at_ <= learning_until_;
+    if (read_in_time && !table_failed_) return DepartureKnowledge::kLearned;
+    return ended || (table_failed_ && joined_) ? DepartureKnowledge::kIncomplete
+                                               : DepartureKnowledge::kLearning;
+  }
+  if (joined_ || identity_.seeds.empty()) return DepartureKnowledge::kLearned;
+  return ended ? DepartureKnowledge::kIncomplete
+               : DepartureKnowledge::kLearning;
 }
 
 }  // namespace amaranth::pvt
--- a/src/libnode/node_state.cc
+++ b/src/libnode/node_state.cc
@@ -122,6 +122,7 @@
               "Process started: incarnation=" +
                   std::to_string(identity.node.incarnation) + ".");
   membership.Start(context);
+  serving.Start(now, identity);
   settings.Start(context);
   quotas.Start(now);
   RequestWake(context);
--- a/src/libnode/serving/serving_role.h
+++ b/src/libnode/serving/serving_role.h
@@ -16,6 +16,7 @@
 #include "amaranthroute/policy/crash_evidence.h"
 #include "amaranthroute/policy/crash_guard.h"
 #include "libnode/membership/membership.h"
+#include "libnode/serving/announcement_evidence.h"
 #include "libnode/serving/departed_servers.h"
 #include "libnode/serving/hop.h"
 #include "libnode/serving/local_server.h"
@@ -39,11 +40,12 @@
   // nested calls are no longer needed.
   std::function<void(uint64_t hop, Context&)> on_hop_cancelled;
 
+  void Start(TimePoint now, const NodeIdentity& identity);
   // Handle the announcements and leave messages of backend servers.
   void OnAnnounce(CallId call, const HttpRequest& request, Context& context);
   void OnLeave(CallId call, const HttpRequest& request, Context& context);
-  // Accepts the announcements that were held until this node knew which servers
-  // its earlier processes have acknowledged as departed.
+  // Accepts the announcements of servers whose departure an earlier process of
+  // this node may have acknowledged, once it is known or disproved.
   void AcceptHeld(Context& context);
   // See Membership::on_departure_copied and on_departure_learned.
   void OnDepartureCopied(uint64_t number, Context& context);
@@ -92,7 +94,10 @@
     AnnouncementStamp stamp;
   };
   static Outcome<Announcement> ParseAnnouncement(const Body& body);
-  // Keeps an announcement for AcceptHeld, unless a later one is kept.
+  // Returns whether the server may have departed as far as is known.
+  bool MayHaveDeparted(const Announcement& announcement,
+                       const Context& context) const;
+  // Keeps an announcement for AcceptHeld, in place of an earlier one.
   void Hold(const Announcement& announcement, Context& context);
   // Applies an announcement. Returns the number of the departure that has to be
   // copied before it is acknowledged, or nullopt.
@@ -227,7 +232,9 @@
   RecentAnswers answered_;
   std::map<std::string, LocalServer> servers_;
   DepartedServers departed_;
+  AnnouncementEvidence evidence_;
   std::map<std::string, Announcement> held_announcements_;  // by server
+  bool may_learn_departures_ = true;  // departures may be learned soon
   // Messages of servers that are not acknowledged yet, by number of the
   // departure.
   std::multimap<uint64_t, CallId> waiting_acknowledgements_;
--- a/src/libnode/serving/serving_servers.cc
+++ b/src/libnode/serving/serving_servers.cc
@@ -111,6 +111,10 @@
   }
 }
 
+void ServingRole::Start(TimePoint now, const NodeIdentity& identity) {
+  evidence_.Start(identity, now);
+}
+
 void ServingRole::OnAnnounce(CallId call, const HttpRequest& request,
                              Context& context) {
   const Outcome<Announcement> parsed = ParseAnnouncement(request.body);
@@ -129,35 +133,65 @@
         call, BadAnnouncement("too many backend servers here", context)});
     return;
   }
-  const bool may_have_departed = !is_known && !announcement.record.draining &&
-                                 !membership_.departures_learned(context.now);
-  if (may_have_departed && held_announcements_.size() < kMaxLocalServers) {
-    Hold(announcement, context);
-    context.Emit(AnswerCaller{call, JsonResponse(200, "{}")});
+  if (!announcement.record.draining) {
+    evidence_.Count(name, announcement.stamp, context.now);
+  }
+  if (!MayHaveDeparted(announcement, context)) {
+    return Acknowledge(call, Accept(announcement, context), context);
+  }
+  const bool is_held = held_announcements_.count(name) > 0;
+  if (!is_held && held_announcements_.size() >= kMaxLocalServers) {
+    context.Emit(AnswerCaller{
+        call, BadAnnouncement("too many backend servers here", context)});
     return;
   }
-  Acknowledge(call, Accept(announcement, context), context);
+  Hold(announcement, context);
+  context.Emit(AnswerCaller{call, JsonResponse(200, "{}")});
+}
+
+bool ServingRole::MayHaveDeparted(const Announcement& announcement,
+                                  const Context& context) const {
+  const std::string& name = announcement.record.server;
+  if (announcement.record.draining) return false;
+  const auto found = servers_.find(name);
+  if (found != servers_.end() && !found->second.draining) return false;
+  return !evidence_.Suffices(name, announcement.stamp,
+                             membership_.departure_knowledge(context.now),
+                             context.now);
 }
 
 void ServingRole::Hold(const Announcement& announcement, Context& context) {
   const std::string& name = announcement.record.server;
   const AnnouncementStamp& stamp = announcement.stamp;
-  LogServerEvent(name, AnnouncedState(announcement.record), stamp, "hold",
+  LogServerEvent(name, AnnouncedState(announcement.record), stamp,
+                 membership_.departure_knowledge(context.now) ==
+                         DepartureKnowledge::kLearning
+                     ? "hold"
+                     : "hold-unproven",
                  context);
+  stats_.Count("amaranth_announcements_held_total");
   const auto held = held_announcements_.find(name);
-  const bool is_later =
-      held == held_announcements_.end() ||
-      std::pair(stamp.started_ms, stamp.sequence) >=
-          std::pair(held->second.stamp.started_ms, held->second.stamp.sequence);
-  if (is_later) held_announcements_[name] = announcement;
+  if (held != held_announcements_.end() &&
+      stamp.started_ms < held->second.stamp.started_ms) {
+    return;
+  }
+  held_announcements_[name] = announcement;
 }
 
 void ServingRole::AcceptHeld(Context& context) {
+  may_learn_departures_ = membership_.departure_knowledge(context.now) ==
+                          DepartureKnowledge::kLearning;
   if (held_announcements_.empty()) return;
-  if (!membership_.departures_learned(context.now)) return;
-  const std::map<std::string, Announcement> held =
-      std::exchange(held_announcements_, {});
-  for (const auto& [name, announcement] : held) Accept(announcement, context);
+  std::vector<Announcement> accepted;
+  for (const auto& [name, announcement] : held_announcements_) {
+    if (!MayHaveDeparted(announcement, context)) {
+      accepted.push_back(announcement);
+    }
+  }
+  for (const Announcement& announcement : accepted) {
+    held_announcements_.erase(announcement.record.server);
+    Accept(announcement, context);
+  }
 }
 
 std::optional<uint64_t> ServingRole::Accept(Announcement announcement,
@@ -448,6 +482,9 @@
     // would keep sending calls to crashed servers.
     if (context.now - server.last_heard > context.identity.rules.server_lease) {
       expired.push_back(name);
+    } else if (!server.draining && evidence_.IsOverdue(name, context.now)) {
+      evidence_.Withdraw(name);
+      expired.push_back(name);
     }
   }
   for (const std::string& name : expired) RemoveServer(name, context);
@@ -481,7 +518,7 @@
 
 TimePoint ServingRole::next_timer() const {
   TimePoint next = servers_.empty() ? kNever : next_check_;
-  if (!held_announcements_.empty()) {
+  if (!held_announcements_.empty() && may_learn_departures_) {
     next = std::min(next, membership_.learning_until());
   }
   // Queue timeouts may end before deadlines do.
--- a/src/libreplay/event_json.cc
+++ b/src/libreplay/event_json.cc
@@ -248,6 +248,7 @@
           {"seeds", std::move(seeds)},
           {"use_platform", identity.use_platform},
           {"random_seed", identity.random_seed},
+          {"started_ms", identity.started_ms},
           {"has_operator_token", !identity.operator_token.empty()},
           {"max_body_bytes", identity.max_body_bytes},
           {"max_buffered_bytes", identity.max_buffered_bytes}};
@@ -267,6 +268,7 @@
   }
   identity.use_platform = json.at("use_platform");
   identity.random_seed = json.at("random_seed");
+  identity.started_ms = json.value("started_ms", uint64_t{0});
   identity.max_body_bytes = json.at("max_body_bytes");
   identity.max_buffered_bytes = json.at("max_buffered_bytes");
   return identity;
--- a/testsuite/users-platform-restart/run.py
+++ b/testsuite/users-platform-restart/run.py
@@ -28,6 +28,9 @@
 ANNOUNCE_PERIOD = "1500ms"
 RESTART_PAUSE = 0.5
 LATE_HEARTBEAT_AFTER = 1.5  # from the start of the new process
+# A server in use would have announced itself to the new process before.
+LATE_BY_ITSELF_AFTER = 3.0
+LATE_HEARTBEAT_GAP = 0.8
 # Of a server that the node that acknowledged the leave has never heard of.
 UNKNOWN_HEARTBEAT_AFTER = 11.0
 # A late heartbeat that is believed renews the lease of the server for longer.
@@ -98,12 +101,12 @@
 
     def add_worker(self, name):
         """Adds a server beside a1 and waits until it is in use. Returns it, and
-        its last heartbeat, which is held back."""
+        its last heartbeats, which are held back."""
         worker = Worker(self.nodes["a1"], "front", name, slots=50)
         fleet.wait_until(lambda: worker.run_times, f"{name} is used")
         worker.stop_announcing()
         time.sleep(2 * platform.HEARTBEAT_SECONDS)
-        return worker, worker.heartbeat("ready")
+        return worker, [worker.heartbeat("ready") for _ in range(2)]
 
 
 class Acknowledged:
@@ -126,19 +129,23 @@
     """An order of events around a departure that a1 acknowledges."""
 
     def __init__(self, ends=("a1",), times=1, after=0.0, pause=RESTART_PAUSE,
-                 stops=None, drains=False, store_away=False, goes_on=False,
-                 unknown=False):
+                 stops=None, drains=False, store_away=False, store_back=None,
+                 late=1, goes_on=False, unknown=False):
         self.ends, self.times = ends, times  # nodes that are killed, how often
         self.after, self.pause = after, pause  # seconds before and after
         self.stops = stops  # a1 is stopped "before" or "after" the departure
         self.drains = drains  # the server drains and sends no leave
         self.store_away = store_away
+        # When the store is back, if the nodes need it to serve: "at_start" of
+        # the nodes, "before" or "after" the late heartbeats.
+        self.store_back = store_back
+        self.late = late  # heartbeats that arrive late
         self.goes_on = goes_on  # the server goes on saying "ready"
         self.unknown = unknown  # a1 has never heard of the server
 
     def play(self, deployment, worker, held):
-        """Returns when the departure was acknowledged; `held` is a heartbeat
-        of before that arrives late."""
+        """Returns when the departure was acknowledged; `held` are heartbeats
+        of before, of which some arrive late."""
         if self.store_away:
             deployment.store.make_unavailable()
         if self.unknown:
@@ -157,23 +164,37 @@
             deployment.nodes["a1"].wait_exit()
             deployment.start("a1")
         elif not self.unknown:
-            for _ in range(self.times):
-                deployment.restart(*self.ends, pause=self.pause)
+            for turn in range(self.times):
+                deployment.kill(*self.ends)
+                time.sleep(self.pause)
+                if self.store_back == "at_start" and turn == self.times - 1:
+                    deployment.store.make_available()
+                deployment.start(*self.ends)
         worker.move(deployment.nodes["a1"])
-        self._announce(worker, held)
+        self._announce(deployment, worker, held)
         deployment.store.make_available()
         return left
 
-    def _announce(self, worker, held):
+    def _announce(self, deployment, worker, held):
         if self.goes_on:
             end = time.monotonic() + LATE_HEARTBEAT_AFTER + OBSERVED_SECONDS
             while time.monotonic() < end:
                 worker.send(worker.heartbeat("ready"))
                 time.sleep(0.5)
             return
-        time.sleep(UNKNOWN_HEARTBEAT_AFTER if self.unknown
-                   else LATE_HEARTBEAT_AFTER)
-        worker.send(held)
+        if self.unknown:
+            time.sleep(UNKNOWN_HEARTBEAT_AFTER)
+        elif self.store_back == "at_start":
+            time.sleep(LATE_BY_ITSELF_AFTER)
+        else:
+            time.sleep(LATE_HEARTBEAT_AFTER)
+        if self.store_back == "before":
+            deployment.store.make_available()
+        for heartbeat in held[-self.late:]:
+            worker.send(heartbeat)
+            time.sleep(LATE_HEARTBEAT_GAP)
+        if self.store_back == "after":
+            deployment.store.make_available()
         time.sleep(OBSERVED_SECONDS)
 
 
@@ -191,6 +212,16 @@
     "goes_on_saying_ready": Order(goes_on=True),
     "drains_without_leave": Order(drains=True),
     "left_after_restart": Order(unknown=True),
+    "all_killed_store_back_after": Order(ends=ALL_NODES, store_away=True,
+                                         store_back="after"),
+    "all_killed_store_back_before": Order(ends=ALL_NODES, store_away=True,
+                                          store_back="before", late=2),
+    "all_killed_twice_store_away": Order(ends=ALL_NODES, times=2,
+                                         store_away=True, store_back="after"),
+    "all_killed_store_back_at_start": Order(ends=ALL_NODES, store_away=True,
+                                            store_back="at_start"),
+    "drains_all_killed_store_away": Order(ends=ALL_NODES, store_away=True,
+                                          drains=True, store_back="before"),
 }
 
 
@@ -222,6 +253,25 @@
           f"{worker.run_times[0] - sent_at:.2f} s", flush=True)
 
 
+def sound_server_is_used_after_outage(deployment, seconds):
+    """A server that goes on announcing itself while all nodes end and start
+    again in an outage of the store is used soon after its end."""
+    worker = Worker(deployment.nodes["a1"], "front", f"sound-outage-{seconds}",
+                    slots=50)
+    fleet.wait_until(lambda: worker.run_times, "the sound server is used")
+    deployment.store.make_unavailable()
+    deployment.restart(*ALL_NODES)
+    worker.move(deployment.nodes["a1"])
+    time.sleep(seconds)
+    worker.run_times.clear()
+    deployment.store.make_available()
+    back_at = time.monotonic()
+    fleet.wait_until(lambda: worker.run_times, "the sound server is used", 10)
+    print(f"sound server after an outage of {seconds} s from the start: used "
+          f"{worker.run_times[0] - back_at:.2f} s after its end", flush=True)
+    worker.leave()
+
+
 def sound_server_is_used(deployment, names):
     """A server that stays is used from its next heartbeat on."""
     worker, _ = deployment.add_worker(f"sound-{len(names)}")
@@ -246,6 +296,8 @@
         for names in (("a1",), ALL_NODES):
             successor_is_used(deployment, names)
             sound_server_is_used(deployment, names)
+        for seconds in (1, 5):
+            sound_server_is_used_after_outage(deployment, seconds)
     fleet.check(not late, f"requests reach a server that left: {late}")
 
 
