A stopping node answers the calls that wait in queues at its drain limit

A node that gets SIGTERM exits at its drain limit while a call still waits at another node; the connection ends without an answer and no server gets the request.

Cause: ExitIfDrained exits with calls left, and nothing ends them.

Change: at the limit the node withdraws its waiting calls from other nodes (CallCancel::only_waiting) and refuses those that wait here. What is proved not to have run is answered as such; 0.2 s later the rest as "may have run".

--- a/src/include/amaranthroute/messages.h
+++ b/src/include/amaranthroute/messages.h
@@ -203,6 +203,9 @@
 /// sent to the backend server, otherwise kMayHaveRun.
 struct CallCancel {
   AttemptId attempt = 0;
+  /// Cancel the call only if nothing was sent to the backend server yet. There
+  /// is no answer to this message otherwise.
+  bool only_waiting = false;
 };
 
 /// Forwards a complete request to the home node of its idempotency key. The
--- a/src/libnode/calls_test.cc
+++ b/src/libnode/calls_test.cc
@@ -267,6 +267,47 @@
   }
 }
 
+// Guards against calls that a stopping node has accepted and that end without
+// an answer, because they wait in the queue of another node at its exit.
+TEST(Calls, AStoppingNodeAnswersCallsThatWaitAtAnotherNode) {
+  fleet.rules.admit_at_edge = true;  // calls wait until their deadlines
+  fleet.AddNode("a1", "bilbao-a", true);
+  fleet.AddNode("a2", "bilbao-a", true);
+  FakeServerOptions server = MakeServer("s2", "subscriptions");
+  server.slots = 1;
+  server.service_time = std::chrono::seconds(2);
+  fleet.AddServer("a2", server);
+  fleet.RunFor(kSettleTime);
+  HttpRequest change;
+  change.method = "POST";
+  change.target = "/settings";
+  change.body = Body(
+      R"({"changes":[{"path":"","name":"drain_timeout_ms","value":"3000"}]})");
+  CHECK_EQUAL(200, fleet.CallOperatorApi("a1", change).status);
+  fleet.RunFor(std::chrono::seconds(5));
+  std::vector<uint64_t> calls;
+  for (int i = 0; i < 4; ++i) {
+    HttpRequest request =
+        MakeRequest("GET", "subscriptions", "browse", "r" + std::to_string(i));
+    SetHeader(request.headers, "X-Amaranth-Deadline-Ms", "20000");
+    calls.push_back(fleet.Call("a1", request));
+  }
+  fleet.RunFor(std::chrono::milliseconds(100));
+  fleet.Stop("a1");
+  CHECK(fleet.RunUntil([&] { return fleet.Exited("a1"); },
+                       std::chrono::milliseconds(3500)));
+  std::map<std::string, int> verdicts;
+  for (const uint64_t call : calls) {
+    CHECK(fleet.AnswerOf(call) != nullptr);
+    ++verdicts[fleet.AnswerOf(call)->Verdict()];
+  }
+  CHECK_EQUAL(1, verdicts["ran"]);
+  CHECK_EQUAL(1, verdicts["may-have-run"]);
+  CHECK_EQUAL(2, verdicts["not-run"]);
+  fleet.RunFor(std::chrono::seconds(10));
+  CHECK_EQUAL(2u, fleet.runs().size());
+}
+
 // A request that crashes its server runs at two servers at most: at the first
 // among other calls, at the second alone as a suspect. It is then quarantined
 // and refused with that reason; other requests are served.
--- a/src/libnode/entry/call.h
+++ b/src/libnode/entry/call.h
@@ -95,6 +95,8 @@
   Duration waited{0};
   // The nested call that the last attempt reported as the cause of its failure.
   FailedBelow failed_below;
+  // Not tried again, because this node is about to exit.
+  bool withdrawn = false;
   // Refused by the feasibility check, which has set the time to return.
   bool infeasible = false;
 };
--- a/src/libnode/entry/entry_attempts.cc
+++ b/src/libnode/entry/entry_attempts.cc
@@ -265,11 +265,16 @@
                            call.attempt->server);
     return;
   }
+  if (call.withdrawn && failure.reason == Reason::kCancelled) {
+    failure.reason = Reason::kDraining;
+    failure.detail = "this node stops; the call was withdrawn from a queue";
+  }
   FinishWithFailure(call, std::move(failure), context);
 }
 
 bool EntryRole::MayRetry(const Call& call, const Failure& failure,
                          const DeploymentRules& rules) const {
+  if (call.withdrawn) return false;
   if (failure.final || RetryCannotHelp(failure.reason)) return false;
   const bool outcome_unknown = failure.verdict != Verdict::kNotRun;
   if (outcome_unknown && rules.callers_resend && call.is_root) return false;
--- a/src/libnode/entry/entry_finish.cc
+++ b/src/libnode/entry/entry_finish.cc
@@ -343,6 +343,42 @@
   }
 }
 
+void EntryRole::WithdrawWaiting(Context& context) {
+  std::vector<uint64_t> not_sent;
+  for (auto& [id, call] : calls_) {
+    call.withdrawn = true;
+    if (!call.attempt) {
+      not_sent.push_back(id);
+      continue;
+    }
+    // The home of a key runs the call for other waiters as well.
+    if (call.attempt->server.empty()) continue;
+    const NodeRef& node = call.attempt->node;
+    parts_.outbox.Send(node.name, parts_.membership.PeerAddressOf(node.name),
+                       CallCancel{call.attempt->id, true}, context);
+  }
+  for (const uint64_t id : not_sent) FailAtExit(id, context);
+}
+
+void EntryRole::FailAll(Context& context) {
+  std::vector<uint64_t> left;
+  for (const auto& [id, call] : calls_) left.push_back(id);
+  for (const uint64_t id : left) FailAtExit(id, context);
+}
+
+void EntryRole::FailAtExit(uint64_t id, Context& context) {
+  Call* call = FindCall(id);
+  if (call == nullptr || call->waiters.empty()) return;
+  const bool outcome_unknown =
+      call->attempt || call->phase == CallPhase::kClaiming;
+  Failure failure;
+  failure.verdict = outcome_unknown ? Verdict::kMayHaveRun : Verdict::kNotRun;
+  failure.reason = Reason::kDraining;
+  failure.detail = "this node stops";
+  failure.final = true;
+  FinishWithFailure(*call, std::move(failure), context);
+}
+
 void EntryRole::OnTimer(Context& context) {
   for (const uint64_t id : deadlines_.TakeDue(context.now)) {
     Call* call = FindCall(id);
--- a/src/libnode/entry/entry_role.h
+++ b/src/libnode/entry/entry_role.h
@@ -75,6 +75,11 @@
   bool OnQuotaDecision(uint64_t id, const QuotaDecision& decision,
                        Context& context);
   void OnHopCancelled(uint64_t hop, Context& context);
+  // Before the exit of this node: withdraws the calls that wait for a backend
+  // server. Those that can be proved not to have run are answered so.
+  void WithdrawWaiting(Context& context);
+  // At the exit: answers all calls that are left.
+  void FailAll(Context& context);
   void OnTimer(Context& context);
   TimePoint next_timer() const;
 
@@ -187,6 +192,7 @@
                     Context& context);
   // Reports the end of a request to the admission window of its class.
   void CompleteInWindow(Call& call, bool served, TimePoint now);
+  void FailAtExit(uint64_t id, Context& context);
   void LogFailure(const Call& call, const Failure& failure, Context& context);
   // Logs an error response that was caused by a known failure below.
   void LogFailedBelow(const Call& call, const Failure& failure,
--- a/src/libnode/node_state.cc
+++ b/src/libnode/node_state.cc
@@ -11,6 +11,10 @@
 
 constexpr std::string_view kTicketPath = "/amaranth/v1/ticket";
 
+// Time for which a node that exits waits for the answers to calls that it has
+// withdrawn from the queues of other nodes.
+constexpr Duration kWithdrawTime = std::chrono::milliseconds(200);
+
 std::string_view KindLabel(const PlatformRequest& request) {
   if (const auto* watch = std::get_if<TableWatchSettings>(&request)) {
     return watch->after == 0 ? "kind=\"read-settings\""
@@ -335,9 +339,20 @@
                     !serving.has_waiting_acknowledgements();
   const Duration limit = settings_cache.Resolve("", "").drain_timeout;
   if (since < identity.rules.leave_grace || (!idle && since < limit)) return;
+  if (!idle && !stop.withdrew_waiting) {
+    stop.withdrew_waiting = true;
+    context.Log(LogLevel::kInfo, "node",
+                "Drain timed out; withdrawing the calls that wait.");
+    entry.WithdrawWaiting(context);
+    serving.RefuseWaiting(context);
+    DeliverLocal(context);
+  }
+  const bool still_idle = entry.calls() == 0 && serving.hops() == 0;
+  if (!still_idle && since < limit + kWithdrawTime) return;
   stop.exited = true;
   context.Log(LogLevel::kInfo, "node",
               idle ? "Drained; exiting." : "Drain timed out; exiting.");
+  entry.FailAll(context);
   context.Emit(ExitProcess{membership.superseded_at_same_address_by()});
 }
 
--- a/src/libnode/node_state.h
+++ b/src/libnode/node_state.h
@@ -26,6 +26,7 @@
 struct StopState {
   bool requested = false;
   TimePoint since{};
+  bool withdrew_waiting = false;
   bool exited = false;
 };
 
--- a/src/libnode/serving/serving_role.cc
+++ b/src/libnode/serving/serving_role.cc
@@ -451,7 +451,9 @@
                            Context& context) {
   const auto found = by_attempt_.find({from, cancel.attempt});
   if (found == by_attempt_.end()) return;  // answered already
-  Cancel(hops_.at(found->second), context);
+  Hop& hop = hops_.at(found->second);
+  if (cancel.only_waiting && hop.state == HopState::kDispatched) return;
+  Cancel(hop, context);
 }
 
 void ServingRole::Cancel(Hop& hop, Context& context) {
@@ -468,6 +470,15 @@
   Refuse(removed, Reason::kCancelled, context);
 }
 
+void ServingRole::RefuseWaiting(Context& context) {
+  for (const auto& [name, server] : servers_) {
+    for (const uint64_t id : WaitingAt(name)) {
+      const Hop hop = TakeWaitingHop(id);
+      Refuse(hop, Reason::kDraining, context);
+    }
+  }
+}
+
 void ServingRole::OnEntryLost(const std::string& peer, Context& context) {
   std::vector<uint64_t> orphans;
   for (const auto& [key, id] : by_attempt_) {
--- a/src/libnode/serving/serving_role.h
+++ b/src/libnode/serving/serving_role.h
@@ -62,6 +62,8 @@
   // dispatched run to completion, unless DeploymentRules::request_id_per_send
   // is set.
   void OnEntryLost(const std::string& peer, Context& context);
+  // Refuses all calls that are not sent to a backend server yet, as not run.
+  void RefuseWaiting(Context& context);
   void OnTimer(Context& context);
   TimePoint next_timer() const;
 
--- a/src/libutil/fields.h
+++ b/src/libutil/fields.h
@@ -60,7 +60,9 @@
   return std::tie(v.service, v.cause);
 }
 
-inline auto Fields(const CallCancel& v) { return std::tie(v.attempt); }
+inline auto Fields(const CallCancel& v) {
+  return std::tie(v.attempt, v.only_waiting);
+}
 
 inline auto Fields(const HomeForward& v) {
   return std::tie(v.attempt, v.home_incarnation, v.request, v.remaining);
--- a/src/libwire/amaranth.thrift
+++ b/src/libwire/amaranth.thrift
@@ -159,7 +159,8 @@
 }
 
 struct CallCancel {
-  1: required i64 attempt
+  1: required i64 attempt,
+  2: optional bool only_waiting
 }
 
 struct HomeForward {
--- a/src/libwire/from_wire.cc
+++ b/src/libwire/from_wire.cc
@@ -257,6 +257,7 @@
 
 void FromWire(wire::CallCancel& in, CallCancel& out, RangeCheck&) {
   out.attempt = Unsigned(in.attempt);
+  out.only_waiting = in.only_waiting;
 }
 
 void FromWire(wire::HomeForward& in, HomeForward& out, RangeCheck& check) {
--- a/src/libwire/gen-cpp/amaranth_types.cpp
+++ b/src/libwire/gen-cpp/amaranth_types.cpp
@@ -3420,6 +3420,11 @@
 void CallCancel::__set_attempt(const int64_t val) {
   this->attempt = val;
 }
+
+void CallCancel::__set_only_waiting(const bool val) {
+  this->only_waiting = val;
+__isset.only_waiting = true;
+}
 std::ostream& operator<<(std::ostream& out, const CallCancel& obj)
 {
   obj.printTo(out);
@@ -3457,6 +3462,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->only_waiting);
+          this->__isset.only_waiting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3480,6 +3493,11 @@
   xfer += oprot->writeI64(this->attempt);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.only_waiting) {
+    xfer += oprot->writeFieldBegin("only_waiting", ::apache::thrift::protocol::T_BOOL, 2);
+    xfer += oprot->writeBool(this->only_waiting);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3488,26 +3506,37 @@
 void swap(CallCancel &a, CallCancel &b) {
   using ::std::swap;
   swap(a.attempt, b.attempt);
+  swap(a.only_waiting, b.only_waiting);
+  swap(a.__isset, b.__isset);
 }
 
 CallCancel::CallCancel(const CallCancel& other88) noexcept {
   attempt = other88.attempt;
+  only_waiting = other88.only_waiting;
+  __isset = other88.__isset;
 }
 CallCancel::CallCancel(CallCancel&& other89) noexcept {
   attempt = other89.attempt;
+  only_waiting = other89.only_waiting;
+  __isset = other89.__isset;
 }
 CallCancel& CallCancel::operator=(const CallCancel& other90) noexcept {
   attempt = other90.attempt;
+  only_waiting = other90.only_waiting;
+  __isset = other90.__isset;
   return *this;
 }
 CallCancel& CallCancel::operator=(CallCancel&& other91) noexcept {
   attempt = other91.attempt;
+  only_waiting = other91.only_waiting;
+  __isset = other91.__isset;
   return *this;
 }
 void CallCancel::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "CallCancel(";
   out << "attempt=" << to_string(attempt);
+  out << ", " << "only_waiting="; (__isset.only_waiting ? (out << to_string(only_waiting)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/libwire/gen-cpp/amaranth_types.h
+++ b/src/libwire/gen-cpp/amaranth_types.h
@@ -1216,6 +1216,10 @@
 
 std::ostream& operator<<(std::ostream& out, const CallAnswer& obj);
 
+typedef struct _CallCancel__isset {
+  _CallCancel__isset() : only_waiting(false) {}
+  bool only_waiting :1;
+} _CallCancel__isset;
 
 class CallCancel : public virtual ::apache::thrift::TBase {
  public:
@@ -1225,18 +1229,28 @@
   CallCancel& operator=(const CallCancel&) noexcept;
   CallCancel& operator=(CallCancel&&) noexcept;
   CallCancel() noexcept
-             : attempt(0) {
+             : attempt(0),
+               only_waiting(0) {
   }
 
   virtual ~CallCancel() noexcept;
   int64_t attempt;
+  bool only_waiting;
+
+  _CallCancel__isset __isset;
 
   void __set_attempt(const int64_t val);
 
+  void __set_only_waiting(const bool val);
+
   bool operator == (const CallCancel & rhs) const
   {
     if (!(attempt == rhs.attempt))
       return false;
+    if (__isset.only_waiting != rhs.__isset.only_waiting)
+      return false;
+    else if (__isset.only_waiting && !(only_waiting == rhs.only_waiting))
+      return false;
     return true;
   }
   bool operator != (const CallCancel &rhs) const {
--- a/src/libwire/generators_test.cc
+++ b/src/libwire/generators_test.cc
@@ -171,7 +171,7 @@
                         Any<bool>(),          AnyTimes(),      AnyList(AnyCost),
                         AnyList(AnyPressure), AnyFailedBelow()};
     case 3:
-      return CallCancel{Any<uint64_t>()};
+      return CallCancel{Any<uint64_t>(), Any<bool>()};
     case 4:
       return HomeForward{Any<uint64_t>(), Any<uint64_t>(), AnyRequest(),
                          AnyDuration()};
--- a/src/libwire/to_wire.cc
+++ b/src/libwire/to_wire.cc
@@ -24,7 +24,7 @@
 static_assert(kHasFields<CallForward, 6>);
 static_assert(kHasFields<CallTimes, 2>);
 static_assert(kHasFields<CallAnswer, 11>);
-static_assert(kHasFields<CallCancel, 1>);
+static_assert(kHasFields<CallCancel, 2>);
 static_assert(kHasFields<HomeForward, 4>);
 static_assert(kHasFields<LinkPing, 1>);
 static_assert(kHasFields<LinkPong, 1>);
@@ -272,6 +272,7 @@
 
 void ToWire(const CallCancel& in, wire::CallCancel& out) {
   out.attempt = Signed(in.attempt);
+  if (in.only_waiting) out.__set_only_waiting(true);
 }
 
 void ToWire(const HomeForward& in, wire::HomeForward& out) {
