A planned stop waits for answers that are read slowly

An answer that its caller reads slowly is cut 2.3 s after SIGTERM, with most of the grace left.

Cause: a call has ended for the reducer when its answer is handed to the frontend. The exit then waited 0.3 s, and not at all for answers to other nodes.

Change: after a stop request the exit waits for unwritten answers, to callers and to other nodes, until 95 % of the grace.

--- a/src/amaranthd/main.cc
+++ b/src/amaranthd/main.cc
@@ -32,11 +32,14 @@
 constexpr int kExitFailure = 1;
 constexpr int kExitUsage = 2;
 
-// Limits how long the exit waits for callers that read slowly when a stop grace
-// is set. A process that exceeds the grace is killed, which breaks its other
-// connections too.
+// Limits how long an exit that nobody has asked for waits for callers that read
+// slowly when a stop grace is set.
 constexpr std::chrono::milliseconds kFlushTimeoutWithinGrace{300};
 
+// Share of the stop grace after which a stopping process no longer waits for
+// callers that read slowly. A process that exceeds the grace is killed.
+constexpr double kExitShareOfGrace = 0.95;
+
 // Share of the stop grace in which a stopping process waits for requests in
 // flight. The rest is left for writing the last answers.
 constexpr double kDrainShareOfGrace = 0.85;
@@ -85,8 +88,11 @@
     host.announce_listen = Endpoint{options.ip, *options.announce_port};
   }
   if (options.rows) platform::ConfigureHttpClient(host);
-  if (options.stop_grace.count() > 0)
+  if (options.stop_grace.count() > 0) {
     host.flush_timeout = kFlushTimeoutWithinGrace;
+    host.stop_limit = std::chrono::duration_cast<std::chrono::milliseconds>(
+        options.stop_grace * kExitShareOfGrace);
+  }
   host.client.max_response_bytes = options.identity.max_body_bytes;
   host.log.level = options.log_level;
   host.log.format = options.log_format;
--- a/src/libhost/host.cc
+++ b/src/libhost/host.cc
@@ -118,6 +118,7 @@
       io_.stop();
       return;
     }
+    stop_requested_at_ = std::chrono::steady_clock::now();
     callers_->CloseAfterAnswers();
     Post(StopRequested{});
   }
@@ -209,6 +210,10 @@
     operators_->StopAccepting();
     if (announcers_) announcers_->StopAccepting();
     flush_deadline_ = std::chrono::steady_clock::now() + options_.flush_timeout;
+    if (stop_requested_) {
+      flush_deadline_ =
+          std::max(flush_deadline_, stop_requested_at_ + options_.stop_limit);
+    }
     AwaitFlush();
   }
 
@@ -328,8 +333,9 @@
   bool IsFlushed() const {
     const size_t announced = announcers_ ? announcers_->unwritten_answers() : 0;
     return callers_->unwritten_answers() + operators_->unwritten_answers() +
-               announced ==
-           0;
+                   announced ==
+               0 &&
+           !peers_->HasUnwritten();
   }
 
   void AwaitFlush() {
@@ -357,6 +363,7 @@
   bool started_ = false;
   bool reducing_ = false;
   bool stop_requested_ = false;
+  std::chrono::steady_clock::time_point stop_requested_at_;
   bool stopped_ = false;
   bool exited_ = false;
   uint64_t restart_above_ = 0;
--- a/src/libhost/host.h
+++ b/src/libhost/host.h
@@ -43,9 +43,12 @@
   // Its budget is that above.
   HttpClientOptions client;
   LogSinkOptions log;
-  // How long the exiting process waits for callers that read their answers
-  // slowly.
+  // How long the exiting process waits for callers, and other nodes, that read
+  // their answers slowly.
   std::chrono::milliseconds flush_timeout{5000};
+  // If not 0, the process waits for them until this long after RequestStop,
+  // where that is later.
+  std::chrono::milliseconds stop_limit{0};
 };
 
 // The ports that are bound.
--- a/src/libhost/host_test.cc
+++ b/src/libhost/host_test.cc
@@ -14,6 +14,8 @@
   std::vector<Event> events;
   std::function<Effects(const Event&)> on_event;
   std::vector<LogLevel> logged;
+  std::chrono::milliseconds flush_timeout{5000};
+  std::chrono::milliseconds stop_limit{0};
 
   std::unique_ptr<Host> MakeHost(const std::string& name = "n1",
                                  const Effects& start_effects = {}) {
@@ -24,6 +26,8 @@
     options.operator_listen = any;
     options.peer_listen = any;
     options.gossip_listen = any;
+    options.flush_timeout = flush_timeout;
+    options.stop_limit = stop_limit;
     HostHooks hooks;
     hooks.make_reducer = [this, start_effects](const HostPorts&) {
       HostReducer reducer;
@@ -188,6 +192,67 @@
   CHECK_EQUAL(large.size(), CountOf(peer->received, "w"));
 }
 
+// Guards against an answer that is cut although its caller reads it, slowly,
+// within the time that a planned stop has.
+TEST(Host, APlannedStopWaitsForASlowReader) {
+  const std::string large(32u << 20, 'w');
+  flush_timeout = std::chrono::milliseconds(20);
+  stop_limit = std::chrono::seconds(15);
+  on_event = [&](const Event& event) -> Effects {
+    if (std::holds_alternative<StopRequested>(event.body)) {
+      return {ExitProcess{}};
+    }
+    const auto* call = std::get_if<CallerRequest>(&event.body);
+    if (call == nullptr) return {};
+    return {AnswerCaller{call->call, {200, {}, Body(large)}}};
+  };
+  const std::unique_ptr<Host> host = MakeHost();
+  host->Start();
+  asio::ip::tcp::socket socket(io);
+  socket.connect({asio::ip::make_address("127.0.0.1"), host->ports().caller});
+  const auto peer = std::make_shared<RawConnection>(std::move(socket));
+  peer->Write("GET / HTTP/1.1\r\n\r\n");
+  CHECK(Until([&] { return !events.empty(); }));
+  host->RequestStop();
+  const auto reads_from =
+      std::chrono::steady_clock::now() + std::chrono::milliseconds(300);
+  CHECK(Until([&] { return std::chrono::steady_clock::now() > reads_from; }));
+  CHECK(!host->exited());
+  peer->Read();
+  CHECK(Until([&] { return host->exited(); }));
+  CHECK(Until([&] { return peer->received.size() > large.size(); }));
+}
+
+// Guards against an answer to another node that is cut by the exit of this one.
+TEST(Host, ExitWaitsUntilAnswersToPeersAreWritten) {
+  CallAnswer answer;
+  answer.response.body = Body(std::string(16u << 20, 'w'));
+  std::unique_ptr<Host> two = MakeHost("n2");
+  two->Start();
+  on_event = [&](const Event& event) -> Effects {
+    if (std::holds_alternative<CallerRequest>(event.body)) {
+      return {SendPeer{"n2", {"127.0.0.1", two->ports().peer}, LinkPing{3}}};
+    }
+    const auto* received = std::get_if<PeerReceived>(&event.body);
+    if (received == nullptr) return {};
+    if (!std::holds_alternative<LinkPing>(received->message)) return {};
+    return {SendPeer{"n1", {}, answer}, ExitProcess{}};
+  };
+  const std::unique_ptr<Host> one = MakeHost("n1");
+  one->Start();
+  const auto peer = RawConnection::Connect(io, one->ports().caller);
+  peer->Write("GET / HTTP/1.1\r\n\r\n");
+  CHECK(Until([&] { return two->exited(); }));
+  two.reset();
+  CHECK(Until([&] {
+    const std::vector<PeerReceived> received = EventsOf<PeerReceived>();
+    return std::any_of(received.begin(), received.end(), [](const auto& each) {
+      const auto* whole = std::get_if<CallAnswer>(&each.message);
+      return whole != nullptr && whole->response.body.size() == 16u << 20;
+    });
+  }));
+}
+
 TEST(Host, SecondStopRequestStopsTheLoopImmediately) {
   const std::unique_ptr<Host> host = MakeHost();
   host->Start();
--- a/src/libhost/peer_link.h
+++ b/src/libhost/peer_link.h
@@ -71,6 +71,7 @@
 
   // True once the peer's Hello was accepted, until Close().
   bool open() const { return state_ == State::kOpen; }
+  bool has_unwritten() const { return open() && queued_bytes_ > 0; }
   // The peer's identity from its Hello, and the time when the Hello was
   // accepted. Both are valid once the link is open.
   const NodeRef& node() const { return node_; }
--- a/src/libhost/peer_transport.cc
+++ b/src/libhost/peer_transport.cc
@@ -68,6 +68,7 @@
   void Send(const std::string& peer, const Endpoint& address,
             PeerMessage message);
   void Close(const std::string& peer);
+  bool HasUnwritten() const;
   void Stop();
 
   uint16_t port() const { return acceptor_.local_endpoint().port(); }
@@ -434,6 +435,15 @@
   return it;
 }
 
+bool PeerTransportImpl::HasUnwritten() const {
+  return std::any_of(peers_.begin(), peers_.end(), [](const auto& entry) {
+    const Link& dialled = entry.second.dialled;
+    const Link& accepted = entry.second.accepted;
+    return (dialled && dialled->has_unwritten()) ||
+           (accepted && accepted->has_unwritten());
+  });
+}
+
 void PeerTransportImpl::Stop() {
   if (stopped_) {
     return;
@@ -475,6 +485,8 @@
 
 void PeerTransport::Close(const std::string& peer) { impl_->Close(peer); }
 
+bool PeerTransport::HasUnwritten() const { return impl_->HasUnwritten(); }
+
 void PeerTransport::Stop() { impl_->Stop(); }
 
 }  // namespace amaranth::pvt
--- a/src/libhost/peer_transport.h
+++ b/src/libhost/peer_transport.h
@@ -85,6 +85,9 @@
   // Closes every link to the peer. on_lost follows even if there was none.
   void Close(const std::string& peer);
 
+  // Returns whether bytes of messages wait for the kernel on an open link.
+  bool HasUnwritten() const;
+
   // Writes as many queued messages as the kernel accepts without blocking and
   // closes all links. No hook is called afterwards.
   void Stop();
