A stopping node answers all requests that it has read from a connection

Cause: each answer of a stopping node closed its connection.

Change: only the answer to the last open request does.

Measured: HttpFrontend, ClosesAfterTheLastPipelinedAnswer failed before.

--- a/src/libhost/http_frontend.cc
+++ b/src/libhost/http_frontend.cc
@@ -205,7 +205,10 @@
   bool Answer(CallId call, const HttpResponse& response) {
     const bool close_requested =
         FindHeader(response.headers, "Connection") == "close";
-    return Write(call, response, closing_ || close_requested);
+    // A close would cut off requests that were read from the connection after
+    // this one.
+    const bool may_close = closing_ && OpenCallsBeside(call) == 0;
+    return Write(call, response, may_close || close_requested);
   }
 
   void OnClosed(uint64_t connection_id) {
@@ -254,6 +257,16 @@
     Write(call, MakeRefusal(status, reason, options_.node_name, detail), true);
   }
 
+  size_t OpenCallsBeside(CallId call) const {
+    const auto found = calls_.find(call);
+    if (found == calls_.end()) return 0;
+    const auto connection =
+        connections_.find(found->second.request->connection_id());
+    return connection == connections_.end()
+               ? 0
+               : connection->second.calls.size() - 1;
+  }
+
   bool Write(CallId call, const HttpResponse& response, bool close) {
     const auto found = calls_.find(call);
     if (found == calls_.end()) return false;
--- a/src/libhost/http_frontend_test.cc
+++ b/src/libhost/http_frontend_test.cc
@@ -54,6 +54,21 @@
   CHECK(request.body.view() == "body");
 }
 
+// Guards against a planned stop that cuts off the second of two requests which
+// were read from one connection.
+TEST(HttpFrontend, ClosesAfterTheLastPipelinedAnswer) {
+  Open();
+  const auto peer = Connect();
+  peer->Write("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+  CHECK(Until([&] { return requests.size() == 2; }));
+  frontend->CloseAfterAnswers();
+  frontend->Answer(requests[0].first, Text("first"));
+  CHECK(Until([&] { return CountOf(peer->received, "first") == 1; }));
+  frontend->Answer(requests[1].first, Text("second"));
+  CHECK(Until([&] { return CountOf(peer->received, "second") == 1; }));
+  CHECK(Until([&] { return peer->ended; }));
+}
+
 TEST(HttpFrontend, PipelinedAnswersKeepRequestOrder) {
   // Three requests are pipelined on one connection and one is sent on another;
   // the reducer answers in reverse order. Each caller must get its own answers
