An odd announcement no longer takes the place of a server in use

What callers saw: one odd heartbeat (an id that cannot be sent, a start time or number of 2^64-1, a service that no settings name) takes a sound server out of use, or callers get 400.

Cause: fields were checked one by one, and the later number always won.

Change: ids and names are printable ASCII, addresses are IP numbers, numbers have a plausible range; a process keeps its address and service, its numbers don't jump, and a service that no settings name replaces no server of one that they name.

--- a/src/libnode/serving/announcement_evidence.cc
+++ b/src/libnode/serving/announcement_evidence.cc
@@ -38,8 +38,11 @@
         }));
   }
   Entry& entry = entries_[server];
-  if (!is_new && stamp.started_ms < entry.started_ms) return;
-  if (is_new || stamp.started_ms > entry.started_ms) {
+  // A start time that was too high must not keep out the server for good.
+  const bool is_earlier = stamp.started_ms < entry.started_ms;
+  const bool is_silent = now - entry.last_at >= period_ * kOverduePeriods;
+  if (!is_new && is_earlier && !is_silent) return;
+  if (is_new || stamp.started_ms != entry.started_ms) {
     entry = Entry();
     entry.started_ms = stamp.started_ms;
     entry.first_sequence = stamp.sequence;
@@ -61,10 +64,8 @@
                                     DepartureKnowledge knowledge,
                                     TimePoint now) const {
   if (!MayDoubt(now)) return true;
-  const auto found = entries_.find(server);
-  if (found == entries_.end()) return false;
-  const Entry& entry = found->second;
-  if (entry.started_ms != stamp.started_ms) return false;
+  if (!IsOfCountedProcess(server, stamp)) return false;
+  const Entry& entry = entries_.at(server);
   if (StartedLater(entry)) return true;
   if (knowledge == DepartureKnowledge::kLearning) return false;
   if (IsProven(entry)) return true;
@@ -76,6 +77,13 @@
   return !entry.withdrawn && (is_in_time || IsFirst(entry));
 }
 
+bool AnnouncementEvidence::IsOfCountedProcess(
+    const std::string& server, const AnnouncementStamp& stamp) const {
+  const auto found = entries_.find(server);
+  return found != entries_.end() &&
+         found->second.started_ms == stamp.started_ms;
+}
+
 bool AnnouncementEvidence::IsOverdue(const std::string& server,
                                      TimePoint now) const {
   if (!MayDoubt(now)) return false;
--- a/src/libnode/serving/announcement_evidence.h
+++ b/src/libnode/serving/announcement_evidence.h
@@ -31,6 +31,10 @@
   // server.
   bool Suffices(const std::string& server, const AnnouncementStamp& stamp,
                 DepartureKnowledge knowledge, TimePoint now) const;
+  // Returns whether the announcement is of the process of the server whose
+  // announcements are counted, which is normally the last one that started.
+  bool IsOfCountedProcess(const std::string& server,
+                          const AnnouncementStamp& stamp) const;
   // Returns whether a server that is used on the word of too few announcements
   // has not sent the next one in time.
   bool IsOverdue(const std::string& server, TimePoint now) const;
--- a/src/libnode/serving/announcement_evidence_test.cc
+++ b/src/libnode/serving/announcement_evidence_test.cc
@@ -62,6 +62,16 @@
   CHECK(Announce(milliseconds(6000), 43));
 }
 
+// Guards against one wrong start time after which a server never proves
+// anything.
+TEST(AnnouncementEvidence, AStartTimeThatIsNotHeardAgainIsForgotten) {
+  CHECK(!Announce(milliseconds(1500), 40, kServerStartedMs + 1));
+  CHECK(!Announce(milliseconds(3000), 41));
+  CHECK(!Announce(milliseconds(4500), 42));
+  CHECK(!Announce(milliseconds(6000), 43));
+  CHECK(Announce(milliseconds(7500), 44));
+}
+
 TEST(AnnouncementEvidence, AServerThatStartedLaterIsUsedAtOnce) {
   CHECK(Announce(seconds(10), 3, kNodeStartedMs + 8'000));
 }
--- a/src/libnode/serving/serving_role.h
+++ b/src/libnode/serving/serving_role.h
@@ -199,6 +199,12 @@
   void Cancel(Hop& hop, Context& context);
   bool IsOutdated(const ServerRecord& record,
                   const AnnouncementStamp& stamp) const;
+  // Returns whether the announcement would take the id or the address of a
+  // server in use by something that its process cannot say.
+  bool TakesAnotherPlace(const ServerRecord& record,
+                         const AnnouncementStamp& stamp) const;
+  // Returns whether the settings send calls to the service.
+  bool IsServiceNamed(const std::string& service) const;
   // Logs what a server said of itself, what was known and what was decided.
   void LogServerEvent(const std::string& server, std::string_view what,
                       const AnnouncementStamp& stamp, std::string_view decision,
--- a/src/libnode/serving/serving_servers.cc
+++ b/src/libnode/serving/serving_servers.cc
@@ -1,5 +1,8 @@
 // Announcements of backend servers, and timers of the serving role.
 
+#include <arpa/inet.h>
+
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -26,6 +29,20 @@
 // or calls are queued.
 constexpr Duration kMinLoggedWait = std::chrono::milliseconds(10);
 
+// A name is sent in header fields and written to logs.
+bool IsName(const std::string& text) {
+  return !text.empty() && text.size() <= kMaxNameLength &&
+         text.find_first_of("/*,;\"\\") == std::string::npos &&
+         std::all_of(text.begin(), text.end(),
+                     [](char c) { return c > ' ' && c <= '~'; });
+}
+
+bool IsIp(const std::string& text) {
+  in6_addr address{};
+  return inet_pton(AF_INET, text.c_str(), &address) == 1 ||
+         inet_pton(AF_INET6, text.c_str(), &address) == 1;
+}
+
 std::optional<Endpoint> ParseEndpoint(const std::string& text) {
   const size_t colon = text.rfind(':');
   if (colon == std::string::npos || colon == 0) return std::nullopt;
@@ -37,15 +54,23 @@
   const unsigned long number = std::stoul(port);
   if (number == 0 || number > 65535) return std::nullopt;
   const std::string ip = text.substr(0, colon);
-  if (ip.find_first_not_of("0123456789abcdefABCDEF.:[]") != std::string::npos) {
+  const bool has_brackets =
+      ip.size() > 2 && ip.front() == '[' && ip.back() == ']';
+  if (!IsIp(has_brackets ? ip.substr(1, ip.size() - 2) : ip)) {
     return std::nullopt;
   }
   return Endpoint{ip, static_cast<uint16_t>(number)};
 }
 
-bool IsName(const std::string& text) {
-  return !text.empty() && text.size() <= kMaxNameLength &&
-         text.find_first_of("/*,; \"\\") == std::string::npos;
+// Larger numbers are not exact in all implementations of JSON.
+constexpr uint64_t kMaxSequence = uint64_t{1} << 53;
+// The year 2200.
+constexpr uint64_t kMaxStartedMs = 7'258'118'400'000;
+// Two announcements of one process are not this far apart.
+constexpr uint64_t kMaxSequenceGap = uint64_t{1} << 32;
+
+bool IsPlausible(const AnnouncementStamp& stamp) {
+  return stamp.started_ms <= kMaxStartedMs && stamp.sequence <= kMaxSequence;
 }
 
 struct LeaveMessage {
@@ -104,6 +129,9 @@
       return Error{ErrorCode::kInvalid,
                    "announcement needs server, service, address ip:port"};
     }
+    if (!IsPlausible(announcement.stamp)) {
+      return Error{ErrorCode::kInvalid, "start time or sequence out of range"};
+    }
     record.address = *address;
     return announcement;
   } catch (const nlohmann::json::exception& error) {
@@ -133,10 +161,13 @@
         call, BadAnnouncement("too many backend servers here", context)});
     return;
   }
-  if (!announcement.record.draining) {
+  const bool is_ignored =
+      IsOutdated(announcement.record, announcement.stamp) ||
+      TakesAnotherPlace(announcement.record, announcement.stamp);
+  if (!is_ignored && !announcement.record.draining) {
     evidence_.Count(name, announcement.stamp, context.now);
   }
-  if (!MayHaveDeparted(announcement, context)) {
+  if (is_ignored || !MayHaveDeparted(announcement, context)) {
     return Acknowledge(call, Accept(announcement, context), context);
   }
   const bool is_held = held_announcements_.count(name) > 0;
@@ -170,12 +201,9 @@
                      : "hold-unproven",
                  context);
   stats_.Count("amaranth_announcements_held_total");
-  const auto held = held_announcements_.find(name);
-  if (held != held_announcements_.end() &&
-      stamp.started_ms < held->second.stamp.started_ms) {
-    return;
+  if (evidence_.IsOfCountedProcess(name, stamp)) {
+    held_announcements_[name] = announcement;
   }
-  held_announcements_[name] = announcement;
 }
 
 void ServingRole::AcceptHeld(Context& context) {
@@ -203,6 +231,10 @@
     LogServerEvent(record.server, state, stamp, "ignore-outdated", context);
     return std::nullopt;
   }
+  if (TakesAnotherPlace(record, stamp)) {
+    LogServerEvent(record.server, state, stamp, "ignore-conflicting", context);
+    return std::nullopt;
+  }
   RemoveReplaced(record, stamp, context);
   held_announcements_.erase(record.server);
   record.started_ms = stamp.started_ms;
@@ -326,6 +358,39 @@
   return false;
 }
 
+// A process keeps its address and service, and its announcements are numbered
+// one by one. One of a service that no settings name gets no calls, so it need
+// not take the place of one that does.
+bool ServingRole::TakesAnotherPlace(const ServerRecord& record,
+                                    const AnnouncementStamp& stamp) const {
+  const bool is_named = IsServiceNamed(record.service);
+  for (const auto& [name, server] : servers_) {
+    const ServerRecord& other = server.record();
+    const bool same_server = name == record.server;
+    const bool same_address = other.address == record.address;
+    if (!same_server && !same_address) continue;
+    if (!is_named && !server.draining && IsServiceNamed(other.service)) {
+      return true;
+    }
+    const bool same_process = same_server && stamp.started_ms != 0 &&
+                              stamp.started_ms == server.stamp.started_ms;
+    if (!same_process) continue;
+    if (!same_address || other.service != record.service) return true;
+    if (stamp.sequence > server.stamp.sequence + kMaxSequenceGap) return true;
+  }
+  return false;
+}
+
+bool ServingRole::IsServiceNamed(const std::string& service) const {
+  const std::vector<Route>& routes = settings_.routes().routes();
+  if (routes.empty()) return true;  // callers name services
+  return std::any_of(routes.begin(), routes.end(), [&](const Route& route) {
+    return std::any_of(
+        route.targets.begin(), route.targets.end(),
+        [&](const RouteTarget& target) { return target.service == service; });
+  });
+}
+
 // A server that restarted, under its old name or under a new one at the same
 // address, is a new process: the record, queue and measurements of the old one
 // no longer apply.
@@ -386,7 +451,8 @@
   }
   const bool may_be_unknown =
       context.identity.rules.announce_port || leave.started_ms;
-  const bool accepted = may_be_unknown && IsName(leave.server);
+  const bool accepted = may_be_unknown && IsName(leave.server) &&
+                        IsPlausible({leave.started_ms.value_or(0), 0});
   LogServerEvent(leave.server, "is leaving", {leave.started_ms.value_or(0), 0},
                  accepted ? "remember" : "reject", context);
   if (!accepted) {
