A response with a status above 599 is a server error

Cause: the client accepted all numbers of three digits. RFC 9110 section 15 ends at 599.

A test plays the early answer that is reset during the upload as well; it held before.

Measured: HttpClient, ResponseWithAnInvalidStatusIsAnError failed at 600 before; ResponseThatIsResetDuringTheUploadIsAnError passed before and passes.

--- a/src/libhost/http_client_test.cc
+++ b/src/libhost/http_client_test.cc
@@ -7,6 +7,9 @@
 
 #include <algorithm>
 #include <array>
+#include <asio/read.hpp>
+#include <optional>
+#include <thread>
 
 #include "libhost/test_io.h"
 
@@ -58,6 +61,34 @@
   std::array<int, 4> connecting_{};
 };
 
+// Accepts one connection, reads `read_before` bytes, writes `response`, and
+// resets the connection after a pause.
+class ResettingServer {
+ public:
+  ResettingServer(std::string response, size_t read_before,
+                  std::chrono::milliseconds pause)
+      : acceptor_(io_, {asio::ip::make_address("127.0.0.1"), 0}),
+        thread_([this, response = std::move(response), read_before, pause] {
+          asio::ip::tcp::socket socket(io_);
+          acceptor_.accept(socket);
+          std::string buffer(std::max<size_t>(1, read_before), ' ');
+          asio::read(socket, asio::buffer(buffer));
+          asio::write(socket, asio::buffer(response));
+          std::this_thread::sleep_for(pause);
+          socket.set_option(asio::socket_base::linger(true, 0));
+        }) {}
+  ~ResettingServer() { thread_.join(); }
+  ResettingServer(const ResettingServer&) = delete;
+  ResettingServer& operator=(const ResettingServer&) = delete;
+
+  uint16_t port() const { return acceptor_.local_endpoint().port(); }
+
+ private:
+  asio::io_context io_;
+  asio::ip::tcp::acceptor acceptor_;
+  std::thread thread_;
+};
+
 std::string OkResponse(const std::string& body) {
   return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
          "\r\nX-Server: s\r\n\r\n" + body;
@@ -403,6 +434,49 @@
   CHECK(result.reason == Reason::kTooLarge);
 }
 
+// Guards against a response that is passed on with a status which is none
+// (RFC 9110 section 15).
+TEST(HttpClient, ResponseWithAnInvalidStatusIsAnError) {
+  for (const char* status : {"000", "099", "20", "2xx", "-20", "+200", "0200",
+                             "1000", "600", "999"}) {
+    const HttpClientResult result =
+        ResultOf(std::string("HTTP/1.1 ") + status +
+                     " OK\r\nContent-Length: 2\r\n\r\nok",
+                 Post("p"));
+    CHECK_TEXT(!result.response.has_value(), status);
+    CHECK(result.verdict == Verdict::kMayHaveRun);
+  }
+  for (const int status : {200, 204, 404, 599}) {
+    const HttpClientResult result =
+        ResultOf("HTTP/1.1 " + std::to_string(status) +
+                     " OK\r\nContent-Length: 0\r\n\r\n",
+                 Post("p"));
+    CHECK(result.response.has_value());
+  }
+}
+
+// Guards against the received part of a response that passes as the whole,
+// because the connection is reset while the request is still being written.
+TEST(HttpClient, ResponseThatIsResetDuringTheUploadIsAnError) {
+  HttpClientOptions options;
+  options.accept_close_delimited_body = true;
+  for (const size_t read_before :
+       {size_t{0}, size_t{1} << 16, size_t{8} << 20}) {
+    for (const int pause_ms : {0, 1, 20}) {
+      ResettingServer server("HTTP/1.1 200 OK\r\nX-Signature: s\r\n\r\npart",
+                             read_before, std::chrono::milliseconds(pause_ms));
+      std::optional<HttpClientResult> result;
+      HttpClient client(io, options);
+      client.Send({"127.0.0.1", server.port()},
+                  Post(std::string(size_t{48} << 20, 'u')), kRequestTimeout,
+                  [&](HttpClientResult ended) { result = std::move(ended); });
+      CHECK(Until([&] { return result.has_value(); }));
+      CHECK(!result->response.has_value());
+      CHECK(result->verdict == Verdict::kMayHaveRun);
+    }
+  }
+}
+
 TEST(HttpClient, NonHttpResponseIsAServerError) {
   const HttpClientResult result = ResultOf("SSH-2.0-what\r\n\r\n", Post("p"));
   CHECK(!result.response.has_value());
--- a/src/libhost/http_transfer.cc
+++ b/src/libhost/http_transfer.cc
@@ -25,6 +25,9 @@
   return line;
 }
 
+// Larger numbers are no status codes (RFC 9110 section 15).
+constexpr long kMaxStatus = 599;
+
 bool HasNoBody(int status) { return status == 204 || status == 304; }
 
 // Returns whether the line starts an interim response (1xx).
@@ -312,7 +315,7 @@
   // libcurl reports success for a response that ends inside its head.
   const bool is_complete =
       head_ended_ && (HasKnownLength() || options_.accept_close_delimited_body);
-  if (status < 200 || status > 999 || !is_complete) {
+  if (status < 200 || status > kMaxStatus || !is_complete) {
     return FailureResult(Reason::kServerError);
   }
   const bool is_head = request_.method == "HEAD";
