A node without peers goes through all peer rows

After 500 machines were replaced and all nodes killed, no request is served: the nodes don't find each other. Foreign rows in the table have the same effect.

Cause: a node tried five of the first 500 rows and then waited 2, 4, 8 and 16 s.

Change: it goes through all rows that it has read, more at a time, and then through the next rows of the table. A node that finds a live peer at its first try makes the same calls as before.

--- a/src/include/amaranthroute/platform.h
+++ b/src/include/amaranthroute/platform.h
@@ -54,6 +54,9 @@
 /// Lists the peer rows of a fleet: peer discovery at start if no seed answers.
 struct TableReadPeers {
   std::string name;  ///< of the node that asks
+  /// PlatformReply::more_from of an earlier reply, to go on from there; empty
+  /// for the first rows.
+  std::string from = {};
 };
 /// Writes the peer row of this node.
 struct TableWritePeer {
@@ -139,6 +142,8 @@
   /// node that has a row of it. Of large fleets, some rows may be missing, but
   /// never that of the node that asks.
   std::vector<std::string> retained = {};
+  /// TableReadPeers: where the next rows begin; empty if there are no more.
+  std::string more_from = {};
 };
 
 bool operator==(const TableClaimRows& a, const TableClaimRows& b);
--- a/src/libnode/fakes/membership_fleet.h
+++ b/src/libnode/fakes/membership_fleet.h
@@ -91,6 +91,10 @@
     });
   }
   size_t peer_rows() const { return peer_rows_.size(); }
+  // Adds the row of a node that is gone.
+  void AddPeerRow(const std::string& name, const std::string& address) {
+    peer_rows_[name] = address;
+  }
 
   void Pause(const std::string& name) { hosts_[name].paused = true; }
 
@@ -170,6 +174,8 @@
   }
 
  private:
+  static constexpr size_t kRowsPerReply = 500;
+
   struct Entry {
     TimePoint at;
     uint64_t order = 0;
@@ -283,8 +289,14 @@
     }
     if (platform_up) {
       reply.epoch = platform_epoch_;
-      for (const auto& [name, address] : peer_rows_) {
-        reply.peers.push_back(name + "=" + address);
+      const auto* read = std::get_if<TableReadPeers>(&sent.request);
+      auto row = peer_rows_.lower_bound(read == nullptr ? "" : read->from);
+      for (; row != peer_rows_.end(); ++row) {
+        if (reply.peers.size() == kRowsPerReply) {
+          reply.more_from = row->first;
+          break;
+        }
+        reply.peers.push_back(row->first + "=" + row->second);
       }
     }
     Schedule(now_ + max_delay, from, PlatformReplied{sent.op, reply});
--- a/src/libnode/membership/membership.cc
+++ b/src/libnode/membership/membership.cc
@@ -123,6 +123,7 @@
   OnDepartureTimers(context);
   if (context.now >= next_period_) OnPeriod(context);
   if (context.now >= next_platform_) DiscoverPeers(context);
+  if (context.now >= next_dial_) DialPeers(context);
   if (context.now >= follow_up_at_) {
     follow_up_at_ = kNever;
     const MemberRecord* peer = Find(follow_up_peer_);
@@ -136,8 +137,9 @@
 }
 
 TimePoint Membership::next_timer() const {
-  TimePoint next = std::min({next_period_, next_push_, next_platform_,
-                             follow_up_at_, next_departure_timer()});
+  TimePoint next =
+      std::min({next_period_, next_push_, next_platform_, next_dial_,
+                follow_up_at_, next_departure_timer()});
   if (probe_) next = std::min(next, probe_->indirect_at);
   for (const auto& [server, heard] : last_announced_) {
     next = std::min(next, heard + identity_.rules.server_lease);
--- a/src/libnode/membership/membership.h
+++ b/src/libnode/membership/membership.h
@@ -254,6 +254,10 @@
   void PingDepartedMembers(Context& context);
   void DiscoverPeers(Context& context);
   Duration PeerRowDelay() const;
+  // membership_discovery.cc: peers in the rows of the platform's table.
+  void OnPeersRead(const PlatformReply& reply, Context& context);
+  // Contacts some of the peers that were read, until one has answered.
+  void DialPeers(Context& context);
   void Reconnect(Context& context);
   void ContactDataCentres(Context& context);
   void PushUrgent(Context& context);
@@ -405,6 +409,10 @@
   std::map<std::string, TimePoint> next_remote_sync_;  // by data centre
 
   std::optional<PlatformOpId> read_peers_op_;
+  std::string next_peer_rows_;              // see PlatformReply::more_from
+  std::vector<std::string> peers_to_dial_;  // rows that were read
+  size_t dials_at_once_ = 0;
+  TimePoint next_dial_ = kNever;
   std::optional<PlatformOpId> write_peer_op_;
   bool peer_row_written_ = false;  // in the epoch platform_epoch_
   // Earliest time to write the peer row.
--- a/src/libnode/membership/membership_dissemination.cc
+++ b/src/libnode/membership/membership_dissemination.cc
@@ -1,5 +1,5 @@
-// Dissemination: contents of datagrams, pushes of urgent changes, contact with
-// other data centres, and discovery of peers.
+// Dissemination: contents of datagrams, pushes of urgent changes, and contact
+// with other data centres.
 
 #include <algorithm>
 #include <map>
@@ -29,36 +29,6 @@
   return chosen;
 }
 
-// Parses a "name=ip:port" row of the platform's peer list. Returns false if it
-// is malformed.
-bool ParsePeer(const std::string& row, std::string& name, Endpoint& address) {
-  const size_t equals = row.find('=');
-  const size_t colon = row.rfind(':');
-  if (equals == std::string::npos || colon == std::string::npos ||
-      colon < equals) {
-    return false;
-  }
-  uint32_t port = 0;
-  for (const char c : row.substr(colon + 1)) {
-    if (c < '0' || c > '9' || port > UINT16_MAX) return false;
-    port = port * 10 + static_cast<uint32_t>(c - '0');
-  }
-  if (port == 0 || port > UINT16_MAX) return false;
-  name = row.substr(0, equals);
-  address.ip = row.substr(equals + 1, colon - equals - 1);
-  address.port = static_cast<uint16_t>(port);
-  return true;
-}
-
-bool ListsOtherNode(const std::vector<std::string>& rows,
-                    const std::string& self) {
-  return std::any_of(rows.begin(), rows.end(), [&](const std::string& row) {
-    std::string name;
-    Endpoint address;
-    return ParsePeer(row, name, address) && name != self;
-  });
-}
-
 bool HasServerOf(const MemberRecord& record, const std::string& service) {
   return std::any_of(
       record.servers.begin(), record.servers.end(),
@@ -369,40 +339,6 @@
   }
 }
 
-void Membership::DiscoverPeers(Context& context) {
-  Reconnect(context);
-  next_platform_ = kNever;
-  if (!identity_.use_platform) return;
-  const bool alone = UpPeers().empty();
-  if (!alone && peer_row_written_) return;
-  next_platform_ = context.now + platform_interval_;
-  platform_interval_ = std::min(platform_interval_ * 2, kMaxPlatformInterval);
-  // If a whole region starts at once and each node sends all its operations
-  // immediately, the table gets thousands of operations in one second and can
-  // take a few hundred. So the seeds are asked first, and the row writes are
-  // spread over time by hash.
-  if (!started_) started_ = context.now;
-  if (!peer_row_due_) peer_row_due_ = context.now + PeerRowDelay();
-  const Duration up_for = context.now - *started_;
-  const bool seeds_failed =
-      identity_.seeds.empty() || up_for >= kSeedTimeoutBeforePlatform;
-  const bool row_due = context.now >= *peer_row_due_;
-  if (!peer_row_written_ && !row_due) {
-    next_platform_ = std::min(next_platform_, *peer_row_due_);
-  }
-  if (alone && seeds_failed && !read_peers_op_) {
-    read_peers_op_ = context.NextId();
-    context.Emit(
-        SendPlatform{*read_peers_op_, TableReadPeers{identity_.node.name}});
-  }
-  if (!peer_row_written_ && !write_peer_op_ && row_due) {
-    write_peer_op_ = context.NextId();
-    context.Emit(SendPlatform{
-        *write_peer_op_,
-        TableWritePeer{identity_.node.name, ToString(identity_.peer_address)}});
-  }
-}
-
 // Spreads the writes of a fleet that starts, or learns of a new epoch, at once.
 Duration Membership::PeerRowDelay() const {
   const int64_t spread =
@@ -449,17 +385,7 @@
   }
   if (!read_peers_op_ || *read_peers_op_ != replied.op) return false;
   read_peers_op_.reset();
-  OnRetainedRead(replied.reply, context);
-  is_only_node_ = replied.reply.status == PlatformStatus::kOk &&
-                  !ListsOtherNode(replied.reply.peers, identity_.node.name);
-  if (!UpPeers().empty()) return true;
-  for (const std::string& row :
-       Sample(replied.reply.peers, kPeersFromPlatform, context.random)) {
-    std::string name;
-    Endpoint address;
-    if (!ParsePeer(row, name, address) || name == identity_.node.name) continue;
-    StartSync(name, address, context);
-  }
+  OnPeersRead(replied.reply, context);
   return true;
 }
 
--- a/src/libnode/membership/membership_limits.h
+++ b/src/libnode/membership/membership_limits.h
@@ -113,6 +113,9 @@
 inline constexpr Duration kPlatformInterval = std::chrono::seconds(2);
 inline constexpr Duration kMaxPlatformInterval = std::chrono::seconds(16);
 inline constexpr size_t kPeersFromPlatform = 5;
+// A node that finds no peer among them goes on with twice as many at a time.
+inline constexpr size_t kMaxDialsAtOnce = 40;
+inline constexpr Duration kDialInterval = std::chrono::milliseconds(250);
 // A seed that is up answers within one or two round trips, so after this time
 // the platform is asked for peers.
 inline constexpr Duration kSeedTimeoutBeforePlatform = std::chrono::seconds(1);
--- a/src/libnode/membership/membership_test.cc
+++ b/src/libnode/membership/membership_test.cc
@@ -107,6 +107,21 @@
                        seconds(10)));
 }
 
+// Guards against nodes that start at once and don't find each other among the
+// rows of many nodes that are gone.
+TEST(Membership, PeersAreDiscoveredAmongRowsOfNodesThatAreGone) {
+  MembershipFleet fleet(65);
+  fleet.platform_up = true;
+  for (int i = 0; i < 4; ++i) fleet.Add(NodeName("derby", i), "derby");
+  fleet.Run(seconds(40));
+  for (int i = 0; i < 1200; ++i) {
+    fleet.AddPeerRow("aged-" + std::to_string(i), "10.0.0.1:9");
+  }
+  for (int i = 0; i < 4; ++i) fleet.Restart(NodeName("derby", i));
+  CHECK(fleet.RunUntil([&] { return fleet.ViewsMatchRunningNodes(); },
+                       seconds(15)));
+}
+
 // Guards against a node that starts and finds no peer, because the platform
 // came back from a copy made before the nodes wrote their rows.
 TEST(Membership, PeerRowsAreWrittenAgainAfterThePlatformWasRestored) {
--- a/src/libnode/membership_settings.cmake
+++ b/src/libnode/membership_settings.cmake
@@ -3,6 +3,7 @@
     membership/membership.cc
     membership/membership_probe.cc
     membership/membership_dissemination.cc
+    membership/membership_discovery.cc
     membership/membership_sync.cc
     membership/membership_relay.cc
     membership/membership_departures.cc
--- a/src/libreplay/event_json.cc
+++ b/src/libreplay/event_json.cc
@@ -93,6 +93,7 @@
           {"version", reply.version},
           {"bytes", EncodeBase64(reply.bytes)},
           {"peers", reply.peers},
+          {"more_from", reply.more_from},
           {"retained", reply.retained},
           {"epoch", reply.epoch},
           {"clock_us", reply.clock.time_since_epoch().count()},
@@ -106,6 +107,7 @@
   reply.version = json.at("version");
   reply.bytes = BytesFromJson(json.at("bytes"));
   reply.peers = json.at("peers").get<std::vector<std::string>>();
+  reply.more_from = json.value("more_from", std::string());
   reply.retained = json.value("retained", std::vector<std::string>());
   reply.epoch = json.value("epoch", uint64_t{0});
   reply.clock = PlatformTime(Duration(json.value("clock_us", int64_t{0})));
--- a/src/libutil/fields.h
+++ b/src/libutil/fields.h
@@ -148,7 +148,7 @@
 
 inline auto Fields(const TableReadChange& v) { return std::tie(v.change_id); }
 
-inline auto Fields(const TableReadPeers& v) { return std::tie(v.name); }
+inline auto Fields(const TableReadPeers& v) { return std::tie(v.name, v.from); }
 
 inline auto Fields(const TableWatchSettings& v) {
   return std::tie(v.after, v.wait);
@@ -169,8 +169,8 @@
 inline auto Fields(const ObjectGet& v) { return std::tie(v.name); }
 
 inline auto Fields(const PlatformReply& v) {
-  return std::tie(v.status, v.holders, v.version, v.bytes, v.peers, v.retained,
-                  v.epoch, v.clock, v.is_document_invalid);
+  return std::tie(v.status, v.holders, v.version, v.bytes, v.peers, v.more_from,
+                  v.retained, v.epoch, v.clock, v.is_document_invalid);
 }
 
 inline auto Fields(const TableClaimRows::Row& v) {
