A later part of the peer rows does not make a node the only one

Cause: is_only_node_ was set from any reply without another node, and since a reply may hold a later part of the table, with the node's own row at its end.

Change: only the first rows can show that there is no other node.

--- a/src/libnode/entry/entry_role.h
+++ b/src/libnode/entry/entry_role.h
@@ -192,6 +192,7 @@
                     Context& context);
   // Reports the end of a request to the admission window of its class.
   void CompleteInWindow(Call& call, bool served, TimePoint now);
+  // Answers the callers of a call that cannot end before this node exits.
   void FailAtExit(uint64_t id, Context& context);
   void LogFailure(const Call& call, const Failure& failure, Context& context);
   // Logs an error response that was caused by a known failure below.
--- a/src/libnode/membership/membership.h
+++ b/src/libnode/membership/membership.h
@@ -412,6 +412,7 @@
 
   std::optional<PlatformOpId> read_peers_op_;
   bool peer_read_failed_ = false;           // at the last try
+  bool reads_first_rows_ = true;            // at the last try
   std::string next_peer_rows_;              // see PlatformReply::more_from
   std::vector<std::string> peers_to_dial_;  // rows that were read
   size_t dials_at_once_ = 0;
--- a/src/libnode/membership/membership_discovery.cc
+++ b/src/libnode/membership/membership_discovery.cc
@@ -63,7 +63,8 @@
     next_platform_ = std::min(next_platform_, *peer_row_due_);
   }
   if (alone && seeds_failed && !read_peers_op_) {
-    if (next_peer_rows_.empty()) dials_at_once_ = kPeersFromPlatform;
+    reads_first_rows_ = next_peer_rows_.empty();
+    if (reads_first_rows_) dials_at_once_ = kPeersFromPlatform;
     read_peers_op_ = context.NextId();
     context.Emit(SendPlatform{
         *read_peers_op_, TableReadPeers{identity_.node.name,
@@ -81,7 +82,7 @@
   OnRetainedRead(reply, context);
   const bool succeeded = reply.status == PlatformStatus::kOk;
   peer_read_failed_ = !succeeded;
-  is_only_node_ = succeeded && reply.more_from.empty() &&
+  is_only_node_ = succeeded && reads_first_rows_ && reply.more_from.empty() &&
                   !ListsOtherNode(reply.peers, identity_.node.name);
   if (!succeeded || !UpPeers().empty()) return;
   next_peer_rows_ = reply.more_from;
@@ -115,7 +116,7 @@
   }
 }
 
-// The next try may be many seconds away after an outage.
+// The next try may be many seconds away, as their distance doubles.
 void Membership::OnPlatformAnswered(Context& context) {
   if (!peer_read_failed_ || read_peers_op_ || !UpPeers().empty()) return;
   peer_read_failed_ = false;
--- a/src/libnode/serving/announcement_evidence.cc
+++ b/src/libnode/serving/announcement_evidence.cc
@@ -1,7 +1,6 @@
 #include "libnode/serving/announcement_evidence.h"
 
 #include <algorithm>
-#include <iterator>
 
 #include "libnode/membership/membership_limits.h"
 
