--- a/src/libnode/serving/serving_servers.cc
+++ b/src/libnode/serving/serving_servers.cc
@@ -358,9 +358,9 @@
   return false;
 }
 
-// A process keeps its address and service, and its announcements are numbered
-// one by one. One of a service that no settings name gets no calls, so it need
-// not take the place of one that does.
+// A process keeps its address and service, and numbers its announcements one by
+// one. A server of a service that no settings name gets no calls, so it does
+// not replace a server of a service that they name.
 bool ServingRole::TakesAnotherPlace(const ServerRecord& record,
                                     const AnnouncementStamp& stamp) const {
   const bool is_named = IsServiceNamed(record.service);
